--- /dev/null
+++ b/cmd/slatewind/main.go
@@ -0,0 +1,47 @@
+// Command slatewind checks settings, asks running processes what they do and
+// why, replays traces and measures the policy.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"slatewind.example/slatewind/cli"
+	"slatewind.example/slatewind/daemon"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	parser := flags.NewNamedParser("slatewind", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = cli.ExitCodes
+	var global struct {
+		Version func() `long:"version" description:"print the version and exit"`
+	}
+	global.Version = func() {
+		fmt.Println("slatewind " + daemon.Version)
+		os.Exit(cli.ExitOK)
+	}
+	if _, err := parser.AddGroup("Global options", "", &global); err != nil {
+		panic(err)
+	}
+	if err := cli.AddCommands(parser, os.Stdout); err != nil {
+		panic(err)
+	}
+	_, err := parser.Parse()
+	if err == nil {
+		return cli.ExitOK
+	}
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return cli.ExitOK
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return cli.ExitCode(err)
+}
--- /dev/null
+++ b/cmd/slatewindd/main.go
@@ -0,0 +1,78 @@
+// Command slatewindd is the process that runs beside the backend servers of a
+// VM. It takes its settings from one YAML file; SIGTERM drains and ends it.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
+
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/daemon"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitSettings = 1
+	exitUsage    = 2
+	exitFailure  = 3
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" description:"YAML file with the settings of this process" value-name:"FILE"`
+	Verbose  bool   `short:"v" long:"verbose" description:"log decisions about single requests too"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	parser.LongDescription = "Exit codes: 0 stopped in order, 1 the settings have findings, 2 the command line is wrong, 3 it could not start or stop."
+	if _, err := parser.Parse(); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if o.Version {
+		fmt.Println("slatewindd " + daemon.Version)
+		return exitOK
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "slatewindd: --settings is missing; see --help")
+		return exitUsage
+	}
+	process, err := config.LoadProcess(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if err := serve(fx.New(daemon.Options(process, daemon.NewLogger(o.Verbose)))); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// serve runs the process until a signal comes and then drains it.
+func serve(app *fx.App) error {
+	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-app.Wait()
+	stopping, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	return app.Stop(stopping)
+}
--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,286 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// Check documents one check of settings files, for slatewind check --explain.
+type Check struct {
+	ID    string
+	Title string
+	// Reason says what would go wrong without the check.
+	Reason string
+	// Since is the first version that has the check.
+	Since string
+}
+
+// Checks lists every check, in the order of their ids.
+var Checks = []Check{
+	{"SW1001", "The file is one YAML document of at most a megabyte", "A second document would be ignored in silence, and the platform holds no larger value.", "0.1"},
+	{"SW1002", "Every field is known and has a value of its type", "A misspelt field or a number without its unit would leave a default in force that nobody chose.", "0.1"},
+	{"SW1003", "No field stands twice in one place", "Only the last would count, and the reader of the file may have seen the first.", "0.1"},
+	{"SW1004", "Names are stated and unique", "Decisions, metrics and records refer to services, servers and routes by name.", "0.1"},
+	{"SW1005", "A route names a service of the file", "Its requests could go nowhere.", "0.1"},
+	{"SW1006", "A floor is at most the number of servers", "No set of servers could satisfy it, so nothing could ever be ejected.", "0.1"},
+	{"SW1007", "Addresses are IP:port", "Processes reach each other by IP number; names would need a resolver that nobody runs.", "0.1"},
+	{"SW1008", "Kinds and priorities are known words", "A request whose kind is unclear might be run twice.", "0.1"},
+	{"SW1009", "Times are positive and caution lies from 4 to 40 nats", "A timeout of zero refuses everything; a caution outside these bounds ejects at random or never.", "0.1"},
+	{"SW1010", "Servers have slots, a VM and an address of their own", "The sidecar counts slots exactly; two servers at one address would be counted apart.", "0.1"},
+	{"SW1011", "No two routes match the same requests", "Which of them counted would depend on the order of the file.", "0.1"},
+	{"SW1012", "Path prefixes begin with a slash", "Request paths do, so nothing would ever match.", "0.1"},
+}
+
+// Bounds of caution in nats. Below the first a healthy server is ejected about
+// every fifty requests, above the second in no lifetime.
+const (
+	minCaution = 4
+	maxCaution = 40
+)
+
+// checker collects the findings of one file.
+type checker struct {
+	file     string
+	document *yaml.Node
+	findings Findings
+}
+
+func (c *checker) add(check, message string, path ...any) {
+	n := place(c.document, path...)
+	c.findings = append(c.findings, Finding{c.file, n.Line, n.Column, check, message})
+}
+
+func checkFleet(file string, document *yaml.Node, fleet *slatewindv1.Fleet) Findings {
+	c := &checker{file: file, document: document}
+	if len(fleet.GetServices()) == 0 {
+		c.add("SW1004", "file describes no service", "services")
+	}
+	services := c.checkServices(fleet)
+	c.checkRoutes(fleet, services)
+	return c.findings
+}
+
+func (c *checker) checkServices(fleet *slatewindv1.Fleet) map[string]bool {
+	services := map[string]bool{}
+	servers := map[string]bool{}
+	addresses := map[string]string{}
+	for i, service := range fleet.GetServices() {
+		c.checkName("service", service.GetName(), services, "services", i)
+		c.checkServiceNumbers(i, service)
+		for j, server := range service.GetServers() {
+			c.checkName("server", server.GetName(), servers, "services", i, "servers", j)
+			c.checkServer(i, j, service, server, addresses)
+		}
+	}
+	return services
+}
+
+// checkName reports a missing or repeated name and notes it as used.
+func (c *checker) checkName(what, name string, used map[string]bool, path ...any) {
+	path = append(path, "name")
+	switch {
+	case name == "":
+		c.add("SW1004", what+" has no name", path...)
+	case used[name]:
+		c.add("SW1004", fmt.Sprintf("%s name %q is used twice", what, name), path...)
+	}
+	used[name] = true
+}
+
+func (c *checker) checkServiceNumbers(i int, service *slatewindv1.Service) {
+	count := len(service.GetServers())
+	if count == 0 {
+		c.add("SW1010", fmt.Sprintf("service %q has no server", service.GetName()), "services", i, "servers")
+	}
+	if int(service.GetFloor()) > count {
+		message := fmt.Sprintf("floor %d is above the number of servers, %d", service.GetFloor(), count)
+		c.add("SW1006", message, "services", i, "floor")
+	}
+	caution := service.GetCaution()
+	if caution != 0 && (caution < minCaution || caution > maxCaution) {
+		message := fmt.Sprintf("caution %g is outside %d to %d nats", caution, minCaution, maxCaution)
+		c.add("SW1009", message, "services", i, "caution")
+	}
+	c.checkDuration(service.GetKeyLifetime(), "services", i, "key_lifetime")
+	c.checkDuration(service.GetProbeInterval(), "services", i, "probe_interval")
+	if path := service.GetProbePath(); path != "" && !strings.HasPrefix(path, "/") {
+		c.add("SW1012", fmt.Sprintf("probe path %q does not begin with a slash", path), "services", i, "probe_path")
+	}
+}
+
+func (c *checker) checkServer(i, j int, service *slatewindv1.Service, server *slatewindv1.Server, addresses map[string]string) {
+	if server.GetVm() == "" {
+		c.add("SW1010", fmt.Sprintf("server %q names no VM", server.GetName()), "services", i, "servers", j, "vm")
+	}
+	if server.GetSlots() == 0 && service.GetSlots() == 0 {
+		c.add("SW1010", fmt.Sprintf("neither server %q nor its service states slots", server.GetName()), "services", i, "servers", j, "slots")
+	}
+	c.checkAddress(server.GetAddress(), "services", i, "servers", j, "address")
+	if other, ok := addresses[server.GetAddress()]; ok {
+		message := fmt.Sprintf("address %s belongs to server %q already", server.GetAddress(), other)
+		c.add("SW1010", message, "services", i, "servers", j, "address")
+	}
+	addresses[server.GetAddress()] = server.GetName()
+}
+
+func (c *checker) checkRoutes(fleet *slatewindv1.Fleet, services map[string]bool) {
+	names := map[string]bool{}
+	matches := map[string]string{}
+	for i, route := range fleet.GetRoutes() {
+		c.checkName("route", route.GetName(), names, "routes", i)
+		if !services[route.GetService()] {
+			c.add("SW1005", fmt.Sprintf("route %q names no service of this file: %q", route.GetName(), route.GetService()), "routes", i, "service")
+		}
+		c.checkRouteWords(i, route)
+		c.checkDuration(route.GetTimeout(), "routes", i, "timeout")
+		c.checkOverlap(i, route, matches)
+	}
+}
+
+func (c *checker) checkRouteWords(i int, route *slatewindv1.Route) {
+	switch slatewind.Kind(route.GetKind()) {
+	case slatewind.KindRepeatable, slatewind.KindOnce:
+	default:
+		c.add("SW1008", fmt.Sprintf("kind %q is neither repeatable nor once", route.GetKind()), "routes", i, "kind")
+	}
+	switch slatewind.Priority(route.GetPriority()) {
+	case slatewind.PriorityInteractive, slatewind.PriorityBackground, "":
+	default:
+		c.add("SW1008", fmt.Sprintf("priority %q is neither interactive nor background", route.GetPriority()), "routes", i, "priority")
+	}
+	if !strings.HasPrefix(route.GetPathPrefix(), "/") {
+		c.add("SW1012", fmt.Sprintf("path prefix %q does not begin with a slash", route.GetPathPrefix()), "routes", i, "path_prefix")
+	}
+}
+
+// checkOverlap reports routes that match the same host, method and prefix.
+func (c *checker) checkOverlap(i int, route *slatewindv1.Route, matches map[string]string) {
+	methods := route.GetMethods()
+	if len(methods) == 0 {
+		methods = []string{""}
+	}
+	for _, method := range methods {
+		match := strings.Join([]string{route.GetHost(), method, strings.TrimSuffix(route.GetPathPrefix(), "/")}, " ")
+		if other, ok := matches[match]; ok {
+			c.add("SW1011", fmt.Sprintf("route %q matches the same requests as route %q", route.GetName(), other), "routes", i, "path_prefix")
+		}
+		matches[match] = route.GetName()
+	}
+}
+
+func (c *checker) checkAddress(address string, path ...any) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		c.add("SW1007", fmt.Sprintf("address %q is not IP:port", address), path...)
+	}
+}
+
+func (c *checker) checkDuration(d *durationpb.Duration, path ...any) {
+	if d != nil && d.AsDuration() <= 0 {
+		c.add("SW1009", fmt.Sprintf("time %s is not positive", d.AsDuration()), path...)
+	}
+}
+
+func checkProcess(file string, document *yaml.Node, process *slatewindv1.Process) Findings {
+	c := &checker{file: file, document: document}
+	if process.GetVm() == "" {
+		c.add("SW1004", "process names no VM", "vm")
+	}
+	if process.GetDataCentre() == "" {
+		c.add("SW1004", "process names no data centre", "data_centre")
+	}
+	c.checkAddress(process.GetIngressAddress(), "ingress_address")
+	c.checkAddress(process.GetPeerAddress(), "peer_address")
+	c.checkAddress(process.GetAdminAddress(), "admin_address")
+	for i, address := range process.GetSeedPeers() {
+		c.checkAddress(address, "seed_peers", i)
+	}
+	base, err := url.Parse(process.GetPlatformUrl())
+	if err != nil || base.Scheme != "http" || base.Host == "" {
+		c.add("SW1007", fmt.Sprintf("platform URL %q is not http://IP:port", process.GetPlatformUrl()), "platform_url")
+	}
+	return c.findings
+}
+
+// Defaults of the operators' file. The caution defaults come from the curve in
+// docs/POLICY.md.
+const (
+	defaultCaution       = 10
+	defaultKeyLifetime   = 10 * time.Minute
+	defaultProbeInterval = 5 * time.Second
+	defaultProbePath     = "/health"
+	defaultTimeout       = 2 * time.Second
+	defaultMaxBody       = 1 << 20
+)
+
+func setFleetDefaults(fleet *slatewindv1.Fleet) {
+	for _, service := range fleet.GetServices() {
+		setServiceDefaults(service)
+	}
+	for _, route := range fleet.GetRoutes() {
+		if route.Priority == "" {
+			route.Priority = string(slatewind.PriorityInteractive)
+		}
+		if route.Timeout == nil {
+			route.Timeout = durationpb.New(defaultTimeout)
+		}
+		if route.MaxBodyBytes == 0 {
+			route.MaxBodyBytes = defaultMaxBody
+		}
+	}
+}
+
+func setServiceDefaults(service *slatewindv1.Service) {
+	if service.Caution == 0 {
+		service.Caution = defaultCaution
+	}
+	if service.KeyLifetime == nil {
+		service.KeyLifetime = durationpb.New(defaultKeyLifetime)
+	}
+	if service.ProbeInterval == nil {
+		service.ProbeInterval = durationpb.New(defaultProbeInterval)
+	}
+	if service.ProbePath == "" {
+		service.ProbePath = defaultProbePath
+	}
+	for _, server := range service.GetServers() {
+		if server.Slots == 0 {
+			server.Slots = service.GetSlots()
+		}
+	}
+}
+
+// Defaults of the process settings; each bounds memory.
+const (
+	defaultOnceRecords     = 20000
+	defaultOnceAnswerBytes = 8 << 20
+	defaultTombstones      = 20000
+	defaultJournalEntries  = 4096
+	defaultRecordedEvents  = 8192
+)
+
+func setProcessDefaults(process *slatewindv1.Process) {
+	if process.Limits == nil {
+		process.Limits = &slatewindv1.Limits{}
+	}
+	limits := process.Limits
+	setDefault(&limits.OnceRecords, defaultOnceRecords)
+	setDefault(&limits.OnceAnswerBytes, defaultOnceAnswerBytes)
+	setDefault(&limits.Tombstones, defaultTombstones)
+	setDefault(&limits.JournalEntries, defaultJournalEntries)
+	setDefault(&limits.RecordedEvents, defaultRecordedEvents)
+}
+
+func setDefault(field *uint32, value uint32) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,196 @@
+// Package config decodes, checks and orders settings.
+//
+// A settings file counts as a whole: it is decoded into the types generated
+// from api/, every check runs, and all findings are reported together with
+// their places. Any finding refuses the file, and what was in force stays in
+// force. Accepted files are ordered by the platform's revision and then by
+// digest, so that every process that saw the same files ends with the same
+// one, and none goes back to an older one.
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"buf.build/go/protoyaml"
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/proto"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// MaxFileBytes is the largest value that the platform holds.
+const MaxFileBytes = 1 << 20
+
+// decodeError matches one error of the YAML decoder: file:line:column message.
+var decodeError = regexp.MustCompile(`(?m)^(?:.*):(\d+):(\d+) (.*)$`)
+
+// syntaxError matches an error of the YAML parser, which gives only the line.
+var syntaxError = regexp.MustCompile(`line (\d+): (.*)`)
+
+// ParseFleet decodes and checks the operators' file. The error, if any, is of
+// type Findings.
+func ParseFleet(file string, text []byte) (*slatewindv1.Fleet, error) {
+	fleet := &slatewindv1.Fleet{}
+	document, findings := decode(file, text, fleet)
+	if document != nil {
+		findings = append(findings, checkFleet(file, document, fleet)...)
+	}
+	if err := asError(findings); err != nil {
+		return nil, err
+	}
+	setFleetDefaults(fleet)
+	return fleet, nil
+}
+
+// LoadProcess reads, decodes and checks the settings file of one process.
+func LoadProcess(file string) (*slatewindv1.Process, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	process := &slatewindv1.Process{}
+	document, findings := decode(file, text, process)
+	if document != nil {
+		findings = append(findings, checkProcess(file, document, process)...)
+	}
+	if err := asError(findings); err != nil {
+		return nil, err
+	}
+	setProcessDefaults(process)
+	return process, nil
+}
+
+// asError sorts findings by place and returns nil where there are none.
+func asError(findings Findings) error {
+	if len(findings) == 0 {
+		return nil
+	}
+	sort.SliceStable(findings, func(i, j int) bool {
+		if findings[i].Line != findings[j].Line {
+			return findings[i].Line < findings[j].Line
+		}
+		return findings[i].Column < findings[j].Column
+	})
+	return findings
+}
+
+// decode fills message from text. It returns the YAML document for further
+// checks, or nil where the text has none.
+func decode(file string, text []byte, message proto.Message) (*yaml.Node, Findings) {
+	if len(text) > MaxFileBytes {
+		return nil, Findings{{file, 1, 1, "SW1001", fmt.Sprintf("file has %d bytes, the platform holds at most %d", len(text), MaxFileBytes)}}
+	}
+	document, findings := readDocument(file, text)
+	if document == nil {
+		return nil, findings
+	}
+	findings = append(findings, duplicateKeys(file, document)...)
+	err := protoyaml.UnmarshalOptions{Path: file}.Unmarshal(text, message)
+	if err == nil {
+		return document, findings
+	}
+	for _, match := range decodeError.FindAllStringSubmatch(err.Error(), -1) {
+		line, _ := strconv.Atoi(match[1])
+		column, _ := strconv.Atoi(match[2])
+		findings = append(findings, Finding{file, line, column, "SW1002", match[3]})
+	}
+	if len(findings) == 0 {
+		findings = append(findings, Finding{file, 1, 1, "SW1002", err.Error()})
+	}
+	return document, findings
+}
+
+// readDocument parses text as exactly one YAML document.
+func readDocument(file string, text []byte) (*yaml.Node, Findings) {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	document := &yaml.Node{}
+	err := decoder.Decode(document)
+	if errors.Is(err, io.EOF) {
+		return nil, Findings{{file, 1, 1, "SW1001", "file is empty"}}
+	}
+	if err != nil {
+		return nil, Findings{syntaxFinding(file, err)}
+	}
+	var second yaml.Node
+	err = decoder.Decode(&second)
+	switch {
+	case errors.Is(err, io.EOF):
+		return document, nil
+	case err != nil:
+		return nil, Findings{syntaxFinding(file, err)}
+	default:
+		return nil, Findings{{file, second.Line, second.Column, "SW1001", "file holds a second YAML document, which would be ignored"}}
+	}
+}
+
+func syntaxFinding(file string, err error) Finding {
+	line := 1
+	message := strings.TrimPrefix(err.Error(), "yaml: ")
+	if match := syntaxError.FindStringSubmatch(message); match != nil {
+		line, _ = strconv.Atoi(match[1])
+		message = match[2]
+	}
+	return Finding{file, line, 1, "SW1001", message}
+}
+
+// duplicateKeys reports fields that stand twice in one mapping; the decoder
+// would silently keep the last.
+func duplicateKeys(file string, n *yaml.Node) Findings {
+	var findings Findings
+	if n.Kind == yaml.MappingNode {
+		seen := map[string]int{}
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			key := n.Content[i]
+			if line, ok := seen[key.Value]; ok {
+				message := fmt.Sprintf("field %q stands twice, first in line %d", key.Value, line)
+				findings = append(findings, Finding{file, key.Line, key.Column, "SW1003", message})
+			}
+			seen[key.Value] = key.Line
+		}
+	}
+	for _, child := range n.Content {
+		findings = append(findings, duplicateKeys(file, child)...)
+	}
+	return findings
+}
+
+// place finds the node at a path such as services[2].floor. Where the file
+// does not state the last part, the node that should hold it is returned.
+func place(document *yaml.Node, path ...any) *yaml.Node {
+	n := document
+	if n.Kind == yaml.DocumentNode {
+		n = n.Content[0]
+	}
+	for _, step := range path {
+		next := child(n, step)
+		if next == nil {
+			return n
+		}
+		n = next
+	}
+	return n
+}
+
+func child(n *yaml.Node, step any) *yaml.Node {
+	switch s := step.(type) {
+	case int:
+		if n.Kind == yaml.SequenceNode && s < len(n.Content) {
+			return n.Content[s]
+		}
+	case string:
+		for i := 0; n.Kind == yaml.MappingNode && i+1 < len(n.Content); i += 2 {
+			if n.Content[i].Value == s {
+				return n.Content[i+1]
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,350 @@
+// Package daemon puts the parts of a slatewindd process together, starts them
+// and drains them at the end.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/zeebo/errs"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/admin"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/gossip"
+	"slatewind.example/slatewind/ingress"
+	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/member"
+	"slatewind.example/slatewind/metrics"
+	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/replay"
+	"slatewind.example/slatewind/sidecar"
+	"slatewind.example/slatewind/timer"
+)
+
+// Version is the program's version.
+const Version = "0.1"
+
+// Error is the class of errors of this package.
+var Error = errs.Class("daemon")
+
+const (
+	// StopTimeout bounds a planned stop; routes' timeouts lie far below it.
+	StopTimeout = 60 * time.Second
+	// drainPoll is how often a draining process looks whether work is left.
+	drainPoll = 20 * time.Millisecond
+	// drainNotice is how long a draining process stays after its last work, so
+	// that callers and ingresses learn of it from replies and not from resets.
+	drainNotice = 500 * time.Millisecond
+	// readHeaderTimeout bounds how long a caller may take to send a header.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout closes callers' connections that nothing comes from.
+	idleTimeout = 2 * time.Minute
+	// maxStreams bounds the calls in progress on one connection of a peer.
+	maxStreams = 1000
+	// minPing is the shortest interval of peers' keepalive pings.
+	minPing = 5 * time.Second
+)
+
+// incarnationEpoch is the time from which processes' incarnations count, so
+// that milliseconds fit into 40 bits for 34 years.
+var incarnationEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// epochBits is the width of the epoch count below the process's start time in
+// an incarnation; see policy.ProcessOf.
+const epochBits = 24
+
+// NewIncarnation returns the first incarnation of a process that starts now.
+// One that starts later on the same VM has a greater one.
+func NewIncarnation(now time.Time) uint64 {
+	return uint64(now.Sub(incarnationEpoch).Milliseconds())<<epochBits | 1
+}
+
+// Options returns the wiring of a process with the given settings.
+func Options(process *slatewindv1.Process, logger *log.Logger) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.StopTimeout(StopTimeout+5*time.Second),
+		fx.Supply(process, logger),
+		fx.Provide(
+			metrics.New,
+			newJournal,
+			func(j *journal.Journal) *config.Store { return config.NewStore(j) },
+			timer.New,
+			link.NewPool,
+			newProcess,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
+			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
+		}),
+	)
+}
+
+// frequent decisions are one to a request; they are logged only on demand.
+var frequent = map[slatewind.DecisionKind]bool{
+	slatewind.DecisionRefuse: true, slatewind.DecisionRetry: true, slatewind.DecisionHedge: true,
+	slatewind.DecisionHandOver: true, slatewind.DecisionUnknown: true, slatewind.DecisionDrop: true,
+}
+
+func newJournal(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics) *journal.Journal {
+	return journal.New(int(process.GetLimits().GetJournalEntries()), func(d slatewind.Decision) {
+		m.Decision(d.Kind)
+		level := log.InfoLevel
+		if frequent[d.Kind] {
+			level = log.DebugLevel
+		}
+		logger.Log(level, "decision", "kind", d.Kind, "service", d.Service, "server", d.Server,
+			"request", d.Request, "reason", d.Reason, "evidence", d.Evidence)
+	})
+}
+
+// Process is a running slatewindd.
+type Process struct {
+	settings *slatewindv1.Process
+	logger   *log.Logger
+	metrics  *metrics.Metrics
+	journal  *journal.Journal
+	store    *config.Store
+	timers   *timer.Service
+	pool     *link.Pool
+	gossip   *gossip.Gossip
+	sidecar  *sidecar.Sidecar
+	ingress  *ingress.Ingress
+	recorder *replay.Recorder
+	reader   *platform.Reader
+
+	cancel  context.CancelFunc
+	callers *http.Server
+	admin   *http.Server
+	peers   *grpc.Server
+}
+
+func newProcess(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *journal.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
+	incarnation := NewIncarnation(time.Now())
+	limits := process.GetLimits()
+	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
+	p.recorder = replay.NewRecorder(process.GetVm(), int(limits.GetRecordedEvents()))
+	p.gossip = gossip.New(member.Entry{
+		VM: process.GetVm(), DataCentre: process.GetDataCentre(), PeerAddress: process.GetPeerAddress(), Incarnation: incarnation,
+	}, process.GetSeedPeers(), store, j, pool)
+	p.sidecar = sidecar.New(process.GetVm(), incarnation, sidecar.Limits{
+		OnceRecords:     int(limits.GetOnceRecords()),
+		OnceAnswerBytes: int(limits.GetOnceAnswerBytes()),
+		Attempts:        int(limits.GetTombstones()),
+	}, store, j, sidecar.NewHTTPCaller())
+	own := &links{pool: pool, own: process.GetPeerAddress(), sidecar: p.sidecar}
+	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder)
+	client := platform.NewClient(process.GetPlatformUrl())
+	p.reader = platform.NewReader(client, client, p.gossip, m)
+	return p
+}
+
+// Start opens the listeners and begins all work, which ends with Stop.
+func (p *Process) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if err := p.listen(); err != nil {
+		cancel()
+		return err
+	}
+	p.gossip.Start(ctx, p.timers, p)
+	p.sidecar.Start(ctx, p.timers)
+	p.ingress.Start(ctx, p.timers)
+	p.reader.Start(ctx)
+	p.logger.Info("started", "vm", p.settings.GetVm(), "data_centre", p.settings.GetDataCentre(),
+		"ingress", p.settings.GetIngressAddress(), "peer", p.settings.GetPeerAddress(), "admin", p.settings.GetAdminAddress(), "version", Version)
+	return nil
+}
+
+// listen opens the three listeners; if one fails, the others are closed.
+func (p *Process) listen() error {
+	addresses := []string{p.settings.GetIngressAddress(), p.settings.GetPeerAddress(), p.settings.GetAdminAddress()}
+	listeners := make([]net.Listener, 0, len(addresses))
+	var group errs.Group
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			group.Add(Error.New("cannot listen on %s: %w", address, err))
+			continue
+		}
+		listeners = append(listeners, listener)
+	}
+	if err := group.Err(); err != nil {
+		for _, listener := range listeners {
+			group.Add(listener.Close())
+		}
+		return err
+	}
+	p.callers = &http.Server{Handler: p.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
+	p.peers = grpc.NewServer(
+		grpc.MaxRecvMsgSize(link.MaxMessage),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
+	)
+	slatewindv1.RegisterSidecarServer(p.peers, sidecarServer{sidecar: p.sidecar})
+	slatewindv1.RegisterPeerServer(p.peers, peerServer{gossip: p.gossip})
+	p.serve("callers", func() error { return p.callers.Serve(listeners[0]) })
+	p.serve("peers", func() error { return p.peers.Serve(listeners[1]) })
+	p.serve("admin", func() error { return p.admin.Serve(listeners[2]) })
+	return nil
+}
+
+func (p *Process) serve(what string, serve func() error) {
+	go func() {
+		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			p.logger.Error("listener ended", "listener", what, "error", err)
+		}
+	}()
+}
+
+// Stop drains the process: no new work, everything in hand is finished, and
+// only then do the listeners close.
+func (p *Process) Stop(ctx context.Context) error {
+	p.drain("the process was told to stop")
+	p.waitUntilIdle(ctx)
+	err := p.callers.Shutdown(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		p.peers.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(drainNotice):
+		// Only idle gossip is left; calls in hand ended above.
+		p.peers.Stop()
+	}
+	p.cancel()
+	p.logger.Info("stopped", "vm", p.settings.GetVm())
+	return errs.Combine(err, p.admin.Shutdown(ctx), p.pool.Close())
+}
+
+// drain announces that the process takes no new work.
+func (p *Process) drain(reason string) {
+	now := time.Now()
+	p.sidecar.Leave(now, reason)
+	p.ingress.Leave()
+	p.gossip.Leave(now)
+}
+
+// waitUntilIdle waits until nothing is in hand, and a moment longer.
+func (p *Process) waitUntilIdle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, StopTimeout)
+	defer cancel()
+	idleSince := time.Now()
+	for time.Since(idleSince) < drainNotice {
+		if p.sidecar.Running() > 0 || p.ingress.InFlight() > 0 {
+			idleSince = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			p.logger.Warn("stopping with work in hand", "running", p.sidecar.Running(), "callers", p.ingress.InFlight())
+			return
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+// SettingsChanged implements gossip.Events.
+func (p *Process) SettingsChanged(now time.Time, snapshot *config.Snapshot) {
+	p.sidecar.Update(now, snapshot)
+	p.ingress.Update(now, snapshot)
+	p.ingress.MembersChanged(now)
+}
+
+// MembersChanged implements gossip.Events.
+func (p *Process) MembersChanged(now time.Time) {
+	p.ingress.MembersChanged(now)
+}
+
+// Heard implements gossip.Events.
+func (p *Process) Heard(now time.Time, digests []*slatewindv1.Digest) {
+	p.ingress.Heard(now, digests)
+}
+
+// SelfLeaving implements gossip.Events.
+func (p *Process) SelfLeaving(now time.Time) {
+	p.sidecar.Leave(now, "the platform's list has the VM as leaving")
+}
+
+// Digests implements gossip.Events.
+func (p *Process) Digests() []*slatewindv1.Digest {
+	return p.sidecar.Digests()
+}
+
+func (p *Process) sources() admin.Sources {
+	return admin.Sources{
+		State:    p.state,
+		Settings: p.inForce,
+		Journal:  p.journal,
+		Metrics:  p.metrics.Handler(),
+		Record:   func() ([]byte, error) { return p.recorder.Trace(p.store.Current()) },
+		Ready:    func() bool { return p.store.Current() != nil && !p.sidecar.Leaving() },
+	}
+}
+
+func (p *Process) inForce() admin.Settings {
+	s := admin.Settings{VM: p.settings.GetVm()}
+	if current := p.store.Current(); current != nil {
+		s.Revision = current.Version.Revision
+		s.Digest = fmt.Sprintf("%016x", current.Version.Digest)
+		s.Since = current.Since
+	}
+	return s
+}
+
+func (p *Process) state() admin.State {
+	now := time.Now()
+	return admin.State{
+		VM:          p.settings.GetVm(),
+		DataCentre:  p.settings.GetDataCentre(),
+		Version:     Version,
+		Time:        now,
+		Settings:    p.inForce(),
+		PlatformAge: p.gossip.PlatformAge(now).Round(time.Millisecond).String(),
+		Reader:      p.gossip.MayRead(now),
+		Ingress:     p.ingress.View(now),
+		Sidecar:     p.sidecar.View(),
+		Members:     p.gossip.Members(),
+	}
+}
+
+// peerServer serves gossip to other processes.
+type peerServer struct {
+	slatewindv1.UnimplementedPeerServer
+	gossip *gossip.Gossip
+}
+
+// Sync implements the generated interface.
+func (s peerServer) Sync(ctx context.Context, request *slatewindv1.SyncRequest) (*slatewindv1.SyncReply, error) {
+	return s.gossip.Sync(ctx, request)
+}
+
+// Fetch implements the generated interface.
+func (s peerServer) Fetch(ctx context.Context, request *slatewindv1.FetchRequest) (*slatewindv1.FetchReply, error) {
+	return s.gossip.Fetch(ctx, request)
+}
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event.
+func NewLogger(verbose bool) *log.Logger {
+	level := log.InfoLevel
+	if verbose {
+		level = log.DebugLevel
+	}
+	return log.NewWithOptions(os.Stderr, log.Options{
+		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: level,
+	})
+}
--- /dev/null
+++ b/journal/journal.go
@@ -0,0 +1,84 @@
+// Package journal keeps the latest decisions of a process in bounded memory,
+// so that an operator can ask why a server was set aside or a request refused.
+// The oldest entry makes room for the newest.
+package journal
+
+import (
+	"sync"
+
+	"slatewind.example/slatewind"
+)
+
+// DefaultEntries is the size of a journal whose settings do not state one. At
+// about 300 bytes an entry this is some 1.2 MB.
+const DefaultEntries = 4096
+
+// Journal is a ring of decisions, safe for use by several goroutines.
+type Journal struct {
+	mu      sync.Mutex
+	entries []slatewind.Decision
+	next    int
+	full    bool
+	onAdd   func(slatewind.Decision)
+}
+
+// New returns a journal for so many entries; zero means DefaultEntries. Each
+// added decision is also handed to onAdd, where that is not nil.
+func New(entries int, onAdd func(slatewind.Decision)) *Journal {
+	if entries <= 0 {
+		entries = DefaultEntries
+	}
+	return &Journal{entries: make([]slatewind.Decision, entries), onAdd: onAdd}
+}
+
+// Add keeps a decision.
+func (j *Journal) Add(d slatewind.Decision) {
+	j.mu.Lock()
+	j.entries[j.next] = d
+	j.next++
+	if j.next == len(j.entries) {
+		j.next = 0
+		j.full = true
+	}
+	j.mu.Unlock()
+	if j.onAdd != nil {
+		j.onAdd(d)
+	}
+}
+
+// Filter selects decisions; empty fields match everything.
+type Filter struct {
+	Service string
+	Server  string
+	Request string
+}
+
+func (f Filter) matches(d slatewind.Decision) bool {
+	if f.Service != "" && f.Service != d.Service {
+		return false
+	}
+	if f.Server != "" && f.Server != d.Server {
+		return false
+	}
+	return f.Request == "" || f.Request == d.Request
+}
+
+// Find returns the matching decisions, oldest first.
+func (j *Journal) Find(f Filter) []slatewind.Decision {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []slatewind.Decision
+	if j.full {
+		found = appendMatching(found, j.entries[j.next:], f)
+	}
+	return appendMatching(found, j.entries[:j.next], f)
+}
+
+func appendMatching(found, entries []slatewind.Decision, f Filter) []slatewind.Decision {
+	for _, d := range entries {
+		if f.matches(d) {
+			found = append(found, d)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,266 @@
+// Package link carries messages between the processes by gRPC.
+//
+// Two things matter here beyond plain calls. Whether a request was ever written
+// towards a peer is known exactly, from the moment the transport takes its
+// header; if not, the request is proved not to have run. And a reply counts
+// only if it belongs to the attempt, has its stated length and its checksum.
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("link")
+
+// Typed errors of a run.
+var (
+	// ErrCrossed: the reply belongs to another attempt.
+	ErrCrossed = Error.New("reply belongs to another attempt")
+	// ErrBroken: the reply ended early, or its length or checksum is wrong.
+	ErrBroken = Error.New("reply is not whole")
+)
+
+// MaxHeld is how many bytes of an answer are held until it is whole. Longer
+// answers are passed on while they come and are cut short visibly on failure.
+const MaxHeld = 1 << 20
+
+// MaxMessage bounds one message between processes.
+const MaxMessage = 8 << 20
+
+// Times of a connection. An idle one is closed, so that a process keeps
+// connections only to peers that it works with.
+const (
+	idleTimeout      = 5 * time.Minute
+	connectTimeout   = 1 * time.Second
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	maxReconnect     = 1 * time.Second
+)
+
+// Reply is what came back for an attempt.
+type Reply struct {
+	Head *slatewindv1.RunHead
+	Body []byte
+	// Digest is the newest word of the sidecar about the server.
+	Digest *slatewindv1.Digest
+	// Rest reads what follows Body where the answer was too long to hold. It
+	// returns io.EOF only after a whole answer.
+	Rest func() ([]byte, error)
+}
+
+// Pool keeps one connection to each peer.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{conns: map[string]*grpc.ClientConn{}}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var group errs.Group
+	for address, conn := range p.conns {
+		group.Add(conn.Close())
+		delete(p.conns, address)
+	}
+	return group.Err()
+}
+
+// Len returns the number of peers with a connection.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithStatsHandler(writeWatcher{}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect},
+			MinConnectTimeout: connectTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// writtenKey is the context key of the flag that writeWatcher sets.
+type writtenKey struct{}
+
+// writeWatcher notes when the header of a call is handed to the transport.
+type writeWatcher struct{}
+
+func (writeWatcher) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (writeWatcher) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, ok := s.(*stats.OutHeader); !ok {
+		return
+	}
+	if written, ok := ctx.Value(writtenKey{}).(*atomic.Bool); ok {
+		written.Store(true)
+	}
+}
+
+func (writeWatcher) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (writeWatcher) HandleConn(context.Context, stats.ConnStats) {}
+
+// Run sends an attempt to the sidecar at address. written is false only if
+// nothing was ever sent towards it.
+func (p *Pool) Run(ctx context.Context, address string, request *slatewindv1.RunRequest) (reply *Reply, written bool, err error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, false, err
+	}
+	var flag atomic.Bool
+	ctx = context.WithValue(ctx, writtenKey{}, &flag)
+	stream, err := slatewindv1.NewSidecarClient(conn).Run(ctx, request)
+	if err != nil {
+		return nil, flag.Load(), Error.Wrap(err)
+	}
+	reply, err = ReadReply(request.GetAttemptId(), stream.Recv)
+	return reply, flag.Load(), err
+}
+
+// ReadReply puts the parts of a reply together and checks that they belong to
+// the attempt and are whole.
+func ReadReply(attemptID string, receive func() (*slatewindv1.RunReply, error)) (*Reply, error) {
+	part, err := receive()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	head := part.GetHead()
+	if head == nil {
+		return nil, ErrBroken
+	}
+	if head.GetAttemptId() != attemptID {
+		return nil, ErrCrossed
+	}
+	r := &reader{attemptID: attemptID, receive: receive, sum: xxhash.New()}
+	reply := &Reply{Head: head, Digest: head.GetDigest()}
+	for len(reply.Body) <= MaxHeld {
+		chunk, err := r.next()
+		if errors.Is(err, io.EOF) {
+			reply.Digest = r.digest
+			return reply, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		reply.Body = append(reply.Body, chunk...)
+	}
+	reply.Rest = r.next
+	return reply, nil
+}
+
+// reader reads the chunks of one reply.
+type reader struct {
+	attemptID string
+	receive   func() (*slatewindv1.RunReply, error)
+	sum       *xxhash.Digest
+	length    int64
+	digest    *slatewindv1.Digest
+}
+
+// next returns a chunk, or io.EOF after the last of a whole reply.
+func (r *reader) next() ([]byte, error) {
+	part, err := r.receive()
+	if err != nil {
+		return nil, errs.Combine(ErrBroken, err)
+	}
+	if end := part.GetEnd(); end != nil {
+		return nil, r.verify(end)
+	}
+	chunk := part.GetChunk()
+	if chunk == nil {
+		return nil, ErrBroken
+	}
+	_, _ = r.sum.Write(chunk)
+	r.length += int64(len(chunk))
+	return chunk, nil
+}
+
+func (r *reader) verify(end *slatewindv1.RunEnd) error {
+	if end.GetAttemptId() != r.attemptID {
+		return ErrCrossed
+	}
+	if end.GetLength() != r.length || end.GetChecksum() != r.sum.Sum64() {
+		return ErrBroken
+	}
+	r.digest = end.GetDigest()
+	return io.EOF
+}
+
+// Cancel asks the sidecar at address not to start an attempt.
+func (p *Pool) Cancel(ctx context.Context, address string, request *slatewindv1.CancelRequest) (*slatewindv1.CancelReply, error) {
+	return call(ctx, p, address, request, slatewindv1.NewSidecarClient, slatewindv1.SidecarClient.Cancel)
+}
+
+// Seal asks the sidecar at address what became of a once-request.
+func (p *Pool) Seal(ctx context.Context, address string, request *slatewindv1.SealRequest) (*slatewindv1.SealReply, error) {
+	return call(ctx, p, address, request, slatewindv1.NewSidecarClient, slatewindv1.SidecarClient.Seal)
+}
+
+// Sync exchanges news with the process at address.
+func (p *Pool) Sync(ctx context.Context, address string, request *slatewindv1.SyncRequest) (*slatewindv1.SyncReply, error) {
+	return call(ctx, p, address, request, slatewindv1.NewPeerClient, slatewindv1.PeerClient.Sync)
+}
+
+// Fetch gets chunks of settings from the process at address.
+func (p *Pool) Fetch(ctx context.Context, address string, request *slatewindv1.FetchRequest) (*slatewindv1.FetchReply, error) {
+	return call(ctx, p, address, request, slatewindv1.NewPeerClient, slatewindv1.PeerClient.Fetch)
+}
+
+// call makes one unary call over the pool's connection to address.
+func call[C, Q, R any](
+	ctx context.Context, p *Pool, address string, request Q,
+	client func(grpc.ClientConnInterface) C,
+	method func(C, context.Context, Q, ...grpc.CallOption) (R, error),
+) (R, error) {
+	var none R
+	conn, err := p.conn(address)
+	if err != nil {
+		return none, err
+	}
+	reply, err := method(client(conn), ctx, request)
+	if err != nil {
+		return none, Error.Wrap(err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,97 @@
+// Package metrics counts what the process does, with OpenTelemetry, and serves
+// the figures in Prometheus format.
+package metrics
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"slatewind.example/slatewind"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("metrics")
+
+// Metrics holds the instruments of one process.
+type Metrics struct {
+	handler   http.Handler
+	requests  metric.Int64Counter
+	duration  metric.Float64Histogram
+	extras    metric.Int64Counter
+	dropped   metric.Int64Counter
+	decisions metric.Int64Counter
+	platform  metric.Int64Counter
+}
+
+// New returns the instruments of a process.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("slatewind")
+	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	var group errs.Group
+	counter := func(name, description string) metric.Int64Counter {
+		c, err := meter.Int64Counter(name, metric.WithDescription(description))
+		group.Add(err)
+		return c
+	}
+	m.requests = counter("slatewind.requests", "Callers' requests by route and outcome.")
+	m.extras = counter("slatewind.extra_attempts", "Retries, hedges and hand-overs by service.")
+	m.dropped = counter("slatewind.dropped_replies", "Replies that were late, crossed or not whole.")
+	m.decisions = counter("slatewind.decisions", "Entries of the journal by kind.")
+	m.platform = counter("slatewind.platform_calls", "Calls to the platform by kind and result.")
+	m.duration, err = meter.Float64Histogram("slatewind.request.duration",
+		metric.WithDescription("Time from a request's arrival to its final answer."), metric.WithUnit("s"),
+		metric.WithExplicitBucketBoundaries(.001, .002, .004, .008, .016, .032, .064, .125, .25, .5, 1, 2, 4))
+	group.Add(err)
+	return m, Error.Wrap(group.Err())
+}
+
+// Handler serves the figures in Prometheus format.
+func (m *Metrics) Handler() http.Handler {
+	return m.handler
+}
+
+// Request counts a caller's request.
+func (m *Metrics) Request(route string, outcome slatewind.Outcome, took time.Duration) {
+	ctx := context.Background()
+	labels := metric.WithAttributes(attribute.String("route", route), attribute.String("outcome", string(outcome)))
+	m.requests.Add(ctx, 1, labels)
+	m.duration.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
+}
+
+// Extra counts a retry, a hedge or a hand-over.
+func (m *Metrics) Extra(service, why string) {
+	m.extras.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("why", why)))
+}
+
+// Dropped counts a reply that was not passed on.
+func (m *Metrics) Dropped(service, why string) {
+	m.dropped.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("why", why)))
+}
+
+// Decision counts an entry of the journal.
+func (m *Metrics) Decision(kind slatewind.DecisionKind) {
+	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", string(kind))))
+}
+
+// PlatformCall counts a call to the platform.
+func (m *Metrics) PlatformCall(what string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.platform.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", what), attribute.String("result", result)))
+}
--- /dev/null
+++ b/once/chain.go
@@ -0,0 +1,144 @@
+package once
+
+import "slatewind.example/slatewind"
+
+// StepKind is what an ingress does next with a once-request.
+type StepKind string
+
+// Steps of a chain.
+const (
+	// StepRun: send the attempt to Candidate with Claim, then call Ran.
+	StepRun StepKind = "run"
+	// StepSeal: seal the key at every candidate, then call Sealed.
+	StepSeal StepKind = "seal"
+	// StepFinal: Outcome is the final answer; for OutcomeAnswer it is the
+	// answer that the last run gave.
+	StepFinal StepKind = "final"
+)
+
+// Step is the next thing to do.
+type Step struct {
+	Kind      StepKind
+	Candidate int
+	Claim     slatewind.Claim
+	Outcome   slatewind.Outcome
+	Reason    string
+}
+
+// Ran is what became of an attempt at one candidate.
+type Ran string
+
+// Results of an attempt.
+const (
+	// RanAnswer: the candidate gave the server's whole answer.
+	RanAnswer Ran = "answer"
+	// RanNotWritten: nothing was ever written towards the candidate.
+	RanNotWritten Ran = "not-written"
+	// RanRefused: the candidate did not and will not run the attempt, and its
+	// records exclude every earlier run.
+	RanRefused Ran = "refused"
+	// RanCancelled: the candidate did not and will not run the attempt; nothing
+	// is said about earlier ones.
+	RanCancelled Ran = "cancelled"
+	// RanMismatch: the key belongs to another request.
+	RanMismatch Ran = "mismatch"
+	// RanUnknown: anything else.
+	RanUnknown Ran = "unknown"
+)
+
+// Chain is the ingress's side of a once-request: which candidate gets it, and
+// when it may go on to the next one. The host does what Step says.
+type Chain struct {
+	claim      slatewind.Claim
+	candidates int
+	next       Step
+	// joining: the run asks for a known record, so only its answer counts.
+	joining bool
+}
+
+// NewChain returns the chain of a request with so many candidates.
+func NewChain(claim slatewind.Claim, candidates int) *Chain {
+	c := &Chain{claim: claim, candidates: candidates}
+	c.next = Step{Kind: StepRun, Claim: claim}
+	if claim == slatewind.ClaimRetry {
+		c.next = Step{Kind: StepSeal}
+	}
+	return c
+}
+
+// Step returns what to do now.
+func (c *Chain) Step() Step {
+	return c.next
+}
+
+// Ran takes the result of a StepRun.
+func (c *Chain) Ran(result Ran, reason string) {
+	switch result {
+	case RanAnswer:
+		c.finish(slatewind.OutcomeAnswer, reason)
+	case RanMismatch:
+		c.finish(slatewind.OutcomeMismatch, reason)
+	case RanUnknown:
+		c.finish(slatewind.OutcomeUnknown, reason)
+	default:
+		c.notRun(result, reason)
+	}
+}
+
+// notRun goes on after a proof that the candidate did not run the attempt.
+func (c *Chain) notRun(result Ran, reason string) {
+	switch c.claim {
+	case slatewind.ClaimFirst:
+		c.handOver(reason)
+	case slatewind.ClaimRetry:
+		if c.joining {
+			c.finish(slatewind.OutcomeUnknown, reason)
+			return
+		}
+		c.finish(slatewind.OutcomeNotRun, reason)
+	default:
+		// Only the home's own refusal says that no earlier attempt ran.
+		if result == RanRefused {
+			c.finish(slatewind.OutcomeNotRun, reason)
+			return
+		}
+		c.finish(slatewind.OutcomeUnknown, reason+"; without Slatewind-Attempt an earlier attempt cannot be excluded")
+	}
+}
+
+func (c *Chain) handOver(reason string) {
+	if c.next.Candidate+1 == c.candidates {
+		c.finish(slatewind.OutcomeNotRun, reason)
+		return
+	}
+	c.next.Candidate++
+	c.next.Reason = reason
+}
+
+// Sealed takes the replies of a StepSeal, in the order of the candidates.
+func (c *Chain) Sealed(replies []SealReply) {
+	resolution := Resolve(replies)
+	switch resolution.Action {
+	case ActionJoin:
+		c.joining = true
+		c.next = Step{Kind: StepRun, Candidate: resolution.At, Claim: c.claim, Reason: resolution.Reason}
+	case ActionRun:
+		c.next = Step{Kind: StepRun, Claim: c.claim, Reason: resolution.Reason}
+	default:
+		c.finish(slatewind.OutcomeUnknown, resolution.Reason)
+	}
+}
+
+// GiveUp ends the chain between two steps, when time is over. Nothing is on
+// its way then, so a first attempt is proved not to have run.
+func (c *Chain) GiveUp(reason string) {
+	if c.claim == slatewind.ClaimFirst {
+		c.finish(slatewind.OutcomeNotRun, reason)
+		return
+	}
+	c.finish(slatewind.OutcomeUnknown, reason)
+}
+
+func (c *Chain) finish(outcome slatewind.Outcome, reason string) {
+	c.next = Step{Kind: StepFinal, Outcome: outcome, Reason: reason}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,376 @@
+// Package policy puts the decisions about one service together, as one ingress
+// makes them: who is sick (outlier), who gets the next request (balance), and
+// how many extra attempts may go (retry). Events and their time go in,
+// decisions come out; there is no clock, no input or output and no goroutine,
+// so the daemon, the replay of traces and the measurements drive the same code.
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/balance"
+	"slatewind.example/slatewind/outlier"
+	"slatewind.example/slatewind/retry"
+)
+
+const (
+	// loadMemory is how long a reported load counts; then only the requests
+	// of this ingress do.
+	loadMemory = time.Second
+	// trialEvery is the least time between two trial requests to a server.
+	trialEvery = 100 * time.Millisecond
+	// firstBackoff and maxBackoff bound how long a server whose sidecar could
+	// not be reached is left alone.
+	firstBackoff = 500 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+)
+
+// server is the traffic state of one server at this ingress.
+type server struct {
+	incarnation uint64
+	sequence    uint64
+	inFlight    int
+	reported    time.Time
+	heard       time.Time
+	lastTrial   time.Time
+	backoff     time.Duration
+	retryAt     time.Time
+}
+
+// Service decides about one service. It is not safe for use by several
+// goroutines; its host guards it.
+type Service struct {
+	name     string
+	local    string
+	detector *outlier.Detector
+	budget   *retry.Budget
+	random   *rand.Rand
+	servers  []server
+	targets  []balance.Target
+}
+
+// NewService returns the decisions of an ingress in the data centre local.
+func NewService(name, local string, seed uint64) *Service {
+	return &Service{
+		name:     name,
+		local:    local,
+		detector: outlier.NewDetector(name, 0, 0),
+		budget:   retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
+		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+	}
+}
+
+// Update takes new settings of the service. dataCentre tells where a VM is.
+func (s *Service) Update(now time.Time, settings *slatewindv1.Service, dataCentre func(vm string) string) {
+	names := make([]string, len(settings.GetServers()))
+	servers := make([]server, len(names))
+	targets := make([]balance.Target, len(names))
+	for i, sv := range settings.GetServers() {
+		names[i] = sv.GetName()
+		if old := s.detector.Find(names[i]); old >= 0 {
+			servers[i] = s.servers[old]
+			targets[i].Load = s.targets[old].Load
+		}
+		targets[i].Slots = float64(sv.GetSlots())
+		targets[i].Local = dataCentre(sv.GetVm()) == s.local
+	}
+	s.servers = servers
+	s.targets = targets
+	s.detector.Update(now, int(settings.GetFloor()), settings.GetCaution(), names)
+}
+
+// Locate notes the data centres of the servers' VMs anew.
+func (s *Service) Locate(settings *slatewindv1.Service, dataCentre func(vm string) string) {
+	for i, sv := range settings.GetServers() {
+		if i < len(s.targets) {
+			s.targets[i].Local = dataCentre(sv.GetVm()) == s.local
+		}
+	}
+}
+
+// None is returned by Pick where no server may get the request.
+const None = balance.None
+
+// Pick chooses a server for one attempt. Servers in tried are passed over.
+func (s *Service) Pick(now time.Time, kind slatewind.Kind, tried []int) int {
+	if kind == slatewind.KindRepeatable && len(tried) == 0 {
+		if i := s.pickTrial(now); i != None {
+			return i
+		}
+	}
+	s.weigh(now, tried, false)
+	i := balance.Pick(s.random, s.targets)
+	if i == None {
+		// Every server is out of reach: trying one is better than refusing.
+		s.weigh(now, tried, true)
+		i = balance.Pick(s.random, s.targets)
+	}
+	return i
+}
+
+// weigh brings the targets up to date.
+func (s *Service) weigh(now time.Time, tried []int, unreachable bool) {
+	for i := range s.targets {
+		t := &s.targets[i]
+		t.Weight = s.detector.Weight(now, i)
+		if !unreachable && s.servers[i].backoff > 0 && now.Before(s.servers[i].retryAt) {
+			t.Weight = 0
+		}
+		if now.Sub(s.servers[i].reported) > loadMemory {
+			t.Load = float64(s.servers[i].inFlight)
+		}
+		t.Excluded = false
+	}
+	for _, i := range tried {
+		s.targets[i].Excluded = true
+	}
+}
+
+// pickTrial returns a server that may get a single request to prove itself.
+func (s *Service) pickTrial(now time.Time) int {
+	for i, known := range s.detector.Servers() {
+		if known.State != slatewind.ServerTrial || known.Leaving || known.Unreachable {
+			continue
+		}
+		if s.servers[i].inFlight > 0 || now.Sub(s.servers[i].lastTrial) < trialEvery {
+			continue
+		}
+		s.servers[i].lastTrial = now
+		return i
+	}
+	return None
+}
+
+// First notes a first attempt in the budget of extra ones.
+func (s *Service) First() {
+	s.budget.First()
+}
+
+// TakeExtra allows or denies a retry or a hedge.
+func (s *Service) TakeExtra() bool {
+	return s.budget.Take()
+}
+
+// Started notes that an attempt goes to a server.
+func (s *Service) Started(i int) {
+	s.servers[i].inFlight++
+	s.targets[i].Load++
+}
+
+// Ended notes that an attempt at a server is over, in whatever way.
+func (s *Service) Ended(name string) {
+	i := s.detector.Find(name)
+	if i < 0 {
+		return
+	}
+	s.servers[i].inFlight = max(s.servers[i].inFlight-1, 0)
+	s.targets[i].Load = max(s.targets[i].Load-1, 0)
+}
+
+// Unreached notes that a server's sidecar could not be reached at all, for
+// which no request is lost: it is left alone for a while that doubles.
+func (s *Service) Unreached(now time.Time, name string) {
+	i := s.detector.Find(name)
+	if i < 0 {
+		return
+	}
+	sv := &s.servers[i]
+	sv.backoff = min(max(2*sv.backoff, firstBackoff), maxBackoff)
+	sv.retryAt = now.Add(sv.backoff)
+	s.detector.SetReachable(now, name, false)
+}
+
+// Lost notes that an attempt was sent and no reply came at all.
+func (s *Service) Lost(now time.Time, name string) {
+	s.detector.ObservePath(now, name, false)
+}
+
+// Silent reports whether nothing has come from a server since a time; then the
+// ingress's own waiting is the only evidence about it.
+func (s *Service) Silent(name string, since time.Time) bool {
+	i := s.detector.Find(name)
+	return i >= 0 && s.servers[i].heard.Before(since)
+}
+
+// Overdue notes an attempt that waits for longer than its class explains.
+func (s *Service) Overdue(now time.Time, name string, class uint8, waited time.Duration) {
+	s.detector.Observe(now, slatewind.Observation{
+		Server: name, Class: class, Result: slatewind.ResultOverdue, Latency: waited,
+	})
+}
+
+// OverdueAfter returns when an attempt of a class is overdue; zero is unknown.
+func (s *Service) OverdueAfter(class uint8) time.Duration {
+	return s.detector.OverdueAfter(class)
+}
+
+// Heard takes what a sidecar tells of a server, with a reply (direct) or by
+// gossip.
+func (s *Service) Heard(now time.Time, d *slatewindv1.Digest, direct bool) {
+	i := s.detector.Find(d.GetServer())
+	if i < 0 {
+		return
+	}
+	sv := &s.servers[i]
+	if direct {
+		sv.heard = now
+		sv.backoff = 0
+		s.detector.SetReachable(now, d.GetServer(), true)
+		s.detector.ObservePath(now, d.GetServer(), true)
+	}
+	s.noteIncarnation(now, sv, d)
+	s.detector.SetLeaving(now, d.GetServer(), d.GetLeaving())
+	s.observeNew(now, sv, d)
+	if direct {
+		s.targets[i].Load = float64(d.GetInFlight() + d.GetQueued())
+		s.targets[i].Slots = max(float64(d.GetSlots()), 1)
+		sv.reported = now
+	}
+}
+
+// noteIncarnation resets what is known when the sidecar's process is another.
+func (s *Service) noteIncarnation(now time.Time, sv *server, d *slatewindv1.Digest) {
+	process := ProcessOf(d.GetIncarnation())
+	if process == ProcessOf(sv.incarnation) {
+		sv.incarnation = d.GetIncarnation()
+		return
+	}
+	known := sv.incarnation != 0
+	sv.incarnation = d.GetIncarnation()
+	sv.sequence = 0
+	if known {
+		s.detector.Restarted(now, d.GetServer())
+	}
+}
+
+// ProcessOf returns the part of an incarnation that stays the same while a
+// process lives; the low bits count its epochs.
+func ProcessOf(incarnation uint64) uint64 {
+	return incarnation >> epochBits
+}
+
+// epochBits is the width of the epoch count in an incarnation.
+const epochBits = 24
+
+// observeNew takes the outcomes that were not seen before.
+func (s *Service) observeNew(now time.Time, sv *server, d *slatewindv1.Digest) {
+	outcomes := d.GetOutcomes()
+	if d.GetSequence() <= sv.sequence {
+		return
+	}
+	fresh := int(min(d.GetSequence()-sv.sequence, uint64(len(outcomes))))
+	sv.sequence = d.GetSequence()
+	for _, packed := range outcomes[len(outcomes)-fresh:] {
+		s.detector.Observe(now, outlier.Unpack(d.GetServer(), packed))
+	}
+}
+
+// Incarnation returns the incarnation by which a server's sidecar is addressed,
+// or zero while it is unknown.
+func (s *Service) Incarnation(name string) uint64 {
+	i := s.detector.Find(name)
+	if i < 0 {
+		return 0
+	}
+	return s.servers[i].incarnation
+}
+
+// SetLeaving notes that a server's VM leaves or is back.
+func (s *Service) SetLeaving(now time.Time, name string, leaving bool) {
+	s.detector.SetLeaving(now, name, leaving)
+}
+
+// Observe takes one outcome directly; traces and models use it.
+func (s *Service) Observe(now time.Time, o slatewind.Observation) {
+	s.detector.Observe(now, o)
+}
+
+// Tick moves servers along whose waiting is over and tries again those that
+// could not be reached.
+func (s *Service) Tick(now time.Time) {
+	s.detector.Tick(now)
+}
+
+// TakeDecisions returns the decisions since the last call.
+func (s *Service) TakeDecisions() []slatewind.Decision {
+	return s.detector.TakeDecisions()
+}
+
+// Name returns the name of a server by its index.
+func (s *Service) Name(i int) string {
+	return s.detector.Servers()[i].Name
+}
+
+// Serving reports whether a server may get a request that runs only once.
+func (s *Service) Serving(now time.Time, name string) bool {
+	i := s.detector.Find(name)
+	if i < 0 || s.detector.Weight(now, i) == 0 {
+		return false
+	}
+	return s.servers[i].backoff == 0 || !now.Before(s.servers[i].retryAt)
+}
+
+// Index returns the index of a server by its name, or None.
+func (s *Service) Index(name string) int {
+	return s.detector.Find(name)
+}
+
+// Capacity returns how many servers are in service and can be reached.
+func (s *Service) Capacity() int {
+	return s.detector.Capacity()
+}
+
+// Idle returns how many servers are set aside although they could serve.
+func (s *Service) Idle() int {
+	n := 0
+	for _, known := range s.detector.Servers() {
+		if !known.Serving() && !known.Leaving && !known.Unreachable {
+			n++
+		}
+	}
+	return n
+}
+
+// ServerView is one server in a state dump.
+type ServerView struct {
+	Name        string                `json:"name"`
+	State       slatewind.ServerState `json:"state"`
+	Leaving     bool                  `json:"leaving,omitempty"`
+	Unreachable bool                  `json:"unreachable,omitempty"`
+	Score       string                `json:"score"`
+	Load        float64               `json:"load"`
+	Weight      float64               `json:"weight"`
+	InFlight    int                   `json:"in_flight"`
+}
+
+// Views returns the servers for a state dump.
+func (s *Service) Views(now time.Time) []ServerView {
+	views := make([]ServerView, 0, len(s.servers))
+	for i, known := range s.detector.Servers() {
+		score, chart := known.Score()
+		views = append(views, ServerView{
+			Name:        known.Name,
+			State:       known.State,
+			Leaving:     known.Leaving,
+			Unreachable: known.Unreachable,
+			Score:       fmt.Sprintf("%s=%.1f", chart, score),
+			Load:        s.targets[i].Load,
+			Weight:      s.detector.Weight(now, i),
+			InFlight:    s.servers[i].inFlight,
+		})
+	}
+	return views
+}
+
+// State returns the state of a server, or "" where it is unknown.
+func (s *Service) State(name string) slatewind.ServerState {
+	i := s.detector.Find(name)
+	if i < 0 {
+		return ""
+	}
+	return s.detector.Servers()[i].State
+}
--- /dev/null
+++ b/replay/play.go
@@ -0,0 +1,547 @@
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/outlier"
+	"slatewind.example/slatewind/policy"
+)
+
+// start is the time at which every trace begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// tickInterval is how often the decision code is ticked.
+const tickInterval = 100 * time.Millisecond
+
+// settle is how long a replay goes on after its last event.
+const settle = 2 * time.Second
+
+// Miss is a stated outcome that did not come about.
+type Miss struct {
+	// Index of the expectation in the trace, or -1 for what must always hold.
+	Index  int
+	At     time.Duration
+	Reason string
+}
+
+// Report is the result of one replay.
+type Report struct {
+	Name   string
+	Misses []Miss
+	// Detection is, by server marked sick, how long it took the first and the
+	// last node to eject it.
+	Detection []Detection
+	// FalseEjections counts ejections of servers that were not marked sick.
+	FalseEjections int
+	Decisions      []slatewind.Decision
+}
+
+// Detection is how long a sick server kept receiving work.
+type Detection struct {
+	Server string
+	Node   string
+	After  time.Duration
+}
+
+// String renders a report for the terminal.
+func (r *Report) String() string {
+	var b strings.Builder
+	verdict := "pass"
+	if len(r.Misses) > 0 {
+		verdict = "FAIL"
+	}
+	fmt.Fprintf(&b, "%s %s false_ejections=%d\n", verdict, r.Name, r.FalseEjections)
+	for _, d := range r.Detection {
+		fmt.Fprintf(&b, "  detected %s at %s after %s\n", d.Server, d.Node, d.After)
+	}
+	for _, m := range r.Misses {
+		fmt.Fprintf(&b, "  missed expect[%d] at %s: %s\n", m.Index, m.At, m.Reason)
+	}
+	return b.String()
+}
+
+// node is one ingress in a replay.
+type node struct {
+	name     string
+	store    *config.Store
+	policies map[string]*policy.Service
+	// revisions lists what was put in force, in order.
+	revisions []inForce
+}
+
+type inForce struct {
+	at       time.Duration
+	revision uint64
+}
+
+// ejection is one ejection that was decided.
+type ejection struct {
+	node   string
+	server string
+	at     time.Duration
+}
+
+// player holds the state of one replay.
+type player struct {
+	trace   *Trace
+	fleet   *slatewindv1.Fleet
+	random  *rand.Rand
+	journal *journal.Journal
+	report  *Report
+	now     time.Time
+	queue   eventQueue
+	serial  int
+
+	nodes    []*node
+	sides    map[string]*side
+	network  *network
+	sick     map[string]time.Duration
+	ejected  []ejection
+	answers  map[string]slatewind.Outcome
+	runs     map[string]int
+	lastRun  map[string]time.Duration
+	detected map[string]bool
+}
+
+// scheduled is something to do at a time; serial keeps the order of equals.
+type scheduled struct {
+	at     time.Duration
+	serial int
+	do     func()
+}
+
+type eventQueue []scheduled
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].serial < q[j].serial
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Play replays a trace and compares what was decided with what it states.
+func Play(t *Trace) (*Report, error) {
+	fleet, err := config.ParseFleet(t.Name+"/settings", []byte(t.Settings))
+	if err != nil {
+		return nil, err
+	}
+	p := &player{
+		trace:    t,
+		fleet:    fleet,
+		random:   rand.New(rand.NewPCG(t.Seed, 1)),
+		report:   &Report{Name: t.Name},
+		now:      start,
+		sides:    map[string]*side{},
+		network:  newNetwork(),
+		sick:     map[string]time.Duration{},
+		answers:  map[string]slatewind.Outcome{},
+		runs:     map[string]int{},
+		lastRun:  map[string]time.Duration{},
+		detected: map[string]bool{},
+	}
+	const journalSize = 1 << 16
+	p.journal = journal.New(journalSize, p.noteDecision)
+	if err := p.setUp(); err != nil {
+		return nil, err
+	}
+	end := p.scheduleAll()
+	p.run(end)
+	p.judge()
+	p.report.Decisions = p.journal.Find(journal.Filter{})
+	return p.report, nil
+}
+
+func (p *player) setUp() error {
+	for i, name := range p.trace.Nodes {
+		n := &node{name: name, store: config.NewStore(p.journal), policies: map[string]*policy.Service{}}
+		p.nodes = append(p.nodes, n)
+		for _, service := range p.fleet.GetServices() {
+			n.policies[service.GetName()] = policy.NewService(service.GetName(), "", p.trace.Seed+uint64(i))
+		}
+	}
+	for _, service := range p.fleet.GetServices() {
+		for _, server := range service.GetServers() {
+			p.sides[server.GetName()] = newSide(p, service.GetName(), server)
+		}
+	}
+	return p.applySettings(&Settings{Revision: p.trace.Revision, Text: p.trace.Settings})
+}
+
+func (p *player) since() time.Duration {
+	return p.now.Sub(start)
+}
+
+func (p *player) schedule(at time.Duration, do func()) {
+	p.serial++
+	heap.Push(&p.queue, scheduled{at: at, serial: p.serial, do: do})
+}
+
+// scheduleAll puts every event in the queue and returns the end of the replay.
+func (p *player) scheduleAll() time.Duration {
+	end := time.Duration(0)
+	for _, e := range p.trace.Events {
+		count, every := repeats(e)
+		for k := range count {
+			at := time.Duration(e.At) + time.Duration(k)*every
+			p.schedule(at, func() { p.happen(e) })
+			end = max(end, at)
+		}
+	}
+	for _, x := range p.trace.Expect {
+		if x.Ejected != nil {
+			end = max(end, time.Duration(x.Ejected.By))
+		}
+		if x.InForce != nil {
+			end = max(end, time.Duration(x.InForce.At))
+		}
+	}
+	end += settle
+	for at := tickInterval; at <= end; at += tickInterval {
+		p.schedule(at, p.tick)
+	}
+	return end
+}
+
+// repeats returns how often an event happens and at what distance.
+func repeats(e Event) (int, time.Duration) {
+	count, every := 0, Duration(0)
+	switch {
+	case e.Outcome != nil:
+		count, every = e.Outcome.Count, e.Outcome.Every
+	case e.Lost != nil:
+		count, every = e.Lost.Count, e.Lost.Every
+	case e.Probe != nil:
+		count, every = e.Probe.Count, e.Probe.Every
+	case e.Traffic != nil:
+		count, every = e.Traffic.Count, e.Traffic.Every
+	}
+	return max(count, 1), time.Duration(every)
+}
+
+func (p *player) run(end time.Duration) {
+	for p.queue.Len() > 0 {
+		next := heap.Pop(&p.queue).(scheduled)
+		if next.at > end {
+			return
+		}
+		p.now = start.Add(next.at)
+		next.do()
+		p.collect()
+	}
+}
+
+// collect journals what was decided and checks what must always hold.
+func (p *player) collect() {
+	for _, n := range p.nodes {
+		for _, service := range n.policies {
+			for _, d := range service.TakeDecisions() {
+				d.Request = n.name
+				p.journal.Add(d)
+			}
+		}
+	}
+}
+
+// noteDecision keeps ejections for the measures.
+func (p *player) noteDecision(d slatewind.Decision) {
+	if d.Kind != slatewind.DecisionEject {
+		return
+	}
+	at := p.since()
+	p.ejected = append(p.ejected, ejection{node: d.Request, server: d.Server, at: at})
+	since, sick := p.sick[d.Server]
+	if !sick {
+		p.report.FalseEjections++
+		return
+	}
+	key := d.Request + "/" + d.Server
+	if !p.detected[key] {
+		p.detected[key] = true
+		p.report.Detection = append(p.report.Detection, Detection{Server: d.Server, Node: d.Request, After: at - since})
+	}
+}
+
+func (p *player) tick() {
+	for _, n := range p.nodes {
+		for _, service := range n.policies {
+			service.Tick(p.now)
+		}
+	}
+	for _, s := range p.sides {
+		s.tick()
+	}
+	p.checkFloors()
+}
+
+// checkFloors holds at every tick, whatever the trace states: nothing may be
+// out while capacity is below the floor and it could serve.
+func (p *player) checkFloors() {
+	for _, n := range p.nodes {
+		snapshot := n.store.Current()
+		for name, service := range n.policies {
+			settings := snapshot.Services[name]
+			if settings == nil {
+				continue
+			}
+			if out, capacity := service.Idle(), service.Capacity(); out > 0 && capacity < int(settings.GetFloor()) {
+				p.miss(-1, fmt.Sprintf("%s: %d server(s) of %s set aside while capacity %d is below the floor %d", n.name, out, name, capacity, settings.GetFloor()))
+			}
+		}
+	}
+}
+
+func (p *player) miss(index int, reason string) {
+	p.report.Misses = append(p.report.Misses, Miss{Index: index, At: p.since(), Reason: reason})
+}
+
+// at calls use for each node that an event concerns.
+func (p *player) at(e Event, use func(*node)) {
+	for _, n := range p.nodes {
+		if e.Node == "" || e.Node == n.name {
+			use(n)
+		}
+	}
+}
+
+// servicePolicy returns the decisions of a node about a server's service.
+func (p *player) servicePolicy(n *node, server string) *policy.Service {
+	s := p.sides[server]
+	if s == nil {
+		return nil
+	}
+	return n.policies[s.service]
+}
+
+// happen plays one event.
+func (p *player) happen(e Event) {
+	switch {
+	case e.Sick != nil:
+		p.mark(e.Sick)
+	case e.Outcome != nil:
+		p.outcome(e)
+	case e.Lost != nil:
+		p.lost(e)
+	case e.Probe != nil:
+		p.probe(e)
+	case e.Load != nil:
+		p.load(e)
+	case e.Traffic != nil:
+		p.traffic(e)
+	case e.Leaving != nil:
+		p.leaving(e)
+	case e.Listed != nil:
+		p.listed(e)
+	case e.Settings != nil:
+		if err := p.applySettings(e.Settings); err != nil {
+			p.journal.Add(slatewind.Decision{Time: p.now, Kind: slatewind.DecisionStale, Reason: err.Error()})
+		}
+	case e.Sync != nil:
+		p.sync(e.Sync)
+	default:
+		p.happenAtSides(e)
+	}
+}
+
+func (p *player) happenAtSides(e Event) {
+	switch {
+	case e.Cut != nil:
+		p.network.cut(e.Cut.From, e.Cut.To)
+	case e.Heal != nil:
+		p.network.heal(e.Heal.From, e.Heal.To)
+	case e.Delay != nil:
+		p.network.delay(e.Delay.From, e.Delay.To, time.Duration(e.Delay.By))
+	case e.Pause != nil:
+		p.sides[e.Pause.Server].pause(time.Duration(e.Pause.For))
+	case e.Restart != nil:
+		p.sides[e.Restart.Server].restart()
+	case e.Server != nil:
+		p.sides[e.Server.Name].mode = e.Server.Mode
+	case e.Request != nil:
+		p.at(e, func(n *node) { p.request(n, e.Request) })
+	}
+}
+
+func (p *player) mark(s *Sick) {
+	if s.Over {
+		delete(p.sick, s.Server)
+		return
+	}
+	p.sick[s.Server] = p.since()
+}
+
+func (p *player) outcome(e Event) {
+	o := e.Outcome
+	class := uint8(o.Class)
+	if o.Route != "" {
+		class = outlier.Class(o.Route)
+	}
+	latency := float64(o.Latency) * math.Exp(o.Spread*p.random.NormFloat64())
+	p.at(e, func(n *node) {
+		if service := p.servicePolicy(n, o.Server); service != nil {
+			service.Observe(p.now, slatewind.Observation{Server: o.Server, Class: class, Result: o.Result, Latency: time.Duration(latency)})
+		}
+	})
+}
+
+func (p *player) lost(e Event) {
+	p.at(e, func(n *node) {
+		service := p.servicePolicy(n, e.Lost.Server)
+		switch {
+		case service == nil:
+		case e.Lost.Unsent:
+			service.Unreached(p.now, e.Lost.Server)
+		default:
+			service.Lost(p.now, e.Lost.Server)
+		}
+	})
+}
+
+func (p *player) probe(e Event) {
+	if !e.Probe.Failed {
+		return
+	}
+	p.at(e, func(n *node) {
+		if service := p.servicePolicy(n, e.Probe.Server); service != nil {
+			service.Observe(p.now, slatewind.Observation{Server: e.Probe.Server, Result: slatewind.ResultProbeFailed})
+		}
+	})
+}
+
+func (p *player) load(e Event) {
+	s := p.sides[e.Load.Server]
+	p.at(e, func(n *node) {
+		digest := s.digest()
+		digest.InFlight = e.Load.InFlight
+		digest.Queued = e.Load.Queued
+		n.policies[s.service].Heard(p.now, digest, true)
+	})
+}
+
+// traffic has ingresses choose a server for a repeatable request.
+func (p *player) traffic(e Event) {
+	p.at(e, func(n *node) {
+		service := n.policies[e.Traffic.Service]
+		if service == nil {
+			return
+		}
+		i := service.Pick(p.now, slatewind.KindRepeatable, nil)
+		if i == policy.None {
+			return
+		}
+		server := service.Name(i)
+		service.Started(i)
+		p.send(n, p.sides[server], time.Duration(e.Traffic.Latency))
+	})
+}
+
+func (p *player) leaving(e Event) {
+	s := p.sides[e.Leaving.Server]
+	s.leaving = !e.Leaving.Over
+	if e.Leaving.Silent {
+		return
+	}
+	p.at(e, func(n *node) { n.policies[s.service].Heard(p.now, s.digest(), false) })
+}
+
+func (p *player) listed(e Event) {
+	for _, s := range p.sides {
+		if s.vm == e.Listed.VM {
+			p.at(e, func(n *node) {
+				n.policies[s.service].SetLeaving(p.now, s.name, e.Listed.State == slatewind.VMLeaving)
+			})
+		}
+	}
+}
+
+// applySettings offers a file to nodes and sidecars.
+func (p *player) applySettings(s *Settings) error {
+	text := s.Text
+	if text == "" {
+		text = p.trace.Settings
+		for from, to := range s.Replace {
+			if !strings.Contains(text, from) {
+				return Error.New("settings revision %d: nothing to replace for %q", s.Revision, from)
+			}
+			text = strings.ReplaceAll(text, from, to)
+		}
+	}
+	for _, n := range p.nodes {
+		if concerns(s.To, n.name) {
+			p.offer(n, s.Revision, []byte(text))
+		}
+	}
+	for _, side := range p.sides {
+		if concerns(s.To, side.name) {
+			side.offer(s.Revision, []byte(text))
+		}
+	}
+	return nil
+}
+
+func concerns(to []string, name string) bool {
+	if len(to) == 0 {
+		return true
+	}
+	for _, t := range to {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *player) offer(n *node, revision uint64, text []byte) {
+	before := n.store.Version()
+	changed, err := n.store.Offer(p.now, "trace", revision, text)
+	if err != nil || !changed {
+		return
+	}
+	if before.Newer(n.store.Version()) {
+		p.miss(-1, fmt.Sprintf("%s went back from revision %d to %d", n.name, before.Revision, revision))
+	}
+	n.revisions = append(n.revisions, inForce{at: p.since(), revision: revision})
+	for name, service := range n.policies {
+		if settings := n.store.Current().Services[name]; settings != nil {
+			service.Update(p.now, settings, func(string) string { return "" })
+		}
+	}
+}
+
+// sync has one node take another's settings, as gossip does.
+func (p *player) sync(s *Sync) {
+	if p.network.lost(s.From, s.To) {
+		return
+	}
+	var from, to *node
+	for _, n := range p.nodes {
+		if n.name == s.From {
+			from = n
+		}
+		if n.name == s.To {
+			to = n
+		}
+	}
+	if from == nil || to == nil || from.store.Current() == nil {
+		return
+	}
+	current := from.store.Current()
+	p.offer(to, current.Version.Revision, current.Text)
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,44 @@
+// Package retry bounds extra attempts. Retries and hedges help while few
+// servers are sick and feed an overload on itself when all are full, so both
+// draw on one budget that grows only with first attempts.
+package retry
+
+// Defaults of a budget.
+const (
+	// DefaultRatio lets one extra attempt go with five first ones.
+	DefaultRatio = 0.2
+	// DefaultBurst is how many extra attempts may go in a row.
+	DefaultBurst = 10
+)
+
+// Budget counts the extra attempts that are allowed. It is not safe for use by
+// several goroutines; its host guards it.
+type Budget struct {
+	ratio  float64
+	burst  float64
+	tokens float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, burst: burst, tokens: burst}
+}
+
+// First notes a first attempt.
+func (b *Budget) First() {
+	b.tokens = min(b.tokens+b.ratio, b.burst)
+}
+
+// Take allows or denies one extra attempt.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Tokens returns how many extra attempts may go now.
+func (b *Budget) Tokens() float64 {
+	return b.tokens
+}
--- /dev/null
+++ b/sidecar/door.go
@@ -0,0 +1,317 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/admission"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/attempt"
+	"slatewind.example/slatewind/outlier"
+)
+
+// overdueFactor is how many mean service times a request may take until it is
+// told as overdue; each doubling tells it again, up to overdueTimes.
+const (
+	overdueFactor = 6
+	overdueTimes  = 3
+	// firstOverdue is the bound while no service time is known.
+	firstOverdue = time.Second
+	// meanWeight is the weight of the newest service time in a class's mean.
+	meanWeight = 0.05
+)
+
+// active is one request in a slot.
+type active struct {
+	class   uint8
+	started time.Time
+	told    int
+	cancel  context.CancelFunc
+}
+
+// door is the state of one server: a shard with its own lock.
+type door struct {
+	service string
+	name    string
+
+	mu       sync.Mutex
+	address  string
+	probe    *probe
+	slots    *admission.Server
+	attempts *attempt.Table
+	ring     outlier.Ring
+	means    map[uint8]time.Duration
+	waiting  map[string]chan admission.Decision
+	active   map[string]*active
+	leaving  string
+	lastTick time.Time
+}
+
+func newDoor(now time.Time, service string, server *slatewindv1.Server, incarnation uint64, limit int) *door {
+	return &door{
+		service:  service,
+		name:     server.GetName(),
+		slots:    admission.NewServer(int(server.GetSlots())),
+		attempts: attempt.NewTable(now, incarnation, limit),
+		means:    map[uint8]time.Duration{},
+		waiting:  map[string]chan admission.Decision{},
+		active:   map[string]*active{},
+		probe:    &probe{},
+		lastTick: now,
+	}
+}
+
+func (d *door) update(service *slatewindv1.Service, server *slatewindv1.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.address = server.GetAddress()
+	d.slots.SetSlots(int(server.GetSlots()))
+	d.probe.interval = service.GetProbeInterval().AsDuration()
+	d.probe.path = service.GetProbePath()
+}
+
+// refusal is why a door sends a request away, proved not to have run.
+type refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// admit notes the arrival of an attempt.
+func (d *door) admit(now time.Time, id string, incarnation uint64) *refusal {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkAwake(now)
+	if r := d.attempts.Admit(id, incarnation); r != attempt.Admitted {
+		return &refusal{reason: string(r)}
+	}
+	return nil
+}
+
+// checkAwake begins a new incarnation if the process was paused since the last
+// tick: what arrives now may have been sent before the pause.
+func (d *door) checkAwake(now time.Time) {
+	if timerAbsence(d.lastTick, now) {
+		d.attempts.Wake(now)
+		d.lastTick = now
+	}
+}
+
+func timerAbsence(last, now time.Time) bool {
+	return now.Sub(last) > awakeBound || now.Round(0).Sub(last.Round(0)) > awakeBound
+}
+
+// offer asks for a slot; the channel gives the decision. A leaving server gives
+// none, but its records are still asked before.
+func (d *door) offer(now time.Time, it admission.Item) <-chan admission.Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	decision := make(chan admission.Decision, 1)
+	d.waiting[it.ID] = decision
+	if d.leaving != "" {
+		reason := "the server is leaving: " + d.leaving
+		d.deliver([]admission.Decision{{Item: it, Action: admission.ActionRefuse, Reason: reason}})
+		return decision
+	}
+	d.deliver(d.slots.Offer(now, it))
+	return decision
+}
+
+// deliver hands decisions to those who wait for them.
+func (d *door) deliver(decisions []admission.Decision) {
+	for _, decision := range decisions {
+		if decision.Action == admission.ActionQueue {
+			continue
+		}
+		if decision.Action == admission.ActionRefuse {
+			d.attempts.Refuse(decision.Item.ID)
+		}
+		if waiter, ok := d.waiting[decision.Item.ID]; ok {
+			delete(d.waiting, decision.Item.ID)
+			waiter <- decision
+		}
+	}
+}
+
+// abandon takes a waiting attempt back. It reports false if the attempt got a
+// slot meanwhile; the decision is then in its channel.
+func (d *door) abandon(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.slots.Remove(id) {
+		return false
+	}
+	delete(d.waiting, id)
+	d.attempts.Refuse(id)
+	return true
+}
+
+// begin is the last check before a server gets an attempt that has a slot.
+func (d *door) begin(now time.Time, id string, class uint8, deadline time.Time, cancel context.CancelFunc) *refusal {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkAwake(now)
+	switch {
+	case !now.Before(deadline):
+		d.attempts.Refuse(id)
+		return &refusal{reason: "its time was over before the start"}
+	case !d.attempts.Start(id):
+		return &refusal{reason: "cancelled before the start"}
+	}
+	d.active[id] = &active{class: class, started: now, cancel: cancel}
+	return nil
+}
+
+// refuseAttempt notes that an admitted attempt was answered without a run.
+func (d *door) refuseAttempt(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attempts.Refuse(id)
+}
+
+// release gives a slot back that was not used.
+func (d *door) release(now time.Time, it admission.Item) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deliver(d.slots.Done(now, it, d.slots.Mean()))
+}
+
+// end notes the outcome of a started attempt and gives its slot back.
+func (d *door) end(now time.Time, it admission.Item, result slatewind.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.active[it.ID]
+	delete(d.active, it.ID)
+	d.attempts.End(it.ID)
+	took := now.Sub(a.started)
+	d.ring.Add(a.class, result, took)
+	if result == slatewind.ResultOK {
+		d.learn(a.class, took)
+	}
+	d.deliver(d.slots.Done(now, it, took))
+}
+
+func (d *door) learn(class uint8, took time.Duration) {
+	mean, ok := d.means[class]
+	if !ok {
+		d.means[class] = took
+		return
+	}
+	d.means[class] = mean + time.Duration(meanWeight*float64(took-mean))
+}
+
+// cancel makes sure that an attempt is not started from now on; one that runs
+// already is broken off where that does no harm.
+func (d *door) cancel(now time.Time, id string, incarnation uint64) slatewind.CancelState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkAwake(now)
+	if d.slots.Remove(id) {
+		if waiter, ok := d.waiting[id]; ok {
+			delete(d.waiting, id)
+			waiter <- admission.Decision{Action: admission.ActionRefuse, Reason: "cancelled while it waited"}
+		}
+	}
+	state := d.attempts.Cancel(id, incarnation)
+	if a := d.active[id]; a != nil && a.cancel != nil {
+		a.cancel()
+	}
+	return state
+}
+
+func (d *door) leave(reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leaving != "" {
+		return
+	}
+	d.leaving = reason
+	d.deliver(d.slots.RefuseAll("the server is leaving: " + reason))
+}
+
+// stay ends a drain that the server itself had asked for.
+func (d *door) stay(reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leaving == reason {
+		d.leaving = ""
+	}
+}
+
+func (d *door) inUse() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.slots.InUse()
+}
+
+func (d *door) tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkAwake(now)
+	d.lastTick = now
+	d.attempts.Rotate(now)
+	d.deliver(d.slots.Advance(now))
+	for _, a := range d.active {
+		d.tellOverdue(now, a)
+	}
+}
+
+// tellOverdue puts a request that runs far longer than others of its class
+// into the ring, so that it is evidence before it ends.
+func (d *door) tellOverdue(now time.Time, a *active) {
+	bound := firstOverdue
+	if mean, ok := d.means[a.class]; ok {
+		bound = overdueFactor * mean
+	}
+	waited := now.Sub(a.started)
+	if a.told < overdueTimes && waited > bound<<a.told {
+		a.told++
+		d.ring.Add(a.class, slatewind.ResultOverdue, waited)
+	}
+}
+
+func (d *door) digest() *slatewindv1.Digest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return &slatewindv1.Digest{
+		Service:     d.service,
+		Server:      d.name,
+		Incarnation: d.attempts.Incarnation(),
+		InFlight:    uint32(d.slots.InUse()),
+		Queued:      uint32(d.slots.Queued()),
+		Slots:       uint32(d.slots.Slots()),
+		Leaving:     d.leaving != "",
+		Sequence:    d.ring.Sequence(),
+		Outcomes:    d.ring.Newest(nil),
+	}
+}
+
+// DoorView is one server in a state dump.
+type DoorView struct {
+	Server      string `json:"server"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	InUse       int    `json:"in_use"`
+	Queued      int    `json:"queued"`
+	Leaving     string `json:"leaving,omitempty"`
+	Incarnation uint64 `json:"incarnation"`
+	Attempts    int    `json:"attempts_remembered"`
+	Outcomes    uint64 `json:"outcomes"`
+}
+
+func (d *door) view() DoorView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return DoorView{
+		Server:      d.name,
+		Address:     d.address,
+		Slots:       d.slots.Slots(),
+		InUse:       d.slots.InUse(),
+		Queued:      d.slots.Queued(),
+		Leaving:     d.leaving,
+		Incarnation: d.attempts.Incarnation(),
+		Attempts:    d.attempts.Len(),
+		Outcomes:    d.ring.Sequence(),
+	}
+}
