Let nothing but a proof run a once-request again

Cause: a model of callers, a lossy network and sidecars around the real record types (property test, random interleavings) and five directed tests found holes in the first version of the records: - a retry's seal counted as a proof for the next retry, so a request whose home had lost its memory ran twice (search: failed after 45738 cases; also TestSealIsNoProof); - an attempt without a number carried its key's age, which a slow way made too small (search: failed after 8303 cases; TestLateMessageDoesNotMakeAKeyYounger); - a cover that began at the very moment of the key's making counted as reaching back (search: failed after 7949 cases); - a retry that came to join a running attempt ran by itself when that attempt had been refused meanwhile (TestJoiningRetryNeverRuns: 2 runs, not 1); - a cancellation under other settings counted as a proof (TestCancelUnderAnotherViewIsNoProof: not unknown).

Ruled out: longer margins instead of the seal state; they only make the case rarer. That case, two views of the servers at once and an attempt without a number, stays unproved and is listed.

Change: sealed is a state of its own; keys carry the earliest time of their making; ages of replies are compared with the time that the replies took; a joining retry has its own claim; a refused or cancelled first attempt leaves a proof only under equal settings; a double of an attempt is answered as unknown.

Conclusion: at most once holds in the model for numbered attempts under every fault above, two views of the settings included.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -29,7 +29,8 @@
 // Refusal says why an attempt was not admitted; empty means admitted.
 type Refusal string
 
-// Reasons to refuse an attempt. All of them prove that it does not run.
+// Reasons to refuse an attempt. All but RefusedDouble prove that it does not
+// run; of a double, the one that came first may run.
 const (
 	Admitted       Refusal = ""
 	RefusedStale   Refusal = "addressed to an earlier incarnation of the sidecar"
@@ -116,9 +117,6 @@
 // slot.
 func (t *Table) Admit(id string, incarnation uint64) Refusal {
 	hash := xxhash.Sum64String(id)
-	if !t.current(incarnation) {
-		return RefusedStale
-	}
 	switch t.find(hash) {
 	case phaseTombstone:
 		return RefusedTomb
@@ -126,6 +124,9 @@
 	default:
 		return RefusedDouble
 	}
+	if !t.current(incarnation) {
+		return RefusedStale
+	}
 	if len(t.now.phases) >= t.limit {
 		return RefusedNoSpace
 	}
--- a/cmd/slatewind-standin/main.go
+++ b/cmd/slatewind-standin/main.go
@@ -138,6 +138,9 @@
 	if err != nil {
 		return err
 	}
+	for _, note := range driver.Notes() {
+		fmt.Println("not whole:", note)
+	}
 	n := &driver.Counts
 	fmt.Printf("wrong=%d failed=%d\n", n.Wrong.Load(), n.Failed.Load())
 	fmt.Printf("requests=%d whole=%d doubled=%d not_run=%d unknown=%d\n",
--- a/ingress/once.go
+++ b/ingress/once.go
@@ -32,7 +32,9 @@
 			last = in.tryCandidate(ctx, rq, server, in.onceMessage(rq, step.Claim, server == home))
 			chain.Ran(last.ran, last.reason)
 		case once.StepSeal:
-			chain.Sealed(in.sealAll(ctx, rq, candidates))
+			began := time.Now()
+			replies := in.sealAll(ctx, rq, candidates)
+			chain.Sealed(replies, time.Since(began))
 		default:
 			return onceFinal(step, last, cancel)
 		}
@@ -89,12 +91,12 @@
 
 func (in *Ingress) onceMessage(rq *request, claim slatewind.Claim, home bool) *slatewindv1.Once {
 	return &slatewindv1.Once{
-		Key:         rq.key,
-		Fingerprint: once.Fingerprint(rq.method, rq.target, rq.body),
-		Claim:       string(claim),
-		KeyAgeNanos: int64(rq.keyAge + time.Since(rq.began)),
-		Owners:      rq.snapshot.Owners[rq.service.GetName()],
-		Home:        home,
+		Key:              rq.key,
+		Fingerprint:      once.Fingerprint(rq.method, rq.target, rq.body),
+		Claim:            string(claim),
+		KeyBornUnixNanos: rq.keyBorn.UnixNano(),
+		Owners:           rq.snapshot.Owners[rq.service.GetName()],
+		Home:             home,
 	}
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -60,10 +60,10 @@
 	customer string
 	deadline time.Time
 	began    time.Time
-	// key, claim and keyAge belong to once-requests.
-	key    string
-	claim  slatewind.Claim
-	keyAge time.Duration
+	// key, claim and keyBorn belong to once-requests.
+	key     string
+	claim   slatewind.Claim
+	keyBorn time.Time
 }
 
 // badRequest is a request that is refused before anything is sent.
@@ -184,7 +184,7 @@
 		rq.claim = slatewind.ClaimFirst
 		key = "minted-" + rq.id
 	}
-	rq.keyAge = once.KeyAge(time.Now(), strings.Trim(key, `"`), rq.service.GetKeyLifetime().AsDuration())
+	rq.keyBorn = once.KeyBorn(time.Now(), strings.Trim(key, `"`), rq.service.GetKeyLifetime().AsDuration())
 	rq.key = rq.customer + "\n" + key
 	return nil
 }
--- a/internal/standin/drive.go
+++ b/internal/standin/drive.go
@@ -48,6 +48,28 @@
 
 	client http.Client
 	sent   atomic.Int64
+
+	mu    sync.Mutex
+	notes []string
+}
+
+// maxNotes bounds how many answers that were not whole are kept.
+const maxNotes = 20
+
+// Notes returns what callers were told in place of a whole answer, the first
+// few times.
+func (d *Driver) Notes() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.notes
+}
+
+func (d *Driver) note(format string, values ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.notes) < maxNotes {
+		d.notes = append(d.notes, fmt.Sprintf(format, values...))
+	}
 }
 
 const (
@@ -142,11 +164,17 @@
 	}
 	response, err := d.client.Do(r)
 	if err != nil {
+		d.note("%s attempt %d: %v", nonce, n, err)
 		return outcomeFailed
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return judge(response, string(body), nonce, err)
+	outcome := judge(response, string(body), nonce, err)
+	if outcome != slatewind.OutcomeAnswer {
+		d.note("%s attempt %d at %s: request %s: %s: %s", nonce, n, address,
+			response.Header.Get(ingress.HeaderRequest), outcome, strings.TrimSpace(string(body)))
+	}
+	return outcome
 }
 
 // judge says what a caller makes of an answer.
--- a/once/chain.go
+++ b/once/chain.go
@@ -1,6 +1,10 @@
 package once
 
-import "slatewind.example/slatewind"
+import (
+	"time"
+
+	"slatewind.example/slatewind"
+)
 
 // StepKind is what an ingress does next with a once-request.
 type StepKind string
@@ -115,13 +119,14 @@
 	c.next.Reason = reason
 }
 
-// Sealed takes the replies of a StepSeal, in the order of the candidates.
-func (c *Chain) Sealed(replies []SealReply) {
-	resolution := Resolve(replies)
+// Sealed takes the replies of a StepSeal, in the order of the candidates, and
+// the time from the first question to the last reply.
+func (c *Chain) Sealed(replies []SealReply, took time.Duration) {
+	resolution := Resolve(replies, took)
 	switch resolution.Action {
 	case ActionJoin:
 		c.joining = true
-		c.next = Step{Kind: StepRun, Candidate: resolution.At, Claim: c.claim, Reason: resolution.Reason}
+		c.next = Step{Kind: StepRun, Candidate: resolution.At, Claim: slatewind.ClaimJoin, Reason: resolution.Reason}
 	case ActionRun:
 		c.next = Step{Kind: StepRun, Claim: c.claim, Reason: resolution.Reason}
 	default:
--- a/once/key.go
+++ b/once/key.go
@@ -11,18 +11,15 @@
 // ClockSkew bounds how far the clocks of callers and ingresses lie apart.
 const ClockSkew = 30 * time.Second
 
-// KeyAge returns the greatest age that a key can have at now: from the time in
-// a UUIDv7, else the lifetime that the service promises its callers.
-func KeyAge(now time.Time, key string, lifetime time.Duration) time.Duration {
+// KeyBorn returns the earliest time at which a key that is seen now can have
+// been made: the time in a UUIDv7, else now less the lifetime that the service
+// promises its callers; both less the skew of clocks.
+func KeyBorn(now time.Time, key string, lifetime time.Duration) time.Time {
 	made, ok := uuidTime(key)
-	if !ok {
-		return lifetime
+	if !ok || made.After(now.Add(ClockSkew)) {
+		made = now.Add(-lifetime)
 	}
-	age := now.Sub(made)
-	if age < -ClockSkew {
-		return lifetime
-	}
-	return max(age, 0) + ClockSkew
+	return made.Add(-ClockSkew)
 }
 
 // uuidTime returns the time in a UUIDv7 (RFC 9562, section 5.7).
--- a/once/once.go
+++ b/once/once.go
@@ -34,7 +34,7 @@
 // remembered as having run, without the answer.
 const maxAnswerBytes = 64 << 10
 
-// minRevokedAge is how long a revoked record stays even under pressure: until
+// minRevokedAge is how long a revoked or sealed record stays even under pressure: until
 // no attempt sent before it can still arrive. It is two epochs of package
 // attempt.
 const minRevokedAge = 4 * time.Minute
@@ -52,8 +52,9 @@
 	// Fingerprint is a checksum of method, target and body.
 	Fingerprint uint64
 	Claim       slatewind.Claim
-	// KeyAge is the greatest age that the key can have; for unnumbered claims.
-	KeyAge time.Duration
+	// KeyBorn is the earliest time at which the key can have been made; for
+	// unnumbered claims.
+	KeyBorn time.Time
 	// Home says that the server is the first candidate of the key.
 	Home bool
 	// Owners is the digest of the server names by which the home was chosen.
@@ -153,7 +154,7 @@
 
 // Begin decides what to do with a once-request that arrived.
 func (s *Store) Begin(now time.Time, r Request) Verdict {
-	if c := s.covers[r.ID.Service]; c == nil || c.owners != r.Owners {
+	if !s.sameOwners(r) {
 		return s.ownersDiffer(r)
 	}
 	if known := s.records[r.ID]; known != nil {
@@ -169,6 +170,12 @@
 	}
 }
 
+// sameOwners reports whether ingress and sidecar name the same servers.
+func (s *Store) sameOwners(r Request) bool {
+	c := s.covers[r.ID.Service]
+	return c != nil && c.owners == r.Owners
+}
+
 func (s *Store) ownersDiffer(r Request) Verdict {
 	const reason = "ingress and sidecar have different settings for the service"
 	if r.Claim == slatewind.ClaimFirst {
@@ -181,7 +188,7 @@
 	if !r.Home {
 		return Verdict{Action: ActionUnknown, Reason: "an attempt without a number runs only at the home of its key"}
 	}
-	if s.CoverAge(now, r.ID.Service) < r.KeyAge {
+	if !s.coverStart(r.ID.Service).Before(r.KeyBorn) {
 		return Verdict{Action: ActionUnknown, Reason: "the memory of the home does not reach back to the making of the key; send Slatewind-Attempt, or a UUIDv7 as key"}
 	}
 	return s.run(now, r, "no record since before the key was made")
@@ -209,7 +216,7 @@
 	if r.Claim == slatewind.ClaimFirst {
 		return Verdict{Action: ActionRefuse, Reason: "the key was revoked here"}
 	}
-	if r.Claim == slatewind.ClaimUnnumbered || !r.Home {
+	if r.Claim != slatewind.ClaimRetry || !r.Home {
 		return Verdict{Action: ActionUnknown, Reason: "the key was revoked here and may have been handed over"}
 	}
 	known.state = slatewind.RecordRunning
@@ -266,18 +273,21 @@
 	s.touch(now, known)
 }
 
-// Cancelled is the answer to a cancellation whose attempt will not start: not
-// started if no other attempt has run the request here either. A first attempt
-// that never arrived is revoked, so that it is refused if it still comes.
+// Cancelled settles the record of an attempt that will not start, because it was
+// cancelled or refused before its record was asked: not started if no other
+// attempt has run the request here either. A first attempt leaves a revoked
+// record, the proof for later retries. It leaves none if ingress and sidecar
+// have different settings: the ingress may then hand over to a server that the
+// later retries do not know.
 func (s *Store) Cancelled(now time.Time, r Request) slatewind.CancelState {
 	known := s.records[r.ID]
 	if known != nil {
-		if known.state == slatewind.RecordRevoked {
+		if known.state == slatewind.RecordRevoked || known.state == slatewind.RecordSealed {
 			return slatewind.CancelNotStarted
 		}
 		return slatewind.CancelStarted
 	}
-	if r.Claim == slatewind.ClaimFirst && s.makeRoom(now) {
+	if r.Claim == slatewind.ClaimFirst && s.sameOwners(r) && s.makeRoom(now) {
 		s.insert(now, r, slatewind.RecordRevoked)
 	}
 	return slatewind.CancelNotStarted
@@ -290,11 +300,11 @@
 }
 
 // Seal is the answer to an ingress that asks what became of a key. Where no
-// record exists the key is revoked, so that an attempt still on its way is
-// refused from now on.
+// record exists the key is sealed, so that an attempt still on its way is
+// refused from now on. Sealed is less than revoked: it does not say that nothing
+// ran before, or a second retry would take the first one's seal for a proof.
 func (s *Store) Seal(now time.Time, r Request) SealReply {
-	c := s.covers[r.ID.Service]
-	if c == nil || c.owners != r.Owners {
+	if !s.sameOwners(r) {
 		return SealReply{OwnersDiffer: true}
 	}
 	reply := SealReply{CoverAge: s.CoverAge(now, r.ID.Service)}
@@ -305,7 +315,7 @@
 			reply.CoverAge = 0
 			return reply
 		}
-		s.insert(now, Request{ID: r.ID}, slatewind.RecordRevoked)
+		s.insert(now, Request{ID: r.ID}, slatewind.RecordSealed)
 		return reply
 	}
 	reply.State = known.state
@@ -317,11 +327,14 @@
 
 // CoverAge returns how far back the memory for a service is complete.
 func (s *Store) CoverAge(now time.Time, service string) time.Duration {
-	start := s.start
-	if c := s.covers[service]; c != nil && c.start.After(start) {
-		start = c.start
+	return now.Sub(s.coverStart(service))
+}
+
+func (s *Store) coverStart(service string) time.Time {
+	if c := s.covers[service]; c != nil && c.start.After(s.start) {
+		return c.start
 	}
-	return now.Sub(start)
+	return s.start
 }
 
 // Len returns the number of records and the bytes of stored answers.
@@ -364,7 +377,7 @@
 	switch r.state {
 	case slatewind.RecordRunning:
 		return false
-	case slatewind.RecordRevoked:
+	case slatewind.RecordRevoked, slatewind.RecordSealed:
 		return now.Sub(r.since) >= minRevokedAge
 	}
 	return true
--- a/once/resolve.go
+++ b/once/resolve.go
@@ -6,9 +6,9 @@
 	"slatewind.example/slatewind"
 )
 
-// sealMargin is added to ages that two processes measured, each by its own
-// clock, and that travelled for up to this long.
-const sealMargin = 5 * time.Second
+// sealMargin is added to the time that the replies took when the ages in them,
+// which two processes measured by their own clocks, are compared.
+const sealMargin = time.Second
 
 // SealReply is what one candidate says of a key.
 type SealReply struct {
@@ -33,11 +33,12 @@
 	Reason string
 }
 
-// Resolve reads the replies of the candidates of a key, home first. A retry
+// Resolve reads the replies of the candidates of a key, home first, which came
+// within the time took. A retry
 // may run only if some candidate revoked the key and every candidate, the
 // revoking ones included, remembers all that happened since before the oldest
 // revocation: then no candidate ran it, and as all are sealed none will.
-func Resolve(replies []SealReply) Resolution {
+func Resolve(replies []SealReply, took time.Duration) Resolution {
 	var oldest time.Duration
 	revoked := false
 	for i, r := range replies {
@@ -53,21 +54,22 @@
 		return Resolution{Action: ActionUnknown, Reason: "no candidate has a record: an earlier attempt may have run"}
 	}
 	for _, r := range replies {
-		if reason := gap(r, oldest); reason != "" {
+		if reason := gap(r, oldest+took+sealMargin); reason != "" {
 			return Resolution{Action: ActionUnknown, Reason: reason}
 		}
 	}
 	return Resolution{Action: ActionRun, Reason: "every candidate is sealed and none had run it"}
 }
 
-// gap returns why a reply leaves room for an earlier run, or nothing.
-func gap(r SealReply, oldest time.Duration) string {
+// gap returns why a reply leaves room for an earlier run, or nothing. needed is
+// how far back the candidate's memory must reach.
+func gap(r SealReply, needed time.Duration) string {
 	switch {
 	case r.Unreachable:
 		return "a candidate cannot be reached and may have run it"
 	case r.OwnersDiffer:
 		return "a candidate has different settings for the service"
-	case r.CoverAge < oldest+sealMargin:
+	case r.CoverAge < needed:
 		return "the memory of a candidate does not reach back to the first attempt"
 	}
 	return ""
--- a/replay/side.go
+++ b/replay/side.go
@@ -191,7 +191,7 @@
 			ran, reason := p.tryAt(n, candidates[step.Candidate], p.onceRequest(n, r, step))
 			chain.Ran(ran, reason)
 		case once.StepSeal:
-			chain.Sealed(p.sealAll(n, candidates, p.onceRequest(n, r, step)))
+			chain.Sealed(p.sealAll(n, candidates, p.onceRequest(n, r, step)), 0)
 		default:
 			p.answers[r.ID] = step.Outcome
 			p.journal.Add(slatewind.Decision{
@@ -236,7 +236,7 @@
 		ID:          once.ID{Service: r.Service, Key: r.Key},
 		Fingerprint: once.Fingerprint("POST", r.Key, []byte(r.Body)),
 		Claim:       claim,
-		KeyAge:      time.Duration(r.KeyAge),
+		KeyBorn:     p.now.Add(-time.Duration(r.KeyAge)),
 		Home:        step.Candidate == 0,
 		Owners:      n.store.Current().Owners[r.Service],
 		Attempt:     r.ID + "/" + time.Duration(p.serial).String(),
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -79,14 +79,11 @@
 }
 
 // admit notes the arrival of an attempt.
-func (d *door) admit(now time.Time, id string, incarnation uint64) *refusal {
+func (d *door) admit(now time.Time, id string, incarnation uint64) attempt.Refusal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.checkAwake(now)
-	if r := d.attempts.Admit(id, incarnation); r != attempt.Admitted {
-		return &refusal{reason: string(r)}
-	}
-	return nil
+	return d.attempts.Admit(id, incarnation)
 }
 
 // checkAwake begins a new incarnation if the process was paused since the last
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -12,6 +12,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/once"
 	"slatewind.example/slatewind/outlier"
 )
@@ -55,8 +56,15 @@
 	if r.door == nil {
 		return r.refuse(&refusal{reason: "the server is not one of this VM's"})
 	}
-	if refused := r.door.admit(now, request.GetAttemptId(), request.GetIncarnation()); refused != nil {
-		return r.refuse(refused)
+	switch refused := r.door.admit(now, request.GetAttemptId(), request.GetIncarnation()); refused {
+	case attempt.Admitted:
+	case attempt.RefusedDouble:
+		return r.sendOutcome(slatewind.OutcomeUnknown, string(refused), 0)
+	default:
+		if request.GetOnce() != nil {
+			s.settleUnstarted(onceRequest(r.door, request.GetOnce()))
+		}
+		return r.refuse(&refusal{reason: string(refused)})
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -201,6 +201,11 @@
 	s.endOnce(r.ID, request.GetAttemptId(), func(records *once.Store, id once.ID) {
 		records.Revoke(time.Now(), id, r.Claim)
 	})
+	return s.settleUnstarted(r)
+}
+
+// settleUnstarted settles the record of an attempt that will not start.
+func (s *Sidecar) settleUnstarted(r once.Request) slatewind.CancelState {
 	s.onceMu.Lock()
 	defer s.onceMu.Unlock()
 	return s.records.Cancelled(time.Now(), r)
@@ -228,7 +233,7 @@
 		ID:          once.ID{Service: d.service, Server: d.name, Key: o.GetKey()},
 		Fingerprint: o.GetFingerprint(),
 		Claim:       slatewind.Claim(o.GetClaim()),
-		KeyAge:      time.Duration(o.GetKeyAgeNanos()),
+		KeyBorn:     time.Unix(0, o.GetKeyBornUnixNanos()),
 		Home:        o.GetHome(),
 		Owners:      o.GetOwners(),
 	}
--- a/slatewind.go
+++ b/slatewind.go
@@ -60,8 +60,12 @@
 const (
 	// ClaimFirst: the caller says so, or the ingress made the key itself.
 	ClaimFirst Claim = "first"
-	// ClaimRetry: the caller says that there were earlier attempts.
+	// ClaimRetry: the caller says that there were earlier attempts. At a
+	// sidecar it says that every candidate was sealed and none had run it.
 	ClaimRetry Claim = "retry"
+	// ClaimJoin: a retry that wants the answer of a record that a candidate
+	// has; it must not run anything.
+	ClaimJoin Claim = "join"
 	// ClaimUnnumbered: the caller does not say.
 	ClaimUnnumbered Claim = "unnumbered"
 )
@@ -79,8 +83,12 @@
 	RecordDone RecordState = "done"
 	// RecordLost: it was started and its answer was lost.
 	RecordLost RecordState = "lost"
-	// RecordRevoked: it did not run here and will not without a proof.
+	// RecordRevoked: a first attempt was refused here; it did not run here and
+	// will not without a proof.
 	RecordRevoked RecordState = "revoked"
+	// RecordSealed: nothing was known when a retry asked. It will not run here
+	// without a proof, but whether it did before is open.
+	RecordSealed RecordState = "sealed"
 )
 
 // CancelState is a sidecar's reply to a cancellation.
