Prove the sidecar's answers against a failing server

The first attempt was addressed to a process whose incarnation the ingress did not know yet; the refusal left a revoked record, and the attempt that followed at once under the right incarnation was refused by it.

Change: a refusal for the incarnation leaves the key free, since the ingress addresses the attempt anew. Tests of the sidecar before a real stand-in server for whole answers, refusals, joins, drains and the HTTP client's own repeats.

Failed first: TestStaleAddressLeavesTheKeyFree with the old code; with a body that the HTTP client can rewind, TestOnceIsNotRepeatedByTheHTTPClient finds a second run at the server.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -63,6 +63,11 @@
 	}}
 }
 
+// CloseIdle closes the connections that no request uses.
+func (c *HTTPCaller) CloseIdle() {
+	c.client.CloseIdleConnections()
+}
+
 // ServerAnswer is a server's answer whose body is still to be read.
 type ServerAnswer struct {
 	Status   int
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -60,6 +60,9 @@
 	case attempt.Admitted:
 	case attempt.RefusedDouble:
 		return r.sendOutcome(slatewind.OutcomeUnknown, string(refused), 0)
+	case attempt.RefusedStale:
+		// The ingress addresses the attempt anew, so its key stays free.
+		return r.refuse(&refusal{reason: string(refused)})
 	default:
 		if request.GetOnce() != nil {
 			s.settleUnstarted(onceRequest(r.door, request.GetOnce()))
--- /dev/null
+++ b/sidecar/sidecar_test.go
@@ -0,0 +1,368 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/sidecar"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const incarnation = 1<<24 | 1
+
+// fixture is a sidecar before one real stand-in server.
+type fixture struct {
+	t       *testing.T
+	sidecar *sidecar.Sidecar
+	store   *config.Store
+	server  *standin.Server
+	slots   int
+	next    int
+}
+
+func newFixture(t *testing.T, slots int, handler func(*standin.Server) http.Handler) *fixture {
+	t.Helper()
+	server := standin.NewServer("s", slots, time.Millisecond, 0)
+	h := server.Handler()
+	if handler != nil {
+		h = handler(server)
+	}
+	listener := httptest.NewServer(h)
+	f := &fixture{t: t, server: server, slots: slots}
+	f.store = config.NewStore(journal.New(0, nil))
+	caller := sidecar.NewHTTPCaller()
+	t.Cleanup(func() {
+		caller.CloseIdle()
+		listener.Close()
+	})
+	f.sidecar = sidecar.New("vm", incarnation, sidecar.Limits{}, f.store, journal.New(0, nil), caller)
+	f.offer(1, strings.TrimPrefix(listener.URL, "http://"))
+	return f
+}
+
+func (f *fixture) offer(revision uint64, address string) {
+	text := fmt.Sprintf(`
+services:
+  - {name: kassa, floor: 0, slots: %d, servers: [{name: s, vm: vm, address: "%s"}]}
+routes:
+  - {name: price, path_prefix: /, service: kassa, kind: repeatable}
+`, f.slots, address)
+	changed, err := f.store.Offer(time.Now(), "test", revision, []byte(text))
+	assert.NilError(f.t, err)
+	assert.Assert(f.t, changed)
+	f.sidecar.Update(time.Now(), f.store.Current())
+}
+
+func (f *fixture) request(key string, claim slatewind.Claim) *slatewindv1.RunRequest {
+	f.next++
+	r := &slatewindv1.RunRequest{
+		AttemptId: fmt.Sprint("attempt-", f.next), Incarnation: incarnation, RemainingNanos: int64(5 * time.Second),
+		Service: "kassa", Server: "s", Route: "price", Method: http.MethodPost, Target: "/payments", Host: "kassa",
+	}
+	if key != "" {
+		r.Headers = []*slatewindv1.Header{{Name: "Idempotency-Key", Value: key}}
+		r.Once = &slatewindv1.Once{
+			Key: key, Fingerprint: 1, Claim: string(claim), Home: true, Owners: f.store.Current().Owners["kassa"],
+		}
+	}
+	return r
+}
+
+// run sends an attempt and puts its reply together.
+func (f *fixture) run(r *slatewindv1.RunRequest) (*link.Reply, error) {
+	var parts []*slatewindv1.RunReply
+	sent := f.sidecar.Run(f.t.Context(), r, func(part *slatewindv1.RunReply) error {
+		parts = append(parts, part)
+		return nil
+	})
+	return link.ReadReply(r.GetAttemptId(), func() (*slatewindv1.RunReply, error) {
+		if len(parts) == 0 {
+			if sent != nil {
+				return nil, sent
+			}
+			return nil, io.EOF
+		}
+		part := parts[0]
+		parts = parts[1:]
+		return part, nil
+	})
+}
+
+func (f *fixture) outcome(r *slatewindv1.RunRequest) slatewind.Outcome {
+	f.t.Helper()
+	reply, err := f.run(r)
+	assert.NilError(f.t, err)
+	return slatewind.Outcome(reply.Head.GetOutcome())
+}
+
+// TestOnceIsNotRepeatedByTheHTTPClient: a server closes a kept connection after
+// it ran the request. An HTTP client may send a request with an idempotency key
+// again by itself; the sidecar's must not.
+func TestOnceIsNotRepeatedByTheHTTPClient(t *testing.T) {
+	f := newFixture(t, 5, nil)
+	assert.Equal(t, f.outcome(f.request("warm", slatewind.ClaimFirst)), slatewind.OutcomeAnswer)
+	f.server.SetFault(standin.FaultDropAnswer, 1)
+	for n := range 5 {
+		key := fmt.Sprint("key-", n)
+		assert.Equal(t, f.outcome(f.request(key, slatewind.ClaimFirst)), slatewind.OutcomeUnknown)
+		assert.Equal(t, f.server.Runs()[key], 1)
+	}
+}
+
+// TestAnswersAreWholeOrPlainFailures brings each fault of a server that could
+// make an answer look like something that it is not.
+func TestAnswersAreWholeOrPlainFailures(t *testing.T) {
+	tests := map[string]struct {
+		fault standin.Fault
+		pad   int
+		// outcome is what the ingress is told; empty: the reply has no end.
+		outcome slatewind.Outcome
+	}{
+		"whole":           {outcome: slatewind.OutcomeAnswer},
+		"whole and long":  {pad: 3 << 20, outcome: slatewind.OutcomeAnswer},
+		"truncated":       {fault: standin.FaultTruncate, outcome: slatewind.OutcomeUnknown},
+		"truncated, long": {fault: standin.FaultTruncate, pad: 4 << 20},
+		"crossed":         {fault: standin.FaultCrossed, outcome: slatewind.OutcomeUnknown},
+		"dropped":         {fault: standin.FaultDropAnswer, outcome: slatewind.OutcomeUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 5, nil)
+			f.server.SetFault(tt.fault, 1)
+			r := f.request("", "")
+			r.Headers = []*slatewindv1.Header{{Name: standin.HeaderNonce, Value: "own"}, {Name: standin.HeaderPad, Value: fmt.Sprint(tt.pad)}}
+			reply, err := f.run(r)
+			if err == nil {
+				assert.Equal(t, slatewind.Outcome(reply.Head.GetOutcome()), orAnswer(tt.outcome))
+			}
+			body, whole := readRest(reply, err)
+			assert.Equal(t, whole, tt.outcome != "")
+			if tt.outcome == slatewind.OutcomeAnswer {
+				assert.Assert(t, strings.Contains(body, "nonce=own ") && strings.HasSuffix(body, "end\n"))
+				assert.Assert(t, len(body) > tt.pad)
+			}
+		})
+	}
+}
+
+// orAnswer: a reply that breaks off began as an answer.
+func orAnswer(outcome slatewind.Outcome) slatewind.Outcome {
+	if outcome == "" {
+		return slatewind.OutcomeAnswer
+	}
+	return outcome
+}
+
+// readRest reads the rest of a long reply; whole says that it had its end.
+func readRest(reply *link.Reply, err error) (body string, whole bool) {
+	if err != nil {
+		return "", false
+	}
+	body = string(reply.Body)
+	for reply.Rest != nil {
+		chunk, err := reply.Rest()
+		if err == io.EOF {
+			return body, true
+		}
+		if err != nil {
+			return body, false
+		}
+		body += string(chunk)
+	}
+	return body, true
+}
+
+// TestRefusalsProveThatNothingRan: each way of refusing an attempt, and that the
+// server saw none of it.
+func TestRefusalsProveThatNothingRan(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(*fixture, *slatewindv1.RunRequest)
+		outcome slatewind.Outcome
+	}{
+		"earlier incarnation": {
+			prepare: func(_ *fixture, r *slatewindv1.RunRequest) { r.Incarnation = 1 },
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"cancelled before it arrived": {
+			prepare: func(f *fixture, r *slatewindv1.RunRequest) {
+				reply, err := f.sidecar.Cancel(f.t.Context(), &slatewindv1.CancelRequest{
+					AttemptId: r.GetAttemptId(), Incarnation: incarnation, Service: "kassa", Server: "s", Once: r.GetOnce(),
+				})
+				assert.NilError(f.t, err)
+				assert.Equal(f.t, slatewind.CancelState(reply.GetState()), slatewind.CancelNotStarted)
+			},
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"leaving": {
+			prepare: func(f *fixture, _ *slatewindv1.RunRequest) { f.sidecar.Leave(time.Now(), "test") },
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"no time left": {
+			prepare: func(_ *fixture, r *slatewindv1.RunRequest) { r.RemainingNanos = 0 },
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"unknown server": {
+			prepare: func(_ *fixture, r *slatewindv1.RunRequest) { r.Server = "other" },
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"server not listening": {
+			prepare: func(f *fixture, _ *slatewindv1.RunRequest) { f.offer(2, "127.0.0.1:1") },
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"other servers in the ingress's settings": {
+			prepare: func(_ *fixture, r *slatewindv1.RunRequest) { r.Once.Owners++ },
+			outcome: slatewind.OutcomeNotRun,
+		},
+		"retry without a record": {
+			prepare: func(_ *fixture, r *slatewindv1.RunRequest) { r.Once.Claim = string(slatewind.ClaimRetry) },
+			outcome: slatewind.OutcomeUnknown,
+		},
+		"unnumbered, key older than the memory": {
+			prepare: func(_ *fixture, r *slatewindv1.RunRequest) { r.Once.Claim = string(slatewind.ClaimUnnumbered) },
+			outcome: slatewind.OutcomeUnknown,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 5, nil)
+			r := f.request("key", slatewind.ClaimFirst)
+			tt.prepare(f, r)
+			assert.Equal(t, f.outcome(r), tt.outcome)
+			assert.Equal(t, f.server.Total(), 0)
+		})
+	}
+}
+
+// TestKeyWithAnotherBodyIsRefused: the same key must not bring another request
+// the answer of the first.
+func TestKeyWithAnotherBodyIsRefused(t *testing.T) {
+	f := newFixture(t, 5, nil)
+	assert.Equal(t, f.outcome(f.request("key", slatewind.ClaimFirst)), slatewind.OutcomeAnswer)
+	other := f.request("key", slatewind.ClaimJoin)
+	other.Once.Fingerprint = 2
+	assert.Equal(t, f.outcome(other), slatewind.OutcomeMismatch)
+	assert.Equal(t, f.server.Runs()["key"], 1)
+}
+
+// TestRetriesJoinAndReplay: many attempts at one key at the same time get one
+// run and the same answer.
+func TestRetriesJoinAndReplay(t *testing.T) {
+	f := newFixture(t, 5, nil)
+	requests := make([]*slatewindv1.RunRequest, 10)
+	for i := range requests {
+		requests[i] = f.request("key", slatewind.ClaimFirst)
+	}
+	bodies := make([]string, len(requests))
+	var group sync.WaitGroup
+	for i, r := range requests {
+		group.Go(func() {
+			reply, err := f.run(r)
+			assert.Check(t, err)
+			bodies[i] = string(reply.Body)
+		})
+	}
+	group.Wait()
+	assert.Equal(t, f.server.Runs()["key"], 1)
+	for _, body := range bodies {
+		assert.Equal(t, body, bodies[0])
+	}
+}
+
+// TestStaleAddressLeavesTheKeyFree: an ingress that did not know the sidecar's
+// incarnation addresses the attempt anew, and it runs.
+func TestStaleAddressLeavesTheKeyFree(t *testing.T) {
+	f := newFixture(t, 5, nil)
+	stale := f.request("key", slatewind.ClaimFirst)
+	stale.Incarnation = 0
+	assert.Equal(t, f.outcome(stale), slatewind.OutcomeNotRun)
+	assert.Equal(t, f.outcome(f.request("key", slatewind.ClaimFirst)), slatewind.OutcomeAnswer)
+}
+
+// TestDoubleOfAnAttemptIsNotCalledNotRun: of two arrivals of one attempt the
+// second says nothing about the first.
+func TestDoubleOfAnAttemptIsNotCalledNotRun(t *testing.T) {
+	f := newFixture(t, 5, nil)
+	r := f.request("", "")
+	assert.Equal(t, f.outcome(r), slatewind.OutcomeAnswer)
+	assert.Equal(t, f.outcome(r), slatewind.OutcomeUnknown)
+	assert.Equal(t, f.server.Total(), 1)
+}
+
+// TestDrainCutsOffNothing: a drain begins while a request runs and another
+// waits. The running one gets its whole answer; the waiting one is not run.
+func TestDrainCutsOffNothing(t *testing.T) {
+	entered := make(chan struct{})
+	proceed := make(chan struct{})
+	f := newFixture(t, 1, func(s *standin.Server) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(entered)
+			<-proceed
+			s.Handler().ServeHTTP(w, r)
+		})
+	})
+	running, waiting := f.request("", ""), f.request("", "")
+	outcomes := make(chan slatewind.Outcome, 2)
+	go func() { outcomes <- f.outcome(running) }()
+	<-entered
+	go func() { outcomes <- f.outcome(waiting) }()
+	for f.sidecar.View().Servers[0].Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.sidecar.Leave(time.Now(), "test")
+	assert.Equal(t, <-outcomes, slatewind.OutcomeNotRun)
+	assert.Equal(t, f.sidecar.Running(), 1)
+	close(proceed)
+	assert.Equal(t, <-outcomes, slatewind.OutcomeAnswer)
+}
+
+// TestRecordsAreAskedWhileLeaving: a leaving sidecar still knows what it ran.
+func TestRecordsAreAskedWhileLeaving(t *testing.T) {
+	f := newFixture(t, 5, nil)
+	assert.Equal(t, f.outcome(f.request("key", slatewind.ClaimFirst)), slatewind.OutcomeAnswer)
+	f.sidecar.Leave(time.Now(), "test")
+	assert.Equal(t, f.outcome(f.request("key", slatewind.ClaimJoin)), slatewind.OutcomeAnswer)
+	assert.Equal(t, f.server.Runs()["key"], 1)
+}
+
+// TestCallerLeavesOnceRunGoesOn: the ingress goes away while a once-request
+// runs; its answer is kept for the retry.
+func TestCallerLeavesOnceRunGoesOn(t *testing.T) {
+	entered := make(chan struct{})
+	proceed := make(chan struct{})
+	f := newFixture(t, 5, func(s *standin.Server) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			close(entered)
+			<-proceed
+			s.Handler().ServeHTTP(w, r)
+		})
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan error)
+	r := f.request("key", slatewind.ClaimFirst)
+	go func() { ended <- f.sidecar.Run(ctx, r, func(*slatewindv1.RunReply) error { return ctx.Err() }) }()
+	<-entered
+	leave()
+	close(proceed)
+	<-ended
+	assert.Equal(t, f.outcome(f.request("key", slatewind.ClaimJoin)), slatewind.OutcomeAnswer)
+	assert.Equal(t, f.server.Runs()["key"], 1)
+}
