--- a/replay/play.go
+++ b/replay/play.go
@@ -367,7 +367,7 @@
 	case e.Heal != nil:
 		p.network.heal(e.Heal.From, e.Heal.To)
 	case e.Delay != nil:
-		p.network.delay(e.Delay.From, e.Delay.To, time.Duration(e.Delay.By))
+		p.network.delays[[2]string{e.Delay.From, e.Delay.To}] = e.Delay
 	case e.Pause != nil:
 		p.sides[e.Pause.Server].pause(time.Duration(e.Pause.For))
 	case e.Restart != nil:
--- a/replay/side.go
+++ b/replay/side.go
@@ -14,18 +14,15 @@
 // network says what becomes of messages, by direction.
 type network struct {
 	cuts   map[[2]string]bool
-	delays map[[2]string]time.Duration
+	delays map[[2]string]*Delay
 }
 
 func newNetwork() *network {
-	return &network{cuts: map[[2]string]bool{}, delays: map[[2]string]time.Duration{}}
+	return &network{cuts: map[[2]string]bool{}, delays: map[[2]string]*Delay{}}
 }
 
-func (w *network) cut(from, to string)  { w.cuts[[2]string{from, to}] = true }
-func (w *network) heal(from, to string) { delete(w.cuts, [2]string{from, to}) }
-func (w *network) delay(from, to string, by time.Duration) {
-	w.delays[[2]string{from, to}] = by
-}
+func (w *network) cut(from, to string)       { w.cuts[[2]string{from, to}] = true }
+func (w *network) heal(from, to string)      { delete(w.cuts, [2]string{from, to}) }
 func (w *network) lost(from, to string) bool { return w.cuts[[2]string{from, to}] }
 
 // side is the sidecar of one server in a replay, with the server behind it.
@@ -117,15 +114,24 @@
 	}
 }
 
+// message tells attempts from what is asked about them.
+type message int
+
+const (
+	messageAttempt message = iota
+	messageQuestion
+)
+
 // deliver hands a message to the sidecar, at once, late or never. A paused
 // sidecar reads it at its waking. It reports whether it was read at once.
-func (s *side) deliver(from string, do func()) bool {
+func (s *side) deliver(from string, kind message, do func()) bool {
 	w := s.player.network
 	if w.lost(from, s.name) {
 		return false
 	}
-	if by := w.delays[[2]string{from, s.name}]; by > 0 {
-		s.player.schedule(s.player.since()+by, func() { s.read(do) })
+	delay := w.delays[[2]string{from, s.name}]
+	if delay != nil && (kind == messageAttempt || !delay.AttemptsOnly) {
+		s.player.schedule(s.player.since()+time.Duration(delay.By), func() { s.read(do) })
 		return false
 	}
 	return s.read(do)
@@ -153,7 +159,7 @@
 // send plays one repeatable request that a node sends to a sidecar.
 func (p *player) send(n *node, s *side, latency time.Duration) {
 	service := n.policies[s.service]
-	arrived := s.deliver(n.name, func() {
+	arrived := s.deliver(n.name, messageAttempt, func() {
 		if s.leaving {
 			return
 		}
@@ -252,12 +258,12 @@
 	r.ID.Server = s.name
 	incarnation := s.attempts.Incarnation()
 	result := once.RanUnknown
-	arrived := s.deliver(n.name, func() { result = s.runOnce(r, incarnation) })
+	arrived := s.deliver(n.name, messageAttempt, func() { result = s.runOnce(r, incarnation) })
 	if arrived && !p.network.lost(s.name, n.name) && s.mode != ModeHangs {
 		return result, "the sidecar replied " + string(result)
 	}
 	state := slatewind.CancelUnknown
-	asked := s.deliver(n.name, func() { state = s.cancel(r, incarnation) })
+	asked := s.deliver(n.name, messageQuestion, func() { state = s.cancel(r, incarnation) })
 	if asked && !p.network.lost(s.name, n.name) && state == slatewind.CancelNotStarted {
 		return once.RanCancelled, "cancelled before the start"
 	}
@@ -327,7 +333,7 @@
 			continue
 		}
 		r.ID.Server = s.name
-		arrived := s.deliver(n.name, func() { replies[i] = s.records.Seal(p.now, r) })
+		arrived := s.deliver(n.name, messageQuestion, func() { replies[i] = s.records.Seal(p.now, r) })
 		if !arrived || p.network.lost(s.name, n.name) {
 			replies[i] = once.SealReply{Unreachable: true}
 		}
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -168,6 +168,9 @@
 	From string   `yaml:"from"`
 	To   string   `yaml:"to"`
 	By   Duration `yaml:"by"`
+	// AttemptsOnly: what is asked about attempts overtakes them, as on another
+	// connection.
+	AttemptsOnly bool `yaml:"attempts_only,omitempty"`
 }
 
 // Pause freezes a server's sidecar; messages wait and are read at its waking.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -180,7 +181,7 @@
 	body = string(reply.Body)
 	for reply.Rest != nil {
 		chunk, err := reply.Rest()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return body, true
 		}
 		if err != nil {
@@ -362,7 +363,7 @@
 	<-entered
 	leave()
 	close(proceed)
-	<-ended
+	assert.ErrorIs(t, <-ended, context.Canceled)
 	assert.Equal(t, f.outcome(f.request("key", slatewind.ClaimJoin)), slatewind.OutcomeAnswer)
 	assert.Equal(t, f.server.Runs()["key"], 1)
 }
