Move waiting attempts, outcomes and the race into pure types

Cause: the daemon's hosts held decisions (overdue attempts, the retries of a repeatable request) that a measurement in virtual time would have had to write again.

Change: policy.Service knows its waiting attempts, policy.Race decides about retries, outlier.Outcomes holds what a sidecar tells; the hosts only carry out.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -12,6 +12,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/once"
 	"slatewind.example/slatewind/outlier"
+	"slatewind.example/slatewind/policy"
 )
 
 const (
@@ -30,9 +31,6 @@
 type attempt struct {
 	id     string
 	server *slatewindv1.Server
-	class  uint8
-	sent   time.Time
-	told   int
 	// incarnation is the one that it was addressed to.
 	incarnation uint64
 	once        *slatewindv1.Once
@@ -61,9 +59,22 @@
 	return min(max(share, minCancelTime), maxCancelTime)
 }
 
+// begin notes in the policy that an attempt goes to the server with an index.
+// The shard's lock is held.
+func (rq *request) begin(i int) *policy.Attempt {
+	return rq.shard.policy.Started(time.Now(), i, outlier.Class(rq.route.GetName()))
+}
+
 // try sends one attempt to a server and returns what became of it, at the
-// latest a cancelTime after ctx ends.
-func (in *Ingress) try(ctx context.Context, rq *request, server *slatewindv1.Server, o *slatewindv1.Once) attemptResult {
+// latest a cancelTime after ctx ends. noted is the policy's note of it, if any.
+func (in *Ingress) try(ctx context.Context, rq *request, server *slatewindv1.Server, o *slatewindv1.Once, noted *policy.Attempt) attemptResult {
+	if noted != nil {
+		defer func() {
+			rq.shard.mu.Lock()
+			defer rq.shard.mu.Unlock()
+			rq.shard.policy.Ended(noted)
+		}()
+	}
 	address := in.members.Address(server.GetVm())
 	if address == "" {
 		return in.unreached(rq, server, "the VM "+server.GetVm()+" is not known yet")
@@ -88,9 +99,10 @@
 // tryOnce sends one attempt under one incarnation. again says that it was not
 // run because the sidecar's incarnation is another, which is known now.
 func (in *Ingress) tryOnce(ctx context.Context, rq *request, server *slatewindv1.Server, address string, o *slatewindv1.Once) (result attemptResult, again bool) {
-	a := &attempt{id: in.newID(), server: server, class: outlier.Class(rq.route.GetName()), once: o}
-	in.startAttempt(rq, a)
-	defer in.endAttempt(rq, a)
+	a := &attempt{id: in.newID(), server: server, once: o}
+	rq.shard.mu.Lock()
+	a.incarnation = rq.shard.policy.Incarnation(server.GetName())
+	rq.shard.mu.Unlock()
 	reply, written, err := in.links.Run(ctx, address, in.message(rq, a))
 	if err != nil {
 		if !written && ctx.Err() != nil {
@@ -130,20 +142,6 @@
 	return once.RanUnknown
 }
 
-func (in *Ingress) startAttempt(rq *request, a *attempt) {
-	rq.shard.mu.Lock()
-	defer rq.shard.mu.Unlock()
-	a.sent = time.Now()
-	a.incarnation = rq.shard.policy.Incarnation(a.server.GetName())
-	rq.shard.waiting[a] = true
-}
-
-func (in *Ingress) endAttempt(rq *request, a *attempt) {
-	rq.shard.mu.Lock()
-	defer rq.shard.mu.Unlock()
-	delete(rq.shard.waiting, a)
-}
-
 func (in *Ingress) message(rq *request, a *attempt) *slatewindv1.RunRequest {
 	return &slatewindv1.RunRequest{
 		AttemptId:      a.id,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -59,8 +59,6 @@
 	mu      sync.Mutex
 	policy  *policy.Service
 	service *slatewindv1.Service
-	// waiting holds the attempts that have no reply yet.
-	waiting map[*attempt]bool
 }
 
 // Ingress is the host of the decisions of one process.
@@ -119,7 +117,7 @@
 	for name, service := range snapshot.Services {
 		sh := in.shards[name]
 		if sh == nil {
-			sh = &shard{policy: policy.NewService(name, in.local, rand.Uint64()), waiting: map[*attempt]bool{}}
+			sh = &shard{policy: policy.NewService(name, in.local, rand.Uint64())}
 			in.shards[name] = sh
 		}
 		sh.mu.Lock()
@@ -198,31 +196,7 @@
 }
 
 func (in *Ingress) tick(now time.Time) {
-	in.eachShard(func(sh *shard) {
-		for a := range sh.waiting {
-			sh.noteOverdue(now, a)
-		}
-		sh.policy.Tick(now)
-	})
-}
-
-// overdueTimes is how often one unanswered attempt is told as overdue, each
-// time after twice the wait.
-const overdueTimes = 3
-
-// noteOverdue makes an attempt without a reply evidence against its server, if
-// nothing else has come from the server meanwhile. Otherwise the server's own
-// sidecar has told it already.
-func (sh *shard) noteOverdue(now time.Time, a *attempt) {
-	bound := sh.policy.OverdueAfter(a.class)
-	waited := now.Sub(a.sent)
-	if bound == 0 || a.told >= overdueTimes || waited < bound<<a.told {
-		return
-	}
-	a.told++
-	if sh.policy.Silent(a.server.GetName(), a.sent) {
-		sh.policy.Overdue(now, a.server.GetName(), a.class, waited)
-	}
+	in.eachShard(func(sh *shard) { sh.policy.Tick(now) })
 }
 
 func (in *Ingress) journalAll(decisions []slatewind.Decision) {
@@ -255,7 +229,7 @@
 			Name:     sh.service.GetName(),
 			Capacity: sh.policy.Capacity(),
 			Floor:    sh.service.GetFloor(),
-			Waiting:  len(sh.waiting),
+			Waiting:  sh.policy.Waiting(),
 			Servers:  sh.policy.Views(now),
 		})
 	})
--- a/ingress/once.go
+++ b/ingress/once.go
@@ -8,6 +8,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/once"
+	"slatewind.example/slatewind/policy"
 )
 
 // dispatchOnce runs a request that must run at most once. It goes on even if
@@ -101,17 +102,13 @@
 }
 
 func (in *Ingress) tryCandidate(ctx context.Context, rq *request, server *slatewindv1.Server, o *slatewindv1.Once) attemptResult {
-	sh := rq.shard
-	sh.mu.Lock()
-	if i := sh.policy.Index(server.GetName()); i >= 0 {
-		sh.policy.Started(i)
+	var noted *policy.Attempt
+	rq.shard.mu.Lock()
+	if i := rq.shard.policy.Index(server.GetName()); i >= 0 {
+		noted = rq.begin(i)
 	}
-	sh.mu.Unlock()
-	result := in.try(ctx, rq, server, o)
-	sh.mu.Lock()
-	sh.policy.Ended(server.GetName())
-	sh.mu.Unlock()
-	return result
+	rq.shard.mu.Unlock()
+	return in.try(ctx, rq, server, o, noted)
 }
 
 func (in *Ingress) noteHandOver(rq *request, to *slatewindv1.Server, reason string) {
--- a/ingress/repeatable.go
+++ b/ingress/repeatable.go
@@ -7,36 +7,30 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/outlier"
+	"slatewind.example/slatewind/policy"
 )
 
-// maxAttempts bounds the attempts at one repeatable request.
-const maxAttempts = 3
-
-// race is a repeatable request with its attempts.
+// race is a repeatable request with its attempts; policy.Race decides.
 type race struct {
+	*policy.Race
 	in      *Ingress
 	rq      *request
 	ctx     context.Context
 	results chan attemptResult
-	tried   []int
-	pending int
 	// serverError is a server's own error answer, kept in case nothing better
 	// comes.
 	serverError *attemptResult
 	// cancels ends each attempt, by the name of its server.
 	cancels map[string]context.CancelFunc
-	// unknown says that some attempt may have run.
-	unknown bool
 	last    attemptResult
 }
 
-// dispatchRepeatable runs a request that may be run again: the first whole
-// answer wins, and a refusal or an error is tried again elsewhere while the
-// budget of extra attempts allows it.
+// dispatchRepeatable runs a request that may be run again.
 func (in *Ingress) dispatchRepeatable(ctx context.Context, rq *request) final {
 	r := &race{
-		in: in, rq: rq, ctx: ctx,
-		results: make(chan attemptResult, maxAttempts),
+		Race: policy.NewRace(rq.deadline.Add(-cancelTime(rq))),
+		in:   in, rq: rq, ctx: ctx,
+		results: make(chan attemptResult, policy.MaxAttempts),
 		cancels: map[string]context.CancelFunc{},
 	}
 	if !r.launch() {
@@ -47,12 +41,11 @@
 	for {
 		select {
 		case result := <-r.results:
-			r.pending--
 			if f, done := r.take(result); done {
 				return f
 			}
 		case <-hedge.C:
-			r.extra(slatewind.DecisionHedge, "overdue")
+			r.extra(slatewind.DecisionHedge, "the request is overdue")
 		}
 	}
 }
@@ -73,27 +66,18 @@
 func (r *race) launch() bool {
 	sh := r.rq.shard
 	sh.mu.Lock()
-	i := sh.policy.Pick(time.Now(), slatewind.KindRepeatable, r.tried)
-	var server *slatewindv1.Server
-	if i >= 0 {
-		sh.policy.Started(i)
-		server = findServer(r.rq.service, sh.policy.Name(i))
-	}
-	sh.mu.Unlock()
-	if server == nil {
+	i := sh.policy.Pick(time.Now(), slatewind.KindRepeatable, r.Tried)
+	if i == policy.None {
+		sh.mu.Unlock()
 		return false
 	}
-	r.tried = append(r.tried, i)
-	r.pending++
+	server := findServer(r.rq.service, sh.policy.Name(i))
+	noted := r.rq.begin(i)
+	sh.mu.Unlock()
+	r.Launched(i)
 	ctx, cancel := context.WithDeadline(r.ctx, r.rq.deadline.Add(-cancelTime(r.rq)))
 	r.cancels[server.GetName()] = cancel
-	go func() {
-		result := r.in.try(ctx, r.rq, server, nil)
-		sh.mu.Lock()
-		sh.policy.Ended(server.GetName())
-		sh.mu.Unlock()
-		r.results <- result
-	}()
+	go func() { r.results <- r.in.try(ctx, r.rq, server, nil, noted) }()
 	return true
 }
 
@@ -103,13 +87,13 @@
 			return server
 		}
 	}
-	return nil
+	// The request began under settings that the policy has left meanwhile.
+	return &slatewindv1.Server{Name: name}
 }
 
 // extra starts a retry or a hedge if time, budget and servers allow it.
 func (r *race) extra(kind slatewind.DecisionKind, why string) bool {
-	late := time.Until(r.rq.deadline) <= cancelTime(r.rq)
-	if late || r.ctx.Err() != nil || len(r.tried) >= maxAttempts {
+	if r.ctx.Err() != nil || !r.MayLaunch(time.Now()) {
 		return false
 	}
 	r.rq.shard.mu.Lock()
@@ -129,27 +113,30 @@
 // take handles the result of one attempt; done says that f is final.
 func (r *race) take(result attemptResult) (f final, done bool) {
 	r.last = result
-	if result.outcome == slatewind.OutcomeAnswer {
-		status := result.reply.Head.GetStatus()
-		if status < firstServerError {
-			return r.won(result), true
-		}
+	failed := result.outcome == slatewind.OutcomeAnswer && result.reply.Head.GetStatus() >= firstServerError
+	if failed {
 		r.serverError = &result
-		r.unknown = true
 	}
-	if result.outcome == slatewind.OutcomeUnknown {
-		r.unknown = true
+	step := r.Take(time.Now(), result.outcome, failed)
+	if step == policy.RaceRetry {
+		if r.extra(slatewind.DecisionRetry, why(result)) {
+			return final{}, false
+		}
+		step = r.NoExtra()
 	}
-	if r.extra(slatewind.DecisionRetry, r.why(result)) || r.pending > 0 {
-		return final{}, false
+	switch step {
+	case policy.RaceWon:
+		return r.won(result), true
+	case policy.RaceLost:
+		return r.lost(result), true
 	}
-	return r.lost(result), true
+	return final{}, false
 }
 
 // firstServerError is the first status that counts as an error of the server.
 const firstServerError = 500
 
-func (r *race) why(result attemptResult) string {
+func why(result attemptResult) string {
 	if result.outcome == slatewind.OutcomeAnswer {
 		return "the server answered with an error"
 	}
@@ -163,7 +150,7 @@
 	result.reply.done = r.cancels[winner]
 	delete(r.cancels, winner)
 	r.cancelAll()
-	return final{outcome: slatewind.OutcomeAnswer, server: result.server.GetName(), reply: result.reply}
+	return final{outcome: slatewind.OutcomeAnswer, server: winner, reply: result.reply}
 }
 
 // lost ends the race without a good answer.
@@ -172,11 +159,7 @@
 		return r.won(*r.serverError)
 	}
 	r.cancelAll()
-	outcome := slatewind.OutcomeNotRun
-	if r.unknown {
-		outcome = slatewind.OutcomeUnknown
-	}
-	return final{outcome: outcome, reason: result.reason, retryAfter: result.retryAfter, server: result.server.GetName()}
+	return final{outcome: r.Outcome(), reason: result.reason, retryAfter: result.retryAfter, server: result.server.GetName()}
 }
 
 func (r *race) cancelAll() {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,9 @@
 	// not be reached is left alone.
 	firstBackoff = 500 * time.Millisecond
 	maxBackoff   = 5 * time.Second
+	// overdueTimes is how often one unanswered attempt is told as overdue, each
+	// time after twice the wait.
+	overdueTimes = 3
 )
 
 // server is the traffic state of one server at this ingress.
@@ -41,6 +44,14 @@
 	retryAt     time.Time
 }
 
+// Attempt is an attempt at a server that has no reply yet.
+type Attempt struct {
+	Server string
+	class  uint8
+	sent   time.Time
+	told   int
+}
+
 // Service decides about one service. It is not safe for use by several
 // goroutines; its host guards it.
 type Service struct {
@@ -51,6 +62,7 @@
 	random   *rand.Rand
 	servers  []server
 	targets  []balance.Target
+	waiting  map[*Attempt]bool
 }
 
 // NewService returns the decisions of an ingress in the data centre local.
@@ -61,6 +73,7 @@
 		detector: outlier.NewDetector(name, 0, 0),
 		budget:   retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		waiting:  map[*Attempt]bool{},
 	}
 }
 
@@ -156,14 +169,18 @@
 }
 
 // Started notes that an attempt goes to a server.
-func (s *Service) Started(i int) {
+func (s *Service) Started(now time.Time, i int, class uint8) *Attempt {
 	s.servers[i].inFlight++
 	s.targets[i].Load++
+	a := &Attempt{Server: s.Name(i), class: class, sent: now}
+	s.waiting[a] = true
+	return a
 }
 
-// Ended notes that an attempt at a server is over, in whatever way.
-func (s *Service) Ended(name string) {
-	i := s.detector.Find(name)
+// Ended notes that an attempt is over, in whatever way.
+func (s *Service) Ended(a *Attempt) {
+	delete(s.waiting, a)
+	i := s.detector.Find(a.Server)
 	if i < 0 {
 		return
 	}
@@ -189,17 +206,22 @@
 	s.detector.ObservePath(now, name, false)
 }
 
-// Silent reports whether nothing has come from a server since a time; then the
-// ingress's own waiting is the only evidence about it.
-func (s *Service) Silent(name string, since time.Time) bool {
-	i := s.detector.Find(name)
-	return i >= 0 && s.servers[i].heard.Before(since)
-}
-
-// Overdue notes an attempt that waits for longer than its class explains.
-func (s *Service) Overdue(now time.Time, name string, class uint8, waited time.Duration) {
+// noteOverdue makes an attempt without a reply evidence against its server, if
+// nothing else has come from the server meanwhile. Otherwise the server's own
+// sidecar has told it already.
+func (s *Service) noteOverdue(now time.Time, a *Attempt) {
+	bound := s.detector.OverdueAfter(a.class)
+	waited := now.Sub(a.sent)
+	if bound == 0 || a.told >= overdueTimes || waited < bound<<a.told {
+		return
+	}
+	a.told++
+	i := s.detector.Find(a.Server)
+	if i < 0 || !s.servers[i].heard.Before(a.sent) {
+		return
+	}
 	s.detector.Observe(now, slatewind.Observation{
-		Server: name, Class: class, Result: slatewind.ResultOverdue, Latency: waited,
+		Server: a.Server, Class: a.class, Result: slatewind.ResultOverdue, Latency: waited,
 	})
 }
 
@@ -289,9 +311,17 @@
 	s.detector.Observe(now, o)
 }
 
-// Tick moves servers along whose waiting is over and tries again those that
-// could not be reached.
+// Waiting returns how many attempts have no reply yet.
+func (s *Service) Waiting() int {
+	return len(s.waiting)
+}
+
+// Tick looks at unanswered attempts and moves servers along whose waiting is
+// over.
 func (s *Service) Tick(now time.Time) {
+	for a := range s.waiting {
+		s.noteOverdue(now, a)
+	}
 	s.detector.Tick(now)
 }
 
--- a/replay/play.go
+++ b/replay/play.go
@@ -447,8 +447,9 @@
 			return
 		}
 		server := service.Name(i)
-		service.Started(i)
+		started := service.Started(p.now, i, 0)
 		p.send(n, p.sides[server], time.Duration(e.Traffic.Latency))
+		service.Ended(started)
 	})
 }
 
--- a/replay/side.go
+++ b/replay/side.go
@@ -166,7 +166,6 @@
 		s.ran("")
 		s.ring.Add(0, slatewind.ResultOK, latency)
 	})
-	service.Ended(s.name)
 	if s.mode == ModeDown {
 		service.Unreached(p.now, s.name)
 		return
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -12,25 +12,6 @@
 	"slatewind.example/slatewind/outlier"
 )
 
-// overdueFactor is how many mean service times a request may take until it is
-// told as overdue; each doubling tells it again, up to overdueTimes.
-const (
-	overdueFactor = 6
-	overdueTimes  = 3
-	// firstOverdue is the bound while no service time is known.
-	firstOverdue = time.Second
-	// meanWeight is the weight of the newest service time in a class's mean.
-	meanWeight = 0.05
-)
-
-// active is one request in a slot.
-type active struct {
-	class   uint8
-	started time.Time
-	told    int
-	cancel  context.CancelFunc
-}
-
 // door is the state of one server: a shard with its own lock.
 type door struct {
 	service string
@@ -41,10 +22,10 @@
 	probe    *probe
 	slots    *admission.Server
 	attempts *attempt.Table
-	ring     outlier.Ring
-	means    map[uint8]time.Duration
+	outcomes *outlier.Outcomes
 	waiting  map[string]chan admission.Decision
-	active   map[string]*active
+	// breaks ends running requests that may be broken off, by attempt.
+	breaks   map[string]context.CancelFunc
 	leaving  string
 	lastTick time.Time
 }
@@ -55,9 +36,9 @@
 		name:     server.GetName(),
 		slots:    admission.NewServer(int(server.GetSlots())),
 		attempts: attempt.NewTable(now, incarnation, limit),
-		means:    map[uint8]time.Duration{},
+		outcomes: outlier.NewOutcomes(),
 		waiting:  map[string]chan admission.Decision{},
-		active:   map[string]*active{},
+		breaks:   map[string]context.CancelFunc{},
 		probe:    &probe{},
 		lastTick: now,
 	}
@@ -156,7 +137,10 @@
 	case !d.attempts.Start(id):
 		return &refusal{reason: "cancelled before the start"}
 	}
-	d.active[id] = &active{class: class, started: now, cancel: cancel}
+	d.outcomes.Start(now, id, class)
+	if cancel != nil {
+		d.breaks[id] = cancel
+	}
 	return nil
 }
 
@@ -178,26 +162,12 @@
 func (d *door) end(now time.Time, it admission.Item, result slatewind.Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a := d.active[it.ID]
-	delete(d.active, it.ID)
+	delete(d.breaks, it.ID)
 	d.attempts.End(it.ID)
-	took := now.Sub(a.started)
-	d.ring.Add(a.class, result, took)
-	if result == slatewind.ResultOK {
-		d.learn(a.class, took)
-	}
+	took := d.outcomes.End(now, it.ID, result)
 	d.deliver(d.slots.Done(now, it, took))
 }
 
-func (d *door) learn(class uint8, took time.Duration) {
-	mean, ok := d.means[class]
-	if !ok {
-		d.means[class] = took
-		return
-	}
-	d.means[class] = mean + time.Duration(meanWeight*float64(took-mean))
-}
-
 // cancel makes sure that an attempt is not started from now on; one that runs
 // already is broken off where that does no harm.
 func (d *door) cancel(now time.Time, id string, incarnation uint64) slatewind.CancelState {
@@ -211,8 +181,8 @@
 		}
 	}
 	state := d.attempts.Cancel(id, incarnation)
-	if a := d.active[id]; a != nil && a.cancel != nil {
-		a.cancel()
+	if breakOff, ok := d.breaks[id]; ok {
+		breakOff()
 	}
 	return state
 }
@@ -249,23 +219,7 @@
 	d.lastTick = now
 	d.attempts.Rotate(now)
 	d.deliver(d.slots.Advance(now))
-	for _, a := range d.active {
-		d.tellOverdue(now, a)
-	}
-}
-
-// tellOverdue puts a request that runs far longer than others of its class
-// into the ring, so that it is evidence before it ends.
-func (d *door) tellOverdue(now time.Time, a *active) {
-	bound := firstOverdue
-	if mean, ok := d.means[a.class]; ok {
-		bound = overdueFactor * mean
-	}
-	waited := now.Sub(a.started)
-	if a.told < overdueTimes && waited > bound<<a.told {
-		a.told++
-		d.ring.Add(a.class, slatewind.ResultOverdue, waited)
-	}
+	d.outcomes.Tick(now)
 }
 
 func (d *door) digest() *slatewindv1.Digest {
@@ -279,8 +233,8 @@
 		Queued:      uint32(d.slots.Queued()),
 		Slots:       uint32(d.slots.Slots()),
 		Leaving:     d.leaving != "",
-		Sequence:    d.ring.Sequence(),
-		Outcomes:    d.ring.Newest(nil),
+		Sequence:    d.outcomes.Sequence(),
+		Outcomes:    d.outcomes.Newest(nil),
 	}
 }
 
@@ -309,6 +263,6 @@
 		Leaving:     d.leaving,
 		Incarnation: d.attempts.Incarnation(),
 		Attempts:    d.attempts.Len(),
-		Outcomes:    d.ring.Sequence(),
+		Outcomes:    d.outcomes.Sequence(),
 	}
 }
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -49,7 +49,7 @@
 	d.mu.Lock()
 	d.probe.running = false
 	if err != nil && ctx.Err() == nil {
-		d.ring.Add(0, slatewind.ResultProbeFailed, probeTimeout)
+		d.outcomes.Add(0, slatewind.ResultProbeFailed, probeTimeout)
 	}
 	d.mu.Unlock()
 	s.setDraining(d, draining, err)
