--- a/replay/play.go
+++ b/replay/play.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/internal/schedule"
 	"slatewind.example/slatewind/journal"
 	"slatewind.example/slatewind/outlier"
 	"slatewind.example/slatewind/policy"
@@ -97,8 +97,7 @@
 	random  *rand.Rand
 	journal *journal.Journal
 	report  *Report
-	now     time.Time
-	queue   eventQueue
+	queue   schedule.Queue
 	serial  int
 
 	nodes    []*node
@@ -112,31 +111,6 @@
 	detected map[string]bool
 }
 
-// scheduled is something to do at a time; serial keeps the order of equals.
-type scheduled struct {
-	at     time.Duration
-	serial int
-	do     func()
-}
-
-type eventQueue []scheduled
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].serial < q[j].serial
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(scheduled)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // Play replays a trace and compares what was decided with what it states.
 func Play(t *Trace) (*Report, error) {
 	fleet, err := config.ParseFleet(t.Name+"/settings", []byte(t.Settings))
@@ -148,7 +122,6 @@
 		fleet:    fleet,
 		random:   rand.New(rand.NewPCG(t.Seed, 1)),
 		report:   &Report{Name: t.Name},
-		now:      start,
 		sides:    map[string]*side{},
 		network:  newNetwork(),
 		sick:     map[string]time.Duration{},
@@ -163,7 +136,7 @@
 		return nil, err
 	}
 	end := p.scheduleAll()
-	p.run(end)
+	p.queue.Run(end, p.collect)
 	p.judge()
 	p.report.Decisions = p.journal.Find(journal.Filter{})
 	return p.report, nil
@@ -185,13 +158,9 @@
 	return p.applySettings(&Settings{Revision: p.trace.Revision, Text: p.trace.Settings})
 }
 
-func (p *player) since() time.Duration {
-	return p.now.Sub(start)
-}
-
-func (p *player) schedule(at time.Duration, do func()) {
-	p.serial++
-	heap.Push(&p.queue, scheduled{at: at, serial: p.serial, do: do})
+// now returns the time of the trace as the decision code sees it.
+func (p *player) now() time.Time {
+	return start.Add(p.queue.Now())
 }
 
 // scheduleAll puts every event in the queue and returns the end of the replay.
@@ -201,7 +170,7 @@
 		count, every := repeats(e)
 		for k := range count {
 			at := time.Duration(e.At) + time.Duration(k)*every
-			p.schedule(at, func() { p.happen(e) })
+			p.queue.At(at, func() { p.happen(e) })
 			end = max(end, at)
 		}
 	}
@@ -215,7 +184,7 @@
 	}
 	end += settle
 	for at := tickInterval; at <= end; at += tickInterval {
-		p.schedule(at, p.tick)
+		p.queue.At(at, p.tick)
 	}
 	return end
 }
@@ -236,18 +205,6 @@
 	return max(count, 1), time.Duration(every)
 }
 
-func (p *player) run(end time.Duration) {
-	for p.queue.Len() > 0 {
-		next := heap.Pop(&p.queue).(scheduled)
-		if next.at > end {
-			return
-		}
-		p.now = start.Add(next.at)
-		next.do()
-		p.collect()
-	}
-}
-
 // collect journals what was decided and checks what must always hold.
 func (p *player) collect() {
 	for _, n := range p.nodes {
@@ -265,7 +222,7 @@
 	if d.Kind != slatewind.DecisionEject {
 		return
 	}
-	at := p.since()
+	at := p.queue.Now()
 	p.ejected = append(p.ejected, ejection{node: d.Request, server: d.Server, at: at})
 	since, sick := p.sick[d.Server]
 	if !sick {
@@ -282,7 +239,7 @@
 func (p *player) tick() {
 	for _, n := range p.nodes {
 		for _, service := range n.policies {
-			service.Tick(p.now)
+			service.Tick(p.now())
 		}
 	}
 	for _, s := range p.sides {
@@ -309,7 +266,7 @@
 }
 
 func (p *player) miss(index int, reason string) {
-	p.report.Misses = append(p.report.Misses, Miss{Index: index, At: p.since(), Reason: reason})
+	p.report.Misses = append(p.report.Misses, Miss{Index: index, At: p.queue.Now(), Reason: reason})
 }
 
 // at calls use for each node that an event concerns.
@@ -351,7 +308,7 @@
 		p.listed(e)
 	case e.Settings != nil:
 		if err := p.applySettings(e.Settings); err != nil {
-			p.journal.Add(slatewind.Decision{Time: p.now, Kind: slatewind.DecisionStale, Reason: err.Error()})
+			p.journal.Add(slatewind.Decision{Time: p.now(), Kind: slatewind.DecisionStale, Reason: err.Error()})
 		}
 	case e.Sync != nil:
 		p.sync(e.Sync)
@@ -384,7 +341,7 @@
 		delete(p.sick, s.Server)
 		return
 	}
-	p.sick[s.Server] = p.since()
+	p.sick[s.Server] = p.queue.Now()
 }
 
 func (p *player) outcome(e Event) {
@@ -396,7 +353,7 @@
 	latency := float64(o.Latency) * math.Exp(o.Spread*p.random.NormFloat64())
 	p.at(e, func(n *node) {
 		if service := p.servicePolicy(n, o.Server); service != nil {
-			service.Observe(p.now, slatewind.Observation{Server: o.Server, Class: class, Result: o.Result, Latency: time.Duration(latency)})
+			service.Observe(p.now(), slatewind.Observation{Server: o.Server, Class: class, Result: o.Result, Latency: time.Duration(latency)})
 		}
 	})
 }
@@ -407,9 +364,9 @@
 		switch {
 		case service == nil:
 		case e.Lost.Unsent:
-			service.Unreached(p.now, e.Lost.Server)
+			service.Unreached(p.now(), e.Lost.Server)
 		default:
-			service.Lost(p.now, e.Lost.Server)
+			service.Lost(p.now(), e.Lost.Server)
 		}
 	})
 }
@@ -420,7 +377,7 @@
 	}
 	p.at(e, func(n *node) {
 		if service := p.servicePolicy(n, e.Probe.Server); service != nil {
-			service.Observe(p.now, slatewind.Observation{Server: e.Probe.Server, Result: slatewind.ResultProbeFailed})
+			service.Observe(p.now(), slatewind.Observation{Server: e.Probe.Server, Result: slatewind.ResultProbeFailed})
 		}
 	})
 }
@@ -431,7 +388,7 @@
 		digest := s.digest()
 		digest.InFlight = e.Load.InFlight
 		digest.Queued = e.Load.Queued
-		n.policies[s.service].Heard(p.now, digest, true)
+		n.policies[s.service].Heard(p.now(), digest, true)
 	})
 }
 
@@ -442,12 +399,12 @@
 		if service == nil {
 			return
 		}
-		i := service.Pick(p.now, slatewind.KindRepeatable, nil)
+		i := service.Pick(p.now(), slatewind.KindRepeatable, nil)
 		if i == policy.None {
 			return
 		}
 		server := service.Name(i)
-		started := service.Started(p.now, i, 0)
+		started := service.Started(p.now(), i, 0)
 		p.send(n, p.sides[server], time.Duration(e.Traffic.Latency))
 		service.Ended(started)
 	})
@@ -459,14 +416,14 @@
 	if e.Leaving.Silent {
 		return
 	}
-	p.at(e, func(n *node) { n.policies[s.service].Heard(p.now, s.digest(), false) })
+	p.at(e, func(n *node) { n.policies[s.service].Heard(p.now(), s.digest(), false) })
 }
 
 func (p *player) listed(e Event) {
 	for _, s := range p.sides {
 		if s.vm == e.Listed.VM {
 			p.at(e, func(n *node) {
-				n.policies[s.service].SetLeaving(p.now, s.name, e.Listed.State == slatewind.VMLeaving)
+				n.policies[s.service].SetLeaving(p.now(), s.name, e.Listed.State == slatewind.VMLeaving)
 			})
 		}
 	}
@@ -511,17 +468,17 @@
 
 func (p *player) offer(n *node, revision uint64, text []byte) {
 	before := n.store.Version()
-	changed, err := n.store.Offer(p.now, "trace", revision, text)
+	changed, err := n.store.Offer(p.now(), "trace", revision, text)
 	if err != nil || !changed {
 		return
 	}
 	if before.Newer(n.store.Version()) {
 		p.miss(-1, fmt.Sprintf("%s went back from revision %d to %d", n.name, before.Revision, revision))
 	}
-	n.revisions = append(n.revisions, inForce{at: p.since(), revision: revision})
+	n.revisions = append(n.revisions, inForce{at: p.queue.Now(), revision: revision})
 	for name, service := range n.policies {
 		if settings := n.store.Current().Services[name]; settings != nil {
-			service.Update(p.now, settings, func(string) string { return "" })
+			service.Update(p.now(), settings, func(string) string { return "" })
 		}
 	}
 }
--- a/replay/side.go
+++ b/replay/side.go
@@ -57,8 +57,8 @@
 // begin starts the sidecar's process without any memory.
 func (s *side) begin() {
 	s.process++
-	s.attempts = attempt.NewTable(s.player.now, s.process<<epochBits|1, 0)
-	s.records = once.NewStore(s.player.now, 0, 0)
+	s.attempts = attempt.NewTable(s.player.now(), s.process<<epochBits|1, 0)
+	s.records = once.NewStore(s.player.now(), 0, 0)
 	s.store = config.NewStore(s.player.journal)
 	s.ring = outlier.Ring{}
 }
@@ -76,25 +76,25 @@
 }
 
 func (s *side) offer(revision uint64, text []byte) {
-	changed, err := s.store.Offer(s.player.now, "trace", revision, text)
+	changed, err := s.store.Offer(s.player.now(), "trace", revision, text)
 	if err != nil || !changed {
 		return
 	}
-	s.records.SetOwners(s.player.now, s.service, s.store.Current().Owners[s.service])
+	s.records.SetOwners(s.player.now(), s.service, s.store.Current().Owners[s.service])
 }
 
 func (s *side) pause(d time.Duration) {
-	s.pausedUntil = s.player.now.Add(d)
+	s.pausedUntil = s.player.now().Add(d)
 }
 
 func (s *side) paused() bool {
-	return s.player.now.Before(s.pausedUntil)
+	return s.player.now().Before(s.pausedUntil)
 }
 
 // wake has a sidecar that was paused notice it before it does anything.
 func (s *side) wake() {
 	if !s.pausedUntil.IsZero() && !s.paused() {
-		s.attempts.Wake(s.player.now)
+		s.attempts.Wake(s.player.now())
 		s.pausedUntil = time.Time{}
 	}
 }
@@ -104,7 +104,7 @@
 		return
 	}
 	s.wake()
-	s.attempts.Rotate(s.player.now)
+	s.attempts.Rotate(s.player.now())
 }
 
 func (s *side) digest() *slatewindv1.Digest {
@@ -131,7 +131,7 @@
 	}
 	delay := w.delays[[2]string{from, s.name}]
 	if delay != nil && (kind == messageAttempt || !delay.AttemptsOnly) {
-		s.player.schedule(s.player.since()+time.Duration(delay.By), func() { s.read(do) })
+		s.player.queue.At(s.player.queue.Now()+time.Duration(delay.By), func() { s.read(do) })
 		return false
 	}
 	return s.read(do)
@@ -139,7 +139,7 @@
 
 func (s *side) read(do func()) bool {
 	if s.paused() {
-		s.player.schedule(s.pausedUntil.Sub(start), func() { s.read(do) })
+		s.player.queue.At(s.pausedUntil.Sub(start), func() { s.read(do) })
 		return false
 	}
 	s.wake()
@@ -150,7 +150,7 @@
 // ran notes that the server began to run something.
 func (s *side) ran(key string) {
 	p := s.player
-	p.lastRun[s.name] = p.since()
+	p.lastRun[s.name] = p.queue.Now()
 	if key != "" {
 		p.runs[key]++
 	}
@@ -167,14 +167,14 @@
 		s.ring.Add(0, slatewind.ResultOK, latency)
 	})
 	if s.mode == ModeDown {
-		service.Unreached(p.now, s.name)
+		service.Unreached(p.now(), s.name)
 		return
 	}
 	if !arrived || p.network.lost(s.name, n.name) {
-		service.Lost(p.now, s.name)
+		service.Lost(p.now(), s.name)
 		return
 	}
-	service.Heard(p.now, s.digest(), true)
+	service.Heard(p.now(), s.digest(), true)
 }
 
 // request plays a caller's once-request at a node to its final answer.
@@ -200,7 +200,7 @@
 		default:
 			p.answers[r.ID] = step.Outcome
 			p.journal.Add(slatewind.Decision{
-				Time: p.now, Kind: decisionOf(step.Outcome), Service: r.Service, Request: r.ID, Reason: step.Reason,
+				Time: p.now(), Kind: decisionOf(step.Outcome), Service: r.Service, Request: r.ID, Reason: step.Reason,
 			})
 			return
 		}
@@ -241,7 +241,7 @@
 		ID:          once.ID{Service: r.Service, Key: r.Key},
 		Fingerprint: once.Fingerprint("POST", r.Key, []byte(r.Body)),
 		Claim:       claim,
-		KeyBorn:     p.now.Add(-time.Duration(r.KeyAge)),
+		KeyBorn:     p.now().Add(-time.Duration(r.KeyAge)),
 		Home:        step.Candidate == 0,
 		Owners:      n.store.Current().Owners[r.Service],
 		Attempt:     r.ID + "/" + time.Duration(p.serial).String(),
@@ -274,7 +274,7 @@
 	if refusal := s.attempts.Admit(r.Attempt, incarnation); refusal != attempt.Admitted {
 		return once.RanCancelled
 	}
-	verdict := s.records.Begin(s.player.now, r)
+	verdict := s.records.Begin(s.player.now(), r)
 	switch verdict.Action {
 	case once.ActionRun:
 		return s.runAtServer(r)
@@ -293,7 +293,7 @@
 }
 
 func (s *side) runAtServer(r once.Request) once.Ran {
-	now := s.player.now
+	now := s.player.now()
 	if s.leaving || s.mode == ModeRefuses || !s.attempts.Start(r.Attempt) {
 		s.attempts.Refuse(r.Attempt)
 		s.records.Revoke(now, r.ID, r.Claim)
@@ -319,9 +319,9 @@
 		return state
 	}
 	if s.records.RunningFor(r.ID, r.Attempt) {
-		s.records.Revoke(s.player.now, r.ID, r.Claim)
+		s.records.Revoke(s.player.now(), r.ID, r.Claim)
 	}
-	return s.records.Cancelled(s.player.now, r)
+	return s.records.Cancelled(s.player.now(), r)
 }
 
 func (p *player) sealAll(n *node, candidates []*side, r once.Request) []once.SealReply {
@@ -332,7 +332,7 @@
 			continue
 		}
 		r.ID.Server = s.name
-		arrived := s.deliver(n.name, messageQuestion, func() { replies[i] = s.records.Seal(p.now, r) })
+		arrived := s.deliver(n.name, messageQuestion, func() { replies[i] = s.records.Seal(p.now(), r) })
 		if !arrived || p.network.lost(s.name, n.name) {
 			replies[i] = once.SealReply{Unreachable: true}
 		}
