Measure the policy in virtual time against two baselines

Cause: detection time and false ejections decide, so they are measured before anything is tuned. slatewind measure runs the decision code of the daemon.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -19,6 +19,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/measure"
 	"slatewind.example/slatewind/replay"
 )
 
@@ -68,6 +69,7 @@
 		{"settings", "show which settings are in force where", "Prints for each process which revision is in force and since when.", &settingsCommand{out: out}},
 		{"ready", "wait until processes are ready", "Waits until every process serves callers.", &readyCommand{out: out}},
 		{"record", "fetch recent events as a trace", "Prints the recent events of a process as a trace for slatewind replay.", &recordCommand{out: out}},
+		{"measure", "measure the policy", "Runs the policy and two baselines through scenarios in virtual time and prints detection time, false ejections and what callers get.", &measureCommand{out: out}},
 		{"replay", "replay traces", "Plays traces through the decision code and compares with their stated outcomes.", &replayCommand{out: out}},
 	}
 	var group errs.Group
@@ -338,6 +340,42 @@
 	return nil
 }
 
+type measureCommand struct {
+	out     io.Writer
+	Seeds   int     `long:"seeds" description:"how many runs of each" default:"20"`
+	Caution float64 `long:"caution" description:"use this caution, in nats, in place of the services' own"`
+	Ours    bool    `long:"ours" description:"leave the baselines out"`
+	CSV     bool    `long:"csv" description:"print CSV"`
+	List    bool    `long:"list" description:"list the scenarios instead"`
+	Args    struct {
+		Scenarios []string `positional-arg-name:"SCENARIO"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *measureCommand) Execute([]string) error {
+	if c.List {
+		for _, s := range measure.Scenarios {
+			_, _ = fmt.Fprintf(c.out, "%-24s %s\n", s.Name, s.About)
+		}
+		return nil
+	}
+	strategies := []measure.StrategyName{measure.StrategyOurs, measure.StrategyConsecutive, measure.StrategyRoundRobin}
+	if c.Ours {
+		strategies = strategies[:1]
+	}
+	for _, name := range c.Args.Scenarios {
+		if !measure.Known(name) {
+			return errs.New("slatewind measure: no scenario is named %q; see --list", name)
+		}
+	}
+	rows := measure.Measure(measure.Options{Scenarios: c.Args.Scenarios, Seeds: c.Seeds, Caution: c.Caution, Strategies: strategies})
+	if c.CSV {
+		return measure.WriteCSV(c.out, rows)
+	}
+	return measure.WriteTable(c.out, rows)
+}
+
 // fetchTimeout bounds one question to a process.
 const fetchTimeout = 5 * time.Second
 
--- a/measure/scenario.go
+++ b/measure/scenario.go
@@ -109,3 +109,13 @@
 	{Name: "held-retry-storm", About: "twice the slots' load, and callers whose request failed ask again at once, three times", Profiles: []string{"annonces"}, Load: 6, Retries: 3, HeldBack: true},
 	{Name: "held-slow-and-overload", About: "one server slows down five times while the load is at the slots' limit", Profiles: []string{"kundklubb", "annonces"}, Faults: []Fault{{Slow: 5}}, Load: 2.4, HeldBack: true},
 }
+
+// Known reports whether a scenario has a name.
+func Known(name string) bool {
+	for _, s := range Scenarios {
+		if s.Name == name {
+			return true
+		}
+	}
+	return false
+}
