Make a choice cost the same for 9 servers and for 100

Ruled out: ticking less often (it times the way back and the questions).

Change: a choice looks only at the servers that it draws; outcomes are kept packed; classes exist when used; a service in which all is well is not ticked; a server is compared with at most 16 others.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,10 +17,12 @@
 	Slots float64
 	// Weight is the share of traffic that the server may have; zero is none.
 	Weight float64
-	// Local servers are in the ingress's data centre.
-	Local bool
-	// Excluded servers were tried already by this request.
-	Excluded bool
+}
+
+// Targets looks servers up by their index. Only those that are drawn are looked
+// at, so that the cost of a choice does not grow with their number.
+type Targets interface {
+	Target(i int) Target
 }
 
 // None is returned where no server may be chosen.
@@ -29,64 +31,57 @@
 // tries bounds the random draws before all targets are looked at in turn.
 const tries = 8
 
-// Pick returns the index of the chosen target, or None.
-func Pick(r *rand.Rand, targets []Target) int {
-	local := pickAmong(r, targets, true)
-	if local != None && targets[local].Load < targets[local].Slots*targets[local].Weight {
-		return local
+// Pick returns the index of the chosen target, or None. local and remote list
+// the targets inside and outside the ingress's data centre.
+func Pick(r *rand.Rand, targets Targets, local, remote []int) int {
+	near, target := pickAmong(r, targets, local)
+	if near != None && target.Load < target.Slots*target.Weight {
+		return near
+	}
+	far, other := pickAmong(r, targets, remote)
+	if near != None && (far == None || line(target) <= line(other)) {
+		return near
 	}
-	remote := pickAmong(r, targets, false)
-	return better(targets, local, remote)
+	return far
 }
 
-func pickAmong(r *rand.Rand, targets []Target, local bool) int {
-	first := draw(r, targets, local)
+// pickAmong returns the better of two random targets of a group.
+func pickAmong(r *rand.Rand, targets Targets, group []int) (int, Target) {
+	first, a := draw(r, targets, group)
 	if first == None {
-		return None
+		return None, a
 	}
-	return better(targets, first, draw(r, targets, local))
+	second, b := draw(r, targets, group)
+	if line(b) < line(a) {
+		return second, b
+	}
+	return first, a
 }
 
 // draw returns a random target that may be chosen. A target of lower weight is
 // drawn as often as its weight says.
-func draw(r *rand.Rand, targets []Target, local bool) int {
-	n := len(targets)
+func draw(r *rand.Rand, targets Targets, group []int) (int, Target) {
+	n := len(group)
 	if n == 0 {
-		return None
+		return None, Target{}
 	}
 	for range tries {
-		i := r.IntN(n)
-		if usable(&targets[i], local) && (targets[i].Weight >= 1 || r.Float64() < targets[i].Weight) {
-			return i
+		i := group[r.IntN(n)]
+		t := targets.Target(i)
+		if t.Weight >= 1 || t.Weight > 0 && r.Float64() < t.Weight {
+			return i, t
 		}
 	}
 	start := r.IntN(n)
 	for k := range n {
-		i := (start + k) % n
-		if usable(&targets[i], local) {
-			return i
+		i := group[(start+k)%n]
+		if t := targets.Target(i); t.Weight > 0 {
+			return i, t
 		}
 	}
-	return None
-}
-
-func usable(t *Target, local bool) bool {
-	return t.Local == local && t.Weight > 0 && !t.Excluded
-}
-
-// better returns the index with the shorter line; either may be None.
-func better(targets []Target, a, b int) int {
-	switch {
-	case a == None:
-		return b
-	case b == None:
-		return a
-	case line(&targets[b]) < line(&targets[a]):
-		return b
-	}
-	return a
+	return None, Target{}
 }
 
-func line(t *Target) float64 {
+func line(t Target) float64 {
 	return (t.Load + 1) / (t.Slots * t.Weight)
 }
--- a/link/link.go
+++ b/link/link.go
@@ -94,6 +94,11 @@
 	return len(p.conns)
 }
 
+// Prepare makes the connection to a peer known, without connecting yet.
+func (p *Pool) Prepare(address string) {
+	_, _ = p.conn(address)
+}
+
 func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/measure/strategy.go
+++ b/measure/strategy.go
@@ -180,7 +180,11 @@
 // half of all, and chooses by two random choices on its own requests.
 type consecutive struct {
 	random  *rand.Rand
-	targets []balance.Target
+	profile Profile
+	all     []int
+	load    []float64
+	tried   []int
+	now     time.Time
 	errors  []int
 	until   []time.Time
 	ejected []string
@@ -188,28 +192,31 @@
 
 func newConsecutive(p Profile, random *rand.Rand) *consecutive {
 	c := &consecutive{
-		random: random, targets: make([]balance.Target, p.Servers), errors: make([]int, p.Servers), until: make([]time.Time, p.Servers),
+		random: random, profile: p, load: make([]float64, p.Servers), errors: make([]int, p.Servers), until: make([]time.Time, p.Servers),
 	}
-	for i := range c.targets {
-		c.targets[i] = balance.Target{Slots: float64(p.Slots), Weight: 1, Local: true}
+	for i := range p.Servers {
+		c.all = append(c.all, i)
 	}
 	return c
 }
 
 func (c *consecutive) Pick(now time.Time, tried []int) int {
-	for i := range c.targets {
-		c.targets[i].Weight = 1
-		if now.Before(c.until[i]) {
-			c.targets[i].Weight = 0
-		}
-		c.targets[i].Excluded = contains(tried, i)
+	c.now, c.tried = now, tried
+	return balance.Pick(c.random, c, c.all, nil)
+}
+
+// Target implements balance.Targets.
+func (c *consecutive) Target(i int) balance.Target {
+	t := balance.Target{Load: c.load[i], Slots: float64(c.profile.Slots), Weight: 1}
+	if c.now.Before(c.until[i]) || contains(c.tried, i) {
+		t.Weight = 0
 	}
-	return balance.Pick(c.random, c.targets)
+	return t
 }
 
 func (c *consecutive) Started(_ time.Time, i int) func() {
-	c.targets[i].Load++
-	return func() { c.targets[i].Load-- }
+	c.load[i]++
+	return func() { c.load[i]-- }
 }
 
 func (c *consecutive) Heard(time.Time, *slatewindv1.Digest, bool) {}
--- a/outlier/confirm.go
+++ b/outlier/confirm.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"math"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -55,6 +56,7 @@
 	}
 	if s.asked.IsZero() {
 		s.asked = now
+		d.quiet = false
 		d.questions = append(d.questions, stale...)
 		d.questions = append(d.questions, s.Name)
 	}
@@ -106,13 +108,13 @@
 	errors := d.otherErrors(i)
 	var slow, failing chart
 	limit := d.caution * scoreCap
-	for n := max(s.historyN-RingSize, 0); n < s.historyN; n++ {
-		e := s.history[n%RingSize]
-		c := d.classes[e.class]
+	for _, packed := range s.history.Newest(nil) {
+		o := Unpack(s.Name, packed)
+		c := d.classOf(o.Class)
 		if known && c.n >= minClass {
-			slow.add(d.latencyRatio(e.result, e.log-c.mean-baseline), limit)
+			slow.add(d.latencyRatio(o.Result, math.Log(float64(o.Latency))-c.mean-baseline), limit)
 		}
-		switch e.result {
+		switch o.Result {
 		case slatewind.ResultOK:
 			failing.add(errorRatio(false, errors), limit)
 		case slatewind.ResultError:
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -18,6 +18,7 @@
 import (
 	"fmt"
 	"math"
+	"math/bits"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -99,13 +100,12 @@
 
 	scores [charts]chart
 	// recent holds the newest residuals: log latency less the class's mean.
-	recent   [window]float64
+	recent   [window]float32
 	recentN  int
 	recentAt int
 	// history holds the newest outcomes, to judge them anew against a fresh
 	// view of the other servers.
-	history  [RingSize]evidence
-	historyN int
+	history Ring
 	// heard is when the server's present was last heard of.
 	heard time.Time
 	// asked is when fresh views were asked for, to confirm a suspicion.
@@ -159,11 +159,6 @@
 	log    float64
 }
 
-func (s *Server) remember(e evidence) {
-	s.history[s.historyN%RingSize] = e
-	s.historyN++
-}
-
 type class struct {
 	mean float64
 	n    int
@@ -177,7 +172,7 @@
 	caution float64
 	servers []*Server
 	index   map[string]int
-	classes [256]class
+	classes map[uint8]*class
 	// spread is the variance of healthy residuals.
 	spread    float64
 	decisions []slatewind.Decision
@@ -185,6 +180,9 @@
 	// questions names the servers whose views are wanted to confirm a
 	// suspicion.
 	questions []string
+	// quiet: every server is healthy and nothing is asked, so that a tick has
+	// nothing to do.
+	quiet bool
 	// selfSick: most servers fail on this ingress's paths, so it is the path
 	// of the ingress that is sick.
 	selfSick bool
@@ -198,6 +196,7 @@
 		caution: caution,
 		index:   map[string]int{},
 		spread:  firstSpread * firstSpread,
+		classes: map[uint8]*class{},
 	}
 }
 
@@ -223,6 +222,7 @@
 	}
 	d.servers = servers
 	d.index = index
+	d.quiet = false
 	d.keepFloor(now)
 }
 
@@ -273,7 +273,7 @@
 		return
 	}
 	e := evidence{class: o.Class, result: o.Result, log: math.Log(max(float64(o.Latency), 1))}
-	s.remember(e)
+	s.history.Add(o.Class, o.Result, o.Latency)
 	if o.Result == slatewind.ResultError {
 		d.observeError(s, i, true)
 	} else {
@@ -309,7 +309,7 @@
 }
 
 func (d *Detector) observeLatency(s *Server, i int, e evidence) {
-	c := &d.classes[e.class]
+	c := d.classOf(e.class)
 	baseline, known := d.otherMean(i, window)
 	if c.n >= minClass && known {
 		d.addSlow(s, e.result, e.log-c.mean-baseline)
@@ -321,6 +321,15 @@
 	d.learn(s, c, e.log)
 }
 
+func (d *Detector) classOf(id uint8) *class {
+	c := d.classes[id]
+	if c == nil {
+		c = &class{}
+		d.classes[id] = c
+	}
+	return c
+}
+
 // latencyRatio is the ratio for one outcome whose log latency exceeds that of
 // the other servers by excess.
 func (d *Detector) latencyRatio(result slatewind.Result, excess float64) float64 {
@@ -360,7 +369,7 @@
 		d.spread += (off*off - d.spread) / spreadMemory
 		d.spread = min(max(d.spread, minSpread*minSpread), maxSpread*maxSpread)
 	}
-	s.recent[s.recentAt] = residual
+	s.recent[s.recentAt] = float32(residual)
 	s.recentAt = (s.recentAt + 1) % window
 	s.recentN = min(s.recentN+1, window)
 }
@@ -371,7 +380,7 @@
 	known = min(n, s.recentN)
 	sum := 0.0
 	for k := 1; k <= known; k++ {
-		sum += s.recent[(s.recentAt-k+window)%window]
+		sum += float64(s.recent[(s.recentAt-k+window)%window])
 	}
 	return sum / float64(max(known, 1)), known
 }
@@ -380,20 +389,35 @@
 // its newest n requests. Ejected servers have no say; the median keeps another
 // sick one from hiding this.
 func (d *Detector) otherMean(i, n int) (float64, bool) {
-	means := d.scratch[:0]
-	for j, s := range d.servers {
-		if j == i || !s.Serving() {
+	return d.otherMedian(i, func(s *Server) (float64, bool) {
+		mean, known := s.mean(n)
+		return mean, known >= minWindow
+	})
+}
+
+// maxCompared bounds the servers that one is compared with; the median of more
+// would cost more and tell the same.
+const maxCompared = 16
+
+// otherMedian returns the median of what value gives for the servers that stand
+// after one and are in service, as far as it gives something.
+func (d *Detector) otherMedian(i int, value func(*Server) (float64, bool)) (float64, bool) {
+	values := d.scratch[:0]
+	n := len(d.servers)
+	for k := 1; k < n && len(values) < maxCompared; k++ {
+		s := d.servers[(i+k)%n]
+		if !s.Serving() {
 			continue
 		}
-		if mean, known := s.mean(n); known >= minWindow {
-			means = insertSorted(means, mean)
+		if v, known := value(s); known {
+			values = insertSorted(values, v)
 		}
 	}
-	d.scratch = means
-	if len(means) == 0 {
+	d.scratch = values
+	if len(values) == 0 {
 		return 0, false
 	}
-	return (means[(len(means)-1)/2] + means[len(means)/2]) / 2, true
+	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2, true
 }
 
 func insertSorted(sorted []float64, v float64) []float64 {
@@ -406,26 +430,10 @@
 
 // otherErrors returns the median share of errors of the other servers.
 func (d *Detector) otherErrors(i int) float64 {
-	shares := d.scratch[:0]
-	for j, s := range d.servers {
-		if j == i || !s.Serving() || s.errorsN < minWindow {
-			continue
-		}
-		shares = insertSorted(shares, float64(popcount(s.errors))/float64(s.errorsN))
-	}
-	d.scratch = shares
-	if len(shares) == 0 {
-		return 0
-	}
-	return (shares[(len(shares)-1)/2] + shares[len(shares)/2]) / 2
-}
-
-func popcount(x uint32) int {
-	n := 0
-	for ; x != 0; x &= x - 1 {
-		n++
-	}
-	return n
+	share, _ := d.otherMedian(i, func(s *Server) (float64, bool) {
+		return float64(bits.OnesCount32(s.errors)) / float64(max(s.errorsN, 1)), s.errorsN >= minWindow
+	})
+	return share
 }
 
 // ObservePath takes the evidence of one attempt as this ingress alone sees it:
@@ -500,7 +508,7 @@
 	s.resetScores()
 	s.recentN = 0
 	s.errorsN = 0
-	s.historyN = 0
+	s.history = Ring{}
 	if s.State != slatewind.ServerEjected && s.State != slatewind.ServerTrial {
 		d.ramp(now, s, "its sidecar started anew")
 	}
@@ -508,10 +516,16 @@
 
 // Tick moves servers along whose waiting is over.
 func (d *Detector) Tick(now time.Time) {
-	for i := range d.servers {
+	if d.quiet {
+		return
+	}
+	quiet := true
+	for i, s := range d.servers {
 		d.advance(now, i)
+		quiet = quiet && s.State == slatewind.ServerHealthy && s.asked.IsZero()
 	}
 	d.keepFloor(now)
+	d.quiet = quiet
 }
 
 func (d *Detector) advance(now time.Time, i int) {
@@ -533,10 +547,6 @@
 			s.healthy = now
 			d.decide(now, slatewind.DecisionReturn, s.Name, "the server has its full share again", "")
 		}
-	case slatewind.ServerHealthy:
-		if now.Sub(s.healthy) >= forgive {
-			s.ejected = 0
-		}
 	}
 }
 
@@ -551,7 +561,7 @@
 // evidence against its server, or zero while too little is known.
 func (d *Detector) OverdueAfter(classID uint8) time.Duration {
 	c := d.classes[classID]
-	if c.n < minClass {
+	if c == nil || c.n < minClass {
 		return 0
 	}
 	return time.Duration(math.Exp(c.mean + overdueSpreads*math.Sqrt(d.spread)))
@@ -562,6 +572,7 @@
 const overdueSpreads = 2.33
 
 func (d *Detector) decide(now time.Time, kind slatewind.DecisionKind, server, reason, evidence string) {
+	d.quiet = false
 	d.decisions = append(d.decisions, slatewind.Decision{
 		Time: now, Kind: kind, Service: d.service, Server: server, Reason: reason, Evidence: evidence,
 	})
--- a/outlier/eject.go
+++ b/outlier/eject.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/bits"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -108,12 +109,15 @@
 
 func (d *Detector) takeOut(now time.Time, s *Server, reason string) {
 	evidence := d.evidence(s)
+	if s.State == slatewind.ServerHealthy && now.Sub(s.healthy) >= forgive {
+		s.ejected = 0
+	}
 	s.ejected++
 	wait := min(firstWait<<min(s.ejected-1, 10), maxWait)
 	s.State = slatewind.ServerEjected
 	s.until = now.Add(wait)
 	s.recentN = 0
-	s.historyN = 0
+	s.history = Ring{}
 	d.decide(now, slatewind.DecisionEject, s.Name, reason, fmt.Sprintf("%s wait=%s", evidence, wait))
 }
 
@@ -174,6 +178,6 @@
 func (d *Detector) evidence(s *Server) string {
 	score, name := d.judged(s)
 	return fmt.Sprintf("chart=%s score=%.1f threshold=%.1f errors=%d/%d capacity=%d floor=%d last=%.1fx spread=%.2f severity=%.1f",
-		name, score, d.caution, popcount(s.errors), s.errorsN, d.capacity(), d.floor,
+		name, score, d.caution, bits.OnesCount32(s.errors), s.errorsN, d.capacity(), d.floor,
 		math.Exp(s.excess), math.Sqrt(d.spread), s.severity)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,8 +38,12 @@
 	sequence    uint64
 	serial      uint64
 	// last is the newest digest, to pass on when the server is ejected.
-	last      *slatewindv1.Digest
-	inFlight  int
+	last     *slatewindv1.Digest
+	inFlight int
+	// load and slots are as the sidecar reported them, load brought forward by
+	// this ingress's own requests.
+	load      float64
+	slots     float64
 	reported  time.Time
 	heard     time.Time
 	lastTrial time.Time
@@ -58,25 +62,27 @@
 // Service decides about one service. It is not safe for use by several
 // goroutines; its host guards it.
 type Service struct {
-	name     string
-	local    string
-	detector *outlier.Detector
-	budget   *retry.Budget
-	random   *rand.Rand
-	servers  []server
-	targets  []balance.Target
-	waiting  map[*Attempt]bool
+	name       string
+	dataCentre string
+	detector   *outlier.Detector
+	budget     *retry.Budget
+	random     *rand.Rand
+	servers    []server
+	// local and remote list the servers by data centre.
+	local, remote []int
+	pick          pick
+	waiting       map[*Attempt]bool
 }
 
 // NewService returns the decisions of an ingress in the data centre local.
 func NewService(name, local string, seed uint64) *Service {
 	return &Service{
-		name:     name,
-		local:    local,
-		detector: outlier.NewDetector(name, 0, 0),
-		budget:   retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
-		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		waiting:  map[*Attempt]bool{},
+		name:       name,
+		dataCentre: local,
+		detector:   outlier.NewDetector(name, 0, 0),
+		budget:     retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
+		random:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		waiting:    map[*Attempt]bool{},
 	}
 }
 
@@ -84,26 +90,26 @@
 func (s *Service) Update(now time.Time, settings *slatewindv1.Service, dataCentre func(vm string) string) {
 	names := make([]string, len(settings.GetServers()))
 	servers := make([]server, len(names))
-	targets := make([]balance.Target, len(names))
 	for i, sv := range settings.GetServers() {
 		names[i] = sv.GetName()
 		if old := s.detector.Find(names[i]); old >= 0 {
 			servers[i] = s.servers[old]
-			targets[i].Load = s.targets[old].Load
 		}
-		targets[i].Slots = float64(sv.GetSlots())
-		targets[i].Local = dataCentre(sv.GetVm()) == s.local
+		servers[i].slots = float64(sv.GetSlots())
 	}
 	s.servers = servers
-	s.targets = targets
+	s.Locate(settings, dataCentre)
 	s.detector.Update(now, int(settings.GetFloor()), settings.GetCaution(), names)
 }
 
 // Locate notes the data centres of the servers' VMs anew.
 func (s *Service) Locate(settings *slatewindv1.Service, dataCentre func(vm string) string) {
+	s.local, s.remote = s.local[:0], s.remote[:0]
 	for i, sv := range settings.GetServers() {
-		if i < len(s.targets) {
-			s.targets[i].Local = dataCentre(sv.GetVm()) == s.local
+		if dataCentre(sv.GetVm()) == s.dataCentre {
+			s.local = append(s.local, i)
+		} else {
+			s.remote = append(s.remote, i)
 		}
 	}
 }
@@ -118,32 +124,41 @@
 			return i
 		}
 	}
-	s.weigh(now, tried, false)
-	i := balance.Pick(s.random, s.targets)
+	s.pick = pick{service: s, now: now, tried: tried}
+	i := balance.Pick(s.random, &s.pick, s.local, s.remote)
 	if i == None {
 		// Every server is out of reach: trying one is better than refusing.
-		s.weigh(now, tried, true)
-		i = balance.Pick(s.random, s.targets)
+		s.pick.unreachable = true
+		i = balance.Pick(s.random, &s.pick, s.local, s.remote)
 	}
 	return i
 }
 
-// weigh brings the targets up to date.
-func (s *Service) weigh(now time.Time, tried []int, unreachable bool) {
-	for i := range s.targets {
-		t := &s.targets[i]
-		t.Weight = s.detector.Weight(now, i)
-		if !unreachable && s.servers[i].backoff > 0 && now.Before(s.servers[i].retryAt) {
+// pick is one choice; it tells package balance of the servers that it draws.
+type pick struct {
+	service *Service
+	now     time.Time
+	tried   []int
+	// unreachable servers may be chosen too.
+	unreachable bool
+}
+
+// Target implements balance.Targets.
+func (p *pick) Target(i int) balance.Target {
+	sv := &p.service.servers[i]
+	t := balance.Target{Load: sv.load, Slots: sv.slots, Weight: p.service.detector.Weight(p.now, i)}
+	if !p.unreachable && sv.backoff > 0 && p.now.Before(sv.retryAt) {
+		t.Weight = 0
+	}
+	if p.now.Sub(sv.reported) > loadMemory {
+		t.Load = float64(sv.inFlight)
+	}
+	for _, k := range p.tried {
+		if k == i {
 			t.Weight = 0
 		}
-		if now.Sub(s.servers[i].reported) > loadMemory {
-			t.Load = float64(s.servers[i].inFlight)
-		}
-		t.Excluded = false
-	}
-	for _, i := range tried {
-		s.targets[i].Excluded = true
 	}
+	return t
 }
 
 // pickTrial returns a server that may get a single request to prove itself.
@@ -174,7 +189,7 @@
 // Started notes that an attempt goes to a server.
 func (s *Service) Started(now time.Time, i int, class uint8) *Attempt {
 	s.servers[i].inFlight++
-	s.targets[i].Load++
+	s.servers[i].load++
 	a := &Attempt{Server: s.Name(i), class: class, sent: now}
 	s.waiting[a] = true
 	return a
@@ -188,7 +203,7 @@
 		return
 	}
 	s.servers[i].inFlight = max(s.servers[i].inFlight-1, 0)
-	s.targets[i].Load = max(s.targets[i].Load-1, 0)
+	s.servers[i].load = max(s.servers[i].load-1, 0)
 }
 
 // Unreached notes that a server's sidecar could not be reached at all, for
@@ -257,8 +272,8 @@
 	s.detector.Heard(now, d.GetServer())
 	s.observeNew(now, sv, d)
 	if direct {
-		s.targets[i].Load = float64(d.GetInFlight() + d.GetQueued())
-		s.targets[i].Slots = max(float64(d.GetSlots()), 1)
+		sv.load = float64(d.GetInFlight() + d.GetQueued())
+		sv.slots = max(float64(d.GetSlots()), 1)
 		sv.reported = now
 	}
 }
@@ -427,7 +442,7 @@
 			Leaving:     known.Leaving,
 			Unreachable: known.Unreachable,
 			Score:       fmt.Sprintf("%s=%.1f", chart, score),
-			Load:        s.targets[i].Load,
+			Load:        s.servers[i].load,
 			Weight:      s.detector.Weight(now, i),
 			InFlight:    s.servers[i].inFlight,
 		})
