Time one request through the path

Cause: the path's cost against a request straight to the server is part of the users' 3.1 ms.

Change: slatewind-standin compare, taking turns; COMPARE=1 make run shows it.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -66,9 +66,9 @@
 
 func zoneOf(vm string) string { return "dc-" + vm[len(vm)-1:] }
 
-func digest(server string, sequence uint64, outcomes int) *slatewindv1.Digest {
+func digest(server string, sequence uint64) *slatewindv1.Digest {
 	var ring outlier.Ring
-	for range outcomes {
+	for range outlier.RingSize {
 		ring.Add(1, slatewind.ResultOK, 20*time.Millisecond)
 	}
 	return &slatewindv1.Digest{
@@ -83,7 +83,7 @@
 	p.Update(begin, service("s", servers), zoneOf)
 	digests := make([]*slatewindv1.Digest, servers)
 	for i := range digests {
-		digests[i] = digest(fmt.Sprintf("s-%d", i), 32, 32)
+		digests[i] = digest(fmt.Sprintf("s-%d", i), 32)
 		p.Heard(begin, digests[i], true)
 	}
 	return p, digests
@@ -164,7 +164,7 @@
 			p := policy.NewService(fmt.Sprint("s", i), "dc-1", 1)
 			p.Update(begin, service("s", targetServers/targetServices), zoneOf)
 			for k := range targetServers / targetServices {
-				p.Heard(begin, digest(fmt.Sprintf("s-%d", k), 32, 32), true)
+				p.Heard(begin, digest(fmt.Sprintf("s-%d", k), 32), true)
 			}
 			all = append(all, p)
 		}
@@ -374,7 +374,7 @@
 		r.Members = append(r.Members, apiMember(i))
 	}
 	for i := range 10 {
-		r.Digests = append(r.Digests, digest(fmt.Sprintf("service-%d-server-%d", i, i), 1<<20, 32))
+		r.Digests = append(r.Digests, digest(fmt.Sprintf("service-%d-server-%d", i, i), 1<<20))
 	}
 	return r
 }
@@ -404,7 +404,7 @@
 
 // BenchmarkReplyDigest is what a reply carries for control.
 func BenchmarkReplyDigest(b *testing.B) {
-	d := digest("service-7-server-7", 1<<20, 32)
+	d := digest("service-7-server-7", 1<<20)
 	for b.Loop() {
 		_, _ = proto.Marshal(d)
 	}
--- /dev/null
+++ b/capacity/connection_test.go
@@ -0,0 +1,62 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+
+	"google.golang.org/grpc"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
+)
+
+// echo answers each exchange with nothing new.
+type echo struct {
+	slatewindv1.UnimplementedPeerServer
+}
+
+func (echo) Sync(context.Context, *slatewindv1.SyncRequest) (*slatewindv1.SyncReply, error) {
+	return &slatewindv1.SyncReply{}, nil
+}
+
+// BenchmarkMemoryPerOpenConnection is what a connection in use costs both ends
+// together, heap and stacks.
+func BenchmarkMemoryPerOpenConnection(b *testing.B) {
+	const peers = 100
+	server := grpc.NewServer(link.ServerOptions()...)
+	slatewindv1.RegisterPeerServer(server, echo{})
+	defer server.Stop()
+	addresses := make([]string, peers)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", i+1))
+		if err != nil {
+			b.Fatal(err)
+		}
+		addresses[i] = listener.Addr().String()
+		go func() { _ = server.Serve(listener) }()
+	}
+	before := inUse()
+	pool := link.NewPool()
+	for range 3 {
+		for _, address := range addresses {
+			if _, err := pool.Sync(b.Context(), address, exchange()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric((inUse()-before)/peers, "B/open-peer-both-ends")
+	b.ReportMetric(0, "ns/op")
+	_ = pool.Close()
+}
+
+// inUse returns live heap and stacks in bytes.
+func inUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
--- a/cmd/slatewind-standin/main.go
+++ b/cmd/slatewind-standin/main.go
@@ -51,12 +51,33 @@
 	return response.Body.Close()
 }
 
+type compareCommand struct {
+	Through string `long:"through" description:"IP:port of an ingress" required:"true"`
+	Direct  string `long:"direct" description:"IP:port of a stand-in server" required:"true"`
+	Path    string `long:"path" description:"path to ask for" default:"/"`
+	Count   int    `long:"count" description:"requests each way" default:"3000"`
+}
+
+// Execute implements flags.Commander.
+func (c *compareCommand) Execute([]string) error {
+	took, err := standin.Compare(c.Count, "http://"+c.Direct+c.Path, "http://"+c.Through+c.Path)
+	if err != nil {
+		return err
+	}
+	for i, name := range []string{"direct", "through"} {
+		fmt.Printf("%-8s median %s  p99 %s\n", name, standin.Quantile(took[i], 0.5), standin.Quantile(took[i], 0.99))
+	}
+	return nil
+}
+
 func main() {
 	parser := flags.NewNamedParser("slatewind-standin", flags.Default)
 	_, err := parser.AddCommand("serve", "run the platform and the servers", "", &serveCommand{})
 	must(err)
 	_, err = parser.AddCommand("drive", "send requests and count what comes back", "", &driveCommand{})
 	must(err)
+	_, err = parser.AddCommand("compare", "time requests through an ingress against requests straight to a server", "", &compareCommand{})
+	must(err)
 	_, err = parser.AddCommand("control", "make a stand-in fail: POST to a /control URL", "", &controlCommand{})
 	must(err)
 	if _, err := parser.Parse(); err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/fx"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/keepalive"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admin"
@@ -51,10 +50,6 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout closes callers' connections that nothing comes from.
 	idleTimeout = 2 * time.Minute
-	// maxStreams bounds the calls in progress on one connection of a peer.
-	maxStreams = 1000
-	// minPing is the shortest interval of peers' keepalive pings.
-	minPing = 5 * time.Second
 )
 
 // incarnationEpoch is the time from which processes' incarnations count, so
@@ -188,11 +183,7 @@
 	}
 	p.callers = &http.Server{Handler: p.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
-	p.peers = grpc.NewServer(
-		grpc.MaxRecvMsgSize(link.MaxMessage),
-		grpc.MaxConcurrentStreams(maxStreams),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
-	)
+	p.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSidecarServer(p.peers, sidecarServer{sidecar: p.sidecar})
 	slatewindv1.RegisterPeerServer(p.peers, peerServer{gossip: p.gossip})
 	p.serve("callers", func() error { return p.callers.Serve(listeners[0]) })
--- a/link/link.go
+++ b/link/link.go
@@ -53,6 +53,23 @@
 	maxReconnect     = 1 * time.Second
 )
 
+// Bounds of the server's side of a connection.
+const (
+	// maxStreams bounds the calls in progress on one connection of a peer.
+	maxStreams = 1000
+	// minPing is the shortest interval of peers' keepalive pings.
+	minPing = 5 * time.Second
+)
+
+// ServerOptions returns the options of the gRPC server that peers call.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(MaxMessage),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
+	}
+}
+
 // Reply is what came back for an attempt.
 type Reply struct {
 	Head *slatewindv1.RunHead
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -37,7 +37,7 @@
 done <<<"$vms"
 
 bin/slatewind check "$fleet"
-bin/slatewind-standin serve --platform "$platform" --fleet "$fleet" "${zones[@]}" &
+bin/slatewind-standin serve --platform "$platform" --fleet "$fleet" --median "${MEDIAN:-8ms}" "${zones[@]}" &
 pids+=($!)
 while read -r vm ip; do
   cat >"$work/$vm.yaml" <<YAML
@@ -69,6 +69,10 @@
 bin/slatewind state "${admins[0]}" | sed -n 1,14p
 echo "== settings in force"
 bin/slatewind settings "${admins[@]}"
+if [ -n "${COMPARE:-}" ]; then
+  echo "== one request through the path against the same straight to a server"
+  bin/slatewind-standin compare --through 127.20.1.1:8080 --direct 127.20.1.1:8000
+fi
 if [ -n "${KEEP:-}" ]; then
   echo "== the mesh stays up; end it with Ctrl-C"
   echo "callers:   ${ingresses[*]//--ingress/}"
