Keep gossip within the control bandwidth

Ruled out: fewer rounds (settings and leaving would spread later); smaller rings (an ingress would miss outcomes between two replies).

Change: changes of members are news for 30 s; in fleets of more than 50 processes outcomes come on request and not with every exchange; at most 64 replies a second of a VM carry outcomes, and a digest without them takes nothing away.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -271,8 +271,8 @@
 }
 
 // Digests implements gossip.Events.
-func (p *Process) Digests() []*slatewindv1.Digest {
-	return p.sidecar.Digests()
+func (p *Process) Digests(outcomes bool) []*slatewindv1.Digest {
+	return p.sidecar.Digests(outcomes)
 }
 
 func (p *Process) sources() admin.Sources {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -33,6 +33,9 @@
 	pushEvery = 200 * time.Millisecond
 	// maxMembers bounds the members told in one exchange.
 	maxMembers = 32
+	// smallFleet is the number of processes up to which every exchange brings
+	// outcomes.
+	smallFleet = 50
 	// callTimeout bounds one exchange.
 	callTimeout = 900 * time.Millisecond
 	// fetchPatience is how long a transfer may take before another is begun.
@@ -57,8 +60,8 @@
 	Heard(now time.Time, digests []*slatewindv1.Digest)
 	// SelfLeaving: somebody read in the platform's list that this VM leaves.
 	SelfLeaving(now time.Time)
-	// Digests returns those of this VM's servers.
-	Digests() []*slatewindv1.Digest
+	// Digests returns those of this VM's servers, with or without outcomes.
+	Digests(outcomes bool) []*slatewindv1.Digest
 }
 
 // Gossip is the host of the member table.
@@ -96,7 +99,7 @@
 	g.ctx = ctx
 	g.events = events
 	for _, address := range g.seeds {
-		go g.exchange(address, "")
+		go g.exchange(address, "", plain)
 	}
 	timers.Subscribe(ctx, interval, func(t timer.Tick) {
 		if t.Away > 0 {
@@ -211,7 +214,7 @@
 
 // hearSelf tells this process's ingress of its own servers, as a peer would.
 func (g *Gossip) hearSelf() {
-	g.events.Heard(time.Now(), g.events.Digests())
+	g.events.Heard(time.Now(), g.events.Digests(true))
 }
 
 func (g *Gossip) round(n int) {
@@ -219,12 +222,12 @@
 	peers := g.choose(n)
 	if len(peers) == 0 {
 		for _, address := range g.seeds {
-			go g.exchange(address, "")
+			go g.exchange(address, "", plain)
 		}
 		return
 	}
 	for _, peer := range peers {
-		go g.exchange(peer.PeerAddress, peer.VM)
+		go g.exchange(peer.PeerAddress, peer.VM, plain)
 	}
 }
 
@@ -240,7 +243,7 @@
 		if address == "" {
 			continue
 		}
-		group.Go(func() { g.exchangeWithin(ctx, address, vm) })
+		group.Go(func() { g.exchangeWithin(ctx, address, vm, ask) })
 	}
 	group.Wait()
 }
@@ -248,25 +251,33 @@
 // Relay passes digests of other VMs' servers on to a few processes.
 func (g *Gossip) Relay(digests []*slatewindv1.Digest) {
 	for _, peer := range g.choose(pushFanOut) {
-		go g.exchange(peer.PeerAddress, peer.VM, digests...)
+		go g.exchange(peer.PeerAddress, peer.VM, func(r *slatewindv1.SyncRequest) {
+			r.Digests = append(r.Digests, digests...)
+		})
 	}
 }
 
-// exchange syncs with the process at an address; vm is its VM where known.
-// Further digests go with those of the own servers.
-func (g *Gossip) exchange(address, vm string, further ...*slatewindv1.Digest) {
+// ask marks an exchange as one that wants outcomes.
+func ask(r *slatewindv1.SyncRequest) { r.WantsOutcomes = true }
+
+// plain leaves an exchange as it is.
+func plain(*slatewindv1.SyncRequest) {}
+
+// exchange syncs with the process at an address; vm is its VM where known. with
+// adds to what every exchange tells.
+func (g *Gossip) exchange(address, vm string, with func(*slatewindv1.SyncRequest)) {
 	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
 	defer cancel()
-	g.exchangeWithin(ctx, address, vm, further...)
+	g.exchangeWithin(ctx, address, vm, with)
 }
 
-func (g *Gossip) exchangeWithin(ctx context.Context, address, vm string, further ...*slatewindv1.Digest) {
+func (g *Gossip) exchangeWithin(ctx context.Context, address, vm string, with func(*slatewindv1.SyncRequest)) {
 	now := time.Now()
 	g.mu.Lock()
 	g.table.Calling(vm)
 	g.mu.Unlock()
-	request := g.request(now)
-	request.Digests = append(request.Digests, further...)
+	request := g.request(now, false)
+	with(request)
 	reply, err := g.peers.Sync(ctx, address, request)
 	if g.ctx.Err() != nil {
 		return
@@ -294,15 +305,21 @@
 	}
 }
 
-func (g *Gossip) request(now time.Time) *slatewindv1.SyncRequest {
-	digests := g.events.Digests()
+// request is what every exchange tells. In a small fleet it brings the servers'
+// newest outcomes along; in a large one a random peer seldom uses just these
+// servers, and whoever wants outcomes asks.
+func (g *Gossip) request(now time.Time, outcomes bool) *slatewindv1.SyncRequest {
+	g.mu.Lock()
+	small := g.table.Len() <= smallFleet
+	g.mu.Unlock()
+	digests := g.events.Digests(outcomes || small)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	self := g.table.Self()
 	return &slatewindv1.SyncRequest{
 		Self:             toAPI(now, self),
 		Version:          g.store.Version().ToAPI(),
-		Members:          membersToAPI(now, g.table.Recent(maxMembers)),
+		Members:          membersToAPI(now, g.table.Recent(now, maxMembers)),
 		Digests:          digests,
 		PlatformAgeNanos: int64(g.platformAge(now)),
 	}
@@ -312,7 +329,7 @@
 func (g *Gossip) Sync(_ context.Context, request *slatewindv1.SyncRequest) (*slatewindv1.SyncReply, error) {
 	now := time.Now()
 	g.take(now, request.GetSelf().GetPeerAddress(), request)
-	r := g.request(now)
+	r := g.request(now, request.GetWantsOutcomes())
 	return &slatewindv1.SyncReply{
 		Self: r.GetSelf(), Version: r.GetVersion(), Members: r.GetMembers(),
 		Digests: r.GetDigests(), PlatformAgeNanos: r.GetPlatformAgeNanos(),
--- a/member/member.go
+++ b/member/member.go
@@ -31,6 +31,8 @@
 	Listed slatewind.VMState `json:"listed,omitempty"`
 	// Updated is when the entry last changed or was confirmed by contact.
 	Updated time.Time `json:"updated"`
+	// Noted is when the entry last became news here.
+	Noted time.Time `json:"noted"`
 	// Failed counts calls in a row that got no reply.
 	Failed int `json:"failed,omitempty"`
 	// Waiting counts calls that have no reply yet.
@@ -68,7 +70,7 @@
 	self.Updated = now
 	t := &Table{self: self.VM, entries: map[string]*Entry{}}
 	t.add(&self)
-	t.note(self.VM)
+	t.note(now, self.VM)
 	return t
 }
 
@@ -77,6 +79,11 @@
 	t.names = append(t.names, e.VM)
 }
 
+// Len returns the number of known processes.
+func (t *Table) Len() int {
+	return len(t.names)
+}
+
 // Self returns the entry of the process itself.
 func (t *Table) Self() Entry {
 	return *t.entries[t.self]
@@ -91,7 +98,7 @@
 	self.State = slatewind.VMLeaving
 	self.Serial++
 	self.Updated = now
-	t.note(t.self)
+	t.note(now, t.self)
 }
 
 // Find returns the entry of a VM.
@@ -127,14 +134,14 @@
 		heard.Updated = now
 		heard.Failed = 0
 		t.add(&heard)
-		t.note(heard.VM)
+		t.note(now, heard.VM)
 		return true
 	}
 	if !later(heard, *known) {
 		if leavingNews(heard, *known) {
 			known.State = slatewind.VMLeaving
 			known.Updated = now
-			t.note(known.VM)
+			t.note(now, known.VM)
 			return true
 		}
 		if heard.Source == slatewind.SourceContact {
@@ -153,7 +160,7 @@
 	heard.Failed = 0
 	heard.Waiting = known.Waiting
 	*known = heard
-	t.note(heard.VM)
+	t.note(now, heard.VM)
 	return true
 }
 
@@ -185,7 +192,7 @@
 	known.Source = slatewind.SourceContact
 	if known.State == slatewind.VMGone {
 		known.State = heard.State
-		t.note(known.VM)
+		t.note(now, known.VM)
 	}
 }
 
@@ -223,7 +230,7 @@
 			VM: vm.Name, DataCentre: vm.DataCentre, PeerAddress: vm.PeerAddress,
 			State: vm.State, Source: slatewind.SourceList, Listed: vm.State, Updated: now,
 		})
-		t.note(vm.Name)
+		t.note(now, vm.Name)
 		return
 	}
 	changed := e.Listed != vm.State
@@ -239,7 +246,7 @@
 	if changed && vm.State == slatewind.VMLeaving && e.State == slatewind.VMLive {
 		e.State = slatewind.VMLeaving
 		e.Updated = now
-		t.note(vm.Name)
+		t.note(now, vm.Name)
 	}
 	if changed && vm.State == slatewind.VMLive && e.Source == slatewind.SourceList {
 		e.State = slatewind.VMLive
@@ -290,7 +297,8 @@
 }
 
 // note puts a VM at the end of the list of changes.
-func (t *Table) note(vm string) {
+func (t *Table) note(now time.Time, vm string) {
+	t.entries[vm].Noted = now
 	for i, name := range t.changed {
 		if name == vm {
 			t.changed = append(t.changed[:i], t.changed[i+1:]...)
@@ -306,13 +314,18 @@
 // maxChanged bounds how many recent changes gossip can carry.
 const maxChanged = 64
 
-// Recent returns the newest changes, newest first, at most n. That a VM is
-// gone is left out: it is this process's view alone.
-func (t *Table) Recent(n int) []Entry {
-	recent := make([]Entry, 0, n)
+// spreadTime is how long a change is news. Within it gossip has brought the
+// change to every process that can be reached; who could not hears it from its
+// later contacts, for whom it is news again.
+const spreadTime = 30 * time.Second
+
+// Recent returns the changes that are news, newest first, at most n. That a VM
+// is gone is left out: it is this process's view alone.
+func (t *Table) Recent(now time.Time, n int) []Entry {
+	var recent []Entry
 	for i := len(t.changed) - 1; i >= 0 && len(recent) < n; i-- {
 		e := t.entries[t.changed[i]]
-		if e != nil && e.State != slatewind.VMGone {
+		if e != nil && e.State != slatewind.VMGone && now.Sub(e.Noted) < spreadTime {
 			recent = append(recent, *e)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -315,7 +315,7 @@
 // observeNew takes the outcomes that were not seen before.
 func (s *Service) observeNew(now time.Time, sv *server, d *slatewindv1.Digest) {
 	outcomes := d.GetOutcomes()
-	if d.GetSequence() <= sv.sequence {
+	if d.GetSequence() <= sv.sequence || len(outcomes) == 0 {
 		return
 	}
 	fresh := int(min(d.GetSequence()-sv.sequence, uint64(len(outcomes))))
--- a/replay/recorder.go
+++ b/replay/recorder.go
@@ -39,6 +39,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	outcomes := d.GetOutcomes()
+	if len(outcomes) == 0 {
+		return
+	}
 	last := r.seen[d.GetServer()]
 	if d.GetSequence() < last {
 		last = 0
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -224,11 +224,13 @@
 	d.outcomes.Tick(now)
 }
 
-func (d *door) digest() *slatewindv1.Digest {
+// digest is what the sidecar tells of the server, with or without its newest
+// outcomes.
+func (d *door) digest(outcomes bool) *slatewindv1.Digest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.told++
-	return &slatewindv1.Digest{
+	digest := &slatewindv1.Digest{
 		Serial:      d.told,
 		Service:     d.service,
 		Server:      d.name,
@@ -238,8 +240,11 @@
 		Slots:       uint32(d.slots.Slots()),
 		Leaving:     d.leaving != "",
 		Sequence:    d.outcomes.Sequence(),
-		Outcomes:    d.outcomes.Newest(nil),
 	}
+	if outcomes {
+		digest.Outcomes = d.outcomes.Newest(nil)
+	}
+	return digest
 }
 
 // DoorView is one server in a state dump.
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -276,7 +276,8 @@
 		Version:   r.sidecar.store.Version().ToAPI(),
 	}
 	if r.door != nil {
-		head.Digest = r.door.digest()
+		// Outcomes come with the end, which every reply has.
+		head.Digest = r.door.digest(false)
 		head.Incarnation = head.Digest.GetIncarnation()
 	}
 	return head
@@ -321,7 +322,7 @@
 func (r *run) sendEnd(w *chunkWriter) error {
 	end := &slatewindv1.RunEnd{AttemptId: r.request.GetAttemptId(), Length: w.length, Checksum: w.sum.Sum64()}
 	if r.door != nil {
-		end.Digest = r.door.digest()
+		end.Digest = r.door.digest(r.sidecar.spend())
 	}
 	return r.send(&slatewindv1.RunReply{Part: &slatewindv1.RunReply_End{End: end}})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
@@ -41,6 +43,8 @@
 	journal     slatewind.Journal
 	caller      ServerCaller
 
+	outcomes *rate.Limiter
+
 	mu      sync.RWMutex
 	doors   map[string]*door
 	leaving string
@@ -69,6 +73,7 @@
 		store:       store,
 		journal:     journal,
 		caller:      caller,
+		outcomes:    rate.NewLimiter(outcomeReplies, outcomeBurst),
 		doors:       map[string]*door{},
 		records:     once.NewStore(time.Now(), limits.OnceRecords, limits.OnceAnswerBytes),
 		waiting:     map[once.ID]chan struct{}{},
@@ -151,17 +156,30 @@
 	return n
 }
 
-// Digests returns what gossip tells of the VM's servers.
-func (s *Sidecar) Digests() []*slatewindv1.Digest {
+// Digests returns what gossip tells of the VM's servers, with or without their
+// newest outcomes.
+func (s *Sidecar) Digests(outcomes bool) []*slatewindv1.Digest {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	digests := make([]*slatewindv1.Digest, 0, len(s.doors))
 	for _, d := range s.doors {
-		digests = append(digests, d.digest())
+		digests = append(digests, d.digest(outcomes))
 	}
 	return digests
 }
 
+// Outcomes with replies are bounded for all servers of a VM together: 128 bytes
+// each, so 8 KB a second. What is left out of one reply comes with a later one.
+const (
+	outcomeReplies = 64
+	outcomeBurst   = 64
+)
+
+// spend reports whether a reply may carry outcomes.
+func (s *Sidecar) spend() bool {
+	return s.outcomes.Allow()
+}
+
 func (s *Sidecar) door(name string) *door {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -188,7 +206,7 @@
 		state = s.cancelOnce(d, request)
 	}
 	reply.State = string(state)
-	reply.Digest = d.digest()
+	reply.Digest = d.digest(s.spend())
 	return reply, nil
 }
 
