--- a/measure/model.go
+++ b/measure/model.go
@@ -6,12 +6,15 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/internal/schedule"
 	"slatewind.example/slatewind/outlier"
 	"slatewind.example/slatewind/policy"
+	"slatewind.example/slatewind/sidecar"
 )
 
 const (
@@ -59,6 +62,8 @@
 	slots    *admission.Server
 	outcomes *outlier.Outcomes
 	attempts map[string]*attempt
+	// limit bounds the replies that carry outcomes.
+	limit *rate.Limiter
 	// observed counts outcomes since the beginning of the fault.
 	observed int
 }
@@ -95,6 +100,7 @@
 	for i := range p.Servers {
 		m.servers = append(m.servers, &modelServer{
 			id: i, slots: admission.NewServer(p.Slots), outcomes: outlier.NewOutcomes(), attempts: map[string]*attempt{},
+			limit: rate.NewLimiter(sidecar.OutcomeReplies, sidecar.OutcomeBurst),
 		})
 	}
 	for i := range p.Ingresses {
@@ -291,7 +297,7 @@
 	if m.cut(a.request.node.id, a.server.id) {
 		return
 	}
-	digest := m.digest(a.server)
+	digest := m.replyDigest(a.server)
 	m.queue.After(m.delay(a.request.node.id, a.server.id), func() {
 		a.request.node.strategy.Heard(m.now(), digest, true)
 		m.note(a.request.node)
@@ -308,6 +314,15 @@
 	return false
 }
 
+// replyDigest is what a reply tells; some leave the outcomes out.
+func (m *model) replyDigest(s *modelServer) *slatewindv1.Digest {
+	d := m.digest(s)
+	if !s.limit.AllowN(m.now(), 1) {
+		d.Outcomes = nil
+	}
+	return d
+}
+
 func (m *model) digest(s *modelServer) *slatewindv1.Digest {
 	return &slatewindv1.Digest{
 		Serial: uint64(m.queue.Now()), Server: serverName(s.id), Incarnation: 1<<24 | 1, InFlight: uint32(s.slots.InUse()), Queued: uint32(s.slots.Queued()),
@@ -401,7 +416,7 @@
 		})
 		return
 	}
-	digest := m.digest(s)
+	digest := m.replyDigest(s)
 	m.queue.After(m.delay(node.id, s.id), func() {
 		node.strategy.Heard(m.now(), digest, true)
 		node.strategy.Result(m.now(), s.id, false)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -73,7 +73,7 @@
 		store:       store,
 		journal:     journal,
 		caller:      caller,
-		outcomes:    rate.NewLimiter(outcomeReplies, outcomeBurst),
+		outcomes:    rate.NewLimiter(OutcomeReplies, OutcomeBurst),
 		doors:       map[string]*door{},
 		records:     once.NewStore(time.Now(), limits.OnceRecords, limits.OnceAnswerBytes),
 		waiting:     map[once.ID]chan struct{}{},
@@ -171,8 +171,10 @@
 // Outcomes with replies are bounded for all servers of a VM together: 128 bytes
 // each, so 8 KB a second. What is left out of one reply comes with a later one.
 const (
-	outcomeReplies = 64
-	outcomeBurst   = 64
+	// OutcomeReplies is how many replies a second carry outcomes.
+	OutcomeReplies = 64
+	// OutcomeBurst is how many of them may come at once.
+	OutcomeBurst = 64
 )
 
 // spend reports whether a reply may carry outcomes.
