--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,92 @@
+package link_test
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
+)
+
+func head(id string) *slatewindv1.RunReply {
+	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Head{Head: &slatewindv1.RunHead{AttemptId: id}}}
+}
+
+func chunk(text string) *slatewindv1.RunReply {
+	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Chunk{Chunk: []byte(text)}}
+}
+
+func end(id, text string) *slatewindv1.RunReply {
+	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_End{End: &slatewindv1.RunEnd{
+		AttemptId: id, Length: int64(len(text)), Checksum: xxhash.Sum64String(text),
+	}}}
+}
+
+// TestReadReply: only a reply to the own attempt that is whole is one.
+func TestReadReply(t *testing.T) {
+	lost := errors.New("connection lost")
+	tests := map[string]struct {
+		parts []*slatewindv1.RunReply
+		body  string
+		err   error
+	}{
+		"whole":                  {parts: []*slatewindv1.RunReply{head("1"), chunk("ab"), chunk("c"), end("1", "abc")}, body: "abc"},
+		"empty":                  {parts: []*slatewindv1.RunReply{head("1"), end("1", "")}},
+		"another's":              {parts: []*slatewindv1.RunReply{head("2"), end("2", "")}, err: link.ErrCrossed},
+		"another's head":         {parts: []*slatewindv1.RunReply{head("2"), chunk("abc"), end("1", "abc")}, err: link.ErrCrossed},
+		"another's end":          {parts: []*slatewindv1.RunReply{head("1"), chunk("abc"), end("2", "abc")}, err: link.ErrCrossed},
+		"cut off":                {parts: []*slatewindv1.RunReply{head("1"), chunk("ab")}, err: link.ErrBroken},
+		"a chunk missing":        {parts: []*slatewindv1.RunReply{head("1"), chunk("ab"), end("1", "abc")}, err: link.ErrBroken},
+		"a chunk doubled":        {parts: []*slatewindv1.RunReply{head("1"), chunk("ab"), chunk("ab"), end("1", "ab")}, err: link.ErrBroken},
+		"another text":           {parts: []*slatewindv1.RunReply{head("1"), chunk("abd"), end("1", "abc")}, err: link.ErrBroken},
+		"a second head":          {parts: []*slatewindv1.RunReply{head("1"), head("1"), end("1", "")}, err: link.ErrBroken},
+		"no head":                {parts: []*slatewindv1.RunReply{chunk("abc"), end("1", "abc")}, err: link.ErrBroken},
+		"nothing came back":      {err: lost},
+		"nothing after the head": {parts: []*slatewindv1.RunReply{head("1")}, err: link.ErrBroken},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			parts := tt.parts
+			reply, err := link.ReadReply("1", func() (*slatewindv1.RunReply, error) {
+				if len(parts) == 0 {
+					return nil, lost
+				}
+				part := parts[0]
+				parts = parts[1:]
+				return part, nil
+			})
+			if tt.err != nil {
+				assert.ErrorIs(t, err, tt.err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(reply.Body), tt.body)
+		})
+	}
+}
+
+// TestLongReplyIsCutShortVisibly: a reply too long to hold ends with io.EOF only
+// if it is whole.
+func TestLongReplyIsCutShortVisibly(t *testing.T) {
+	long := string(make([]byte, link.MaxHeld+1))
+	for name, last := range map[string]*slatewindv1.RunReply{"whole": end("1", long+"abc"), "wrong": end("1", long+"ab")} {
+		t.Run(name, func(t *testing.T) {
+			parts := []*slatewindv1.RunReply{head("1"), chunk(long), chunk("abc"), last}
+			reply, err := link.ReadReply("1", func() (*slatewindv1.RunReply, error) {
+				part := parts[0]
+				parts = parts[1:]
+				return part, nil
+			})
+			assert.NilError(t, err)
+			rest, err := reply.Rest()
+			assert.NilError(t, err)
+			assert.Equal(t, string(rest), "abc")
+			_, err = reply.Rest()
+			assert.Equal(t, errors.Is(err, io.EOF), name == "whole")
+		})
+	}
+}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -1,6 +1,7 @@
 package once_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -150,3 +151,45 @@
 	w.step(retry, true, none)
 	assert.Equal(t, retry.outcome, slatewind.OutcomeUnknown)
 }
+
+// TestEvictionMovesTheCover: a record makes room for another; the key that it
+// stood for must not run again.
+func TestEvictionMovesTheCover(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := once.NewStore(now, 1, 0)
+	s.SetOwners(now, "service", 1)
+	born := now.Add(time.Minute)
+	request := func(key string, claim slatewind.Claim) once.Request {
+		return once.Request{ID: once.ID{Service: "service", Key: key}, Claim: claim, KeyBorn: born, Home: true, Owners: 1}
+	}
+	now = now.Add(2 * time.Minute)
+	payment := request("payment", slatewind.ClaimUnnumbered)
+	assert.Equal(t, s.Begin(now, payment).Action, once.ActionRun)
+	s.Finish(now, payment.ID, &slatewind.Answer{Status: 200})
+	assert.Equal(t, s.Begin(now, payment).Action, once.ActionReplay)
+	assert.Equal(t, s.Begin(now, request("other", slatewind.ClaimFirst)).Action, once.ActionRun)
+	assert.Equal(t, s.Begin(now, payment).Action, once.ActionUnknown)
+}
+
+// TestMemoryIsBounded: at the bounds of a store what runs is never forgotten,
+// answers go before records, and a request that finds no room is refused.
+func TestMemoryIsBounded(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := once.NewStore(now, 10, 100)
+	s.SetOwners(now, "service", 1)
+	first := func(key int) once.Request {
+		return once.Request{ID: once.ID{Service: "service", Key: fmt.Sprint(key)}, Claim: slatewind.ClaimFirst, Owners: 1}
+	}
+	for i := range 10 {
+		assert.Equal(t, s.Begin(now, first(i)).Action, once.ActionRun)
+	}
+	assert.Equal(t, s.Begin(now, first(10)).Action, once.ActionRefuse)
+	for i := range 10 {
+		s.Finish(now, first(i).ID, &slatewind.Answer{Status: 200, Body: make([]byte, 30)})
+	}
+	records, bytes := s.Len()
+	assert.Equal(t, records, 10)
+	assert.Assert(t, bytes <= 100)
+	assert.Equal(t, s.Begin(now, first(0)).Action, once.ActionUnknown)
+	assert.Equal(t, s.Begin(now, first(9)).Action, once.ActionReplay)
+}
--- a/outlier/eject.go
+++ b/outlier/eject.go
@@ -30,43 +30,20 @@
 }
 
 // judged returns the highest score that may be acted on, and its chart. While
-// this ingress suspects itself, its own paths do not count. A score that would
-// eject is taken relative to the scores of the other servers: when trouble
-// begins for all at once, the comparison of single requests lags behind by some
-// of them, and all scores rise together.
+// this ingress suspects itself, its own paths do not count.
 func (d *Detector) judged(s *Server) (float64, string) {
 	best, name := 0.0, chartNames[chartSlow]
 	for chart := range s.scores {
 		if chart == chartPath && d.selfSick {
 			continue
 		}
-		score := s.scores[chart].score
-		if score >= d.caution {
-			score -= d.sharedScore(s, chart)
-		}
-		if score > best {
+		if score := s.scores[chart].score; score > best {
 			best, name = score, chartNames[chart]
 		}
 	}
 	return best, name
 }
 
-// sharedScore returns the lower median of a chart's scores at the other servers
-// in service: what at least half of them have in common.
-func (d *Detector) sharedScore(s *Server, chart int) float64 {
-	scores := d.scratch[:0]
-	for _, other := range d.servers {
-		if other != s && other.Serving() {
-			scores = insertSorted(scores, other.scores[chart].score)
-		}
-	}
-	d.scratch = scores
-	if len(scores) == 0 {
-		return 0
-	}
-	return scores[(len(scores)-1)/2]
-}
-
 func (d *Detector) judgeTrial(now time.Time, s *Server, score float64) {
 	switch {
 	case score >= d.caution*rejectAt:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -269,7 +269,10 @@
 	}
 	s.noteIncarnation(now, sv, d)
 	s.detector.SetLeaving(now, d.GetServer(), d.GetLeaving())
-	s.detector.Heard(now, d.GetServer())
+	if len(d.GetOutcomes()) > 0 || d.GetSequence() == sv.sequence {
+		// Without its newest outcomes a server's present is not known.
+		s.detector.Heard(now, d.GetServer())
+	}
 	s.observeNew(now, sv, d)
 	if direct {
 		sv.load = float64(d.GetInFlight() + d.GetQueued())
