--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -23,6 +23,26 @@
 // the memory of two epochs stays near 2 MB at 260 requests a second.
 const Epoch = 2 * time.Minute
 
+// epochBits is the width of the count of epochs in an incarnation; above it
+// stands the time at which the process began, in milliseconds.
+const epochBits = 24
+
+// incarnationEpoch is the time from which processes' beginnings count, so that
+// milliseconds fit above the epochs for 34 years.
+var incarnationEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// NewIncarnation returns the first incarnation of a process that begins now. One
+// that begins later on the same VM has a greater one.
+func NewIncarnation(now time.Time) uint64 {
+	return uint64(now.Sub(incarnationEpoch).Milliseconds())<<epochBits | 1
+}
+
+// ProcessOf returns the part of an incarnation that stays the same while its
+// process lives.
+func ProcessOf(incarnation uint64) uint64 {
+	return incarnation >> epochBits
+}
+
 // DefaultLimit bounds the attempts remembered in one epoch.
 const DefaultLimit = 65536
 
@@ -64,8 +84,7 @@
 	rotated time.Time
 }
 
-// NewTable returns a table whose first incarnation is given. It must differ
-// from that of every earlier process on the VM; a random number does.
+// NewTable returns a table whose first incarnation is given.
 func NewTable(now time.Time, incarnation uint64, limit int) *Table {
 	if limit <= 0 {
 		limit = DefaultLimit
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/gossip"
 	"slatewind.example/slatewind/ingress"
@@ -52,20 +53,6 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// incarnationEpoch is the time from which processes' incarnations count, so
-// that milliseconds fit into 40 bits for 34 years.
-var incarnationEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
-
-// epochBits is the width of the epoch count below the process's start time in
-// an incarnation; see policy.ProcessOf.
-const epochBits = 24
-
-// NewIncarnation returns the first incarnation of a process that starts now.
-// One that starts later on the same VM has a greater one.
-func NewIncarnation(now time.Time) uint64 {
-	return uint64(now.Sub(incarnationEpoch).Milliseconds())<<epochBits | 1
-}
-
 // Options returns the wiring of a process with the given settings.
 func Options(process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
@@ -126,7 +113,7 @@
 }
 
 func newProcess(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *journal.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
-	incarnation := NewIncarnation(time.Now())
+	incarnation := attempt.NewIncarnation(time.Now())
 	limits := process.GetLimits()
 	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
 	p.recorder = replay.NewRecorder(process.GetVm(), int(limits.GetRecordedEvents()))
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,214 @@
+package ingress_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/ingress"
+	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/link"
+)
+
+const settings = `
+services:
+  - name: kassa
+    slots: 5
+    servers:
+      - {name: kassa-0, vm: vm-0, address: "127.0.0.1:1"}
+      - {name: kassa-1, vm: vm-1, address: "127.0.0.1:2"}
+      - {name: kassa-2, vm: vm-2, address: "127.0.0.1:3"}
+routes:
+  - {name: price, path_prefix: /prices, service: kassa, kind: repeatable, timeout: 1s}
+  - {name: payment, path_prefix: /payments, service: kassa, kind: once, timeout: 2s}
+`
+
+// behaviour is what becomes of attempts at the fake sidecars.
+type behaviour string
+
+const (
+	answers    behaviour = "answers"
+	refuses    behaviour = "refuses"
+	fails      behaviour = "fails"
+	loses      behaviour = "loses"
+	crosses    behaviour = "crosses"
+	unreached  behaviour = "unreached"
+	neverStart behaviour = "never starts"
+)
+
+// fakeLinks stands in for the sidecars.
+type fakeLinks struct {
+	mu       sync.Mutex
+	all      behaviour
+	attempts []string
+}
+
+func (f *fakeLinks) Run(ctx context.Context, address string, request *slatewindv1.RunRequest) (*link.Reply, bool, error) {
+	f.mu.Lock()
+	f.attempts = append(f.attempts, address)
+	f.mu.Unlock()
+	head := &slatewindv1.RunHead{AttemptId: request.GetAttemptId(), EarlierExcluded: true}
+	switch f.all {
+	case answers:
+		time.Sleep(10 * time.Millisecond)
+		head.Outcome, head.Status = string(slatewind.OutcomeAnswer), http.StatusOK
+	case fails:
+		head.Outcome, head.Status = string(slatewind.OutcomeAnswer), http.StatusInternalServerError
+	case refuses:
+		head.Outcome, head.Reason, head.RetryAfterNanos = string(slatewind.OutcomeNotRun), "the queue is full", int64(300*time.Millisecond)
+	case crosses:
+		return nil, true, link.ErrCrossed
+	case unreached:
+		return nil, false, errors.New("connection refused")
+	default:
+		<-ctx.Done()
+		return nil, true, ctx.Err()
+	}
+	return &link.Reply{Head: head, Body: []byte("body")}, true, nil
+}
+
+func (f *fakeLinks) Cancel(ctx context.Context, _ string, request *slatewindv1.CancelRequest) (*slatewindv1.CancelReply, error) {
+	switch f.all {
+	case neverStart:
+		return &slatewindv1.CancelReply{AttemptId: request.GetAttemptId(), State: string(slatewind.CancelNotStarted)}, nil
+	case crosses:
+		return &slatewindv1.CancelReply{AttemptId: "another", State: string(slatewind.CancelNotStarted)}, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (f *fakeLinks) Seal(context.Context, string, *slatewindv1.SealRequest) (*slatewindv1.SealReply, error) {
+	return &slatewindv1.SealReply{State: string(slatewind.RecordNone)}, nil
+}
+
+// fakeMembers knows where every VM is.
+type fakeMembers struct{}
+
+func (fakeMembers) Address(vm string) string      { return vm }
+func (fakeMembers) DataCentre(string) string      { return "dc" }
+func (fakeMembers) Leaving(string) bool           { return false }
+func (fakeMembers) Hint(string, config.Version)   {}
+func (fakeMembers) Ask(context.Context, []string) {}
+func (fakeMembers) Relay([]*slatewindv1.Digest)   {}
+
+type fakeMeter struct{}
+
+func (fakeMeter) Request(string, slatewind.Outcome, time.Duration) {}
+func (fakeMeter) Extra(string, string)                             {}
+func (fakeMeter) Dropped(string, string)                           {}
+
+type fakeRecorder struct{}
+
+func (fakeRecorder) Heard(time.Time, *slatewindv1.Digest) {}
+func (fakeRecorder) Lost(time.Time, string, string)       {}
+
+func newIngress(t *testing.T, links *fakeLinks) (*ingress.Ingress, *journal.Journal) {
+	t.Helper()
+	j := journal.New(0, nil)
+	store := config.NewStore(j)
+	_, err := store.Offer(time.Now(), "test", 1, []byte(settings))
+	assert.NilError(t, err)
+	in := ingress.New("vm-0", "dc", store, j, links, fakeMembers{}, fakeMeter{}, fakeRecorder{})
+	in.Update(time.Now(), store.Current())
+	return in, j
+}
+
+// TestFinalAnswers: what callers are told for each behaviour of the sidecars,
+// and when. What can be answered at once is; nothing waits beyond its timeout.
+func TestFinalAnswers(t *testing.T) {
+	const price, payment = "/prices/1", "/payments"
+	tests := map[string]struct {
+		all      behaviour
+		path     string
+		header   http.Header
+		status   int
+		outcome  slatewind.Outcome
+		atMost   time.Duration
+		attempts int
+	}{
+		"answer":                    {all: answers, path: price, status: 200, atMost: 10 * time.Millisecond, attempts: 1},
+		"refused everywhere":        {all: refuses, path: price, status: 503, outcome: slatewind.OutcomeNotRun, attempts: 3},
+		"errors everywhere":         {all: fails, path: price, status: 500, attempts: 3},
+		"connections refused":       {all: unreached, path: price, status: 503, outcome: slatewind.OutcomeNotRun, attempts: 3},
+		"no reply":                  {all: loses, path: price, status: 504, outcome: slatewind.OutcomeUnknown, atMost: time.Second, attempts: 1},
+		"no reply, never started":   {all: neverStart, path: price, status: 503, outcome: slatewind.OutcomeNotRun, atMost: time.Second, attempts: 1},
+		"crossed replies":           {all: crosses, path: price, status: 504, outcome: slatewind.OutcomeUnknown, attempts: 3},
+		"once: answer":              {all: answers, path: payment, status: 200, atMost: 10 * time.Millisecond, attempts: 1},
+		"once: refused everywhere":  {all: refuses, path: payment, status: 503, outcome: slatewind.OutcomeNotRun, attempts: 3},
+		"once: own error answer":    {all: fails, path: payment, status: 500, attempts: 1},
+		"once: no reply":            {all: loses, path: payment, status: 504, outcome: slatewind.OutcomeUnknown, atMost: 2 * time.Second, attempts: 1},
+		"once: crossed reply":       {all: crosses, path: payment, status: 504, outcome: slatewind.OutcomeUnknown, attempts: 1},
+		"once: connections refused": {all: unreached, path: payment, status: 503, outcome: slatewind.OutcomeNotRun, attempts: 3},
+		"once: retry, no record": {
+			all: answers, path: payment, status: 504, outcome: slatewind.OutcomeUnknown,
+			header: http.Header{ingress.HeaderKey: {"k"}, ingress.HeaderAttempt: {"2"}},
+		},
+		"once: unnumbered, home refuses": {
+			all: refuses, path: payment, status: 503, outcome: slatewind.OutcomeNotRun, attempts: 1,
+			header: http.Header{ingress.HeaderKey: {"k"}},
+		},
+		"once: unnumbered, home away": {
+			all: unreached, path: payment, status: 504, outcome: slatewind.OutcomeUnknown, attempts: 1,
+			header: http.Header{ingress.HeaderKey: {"k"}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				links := &fakeLinks{all: tt.all}
+				in, j := newIngress(t, links)
+				method := http.MethodGet
+				if tt.path == payment {
+					method = http.MethodPost
+				}
+				r := httptest.NewRequest(method, tt.path, strings.NewReader("sum=10"))
+				for field, values := range tt.header {
+					r.Header[field] = values
+				}
+				w := httptest.NewRecorder()
+				began := time.Now()
+				in.ServeHTTP(w, r)
+				took := time.Since(began)
+				// Attempts that were left behind ask on in the background.
+				time.Sleep(time.Minute)
+				assert.Equal(t, w.Code, tt.status, w.Body.String())
+				assert.Equal(t, w.Header().Get(ingress.HeaderOutcome), string(tt.outcome))
+				assert.Assert(t, took <= tt.atMost+time.Millisecond/2 || tt.all == crosses && took <= time.Second, "took %s", took)
+				assert.Equal(t, len(links.attempts), tt.attempts)
+				if tt.outcome == "" {
+					return
+				}
+				assert.Assert(t, w.Header().Get("Retry-After") != "")
+				explained := j.Find(journal.Filter{Request: w.Header().Get(ingress.HeaderRequest)})
+				assert.Assert(t, len(explained) > 0, "the journal does not explain the refusal")
+			})
+		})
+	}
+}
+
+// TestRetryBudget: under an overload that refuses everything, extra attempts stay
+// a share of the first ones.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		links := &fakeLinks{all: refuses}
+		in, _ := newIngress(t, links)
+		const requests = 1000
+		for i := range requests {
+			in.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, fmt.Sprint("/prices/", i), nil))
+		}
+		assert.Assert(t, len(links.attempts) <= requests*12/10+10, "%d attempts", len(links.attempts))
+	})
+}
--- a/ingress/repeatable.go
+++ b/ingress/repeatable.go
@@ -113,7 +113,7 @@
 // take handles the result of one attempt; done says that f is final.
 func (r *race) take(result attemptResult) (f final, done bool) {
 	r.last = result
-	failed := result.outcome == slatewind.OutcomeAnswer && result.reply.Head.GetStatus() >= firstServerError
+	failed := result.outcome == slatewind.OutcomeAnswer && result.reply.Head.GetStatus() >= slatewind.FirstServerError
 	if failed {
 		r.serverError = &result
 	}
@@ -133,9 +133,6 @@
 	return final{}, false
 }
 
-// firstServerError is the first status that counts as an error of the server.
-const firstServerError = 500
-
 func why(result attemptResult) string {
 	if result.outcome == slatewind.OutcomeAnswer {
 		return "the server answered with an error"
--- /dev/null
+++ b/outlier/observe.go
@@ -0,0 +1,231 @@
+package outlier
+
+import (
+	"fmt"
+	"math"
+	"math/bits"
+	"time"
+
+	"slatewind.example/slatewind"
+)
+
+// evidence is one outcome as far as the charts use it.
+type evidence struct {
+	class  uint8
+	result slatewind.Result
+	log    float64
+}
+
+// Observe takes the evidence of one request.
+func (d *Detector) Observe(now time.Time, o slatewind.Observation) {
+	i := d.Find(o.Server)
+	if i < 0 {
+		return
+	}
+	s := d.servers[i]
+	s.heard = now
+	if o.Result == slatewind.ResultProbeFailed {
+		d.suspect(s)
+		return
+	}
+	e := evidence{class: o.Class, result: o.Result, log: math.Log(max(float64(o.Latency), 1))}
+	s.history.Add(o.Class, o.Result, o.Latency)
+	if o.Result == slatewind.ResultError {
+		d.observeError(s, i, true)
+	} else {
+		d.observeLatency(s, i, e)
+	}
+	d.judge(now, i)
+}
+
+// Heard notes that a server's present is known at now, whether or not there
+// were new outcomes.
+func (d *Detector) Heard(now time.Time, server string) {
+	if i := d.Find(server); i >= 0 {
+		d.servers[i].heard = now
+	}
+}
+
+func (d *Detector) observeError(s *Server, i int, failed bool) {
+	ratio := errorRatio(failed, d.otherErrors(i))
+	s.scores[chartFailing].add(ratio, d.caution*scoreCap)
+	s.good -= ratio
+	s.errors <<= 1
+	if failed {
+		s.errors |= 1
+	}
+	s.errorsN = min(s.errorsN+1, errorWindow)
+	if failed {
+		s.addSeverity(errorSeverity)
+	}
+}
+
+func (s *Server) addSeverity(value float64) {
+	s.severity += (value - s.severity) / window
+}
+
+func (d *Detector) observeLatency(s *Server, i int, e evidence) {
+	c := d.classOf(e.class)
+	baseline, known := d.otherMean(i, window)
+	if c.n >= minClass && known {
+		d.addSlow(s, e.result, e.log-c.mean-baseline)
+	}
+	if e.result != slatewind.ResultOK {
+		return
+	}
+	d.observeError(s, i, false)
+	d.learn(s, c, e.log)
+}
+
+func (d *Detector) classOf(id uint8) *class {
+	c := d.classes[id]
+	if c == nil {
+		c = &class{}
+		d.classes[id] = c
+	}
+	return c
+}
+
+// latencyRatio is the ratio for one outcome whose log latency exceeds that of
+// the other servers by excess.
+func (d *Detector) latencyRatio(result slatewind.Result, excess float64) float64 {
+	sigma := math.Sqrt(d.spread)
+	switch result {
+	case slatewind.ResultOK:
+		return slowRatio(excess, sigma)
+	case slatewind.ResultOverdue, slatewind.ResultCancelled:
+		return max(overdueRatio(excess, sigma), 0)
+	}
+	return 0
+}
+
+func (d *Detector) addSlow(s *Server, result slatewind.Result, excess float64) {
+	ratio := d.latencyRatio(result, excess)
+	s.scores[chartSlow].add(ratio, d.caution*scoreCap)
+	s.good -= ratio
+	s.excess = excess
+	if result != slatewind.ResultOK {
+		excess = max(excess, overdueSeverity)
+	}
+	s.addSeverity(min(max(excess, -1), maxSeverity))
+}
+
+// learn updates the means by which later requests are compared.
+func (d *Detector) learn(s *Server, c *class, log float64) {
+	c.n = min(c.n+1, classMemory)
+	c.mean += (log - c.mean) / float64(c.n)
+	if c.n < minClass {
+		return
+	}
+	residual := log - c.mean
+	sigma := math.Sqrt(d.spread)
+	mean, n := s.mean(window)
+	if n >= minWindow && s.State == slatewind.ServerHealthy {
+		off := min(max(residual-mean, -3*sigma), 3*sigma)
+		d.spread += (off*off - d.spread) / spreadMemory
+		d.spread = min(max(d.spread, minSpread*minSpread), maxSpread*maxSpread)
+	}
+	s.recent[s.recentAt] = float32(residual)
+	s.recentAt = (s.recentAt + 1) % window
+	s.recentN = min(s.recentN+1, window)
+}
+
+// mean returns the mean of the newest residuals, at most n of them, and how many
+// there were.
+func (s *Server) mean(n int) (mean float64, known int) {
+	known = min(n, s.recentN)
+	sum := 0.0
+	for k := 1; k <= known; k++ {
+		sum += float64(s.recent[(s.recentAt-k+window)%window])
+	}
+	return sum / float64(max(known, 1)), known
+}
+
+// otherMean returns the median of the other servers' present means, each over
+// its newest n requests. Ejected servers have no say; the median keeps another
+// sick one from hiding this.
+func (d *Detector) otherMean(i, n int) (float64, bool) {
+	return d.otherMedian(i, func(s *Server) (float64, bool) {
+		mean, known := s.mean(n)
+		return mean, known >= minWindow
+	})
+}
+
+// maxCompared bounds the servers that one is compared with; the median of more
+// would cost more and tell the same.
+const maxCompared = 16
+
+// otherMedian returns the median of what value gives for the servers that stand
+// after one and are in service, as far as it gives something.
+func (d *Detector) otherMedian(i int, value func(*Server) (float64, bool)) (float64, bool) {
+	values := d.scratch[:0]
+	n := len(d.servers)
+	for k := 1; k < n && len(values) < maxCompared; k++ {
+		s := d.servers[(i+k)%n]
+		if !s.Serving() {
+			continue
+		}
+		if v, known := value(s); known {
+			values = insertSorted(values, v)
+		}
+	}
+	d.scratch = values
+	if len(values) == 0 {
+		return 0, false
+	}
+	return (values[(len(values)-1)/2] + values[len(values)/2]) / 2, true
+}
+
+func insertSorted(sorted []float64, v float64) []float64 {
+	sorted = append(sorted, v)
+	for k := len(sorted) - 1; k > 0 && sorted[k] < sorted[k-1]; k-- {
+		sorted[k], sorted[k-1] = sorted[k-1], sorted[k]
+	}
+	return sorted
+}
+
+// otherErrors returns the median share of errors of the other servers.
+func (d *Detector) otherErrors(i int) float64 {
+	share, _ := d.otherMedian(i, func(s *Server) (float64, bool) {
+		return float64(bits.OnesCount32(s.errors)) / float64(max(s.errorsN, 1)), s.errorsN >= minWindow
+	})
+	return share
+}
+
+// ObservePath takes the evidence of one attempt as this ingress alone sees it:
+// whether any reply came back at all.
+func (d *Detector) ObservePath(now time.Time, server string, reached bool) {
+	i := d.Find(server)
+	if i < 0 {
+		return
+	}
+	ratio := errorRatio(!reached, 0)
+	d.servers[i].scores[chartPath].add(ratio, d.caution*scoreCap)
+	d.judgeSelf(now)
+	d.judge(now, i)
+}
+
+// judgeSelf finds out whether most servers look unreachable, which says more
+// about this ingress than about them.
+func (d *Detector) judgeSelf(now time.Time) {
+	bad := 0
+	for _, s := range d.servers {
+		if s.scores[chartPath].score >= d.caution*clearAt {
+			bad++
+		}
+	}
+	sick := len(d.servers) > 1 && 2*bad > len(d.servers)
+	if sick && !d.selfSick {
+		d.decide(now, slatewind.DecisionSuspicion, "", "most servers do not answer this ingress: it suspects its own path and ejects none for that", fmt.Sprintf("unanswered=%d servers=%d", bad, len(d.servers)))
+	}
+	d.selfSick = sick
+}
+
+// suspect takes a failed probe. It raises suspicion up to a bound below the
+// threshold; a good probe clears nothing, since sick servers answer probes.
+func (d *Detector) suspect(s *Server) {
+	c := &s.scores[chartFailing]
+	if limit := d.caution * suspicionCap; c.score < limit {
+		c.score = min(c.score+suspicionRatio, limit)
+	}
+}
--- /dev/null
+++ b/policy/heard.go
@@ -0,0 +1,80 @@
+package policy
+
+import (
+	"time"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/attempt"
+	"slatewind.example/slatewind/outlier"
+)
+
+// Heard takes what a sidecar tells of a server, with a reply (direct) or by
+// gossip.
+func (s *Service) Heard(now time.Time, d *slatewindv1.Digest, direct bool) {
+	i := s.detector.Find(d.GetServer())
+	if i < 0 {
+		return
+	}
+	sv := &s.servers[i]
+	if older(d, sv) {
+		return
+	}
+	sv.serial = d.GetSerial()
+	sv.last = d
+	if direct {
+		sv.heard = now
+		sv.backoff = 0
+		s.detector.SetReachable(now, d.GetServer(), true)
+		s.detector.ObservePath(now, d.GetServer(), true)
+	}
+	s.noteIncarnation(now, sv, d)
+	s.detector.SetLeaving(now, d.GetServer(), d.GetLeaving())
+	if len(d.GetOutcomes()) > 0 || d.GetSequence() == sv.sequence {
+		// Without its newest outcomes a server's present is not known.
+		s.detector.Heard(now, d.GetServer())
+	}
+	s.observeNew(now, sv, d)
+	if direct {
+		sv.load = float64(d.GetInFlight() + d.GetQueued())
+		sv.slots = max(float64(d.GetSlots()), 1)
+		sv.reported = now
+	}
+}
+
+// older reports whether a digest was made before the newest that was taken.
+func older(d *slatewindv1.Digest, sv *server) bool {
+	process, known := attempt.ProcessOf(d.GetIncarnation()), attempt.ProcessOf(sv.incarnation)
+	if process != known {
+		return process < known
+	}
+	return d.GetSerial() < sv.serial
+}
+
+// noteIncarnation resets what is known when the sidecar's process is another.
+func (s *Service) noteIncarnation(now time.Time, sv *server, d *slatewindv1.Digest) {
+	process := attempt.ProcessOf(d.GetIncarnation())
+	if process == attempt.ProcessOf(sv.incarnation) {
+		sv.incarnation = d.GetIncarnation()
+		return
+	}
+	known := sv.incarnation != 0
+	sv.incarnation = d.GetIncarnation()
+	sv.sequence = 0
+	sv.serial = d.GetSerial()
+	if known {
+		s.detector.Restarted(now, d.GetServer())
+	}
+}
+
+// observeNew takes the outcomes that were not seen before.
+func (s *Service) observeNew(now time.Time, sv *server, d *slatewindv1.Digest) {
+	outcomes := d.GetOutcomes()
+	if d.GetSequence() <= sv.sequence || len(outcomes) == 0 {
+		return
+	}
+	fresh := int(min(d.GetSequence()-sv.sequence, uint64(len(outcomes))))
+	sv.sequence = d.GetSequence()
+	for _, packed := range outcomes[len(outcomes)-fresh:] {
+		s.detector.Observe(now, outlier.Unpack(d.GetServer(), packed))
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,6 @@
 package policy
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -248,86 +247,6 @@
 	return s.detector.OverdueAfter(class)
 }
 
-// Heard takes what a sidecar tells of a server, with a reply (direct) or by
-// gossip.
-func (s *Service) Heard(now time.Time, d *slatewindv1.Digest, direct bool) {
-	i := s.detector.Find(d.GetServer())
-	if i < 0 {
-		return
-	}
-	sv := &s.servers[i]
-	if older(d, sv) {
-		return
-	}
-	sv.serial = d.GetSerial()
-	sv.last = d
-	if direct {
-		sv.heard = now
-		sv.backoff = 0
-		s.detector.SetReachable(now, d.GetServer(), true)
-		s.detector.ObservePath(now, d.GetServer(), true)
-	}
-	s.noteIncarnation(now, sv, d)
-	s.detector.SetLeaving(now, d.GetServer(), d.GetLeaving())
-	if len(d.GetOutcomes()) > 0 || d.GetSequence() == sv.sequence {
-		// Without its newest outcomes a server's present is not known.
-		s.detector.Heard(now, d.GetServer())
-	}
-	s.observeNew(now, sv, d)
-	if direct {
-		sv.load = float64(d.GetInFlight() + d.GetQueued())
-		sv.slots = max(float64(d.GetSlots()), 1)
-		sv.reported = now
-	}
-}
-
-// older reports whether a digest was made before the newest that was taken.
-func older(d *slatewindv1.Digest, sv *server) bool {
-	process, known := ProcessOf(d.GetIncarnation()), ProcessOf(sv.incarnation)
-	if process != known {
-		return process < known
-	}
-	return d.GetSerial() < sv.serial
-}
-
-// noteIncarnation resets what is known when the sidecar's process is another.
-func (s *Service) noteIncarnation(now time.Time, sv *server, d *slatewindv1.Digest) {
-	process := ProcessOf(d.GetIncarnation())
-	if process == ProcessOf(sv.incarnation) {
-		sv.incarnation = d.GetIncarnation()
-		return
-	}
-	known := sv.incarnation != 0
-	sv.incarnation = d.GetIncarnation()
-	sv.sequence = 0
-	sv.serial = d.GetSerial()
-	if known {
-		s.detector.Restarted(now, d.GetServer())
-	}
-}
-
-// ProcessOf returns the part of an incarnation that stays the same while a
-// process lives; the low bits count its epochs.
-func ProcessOf(incarnation uint64) uint64 {
-	return incarnation >> epochBits
-}
-
-// epochBits is the width of the epoch count in an incarnation.
-const epochBits = 24
-
-// observeNew takes the outcomes that were not seen before.
-func (s *Service) observeNew(now time.Time, sv *server, d *slatewindv1.Digest) {
-	outcomes := d.GetOutcomes()
-	if d.GetSequence() <= sv.sequence || len(outcomes) == 0 {
-		return
-	}
-	fresh := int(min(d.GetSequence()-sv.sequence, uint64(len(outcomes))))
-	sv.sequence = d.GetSequence()
-	for _, packed := range outcomes[len(outcomes)-fresh:] {
-		s.detector.Observe(now, outlier.Unpack(d.GetServer(), packed))
-	}
-}
-
 // Incarnation returns the incarnation by which a server's sidecar is addressed,
 // or zero while it is unknown.
 func (s *Service) Incarnation(name string) uint64 {
@@ -422,37 +341,6 @@
 	return n
 }
 
-// ServerView is one server in a state dump.
-type ServerView struct {
-	Name        string                `json:"name"`
-	State       slatewind.ServerState `json:"state"`
-	Leaving     bool                  `json:"leaving,omitempty"`
-	Unreachable bool                  `json:"unreachable,omitempty"`
-	Score       string                `json:"score"`
-	Load        float64               `json:"load"`
-	Weight      float64               `json:"weight"`
-	InFlight    int                   `json:"in_flight"`
-}
-
-// Views returns the servers for a state dump.
-func (s *Service) Views(now time.Time) []ServerView {
-	views := make([]ServerView, 0, len(s.servers))
-	for i, known := range s.detector.Servers() {
-		score, chart := known.Score()
-		views = append(views, ServerView{
-			Name:        known.Name,
-			State:       known.State,
-			Leaving:     known.Leaving,
-			Unreachable: known.Unreachable,
-			Score:       fmt.Sprintf("%s=%.1f", chart, score),
-			Load:        s.servers[i].load,
-			Weight:      s.detector.Weight(now, i),
-			InFlight:    s.servers[i].inFlight,
-		})
-	}
-	return views
-}
-
 // State returns the state of a server, or "" where it is unknown.
 func (s *Service) State(name string) slatewind.ServerState {
 	i := s.detector.Find(name)
--- a/replay/side.go
+++ b/replay/side.go
@@ -36,16 +36,13 @@
 	leaving bool
 	// pausedUntil is when a paused sidecar wakes.
 	pausedUntil time.Time
-	process     uint64
+	process     int
 	attempts    *attempt.Table
 	records     *once.Store
 	store       *config.Store
 	ring        outlier.Ring
 }
 
-// epochBits is the width of the epoch count in an incarnation.
-const epochBits = 24
-
 func newSide(p *player, service string, server *slatewindv1.Server) *side {
 	s := &side{
 		player: p, service: service, name: server.GetName(), vm: server.GetVm(), slots: server.GetSlots(), mode: ModeOK,
@@ -56,8 +53,10 @@
 
 // begin starts the sidecar's process without any memory.
 func (s *side) begin() {
+	// A process that begins at the very time of another is still another.
 	s.process++
-	s.attempts = attempt.NewTable(s.player.now(), s.process<<epochBits|1, 0)
+	began := s.player.now().Add(time.Duration(s.process) * time.Millisecond)
+	s.attempts = attempt.NewTable(s.player.now(), attempt.NewIncarnation(began), 0)
 	s.records = once.NewStore(s.player.now(), 0, 0)
 	s.store = config.NewStore(s.player.journal)
 	s.ring = outlier.Ring{}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -152,7 +152,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	draining := response.Header.Get(HeaderDraining) != ""
-	if response.StatusCode >= firstServerError && !draining {
+	if response.StatusCode >= slatewind.FirstServerError && !draining {
 		return false, Error.New("probe got status %d", response.StatusCode)
 	}
 	return draining, nil
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -72,13 +72,15 @@
 // checkAwake begins a new incarnation if the process was paused since the last
 // tick: what arrives now may have been sent before the pause.
 func (d *door) checkAwake(now time.Time) {
-	if timerAbsence(d.lastTick, now) {
+	if wasPaused(d.lastTick, now) {
 		d.attempts.Wake(now)
 		d.lastTick = now
 	}
 }
 
-func timerAbsence(last, now time.Time) bool {
+// wasPaused reports whether the process missed ticks since last, by the monotonic
+// clock or by the wall clock, which goes on while a VM is suspended.
+func wasPaused(last, now time.Time) bool {
 	return now.Sub(last) > awakeBound || now.Round(0).Sub(last.Round(0)) > awakeBound
 }
 
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -238,11 +238,8 @@
 	r.endRecord(func(records *once.Store, id once.ID) { records.Finish(time.Now(), id, answer) })
 }
 
-// firstServerError is the first status that counts as an error of the server.
-const firstServerError = 500
-
 func resultOf(status int) slatewind.Result {
-	if status >= firstServerError {
+	if status >= slatewind.FirstServerError {
 		return slatewind.ResultError
 	}
 	return slatewind.ResultOK
--- a/slatewind.go
+++ b/slatewind.go
@@ -248,6 +248,9 @@
 	Latency time.Duration
 }
 
+// FirstServerError is the first HTTP status that counts as an error of a server.
+const FirstServerError = 500
+
 // Header is one header field of a request or an answer.
 type Header struct {
 	Name  string
