--- a/cli/cli.go
+++ b/cli/cli.go
@@ -47,7 +47,7 @@
 func ExitCode(err error) int {
 	var findings config.Findings
 	switch {
-	case err == nil:
+	case err == nil, IsHelp(err):
 		return ExitOK
 	case ErrFindings.Has(err), errors.As(err, &findings):
 		return ExitFindings
@@ -57,6 +57,12 @@
 	return ExitUsage
 }
 
+// IsHelp reports whether an error is the text of --help.
+func IsHelp(err error) bool {
+	var flagErr *flags.Error
+	return errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp
+}
+
 // AddCommands adds every command to a parser; they write to out.
 func AddCommands(parser *flags.Parser, out io.Writer) error {
 	commands := []struct {
--- a/cmd/slatewind/main.go
+++ b/cmd/slatewind/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
@@ -34,14 +33,12 @@
 		panic(err)
 	}
 	_, err := parser.Parse()
-	if err == nil {
-		return cli.ExitOK
-	}
-	var flagErr *flags.Error
-	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+	switch {
+	case err == nil:
+	case cli.IsHelp(err):
 		fmt.Println(err)
-		return cli.ExitOK
+	default:
+		fmt.Fprintln(os.Stderr, err)
 	}
-	fmt.Fprintln(os.Stderr, err)
 	return cli.ExitCode(err)
 }
