Keep a server leaving while list or sidecar says so

Cause: a test of the policy: after the VM list had a server as leaving, the next digest of its sidecar, which had not heard of it, brought it back, and it got 300 of 300 requests.

Ruled out: trusting only the sidecar (its news may be lost) or only the list (it lags).

Change: either word is enough. Besides: the address of a server is read under its lock, callers waiting at one ingress are bounded (4096, then refused at once), and a route's largest body must fit into a message (SW1013).

Failed first: TestLeavingByListOutlastsTheServersOwnWord (300, not 0).

--- a/config/check.go
+++ b/config/check.go
@@ -38,8 +38,13 @@
 	{"SW1010", "Servers have slots, a VM and an address of their own", "The sidecar counts slots exactly; two servers at one address would be counted apart.", "0.1"},
 	{"SW1011", "No two routes match the same requests", "Which of them counted would depend on the order of the file.", "0.1"},
 	{"SW1012", "Path prefixes begin with a slash", "Request paths do, so nothing would ever match.", "0.1"},
+	{"SW1013", "A route's largest body fits into a message between processes", "A larger one would be accepted from the caller and could not be passed on.", "0.1"},
 }
 
+// MaxBodyBytes is the largest request body that fits into a message between
+// processes, with room for its header fields.
+const MaxBodyBytes = 7 << 20
+
 // Bounds of caution in nats. Below the first a healthy server is ejected about
 // every fifty requests, above the second in no lifetime.
 const (
@@ -142,6 +147,9 @@
 		}
 		c.checkRouteWords(i, route)
 		c.checkDuration(route.GetTimeout(), "routes", i, "timeout")
+		if route.GetMaxBodyBytes() > MaxBodyBytes {
+			c.add("SW1013", fmt.Sprintf("max_body_bytes %d is above %d", route.GetMaxBodyBytes(), MaxBodyBytes), "routes", i, "max_body_bytes")
+		}
 		c.checkOverlap(i, route, matches)
 	}
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -88,6 +88,10 @@
 	inFlight atomic.Int64
 }
 
+// maxInFlight bounds the callers that wait at one ingress, and so the memory of
+// their requests; further ones are refused at once.
+const maxInFlight = 4096
+
 // Recorder keeps recent events for slatewind record.
 type Recorder interface {
 	Heard(now time.Time, digest *slatewindv1.Digest)
@@ -145,9 +149,7 @@
 	in.eachShard(func(sh *shard) {
 		sh.policy.Locate(sh.service, in.members.DataCentre)
 		for _, server := range sh.service.GetServers() {
-			if in.members.Leaving(server.GetVm()) {
-				sh.policy.SetLeaving(now, server.GetName(), true)
-			}
+			sh.policy.SetLeaving(now, server.GetName(), in.members.Leaving(server.GetVm()))
 		}
 	})
 }
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -77,10 +77,14 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	in.inFlight.Add(1)
+	waiting := in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
 	id := in.newID()
 	w.Header().Set(HeaderRequest, id)
+	if waiting > maxInFlight {
+		in.refuseBad(w, id, &badRequest{http.StatusServiceUnavailable, "too many requests wait at this ingress"})
+		return
+	}
 	if in.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/policy/heard.go
+++ b/policy/heard.go
@@ -28,7 +28,8 @@
 		s.detector.ObservePath(now, d.GetServer(), true)
 	}
 	s.noteIncarnation(now, sv, d)
-	s.detector.SetLeaving(now, d.GetServer(), d.GetLeaving())
+	sv.said = d.GetLeaving()
+	s.detector.SetLeaving(now, d.GetServer(), sv.said || sv.listed)
 	if len(d.GetOutcomes()) > 0 || d.GetSequence() == sv.sequence {
 		// Without its newest outcomes a server's present is not known.
 		s.detector.Heard(now, d.GetServer())
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,9 @@
 	incarnation uint64
 	sequence    uint64
 	serial      uint64
+	// listed and said: the VM list has its VM as leaving; it says so itself.
+	// Either is enough, since each may lag behind the other.
+	listed, said bool
 	// last is the newest digest, to pass on when the server is ejected.
 	last     *slatewindv1.Digest
 	inFlight int
@@ -259,7 +262,10 @@
 
 // SetLeaving notes that a server's VM leaves or is back.
 func (s *Service) SetLeaving(now time.Time, name string, leaving bool) {
-	s.detector.SetLeaving(now, name, leaving)
+	if i := s.detector.Find(name); i >= 0 {
+		s.servers[i].listed = leaving
+		s.detector.SetLeaving(now, name, leaving || s.servers[i].said)
+	}
 }
 
 // Observe takes one outcome directly; traces and models use it.
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -55,6 +55,12 @@
 	d.probe.path = service.GetProbePath()
 }
 
+func (d *door) serverAddress() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.address
+}
+
 // refusal is why a door sends a request away, proved not to have run.
 type refusal struct {
 	reason     string
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -193,7 +193,7 @@
 
 // callServer runs a started attempt at the server.
 func (r *run) callServer(ctx context.Context) error {
-	answer, started, err := r.sidecar.caller.Call(ctx, r.door.address, r.request)
+	answer, started, err := r.sidecar.caller.Call(ctx, r.door.serverAddress(), r.request)
 	if err != nil {
 		return r.fail(ctx, started, err)
 	}
