Read the detector as a newcomer

Change: each field says what it is; what nobody called is gone; a draining process closes its connections to its servers; the stand-in's cold start has a control path.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,6 +105,7 @@
 	ingress  *ingress.Ingress
 	recorder *replay.Recorder
 	reader   *platform.Reader
+	servers  *sidecar.HTTPCaller
 
 	cancel  context.CancelFunc
 	callers *http.Server
@@ -116,6 +117,7 @@
 	incarnation := attempt.NewIncarnation(time.Now())
 	limits := process.GetLimits()
 	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
+	p.servers = sidecar.NewHTTPCaller()
 	p.recorder = replay.NewRecorder(process.GetVm(), int(limits.GetRecordedEvents()))
 	p.gossip = gossip.New(member.Entry{
 		VM: process.GetVm(), DataCentre: process.GetDataCentre(), PeerAddress: process.GetPeerAddress(), Incarnation: incarnation,
@@ -124,7 +126,7 @@
 		OnceRecords:     int(limits.GetOnceRecords()),
 		OnceAnswerBytes: int(limits.GetOnceAnswerBytes()),
 		Attempts:        int(limits.GetTombstones()),
-	}, store, j, sidecar.NewHTTPCaller())
+	}, store, j, p.servers)
 	own := &links{pool: pool, own: process.GetPeerAddress(), sidecar: p.sidecar}
 	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder)
 	client := platform.NewClient(process.GetPlatformUrl())
@@ -206,6 +208,7 @@
 	}
 	p.cancel()
 	p.logger.Info("stopped", "vm", p.settings.GetVm())
+	p.servers.CloseIdle()
 	return errs.Combine(err, p.admin.Shutdown(ctx), p.pool.Close())
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -135,6 +135,7 @@
 		factor, _ := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
 		s.SetFault(Fault(r.URL.Query().Get("kind")), factor)
 	}).Methods(http.MethodPost)
+	router.HandleFunc("/control/cold", func(http.ResponseWriter, *http.Request) { s.ColdStart() }).Methods(http.MethodPost)
 	router.HandleFunc("/control/drain", func(_ http.ResponseWriter, r *http.Request) {
 		s.SetDraining(r.URL.Query().Get("over") == "")
 	}).Methods(http.MethodPost)
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -108,13 +108,19 @@
 	heard time.Time
 	// asked is when fresh views were asked for, to confirm a suspicion.
 	asked    time.Time
-	errors   uint32
-	errorsN  int
-	good     float64
-	until    time.Time
+	// errors holds the newest results, one bit each, set for an error.
+	errors  uint32
+	errorsN int
+	// good is the evidence of health since the beginning of a trial, in nats.
+	good float64
+	// until is when an ejected server gets its first trial request.
+	until time.Time
+	// rampFrom is when the ramp began.
 	rampFrom time.Time
-	ejected  int
-	healthy  time.Time
+	// ejected counts ejections that are not yet forgiven.
+	ejected int
+	// healthy is since when the server has been healthy.
+	healthy time.Time
 	// severity is how bad the newest requests were; it orders sick servers.
 	severity float64
 	// excess is how far the newest log latency lay from the others'.
@@ -132,11 +138,6 @@
 	return s.scores[best].score, chartNames[best]
 }
 
-// Until returns when an ejected server gets its first trial request.
-func (s *Server) Until() time.Time {
-	return s.until
-}
-
 // Serving reports whether the server is in service.
 func (s *Server) Serving() bool {
 	return s.State != slatewind.ServerEjected && s.State != slatewind.ServerTrial
@@ -150,9 +151,12 @@
 	s.scores = [charts]chart{}
 }
 
+// class is what is known of requests that cost alike.
 type class struct {
+	// mean of the log latency in nanoseconds, over about classMemory requests.
 	mean float64
-	n    int
+	// n counts requests up to classMemory.
+	n int
 }
 
 // Detector judges the servers of one service. It is not safe for use by
@@ -179,12 +183,11 @@
 	selfSick bool
 }
 
-// NewDetector returns a detector without servers.
-func NewDetector(service string, floor int, caution float64) *Detector {
+// NewDetector returns a detector without servers; Update brings them and the
+// bounds.
+func NewDetector(service string) *Detector {
 	return &Detector{
 		service: service,
-		floor:   floor,
-		caution: caution,
 		index:   map[string]int{},
 		spread:  firstSpread * firstSpread,
 		classes: map[uint8]*class{},
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -43,7 +43,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(t, "servers")
 		floor := rapid.IntRange(0, n).Draw(t, "floor")
-		d := outlier.NewDetector("service", 0, 0)
+		d := outlier.NewDetector("service")
 		now := begin
 		d.Update(now, floor, 6, names(n))
 		server := func(t *rapid.T) string { return fmt.Sprint("s", rapid.IntRange(0, n-1).Draw(t, "server")) }
@@ -106,7 +106,7 @@
 
 func requestsToDetection(t *testing.T, seed uint64, caution, spread, slow float64) int {
 	random := rand.New(rand.NewPCG(seed, 1))
-	d := outlier.NewDetector("service", 0, 0)
+	d := outlier.NewDetector("service")
 	d.Update(begin, 1, caution, names(4))
 	now := begin
 	request := func(name string, factor float64) {
@@ -143,7 +143,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			d := outlier.NewDetector("service", 0, 0)
+			d := outlier.NewDetector("service")
 			d.Update(begin, 1, 12, names(3))
 			observe := func(now time.Time, server string, latency time.Duration, n int) {
 				for range n {
@@ -168,7 +168,7 @@
 // TestUnansweredQuestionsDoNotShield: if the others cannot be asked, the
 // suspicion is judged with what is known.
 func TestUnansweredQuestionsDoNotShield(t *testing.T) {
-	d := outlier.NewDetector("service", 0, 0)
+	d := outlier.NewDetector("service")
 	d.Update(begin, 1, 12, names(3))
 	for _, server := range names(3) {
 		for range 40 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,7 +81,7 @@
 	return &Service{
 		name:       name,
 		dataCentre: local,
-		detector:   outlier.NewDetector(name, 0, 0),
+		detector:   outlier.NewDetector(name),
 		budget:     retry.NewBudget(retry.DefaultRatio, retry.DefaultBurst),
 		random:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		waiting:    map[*Attempt]bool{},
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -37,8 +37,3 @@
 	b.tokens--
 	return true
 }
-
-// Tokens returns how many extra attempts may go now.
-func (b *Budget) Tokens() float64 {
-	return b.tokens
-}
