--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -107,7 +107,7 @@
 	// heard is when the server's present was last heard of.
 	heard time.Time
 	// asked is when fresh views were asked for, to confirm a suspicion.
-	asked    time.Time
+	asked time.Time
 	// errors holds the newest results, one bit each, set for an error.
 	errors  uint32
 	errorsN int
