Prove the hosts under chaos, not only their decisions

Cause: the traces' sidecar is a model; real ingresses and sidecars were proved only against single faults.

Change: TestChaosDoublesNothing pays through two real ingresses and three real sidecars in virtual time, over a network that loses and delays messages, while sidecars are replaced without their memory and servers lose answers. It compares what each attempt was told with the runs at the servers.

--- /dev/null
+++ b/ingress/chaos_test.go
@@ -0,0 +1,284 @@
+package ingress_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/attempt"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/ingress"
+	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/sidecar"
+	"slatewind.example/slatewind/timer"
+)
+
+// headerCaller names a caller's attempt, all the way to the server.
+const headerCaller = "Caller-Attempt"
+
+var errLost = errors.New("lost on the way")
+
+// chaos is a network between real ingresses and real sidecars that loses and
+// delays messages, sidecars that are replaced, and servers that fail.
+type chaos struct {
+	t     *testing.T
+	ctx   context.Context
+	store *config.Store
+
+	mu     sync.Mutex
+	random *rand.Rand
+	sides  map[string]*sidecar.Sidecar
+	stops  map[string]context.CancelFunc
+	// runs counts runs at servers, by caller's attempt.
+	runs map[string]int
+}
+
+func newChaos(t *testing.T, seed uint64) *chaos {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(time.Hour)
+	})
+	c := &chaos{
+		t: t, ctx: ctx, store: config.NewStore(journal.New(16, nil)), random: rand.New(rand.NewPCG(seed, 0)),
+		sides: map[string]*sidecar.Sidecar{}, stops: map[string]context.CancelFunc{}, runs: map[string]int{},
+	}
+	_, err := c.store.Offer(time.Now(), "test", 1, []byte(settings))
+	assert.NilError(t, err)
+	for i := range 3 {
+		c.replace(fmt.Sprint("vm-", i))
+	}
+	return c
+}
+
+// replace ends a VM's sidecar and starts another without its memory.
+func (c *chaos) replace(vm string) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	side := sidecar.New(vm, attempt.NewIncarnation(time.Now()), sidecar.Limits{OnceRecords: 30}, c.store, journal.New(16, nil), c)
+	side.Update(time.Now(), c.store.Current())
+	side.Start(ctx, timer.New())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if stop := c.stops[vm]; stop != nil {
+		stop()
+	}
+	c.sides[vm], c.stops[vm] = side, cancel
+}
+
+// chance is true once in n times.
+func (c *chaos) chance(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.IntN(n) == 0
+}
+
+func (c *chaos) upTo(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.random.Int64N(int64(d)))
+}
+
+// travel takes a message along; it may be late, or lost.
+func (c *chaos) travel() bool {
+	time.Sleep(c.upTo(5 * time.Millisecond))
+	if c.chance(12) {
+		time.Sleep(c.upTo(8 * time.Second))
+	}
+	return !c.chance(12)
+}
+
+func (c *chaos) side(vm string) *sidecar.Sidecar {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sides[vm]
+}
+
+// carry has a sidecar answer a message, over the network. What arrives is dealt
+// with even if the asker has gone meanwhile.
+func carry[R any](ctx context.Context, c *chaos, vm string, serve func(*sidecar.Sidecar) R) (R, error) {
+	replies := make(chan R, 1)
+	go func() {
+		// A message belongs to the process to which its connection led.
+		side := c.side(vm)
+		if !c.travel() {
+			return
+		}
+		reply := serve(side)
+		if c.travel() {
+			replies <- reply
+		}
+	}()
+	select {
+	case reply := <-replies:
+		return reply, nil
+	case <-ctx.Done():
+		var none R
+		return none, errors.Join(errLost, ctx.Err())
+	}
+}
+
+func (c *chaos) Run(ctx context.Context, vm string, request *slatewindv1.RunRequest) (*link.Reply, bool, error) {
+	if c.chance(15) {
+		return nil, false, errors.New("connection refused")
+	}
+	type result struct {
+		reply *link.Reply
+		err   error
+	}
+	r, err := carry(ctx, c, vm, func(side *sidecar.Sidecar) result {
+		var parts []*slatewindv1.RunReply
+		sent := side.Run(c.ctx, request, func(part *slatewindv1.RunReply) error {
+			parts = append(parts, part)
+			return nil
+		})
+		reply, err := link.ReadReply(request.GetAttemptId(), func() (*slatewindv1.RunReply, error) {
+			if len(parts) == 0 {
+				return nil, errors.Join(sent, io.ErrUnexpectedEOF)
+			}
+			part := parts[0]
+			parts = parts[1:]
+			return part, nil
+		})
+		return result{reply, err}
+	})
+	if err != nil {
+		return nil, true, err
+	}
+	return r.reply, true, r.err
+}
+
+func (c *chaos) Cancel(ctx context.Context, vm string, request *slatewindv1.CancelRequest) (*slatewindv1.CancelReply, error) {
+	return carry(ctx, c, vm, func(side *sidecar.Sidecar) *slatewindv1.CancelReply {
+		reply, _ := side.Cancel(c.ctx, request)
+		return reply
+	})
+}
+
+func (c *chaos) Seal(ctx context.Context, vm string, request *slatewindv1.SealRequest) (*slatewindv1.SealReply, error) {
+	return carry(ctx, c, vm, func(side *sidecar.Sidecar) *slatewindv1.SealReply {
+		reply, _ := side.Seal(c.ctx, request)
+		return reply
+	})
+}
+
+// Call implements sidecar.ServerCaller: the server behind every sidecar.
+func (c *chaos) Call(ctx context.Context, _ string, request *slatewindv1.RunRequest) (*sidecar.ServerAnswer, bool, error) {
+	if c.chance(15) {
+		return nil, false, errors.New("dial refused")
+	}
+	c.mu.Lock()
+	for _, h := range request.GetHeaders() {
+		if h.GetName() == headerCaller {
+			c.runs[h.GetValue()]++
+		}
+	}
+	c.mu.Unlock()
+	time.Sleep(c.upTo(200 * time.Millisecond))
+	if c.chance(10) || ctx.Err() != nil {
+		return nil, true, errors.New("connection closed after the request")
+	}
+	return sidecar.NewServerAnswer(http.StatusOK, io.NopCloser(strings.NewReader("paid"))), true, nil
+}
+
+// Probe implements sidecar.ServerCaller.
+func (c *chaos) Probe(context.Context, string, string) (bool, error) { return false, nil }
+
+// TestChaosDoublesNothing has callers pay through two real ingresses and three
+// real sidecars, with numbered retries, over a network that loses and delays one
+// message in twelve each, while sidecars are replaced and servers lose answers.
+// No payment runs twice, and no attempt that was told not-run ever runs, even
+// when everything late has arrived.
+func TestChaosDoublesNothing(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newChaos(t, seed)
+				var ingresses []*ingress.Ingress
+				for i := range 2 {
+					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, journal.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{})
+					in.Update(time.Now(), c.store.Current())
+					in.Start(c.ctx, timer.New())
+					ingresses = append(ingresses, in)
+				}
+				told := c.payAll(ingresses)
+				time.Sleep(time.Minute)
+				c.verdict(told)
+			})
+		})
+	}
+}
+
+// payAll sends payments one after another, while sidecars are replaced, and
+// returns what each attempt was told.
+func (c *chaos) payAll(ingresses []*ingress.Ingress) map[string]slatewind.Outcome {
+	const payments, attempts = 150, 4
+	var mu sync.Mutex
+	told := map[string]slatewind.Outcome{}
+	var group sync.WaitGroup
+	for i := range payments {
+		time.Sleep(c.upTo(300 * time.Millisecond))
+		if c.chance(25) {
+			c.replace(fmt.Sprint("vm-", c.upTo(3)))
+		}
+		group.Go(func() {
+			for n := 1; n <= attempts; n++ {
+				name := fmt.Sprintf("payment-%d/%d", i, n)
+				outcome := pay(ingresses[(i+n)%len(ingresses)], fmt.Sprint("payment-", i), n, name)
+				mu.Lock()
+				told[name] = outcome
+				mu.Unlock()
+				if outcome == slatewind.OutcomeAnswer {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	return told
+}
+
+func pay(in *ingress.Ingress, key string, n int, name string) slatewind.Outcome {
+	r := httptest.NewRequest(http.MethodPost, "/payments", strings.NewReader("sum=10"))
+	r.Header.Set(ingress.HeaderKey, key)
+	r.Header.Set(ingress.HeaderAttempt, fmt.Sprint(n))
+	r.Header.Set(headerCaller, name)
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, r)
+	if w.Code == http.StatusOK {
+		return slatewind.OutcomeAnswer
+	}
+	return slatewind.Outcome(w.Header().Get(ingress.HeaderOutcome))
+}
+
+func (c *chaos) verdict(told map[string]slatewind.Outcome) {
+	c.t.Helper()
+	byPayment := map[string]int{}
+	counts := map[slatewind.Outcome]int{}
+	for name, n := range c.runs {
+		payment, _, _ := strings.Cut(name, "/")
+		byPayment[payment] += n
+	}
+	for payment, n := range byPayment {
+		assert.Assert(c.t, n <= 1, "%s ran %d times", payment, n)
+	}
+	for name, outcome := range told {
+		counts[outcome]++
+		assert.Assert(c.t, outcome != slatewind.OutcomeNotRun || c.runs[name] == 0, "%s was told not-run and ran", name)
+	}
+	c.t.Logf("%v", counts)
+	assert.Assert(c.t, counts[slatewind.OutcomeAnswer] > 20 && counts[slatewind.OutcomeNotRun] > 0 && counts[slatewind.OutcomeUnknown] > 0)
+}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -76,6 +76,12 @@
 	body     io.ReadCloser
 }
 
+// NewServerAnswer returns an answer whose body is still to be read; for callers
+// other than HTTPCaller.
+func NewServerAnswer(status int, body io.ReadCloser) *ServerAnswer {
+	return &ServerAnswer{Status: status, body: body}
+}
+
 // Close gives the connection back, or closes it if the body was not read whole.
 func (a *ServerAnswer) Close() {
 	_ = a.body.Close()
