Keep room for new payments when retries are many

Ruled out: letting seals go earlier (an attempt on its way could then run after a proof); a larger store (it only takes longer).

Change: records that only forbid runs may take half of a store. Beyond it a seal proves nothing, so the retry is told unknown, and a refused first attempt leaves no proof.

Failed first: TestRetriesLeaveRoomForNewRequests (refuse, not run).

--- a/once/once.go
+++ b/once/once.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/attempt"
 )
 
 // Default bounds of a store.
@@ -34,10 +35,10 @@
 // remembered as having run, without the answer.
 const maxAnswerBytes = 64 << 10
 
-// minRevokedAge is how long a revoked or sealed record stays even under pressure: until
-// no attempt sent before it can still arrive. It is two epochs of package
+// minBanAge is how long a revoked or sealed record stays even under pressure:
+// until no attempt sent before it can still arrive. It is two epochs of package
 // attempt.
-const minRevokedAge = 4 * time.Minute
+const minBanAge = 2 * attempt.Epoch
 
 // ID names one record: the same key at another server is another record.
 type ID struct {
@@ -98,7 +99,14 @@
 	state   slatewind.RecordState
 	answer  *slatewind.Answer
 	since   time.Time
+	// element is the record's place in the list of its sort.
 	element *list.Element
+	list    *list.List
+}
+
+// ban reports whether the record only forbids runs.
+func (r *record) ban() bool {
+	return r.state == slatewind.RecordRevoked || r.state == slatewind.RecordSealed
 }
 
 // cover is the reach of the memory for one service.
@@ -114,8 +122,10 @@
 	maxAnswerBytes int
 	start          time.Time
 	records        map[ID]*record
-	// order lists the records by their last change, oldest first.
-	order       *list.List
+	// runs and bans list the records by their last change, oldest first. Bans
+	// (revoked and sealed) may take half of the store, so that retries whose
+	// first attempts are forgotten leave room for new requests.
+	runs, bans  *list.List
 	answerBytes int
 	covers      map[string]*cover
 }
@@ -133,7 +143,8 @@
 		maxAnswerBytes: maxBytes,
 		start:          now,
 		records:        map[ID]*record{},
-		order:          list.New(),
+		runs:           list.New(),
+		bans:           list.New(),
 		covers:         map[string]*cover{},
 	}
 }
@@ -269,6 +280,10 @@
 		s.remove(known)
 		return
 	}
+	if !s.banAllowed(now) {
+		s.remove(known)
+		return
+	}
 	known.state = slatewind.RecordRevoked
 	s.touch(now, known)
 }
@@ -287,7 +302,7 @@
 		}
 		return slatewind.CancelStarted
 	}
-	if r.Claim == slatewind.ClaimFirst && s.sameOwners(r) && s.makeRoom(now) {
+	if r.Claim == slatewind.ClaimFirst && s.sameOwners(r) && s.makeRoomForBan(now) {
 		s.insert(now, r, slatewind.RecordRevoked)
 	}
 	return slatewind.CancelNotStarted
@@ -311,7 +326,7 @@
 	known := s.records[r.ID]
 	if known == nil {
 		reply.State = slatewind.RecordNone
-		if !s.makeRoom(now) {
+		if !s.makeRoomForBan(now) {
 			reply.CoverAge = 0
 			return reply
 		}
@@ -346,43 +361,67 @@
 	r := &record{
 		id: request.ID, fingerprint: request.Fingerprint, attempt: request.Attempt, state: state, since: now,
 	}
-	r.element = s.order.PushBack(r)
 	s.records[r.id] = r
+	s.place(r)
 }
 
+// touch notes a change of a record.
 func (s *Store) touch(now time.Time, r *record) {
 	r.since = now
-	s.order.MoveToBack(r.element)
+	r.list.Remove(r.element)
+	s.place(r)
 }
 
-// makeRoom evicts the oldest record that may go, if the store is full. The
-// cover moves past the evicted record, since its absence proves nothing now.
+// place puts a record at the end of the list of its sort.
+func (s *Store) place(r *record) {
+	r.list = s.runs
+	if r.ban() {
+		r.list = s.bans
+	}
+	r.element = r.list.PushBack(r)
+}
+
+// makeRoom evicts the oldest record that may go, if the store is full. What runs
+// never goes, and a ban only when nothing sent before it can still arrive.
 func (s *Store) makeRoom(now time.Time) bool {
 	if len(s.records) < s.maxRecords {
 		return true
 	}
-	for e := s.order.Front(); e != nil; e = e.Next() {
-		r := e.Value.(*record)
-		if !evictable(now, r) {
-			continue
+	for e := s.runs.Front(); e != nil; e = e.Next() {
+		if r := e.Value.(*record); r.state != slatewind.RecordRunning {
+			s.evict(r)
+			return true
 		}
-		s.moveCover(r.since, r.id.Service)
-		s.remove(r)
-		return true
 	}
-	return false
+	return s.evictBan(now)
 }
 
-func evictable(now time.Time, r *record) bool {
-	switch r.state {
-	case slatewind.RecordRunning:
+// makeRoomForBan does the same for a record that only forbids runs.
+func (s *Store) makeRoomForBan(now time.Time) bool {
+	return s.banAllowed(now) && s.makeRoom(now)
+}
+
+// banAllowed reports whether there may be one more ban.
+func (s *Store) banAllowed(now time.Time) bool {
+	return s.bans.Len() < s.maxRecords/2 || s.evictBan(now)
+}
+
+func (s *Store) evictBan(now time.Time) bool {
+	e := s.bans.Front()
+	if e == nil || now.Sub(e.Value.(*record).since) < minBanAge {
 		return false
-	case slatewind.RecordRevoked, slatewind.RecordSealed:
-		return now.Sub(r.since) >= minRevokedAge
 	}
+	s.evict(e.Value.(*record))
 	return true
 }
 
+// evict forgets a record. The cover moves past it, since its absence proves
+// nothing now.
+func (s *Store) evict(r *record) {
+	s.moveCover(r.since, r.id.Service)
+	s.remove(r)
+}
+
 func (s *Store) moveCover(to time.Time, service string) {
 	if c := s.covers[service]; c != nil && to.After(c.start) {
 		c.start = to
@@ -392,7 +431,7 @@
 // shrinkAnswers drops the oldest stored answers over the byte bound; their
 // records stay and still say that the request ran.
 func (s *Store) shrinkAnswers() {
-	for e := s.order.Front(); e != nil && s.answerBytes > s.maxAnswerBytes; e = e.Next() {
+	for e := s.runs.Front(); e != nil && s.answerBytes > s.maxAnswerBytes; e = e.Next() {
 		r := e.Value.(*record)
 		s.answerBytes -= answerSize(r.answer)
 		r.answer = nil
@@ -401,7 +440,7 @@
 
 func (s *Store) remove(r *record) {
 	s.answerBytes -= answerSize(r.answer)
-	s.order.Remove(r.element)
+	r.list.Remove(r.element)
 	delete(s.records, r.id)
 }
 
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -193,3 +193,31 @@
 	assert.Equal(t, s.Begin(now, first(0)).Action, once.ActionUnknown)
 	assert.Equal(t, s.Begin(now, first(9)).Action, once.ActionReplay)
 }
+
+// TestRetriesLeaveRoomForNewRequests: retries whose first attempts are forgotten
+// seal key after key; new requests must still find room.
+func TestRetriesLeaveRoomForNewRequests(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := once.NewStore(now, 20, 0)
+	s.SetOwners(now, "service", 1)
+	request := func(key string, claim slatewind.Claim) once.Request {
+		return once.Request{ID: once.ID{Service: "service", Key: key}, Claim: claim, Owners: 1, Attempt: key}
+	}
+	now = now.Add(time.Hour)
+	for i := range 100 {
+		reply := s.Seal(now, request(fmt.Sprint("retry-", i), slatewind.ClaimRetry))
+		assert.Equal(t, reply.State, slatewind.RecordNone)
+		// Where nothing could be sealed the reply must prove nothing.
+		assert.Equal(t, reply.CoverAge == 0, i >= 5)
+		cancelled := request(fmt.Sprint("cancelled-", i), slatewind.ClaimFirst)
+		assert.Equal(t, s.Cancelled(now, cancelled), slatewind.CancelNotStarted)
+	}
+	for i := range 10 {
+		first := request(fmt.Sprint("first-", i), slatewind.ClaimFirst)
+		assert.Equal(t, s.Begin(now, first).Action, once.ActionRun)
+		s.Revoke(now, first.ID, first.Claim)
+	}
+	records, _ := s.Len()
+	assert.Assert(t, records <= 20)
+	assert.Equal(t, s.Begin(now, request("another", slatewind.ClaimFirst)).Action, once.ActionRun)
+}
