Give each VM of a process test an IP of its own

Cause: of ten runs of make test in a row one failed: TestDroppedAnswersDoubleNothing waited in vain for a process whose port was in use. The test had found the ports free and let them go; another process of the same test got one of them again.

Ruled out: a fault of the daemon (it said so and ended with the right code); longer patience (the process had ended).

Change: each VM has a loopback IP of its own and fixed ports. Nothing that the tests state is changed.

--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -65,12 +65,15 @@
 	url       string
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// nextVM numbers the VMs of all tests of this run.
+var nextVM atomic.Int32
+
+// newIP returns a loopback IP that no other VM of this run has, nor one of a run
+// beside it. Ports on it are fixed: a port that was found free and let go may be
+// taken by somebody else before the process listens on it.
+func newIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%256, nextVM.Add(1))
 }
 
 func newMesh(t *testing.T, count int, median time.Duration) *mesh {
@@ -80,7 +83,8 @@
 	m.url = web.URL
 	t.Cleanup(web.Close)
 	for i := range count {
-		p := &process{vm: fmt.Sprint("vm-", i), ingress: freeAddress(t), peer: freeAddress(t), admin: freeAddress(t)}
+		ip := newIP()
+		p := &process{vm: fmt.Sprint("vm-", i), ingress: ip + ":8080", peer: ip + ":8090", admin: ip + ":8091"}
 		p.server = standin.NewServer(fmt.Sprint("kassa-", i), 40, median, 0)
 		listener := httptest.NewServer(p.server.Handler())
 		t.Cleanup(func() {
