--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -186,7 +186,7 @@
 	return response.StatusCode
 }
 
-// running counts the requests that the servers have in hand.
+// started counts the requests that the servers have begun.
 func (m *mesh) started() int {
 	n := 0
 	for _, p := range m.processes {
@@ -233,11 +233,11 @@
 	return t.err == nil && t.status == http.StatusOK && strings.Contains(t.body, " nonce="+nonce+" ") && strings.HasSuffix(t.body, "end\n")
 }
 
-// TestPlannedStopCutsOffNothing: a process gets SIGTERM while callers wait for
-// answers through its ingress and through its sidecar. All get their whole
-// answers, and the process ends in order.
-func TestPlannedStopCutsOffNothing(t *testing.T) {
-	m := newMesh(t, 2, 300*time.Millisecond)
+// callersInHand has callers wait for answers at the servers, half of them through
+// each of two processes. What it returns waits for the answers, which must all be
+// whole.
+func (m *mesh) callersInHand() (awaitAnswers func()) {
+	m.t.Helper()
 	const each = 10
 	answers := make([]told, 2*each)
 	var group sync.WaitGroup
@@ -245,12 +245,24 @@
 		group.Go(func() { answers[i] = send(m.processes[i%2], http.MethodGet, "/prices/1", fmt.Sprint("n", i), 0) })
 	}
 	m.await("all requests at the servers", func() bool { return m.started() == len(answers) })
+	return func() {
+		m.t.Helper()
+		group.Wait()
+		for i, a := range answers {
+			assert.Assert(m.t, a.whole(fmt.Sprint("n", i)), "caller %d: %+v", i, a)
+		}
+	}
+}
+
+// TestPlannedStopCutsOffNothing: a process gets SIGTERM while callers wait for
+// answers through its ingress and through its sidecar. All get their whole
+// answers, and the process ends in order.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	m := newMesh(t, 2, 300*time.Millisecond)
+	awaitAnswers := m.callersInHand()
 	stopping := m.processes[0]
 	assert.NilError(t, stopping.command.Process.Signal(syscall.SIGTERM))
-	group.Wait()
-	for i, a := range answers {
-		assert.Assert(t, a.whole(fmt.Sprint("n", i)), "caller %d: %+v", i, a)
-	}
+	awaitAnswers()
 	assert.NilError(t, stopping.command.Wait())
 	assert.Assert(t, send(m.processes[1], http.MethodGet, "/prices/1", "after", 0).whole("after"))
 }
@@ -259,19 +271,10 @@
 // work, and what it has in hand is answered whole.
 func TestServerDrainCutsOffNothing(t *testing.T) {
 	m := newMesh(t, 2, 200*time.Millisecond)
-	const each = 10
-	answers := make([]told, 2*each)
-	var group sync.WaitGroup
-	for i := range answers {
-		group.Go(func() { answers[i] = send(m.processes[i%2], http.MethodGet, "/prices/1", fmt.Sprint("n", i), 0) })
-	}
-	m.await("all requests at the servers", func() bool { return m.started() == len(answers) })
+	awaitAnswers := m.callersInHand()
 	draining := m.processes[0]
 	draining.server.SetDraining(true)
-	group.Wait()
-	for i, a := range answers {
-		assert.Assert(t, a.whole(fmt.Sprint("n", i)), "caller %d: %+v", i, a)
-	}
+	awaitAnswers()
 	for _, p := range m.processes {
 		m.await("the drain heard at "+p.vm, func() bool {
 			for _, server := range m.state(p).Ingress.Services[0].Servers {
