Read the chaos test's counts under their lock

Cause: in one of ten runs of make test the race detector found the verdict reading the runs that a server's goroutine had counted a minute of virtual time before; time alone orders nothing.

Change: the lock. What the test states is the same.

--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -266,6 +266,8 @@
 
 func (c *chaos) verdict(told map[string]slatewind.Outcome) {
 	c.t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	byPayment := map[string]int{}
 	counts := map[slatewind.Outcome]int{}
 	for name, n := range c.runs {
