Reach a peer that has just started at once

Ruled out: a longer wait before ready (processes start at any time); a shorter backoff of the library (it only narrows the window).

Change: a call that could not be written tries the connection anew once; how long a peer that is down is left alone is package policy's decision already.

Failed first: TestPeerThatStartsIsReachedAtOnce (connection refused although the peer listened).

--- a/link/link.go
+++ b/link/link.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
@@ -51,6 +52,8 @@
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
 	maxReconnect     = 1 * time.Second
+	// resetTime bounds the wait for a connection to be tried anew.
+	resetTime = 50 * time.Millisecond
 )
 
 // Bounds of the server's side of a connection.
@@ -171,6 +174,21 @@
 	if err != nil {
 		return nil, false, err
 	}
+	reply, written, err = run(ctx, conn, request)
+	if err == nil || written || ctx.Err() != nil {
+		return reply, written, err
+	}
+	// The library fails calls by the memory of an earlier refusal. Whoever calls
+	// here waits by itself before it tries a peer again (package policy), so the
+	// connection is tried anew for each call.
+	conn.ResetConnectBackoff()
+	waiting, cancel := context.WithTimeout(ctx, resetTime)
+	defer cancel()
+	conn.WaitForStateChange(waiting, connectivity.TransientFailure)
+	return run(ctx, conn, request)
+}
+
+func run(ctx context.Context, conn *grpc.ClientConn, request *slatewindv1.RunRequest) (reply *Reply, written bool, err error) {
 	var flag atomic.Bool
 	ctx = context.WithValue(ctx, writtenKey{}, &flag)
 	stream, err := slatewindv1.NewSidecarClient(conn).Run(ctx, request)
