Call what the library and the detector already have

Cause: a last read of the whole change. Three loops wrote slices.Contains again; an outcome was copied into a struct of its own on its way through the detector, and its log latency was computed in two ways; a method of the measurement did nothing.

Change: the library's function, the observation itself, one logOf; the empty method is gone. No test is touched.

--- a/measure/model.go
+++ b/measure/model.go
@@ -372,7 +372,6 @@
 
 func (m *model) fail(r *request) {
 	m.cancelAll(r)
-	m.result.failed(m, r)
 	if r.retries < m.scenario.Retries {
 		m.arrive(r.priority, r.retries+1)
 	}
--- a/measure/report.go
+++ b/measure/report.go
@@ -60,8 +60,6 @@
 	r.Latency = append(r.Latency, m.queue.Now()-rq.born)
 }
 
-func (r *Result) failed(*model, *request) {}
-
 func (r *Result) ejected(m *model, n *node, server int) {
 	if !m.sick(n.id, server) {
 		r.False++
--- a/measure/strategy.go
+++ b/measure/strategy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -140,22 +141,13 @@
 func (r *roundRobin) Pick(_ time.Time, tried []int) int {
 	for range r.servers {
 		r.next = (r.next + 1) % r.servers
-		if !contains(tried, r.next) {
+		if !slices.Contains(tried, r.next) {
 			return r.next
 		}
 	}
 	return policy.None
 }
 
-func contains(all []int, x int) bool {
-	for _, y := range all {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *roundRobin) Started(time.Time, int) func()              { return func() {} }
 func (r *roundRobin) Heard(time.Time, *slatewindv1.Digest, bool) {}
 func (r *roundRobin) Result(time.Time, int, bool)                {}
@@ -208,7 +200,7 @@
 // Target implements balance.Targets.
 func (c *consecutive) Target(i int) balance.Target {
 	t := balance.Target{Load: c.load[i], Slots: float64(c.profile.Slots), Weight: 1}
-	if c.now.Before(c.until[i]) || contains(c.tried, i) {
+	if c.now.Before(c.until[i]) || slices.Contains(c.tried, i) {
 		t.Weight = 0
 	}
 	return t
--- a/member/member.go
+++ b/member/member.go
@@ -380,12 +380,7 @@
 }
 
 func contains(entries []Entry, vm string) bool {
-	for _, e := range entries {
-		if e.VM == vm {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(entries, func(e Entry) bool { return e.VM == vm })
 }
 
 // ReaderRank returns the place of the process among those of its data centre
--- a/outlier/confirm.go
+++ b/outlier/confirm.go
@@ -1,7 +1,6 @@
 package outlier
 
 import (
-	"math"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -112,7 +111,7 @@
 		o := Unpack(s.Name, packed)
 		c := d.classOf(o.Class)
 		if known && c.n >= minClass {
-			slow.add(d.latencyRatio(o.Result, math.Log(float64(o.Latency))-c.mean-baseline), limit)
+			slow.add(d.latencyRatio(o.Result, logOf(o)-c.mean-baseline), limit)
 		}
 		switch o.Result {
 		case slatewind.ResultOK:
--- a/outlier/observe.go
+++ b/outlier/observe.go
@@ -9,11 +9,9 @@
 	"slatewind.example/slatewind"
 )
 
-// evidence is one outcome as far as the charts use it.
-type evidence struct {
-	class  uint8
-	result slatewind.Result
-	log    float64
+// logOf returns the log of an observation's latency in nanoseconds.
+func logOf(o slatewind.Observation) float64 {
+	return math.Log(max(float64(o.Latency), 1))
 }
 
 // Observe takes the evidence of one request.
@@ -28,12 +26,11 @@
 		d.suspect(s)
 		return
 	}
-	e := evidence{class: o.Class, result: o.Result, log: math.Log(max(float64(o.Latency), 1))}
 	s.history.Add(o.Class, o.Result, o.Latency)
 	if o.Result == slatewind.ResultError {
 		d.observeError(s, i, true)
 	} else {
-		d.observeLatency(s, i, e)
+		d.observeLatency(s, i, o)
 	}
 	d.judge(now, i)
 }
@@ -64,17 +61,18 @@
 	s.severity += (value - s.severity) / window
 }
 
-func (d *Detector) observeLatency(s *Server, i int, e evidence) {
-	c := d.classOf(e.class)
+func (d *Detector) observeLatency(s *Server, i int, o slatewind.Observation) {
+	c := d.classOf(o.Class)
+	log := logOf(o)
 	baseline, known := d.otherMean(i, window)
 	if c.n >= minClass && known {
-		d.addSlow(s, e.result, e.log-c.mean-baseline)
+		d.addSlow(s, o.Result, log-c.mean-baseline)
 	}
-	if e.result != slatewind.ResultOK {
+	if o.Result != slatewind.ResultOK {
 		return
 	}
 	d.observeError(s, i, false)
-	d.learn(s, c, e.log)
+	d.learn(s, c, log)
 }
 
 func (d *Detector) classOf(id uint8) *class {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -155,10 +156,8 @@
 	if p.now.Sub(sv.reported) > loadMemory {
 		t.Load = float64(sv.inFlight)
 	}
-	for _, k := range p.tried {
-		if k == i {
-			t.Weight = 0
-		}
+	if slices.Contains(p.tried, i) {
+		t.Weight = 0
 	}
 	return t
 }
--- a/replay/events.go
+++ b/replay/events.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -182,12 +183,7 @@
 	if len(to) == 0 {
 		return true
 	}
-	for _, t := range to {
-		if t == name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(to, name)
 }
 
 func (p *player) offer(n *node, revision uint64, text []byte) {
