--- a/admin/admin.go
+++ b/admin/admin.go
@@ -11,7 +11,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/ingress"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/sidecar"
 )
@@ -42,7 +42,7 @@
 type Sources struct {
 	State    func() State
 	Settings func() Settings
-	Journal  *journal.Journal
+	Journal  *history.Journal
 	Metrics  http.Handler
 	// Record writes recent events as a trace.
 	Record func() ([]byte, error)
@@ -57,7 +57,7 @@
 	router.Handle("/settings", get(func(*http.Request) Settings { return s.Settings() })).Methods(http.MethodGet)
 	router.Handle("/journal", get(func(r *http.Request) []slatewind.Decision {
 		query := r.URL.Query()
-		return s.Journal.Find(journal.Filter{
+		return s.Journal.Find(history.Filter{
 			Service: query.Get("service"), Server: query.Get("server"), Request: query.Get("request"),
 		})
 	})).Methods(http.MethodGet)
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -19,7 +19,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/config"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/once"
@@ -428,9 +428,9 @@
 }
 
 func BenchmarkMemoryPerJournalEntry(b *testing.B) {
-	const entries = journal.DefaultEntries
+	const entries = history.DefaultEntries
 	bytesPer(b, "entry", entries, func() any {
-		j := journal.New(entries, nil)
+		j := history.New(entries, nil)
 		for i := range entries {
 			j.Add(slatewind.Decision{
 				Time: begin, Kind: slatewind.DecisionRefuse, Service: "kassa", Server: "kassa-1", Request: fmt.Sprint("0123456789abcdef-", i),
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -17,7 +17,7 @@
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/cli"
 	"slatewind.example/slatewind/ingress"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/policy"
 )
 
@@ -37,7 +37,7 @@
 // fakeProcess serves an admin interface with something to tell.
 func fakeProcess(t *testing.T) string {
 	t.Helper()
-	j := journal.New(0, nil)
+	j := history.New(0, nil)
 	j.Add(slatewind.Decision{Time: time.Unix(0, 0), Kind: slatewind.DecisionEject, Service: "kassa", Server: "kassa-2", Reason: "its score reached the threshold", Evidence: "chart=slow"})
 	j.Add(slatewind.Decision{Time: time.Unix(0, 0), Kind: slatewind.DecisionRefuse, Service: "kassa", Request: "r-1", Reason: "the queue is full"})
 	web := httptest.NewServer(admin.NewHandler(admin.Sources{
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -17,7 +17,7 @@
 
 	"slatewind.example/slatewind/config"
 	_ "slatewind.example/slatewind/internal/seeded"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 )
 
 // want is a finding as a comment of a test file states it.
@@ -130,7 +130,7 @@
 // that saw the same offers end with the same file.
 func TestStoreNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		one, two := config.NewStore(journal.New(0, nil)), config.NewStore(journal.New(0, nil))
+		one, two := config.NewStore(history.New(0, nil)), config.NewStore(history.New(0, nil))
 		type offer struct {
 			revision uint64
 			floor    int
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,7 +23,7 @@
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/gossip"
 	"slatewind.example/slatewind/ingress"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/metrics"
@@ -62,7 +62,7 @@
 		fx.Provide(
 			metrics.New,
 			newJournal,
-			func(j *journal.Journal) *config.Store { return config.NewStore(j) },
+			func(j *history.Journal) *config.Store { return config.NewStore(j) },
 			timer.New,
 			link.NewPool,
 			newProcess,
@@ -79,8 +79,8 @@
 	slatewind.DecisionHandOver: true, slatewind.DecisionUnknown: true, slatewind.DecisionDrop: true,
 }
 
-func newJournal(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics) *journal.Journal {
-	return journal.New(int(process.GetLimits().GetJournalEntries()), func(d slatewind.Decision) {
+func newJournal(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics) *history.Journal {
+	return history.New(int(process.GetLimits().GetJournalEntries()), func(d slatewind.Decision) {
 		m.Decision(d.Kind)
 		level := log.InfoLevel
 		if frequent[d.Kind] {
@@ -96,7 +96,7 @@
 	settings *slatewindv1.Process
 	logger   *log.Logger
 	metrics  *metrics.Metrics
-	journal  *journal.Journal
+	journal  *history.Journal
 	store    *config.Store
 	timers   *timer.Service
 	pool     *link.Pool
@@ -113,7 +113,7 @@
 	peers   *grpc.Server
 }
 
-func newProcess(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *journal.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
+func newProcess(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
 	incarnation := attempt.NewIncarnation(time.Now())
 	limits := process.GetLimits()
 	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,7 +15,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/gossip"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/timer"
@@ -66,7 +66,7 @@
 // add starts a process; seed is the address of one that it knows.
 func (c *cluster) add(i int, seeds ...string) *node {
 	n := &node{cluster: c, address: vmName(i)}
-	j := journal.New(64, nil)
+	j := history.New(64, nil)
 	n.store = config.NewStore(j)
 	self := member.Entry{VM: vmName(i), DataCentre: zone(i), PeerAddress: n.address, Incarnation: uint64(time.Now().UnixMilli()) << 24}
 	n.gossip = gossip.New(self, seeds, n.store, j, n)
--- a/journal/journal.go
+++ b/history/history.go
@@ -1,7 +1,7 @@
-// Package journal keeps the latest decisions of a process in bounded memory,
+// Package history keeps the latest decisions of a process in bounded memory,
 // so that an operator can ask why a server was set aside or a request refused.
 // The oldest entry makes room for the newest.
-package journal
+package history
 
 import (
 	"sync"
--- a/journal/journal_test.go
+++ b/history/history_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package history_test
 
 import (
 	"fmt"
@@ -7,27 +7,27 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 )
 
 // TestRing: the newest entries stay, oldest first, and a filter takes those that
 // match in every stated field.
 func TestRing(t *testing.T) {
 	added := 0
-	j := journal.New(4, func(slatewind.Decision) { added++ })
+	j := history.New(4, func(slatewind.Decision) { added++ })
 	for i := range 10 {
 		j.Add(slatewind.Decision{Service: "kassa", Server: fmt.Sprint("s", i%2), Request: fmt.Sprint(i)})
 	}
 	assert.Equal(t, added, 10)
 	tests := map[string]struct {
-		filter journal.Filter
+		filter history.Filter
 		want   []string
 	}{
-		"all":     {journal.Filter{}, []string{"6", "7", "8", "9"}},
-		"server":  {journal.Filter{Service: "kassa", Server: "s1"}, []string{"7", "9"}},
-		"request": {journal.Filter{Request: "8"}, []string{"8"}},
-		"gone":    {journal.Filter{Request: "1"}, nil},
-		"neither": {journal.Filter{Service: "annonces", Server: "s1"}, nil},
+		"all":     {history.Filter{}, []string{"6", "7", "8", "9"}},
+		"server":  {history.Filter{Service: "kassa", Server: "s1"}, []string{"7", "9"}},
+		"request": {history.Filter{Request: "8"}, []string{"8"}},
+		"gone":    {history.Filter{Request: "1"}, nil},
+		"neither": {history.Filter{Service: "annonces", Server: "s1"}, nil},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -21,7 +21,7 @@
 	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/ingress"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/sidecar"
 	"slatewind.example/slatewind/timer"
@@ -54,7 +54,7 @@
 		time.Sleep(time.Hour)
 	})
 	c := &chaos{
-		t: t, ctx: ctx, store: config.NewStore(journal.New(16, nil)), random: rand.New(rand.NewPCG(seed, 0)),
+		t: t, ctx: ctx, store: config.NewStore(history.New(16, nil)), random: rand.New(rand.NewPCG(seed, 0)),
 		sides: map[string]*sidecar.Sidecar{}, stops: map[string]context.CancelFunc{}, runs: map[string]int{},
 	}
 	_, err := c.store.Offer(time.Now(), "test", 1, []byte(settings))
@@ -68,7 +68,7 @@
 // replace ends a VM's sidecar and starts another without its memory.
 func (c *chaos) replace(vm string) {
 	ctx, cancel := context.WithCancel(c.ctx)
-	side := sidecar.New(vm, attempt.NewIncarnation(time.Now()), sidecar.Limits{OnceRecords: 30}, c.store, journal.New(16, nil), c)
+	side := sidecar.New(vm, attempt.NewIncarnation(time.Now()), sidecar.Limits{OnceRecords: 30}, c.store, history.New(16, nil), c)
 	side.Update(time.Now(), c.store.Current())
 	side.Start(ctx, timer.New())
 	c.mu.Lock()
@@ -209,7 +209,7 @@
 				c := newChaos(t, seed)
 				var ingresses []*ingress.Ingress
 				for i := range 2 {
-					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, journal.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{})
+					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, history.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{})
 					in.Update(time.Now(), c.store.Current())
 					in.Start(c.ctx, timer.New())
 					ingresses = append(ingresses, in)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -18,7 +18,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/ingress"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 )
 
@@ -115,9 +115,9 @@
 func (fakeRecorder) Heard(time.Time, *slatewindv1.Digest) {}
 func (fakeRecorder) Lost(time.Time, string, string)       {}
 
-func newIngress(t *testing.T, links *fakeLinks) (*ingress.Ingress, *journal.Journal) {
+func newIngress(t *testing.T, links *fakeLinks) (*ingress.Ingress, *history.Journal) {
 	t.Helper()
-	j := journal.New(0, nil)
+	j := history.New(0, nil)
 	store := config.NewStore(j)
 	_, err := store.Offer(time.Now(), "test", 1, []byte(settings))
 	assert.NilError(t, err)
@@ -192,7 +192,7 @@
 					return
 				}
 				assert.Assert(t, w.Header().Get("Retry-After") != "")
-				explained := j.Find(journal.Filter{Request: w.Header().Get(ingress.HeaderRequest)})
+				explained := j.Find(history.Filter{Request: w.Header().Get(ingress.HeaderRequest)})
 				assert.Assert(t, len(explained) > 0, "the journal does not explain the refusal")
 			})
 		})
--- a/replay/judge.go
+++ b/replay/judge.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 )
 
 // judge compares what happened with each stated outcome.
@@ -150,7 +150,7 @@
 }
 
 func (p *player) undecided(x *DecidedOn) string {
-	for _, d := range p.journal.Find(journal.Filter{Server: x.Server}) {
+	for _, d := range p.journal.Find(history.Filter{Server: x.Server}) {
 		if d.Kind == x.Kind {
 			return ""
 		}
--- a/replay/play.go
+++ b/replay/play.go
@@ -10,7 +10,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/internal/schedule"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/policy"
 )
 
@@ -93,7 +93,7 @@
 	trace   *Trace
 	fleet   *slatewindv1.Fleet
 	random  *rand.Rand
-	journal *journal.Journal
+	journal *history.Journal
 	report  *Report
 	queue   schedule.Queue
 	serial  int
@@ -129,14 +129,14 @@
 		detected: map[string]bool{},
 	}
 	const journalSize = 1 << 16
-	p.journal = journal.New(journalSize, p.noteDecision)
+	p.journal = history.New(journalSize, p.noteDecision)
 	if err := p.setUp(); err != nil {
 		return nil, err
 	}
 	end := p.scheduleAll()
 	p.queue.Run(end, p.collect)
 	p.judge()
-	p.report.Decisions = p.journal.Find(journal.Filter{})
+	p.report.Decisions = p.journal.Find(history.Filter{})
 	return p.report, nil
 }
 
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -12,7 +12,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/outlier"
 	"slatewind.example/slatewind/replay"
 )
@@ -95,7 +95,7 @@
 // a changed caution the same incident is judged otherwise.
 func TestRecordedTraceReplays(t *testing.T) {
 	settings := readTrace(t, "../testdata/traces/kassa-slow-3x.yaml").Settings
-	store := config.NewStore(journal.New(0, nil))
+	store := config.NewStore(history.New(0, nil))
 	now := time.Unix(0, 0)
 	_, err := store.Offer(now, "test", 7, []byte(settings))
 	assert.NilError(t, err)
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -19,7 +19,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/internal/standin"
-	"slatewind.example/slatewind/journal"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/sidecar"
 )
@@ -49,13 +49,13 @@
 	}
 	listener := httptest.NewServer(h)
 	f := &fixture{t: t, server: server, slots: slots}
-	f.store = config.NewStore(journal.New(0, nil))
+	f.store = config.NewStore(history.New(0, nil))
 	caller := sidecar.NewHTTPCaller()
 	t.Cleanup(func() {
 		caller.CloseIdle()
 		listener.Close()
 	})
-	f.sidecar = sidecar.New("vm", incarnation, sidecar.Limits{}, f.store, journal.New(0, nil), caller)
+	f.sidecar = sidecar.New("vm", incarnation, sidecar.Limits{}, f.store, history.New(0, nil), caller)
 	f.offer(1, strings.TrimPrefix(listener.URL, "http://"))
 	return f
 }
