Read the platform's store instead of two endpoints of our own

Cause: the users' platform publishes everything in one store with revisions, by key, range and watch. The old client spoke two endpoints that nobody serves. Change: one client for the store; the YAML file and the list of VMs are keys in it. The stand-in is a store with revisions, pages, 410, 429 and stale reads. The reader, which decides when to read, moved from platform/ to discovery/, since platform/ decides nothing. A test compared revisions with a count of publications; it now compares with the revision that the store gave, which is as strict.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -10,8 +10,8 @@
 	"github.com/gorilla/mux"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/sidecar"
 )
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -16,8 +16,8 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/cli"
-	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/policy"
 )
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -16,8 +16,8 @@
 	"pgregory.net/rapid"
 
 	"slatewind.example/slatewind/config"
-	_ "slatewind.example/slatewind/internal/seeded"
 	"slatewind.example/slatewind/history"
+	_ "slatewind.example/slatewind/internal/seeded"
 )
 
 // want is a finding as a comment of a test file states it.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,9 +21,10 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/gossip"
-	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/metrics"
@@ -104,7 +105,7 @@
 	sidecar  *sidecar.Sidecar
 	ingress  *ingress.Ingress
 	recorder *replay.Recorder
-	reader   *platform.Reader
+	reader   *discovery.Reader
 	servers  *sidecar.HTTPCaller
 
 	cancel  context.CancelFunc
@@ -129,8 +130,8 @@
 	}, store, j, p.servers)
 	own := &links{pool: pool, own: process.GetPeerAddress(), sidecar: p.sidecar}
 	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder)
-	client := platform.NewClient(process.GetPlatformUrl())
-	p.reader = platform.NewReader(client, client, p.gossip, m)
+	client := platform.NewClient(process.GetPlatformUrl(), nil)
+	p.reader = discovery.NewReader(client, client, p.gossip, m)
 	return p
 }
 
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -398,10 +398,10 @@
 			return true
 		}
 	}
-	m.platform.Publish([]byte(m.settings(1)))
-	m.await("revision 2 everywhere", inForce(2))
+	good := m.platform.Publish([]byte(m.settings(1)))
+	m.await("the good revision everywhere", inForce(good))
 	m.platform.Publish([]byte(m.settings(99)))
-	m.await("the findings of revision 3 in a journal", func() bool {
+	m.await("the findings of the bad revision in a journal", func() bool {
 		for _, p := range m.processes {
 			if strings.Contains(journalOf(p), "floor 99 is above the number of servers, 3") {
 				return true
@@ -409,13 +409,13 @@
 		}
 		return false
 	})
-	assert.Assert(t, inForce(2)())
+	assert.Assert(t, inForce(good)())
 	m.platform.SetMode(standin.PlatformDown)
 	restarted := m.processes[2]
 	assert.NilError(t, restarted.command.Process.Kill())
 	_ = restarted.command.Wait()
 	m.start(restarted)
-	m.await("revision 2 at the new process, from its peers", inForce(2))
+	m.await("the good revision at the new process, from its peers", inForce(good))
 	assert.Assert(t, send(restarted, http.MethodGet, "/prices/1", "n", 0).whole("n"))
 }
 
--- a/platform/reader.go
+++ b/discovery/reader.go
@@ -1,4 +1,10 @@
-package platform
+// Package discovery keeps a process's views of what the platform publishes
+// fresh: which settings are in force and which servers there are.
+//
+// There are two ways. A Reader serves the product's own YAML file and list of
+// VMs: a few processes read, the others hear of it by gossip. A Watcher follows
+// the servers that record themselves in the platform's store.
+package discovery
 
 import (
 	"context"
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/gossip"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/member"
@@ -186,7 +187,7 @@
 	return p.vms, err
 }
 
-// PlatformCall implements platform.CallMeter.
+// PlatformCall implements discovery.CallMeter.
 func (p *fakePlatform) PlatformCall(string, error) {}
 
 func (p *fakePlatform) set(change func(*fakePlatform)) {
@@ -305,7 +306,7 @@
 				c.fake.set(change)
 				time.Sleep(3 * time.Hour)
 				late := c.add(9, vmName(1))
-				platform.NewReader(&c.fake, &c.fake, late.gossip, &c.fake).Start(c.ctx)
+				discovery.NewReader(&c.fake, &c.fake, late.gossip, &c.fake).Start(c.ctx)
 				took := timeToAll(t, []*node{late}, 7)
 				assert.Assert(t, took < inForceWithin)
 				time.Sleep(time.Minute)
@@ -338,7 +339,7 @@
 				c.fake.file = slatewind.SettingsFile{Revision: 1, Text: settings(0)}
 				nodes := c.addAll(count)
 				for _, n := range nodes {
-					platform.NewReader(&c.fake, &c.fake, n.gossip, &c.fake).Start(c.ctx)
+					discovery.NewReader(&c.fake, &c.fake, n.gossip, &c.fake).Start(c.ctx)
 				}
 				timeToAll(t, nodes, 1)
 				time.Sleep(30 * time.Second)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -17,8 +17,8 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
-	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/link"
 )
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,9 +5,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,49 +32,91 @@
 	PlatformStale PlatformMode = "stale"
 	// PlatformSlow answers late.
 	PlatformSlow PlatformMode = "slow"
+	// PlatformBusy turns every call away.
+	PlatformBusy PlatformMode = "busy"
 )
 
-// slowAnswer is how late a slow platform answers.
-const slowAnswer = 3 * time.Second
+const (
+	// slowAnswer is how late a slow platform answers.
+	slowAnswer = 3 * time.Second
+	// maxWait is the longest that a watch may wait.
+	maxWait = 30 * time.Second
+	// pageItems is how many items a range answers at most.
+	pageItems = 500
+)
 
-// Platform is a stand-in for the users' platform.
+// Platform is a stand-in for the platform's store: a map with revisions that
+// can be read by key, by prefix and by watches.
 type Platform struct {
 	mu       sync.Mutex
 	mode     PlatformMode
-	file     slatewind.SettingsFile
-	stale    slatewind.SettingsFile
-	vms      map[string]slatewind.VM
-	staleVMs []slatewind.VM
-	changed  chan struct{}
-	calls    map[string]int
+	revision uint64
+	items    map[string]platform.Item
+	// history holds every change after the revision forgotten, oldest first.
+	history   []platform.Item
+	forgotten uint64
+	// stale is what a stale platform answers from.
+	stale   []platform.Item
+	changed chan struct{}
+	calls   map[string]int
 }
 
-// NewPlatform returns a platform without settings.
+// NewPlatform returns an empty store.
 func NewPlatform() *Platform {
-	return &Platform{
-		mode: PlatformOK, vms: map[string]slatewind.VM{}, changed: make(chan struct{}), calls: map[string]int{},
-	}
+	return &Platform{mode: PlatformOK, items: map[string]platform.Item{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
-// Publish puts out a new revision of the operators' file and returns it.
-func (p *Platform) Publish(text []byte) uint64 {
+// Put writes a value and returns its revision.
+func (p *Platform) Put(key string, value []byte) uint64 {
+	return p.change(platform.Item{Key: key, Value: value})
+}
+
+// Delete takes a key away.
+func (p *Platform) Delete(key string) uint64 {
+	return p.change(platform.Item{Key: key, Deleted: true})
+}
+
+func (p *Platform) change(item platform.Item) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.file = slatewind.SettingsFile{Revision: p.file.Revision + 1, Text: text}
+	p.revision++
+	item.Revision = p.revision
+	p.history = append(p.history, item)
+	if item.Deleted {
+		delete(p.items, item.Key)
+	} else {
+		p.items[item.Key] = item
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
-	return p.file.Revision
+	return p.revision
 }
 
-// SetVM puts a VM on the list; state VMGone takes it off.
-func (p *Platform) SetVM(vm slatewind.VM) {
+// Compact forgets the history; watches from before get 410.
+func (p *Platform) Compact() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgotten = p.revision
+	p.history = nil
+}
+
+// Publish puts out a new revision of the operators' file and returns it.
+func (p *Platform) Publish(text []byte) uint64 {
+	return p.Put(platform.FileKey, text)
+}
+
+// SetVM puts a VM on the list; state VMGone takes it off.
+func (p *Platform) SetVM(vm slatewind.VM) {
+	key := platform.VMsPrefix + vm.Name
 	if vm.State == slatewind.VMGone {
-		delete(p.vms, vm.Name)
+		p.Delete(key)
 		return
 	}
-	p.vms[vm.Name] = vm
+	value, err := json.Marshal(vm)
+	if err != nil {
+		panic(err)
+	}
+	p.Put(key, value)
 }
 
 // SetMode changes how the platform behaves.
@@ -79,8 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if mode == PlatformStale && p.mode != PlatformStale {
-		p.stale = p.file
-		p.staleVMs = p.list()
+		p.stale = sorted(p.items, "")
 	}
 	p.mode = mode
 }
@@ -96,20 +140,13 @@
 	return calls
 }
 
-func (p *Platform) list() []slatewind.VM {
-	vms := make([]slatewind.VM, 0, len(p.vms))
-	for _, vm := range p.vms {
-		vms = append(vms, vm)
-	}
-	return vms
-}
-
-// Handler returns the platform's HTTP interface. Paths under /control are for
+// Handler returns the store's HTTP interface. Paths under /control are for
 // whoever makes it fail.
 func (p *Platform) Handler() http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc("/settings", p.settings).Methods(http.MethodGet)
-	router.HandleFunc("/vms", p.listVMs).Methods(http.MethodGet)
+	router.HandleFunc(platform.PathKey, p.enter("key", p.readKey)).Methods(http.MethodGet)
+	router.HandleFunc(platform.PathRange, p.enter("range", p.readRange)).Methods(http.MethodGet)
+	router.HandleFunc(platform.PathWatch, p.enter("watch", p.watch)).Methods(http.MethodGet)
 	router.HandleFunc("/control/settings", p.controlSettings).Methods(http.MethodPut)
 	router.HandleFunc("/control/vm", p.controlVM).Methods(http.MethodPut)
 	router.HandleFunc("/control/mode", func(_ http.ResponseWriter, r *http.Request) {
@@ -121,74 +158,134 @@
 	return router
 }
 
-// enter counts a call and returns the mode in which it is answered.
-func (p *Platform) enter(call string) PlatformMode {
+// enter counts a call and answers it, unless the platform fails.
+func (p *Platform) enter(call string, answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.calls[call]++
+		mode := p.mode
+		p.mu.Unlock()
+		switch mode {
+		case PlatformDown:
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		case PlatformBusy:
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		case PlatformSlow:
+			time.Sleep(slowAnswer)
+		}
+		answer(w, r)
+	}
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func sorted(items map[string]platform.Item, prefix string) []platform.Item {
+	var list []platform.Item
+	for key, item := range items {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, item)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
+
+// listed returns the items below a prefix as a reader sees them now.
+func (p *Platform) listed(prefix string) []platform.Item {
+	if p.mode != PlatformStale {
+		return sorted(p.items, prefix)
+	}
+	var list []platform.Item
+	for _, item := range p.stale {
+		if strings.HasPrefix(item.Key, prefix) {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+func (p *Platform) readKey(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get(platform.ParamKey)
 	p.mu.Lock()
-	p.calls[call]++
-	mode := p.mode
+	items, revision := p.listed(key), p.revision
 	p.mu.Unlock()
-	if mode == PlatformSlow {
-		time.Sleep(slowAnswer)
+	if len(items) == 0 || items[0].Key != key {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
 	}
-	return mode
+	reply(w, platform.KeyAnswer{Item: items[0], AsOf: revision})
 }
 
-func (p *Platform) settings(w http.ResponseWriter, r *http.Request) {
-	mode := p.enter("settings")
-	if mode == PlatformDown {
-		http.Error(w, "down", http.StatusInternalServerError)
-		return
+func (p *Platform) readRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	p.mu.Lock()
+	items, revision := p.listed(query.Get(platform.ParamPrefix)), p.revision
+	p.mu.Unlock()
+	first := sort.Search(len(items), func(i int) bool { return items[i].Key > query.Get(platform.ParamAfter) })
+	if query.Get(platform.ParamAfter) == "" {
+		first = 0
 	}
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
-	file := p.await(r, mode, after, time.Duration(wait)*time.Millisecond)
-	if file.Revision == 0 {
-		http.Error(w, "no settings", http.StatusNotFound)
-		return
+	page := items[first:]
+	truncated := len(page) > pageItems
+	if truncated {
+		page = page[:pageItems]
 	}
-	w.Header().Set(platform.HeaderRevision, strconv.FormatUint(file.Revision, 10))
-	_, _ = w.Write(file.Text)
+	reply(w, platform.Answer{Items: page, Truncated: truncated, AsOf: revision})
 }
 
-// await returns the file once its revision is above after, or when the waiting
-// time is over.
-func (p *Platform) await(r *http.Request, mode PlatformMode, after uint64, wait time.Duration) slatewind.SettingsFile {
-	deadline := time.NewTimer(wait)
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get(platform.ParamAfter), 10, 64)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("%s is not a revision", platform.ParamAfter), http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get(platform.ParamWait))
+	deadline := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer deadline.Stop()
 	for {
-		p.mu.Lock()
-		file := p.file
-		if mode == PlatformStale {
-			file = p.stale
+		events, revision, changed, gone := p.since(after, query.Get(platform.ParamPrefix))
+		if gone {
+			http.Error(w, "history is gone", http.StatusGone)
+			return
 		}
-		changed := p.changed
-		p.mu.Unlock()
-		if file.Revision > after {
-			return file
+		if len(events) > 0 {
+			reply(w, platform.Answer{Events: events, AsOf: revision})
+			return
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			return file
+			reply(w, platform.Answer{AsOf: revision})
+			return
 		case <-r.Context().Done():
-			return file
+			return
 		}
 	}
 }
 
-func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
-	mode := p.enter("vms")
-	if mode == PlatformDown {
-		http.Error(w, "down", http.StatusInternalServerError)
-		return
-	}
+// since returns the changes below a prefix after a revision, and what is closed
+// at the next change.
+func (p *Platform) since(after uint64, prefix string) (events []platform.Item, revision uint64, changed <-chan struct{}, gone bool) {
 	p.mu.Lock()
-	vms := p.list()
-	if mode == PlatformStale {
-		vms = p.staleVMs
+	defer p.mu.Unlock()
+	if after < p.forgotten {
+		return nil, p.revision, p.changed, true
 	}
-	p.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(vms)
+	if p.mode == PlatformStale {
+		return nil, after, p.changed, false
+	}
+	for _, item := range p.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, p.revision, p.changed, false
 }
 
 func (p *Platform) controlSettings(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/publish.go
@@ -0,0 +1,85 @@
+package slatewind
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// ErrHistoryGone says that a source no longer knows the changes since a
+// revision; everything has to be read anew.
+var ErrHistoryGone = errors.New("the history since the revision is gone")
+
+// ServerEntry is one backend server as it is published.
+type ServerEntry struct {
+	// Name is the identity of one start of a server.
+	Name       string `json:"name"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Release is the version of the server's software.
+	Release string `json:"release,omitempty"`
+	Slots   int    `json:"slots"`
+	// Leaving servers finish their work and take no more.
+	Leaving bool `json:"leaving,omitempty"`
+	// Warming is how much longer the server is slow after its start.
+	Warming time.Duration `json:"warming,omitempty"`
+}
+
+// PublishedSettings is one version of the operators' settings.
+type PublishedSettings struct {
+	Version uint64
+	Fleet   *slatewindv1.Fleet
+}
+
+// Publication is what a source tells at one moment: everything, or what
+// changed since a revision.
+type Publication struct {
+	// Revision is the source's count of changes up to which this tells.
+	Revision uint64
+	// Settings is nil where they did not change.
+	Settings *PublishedSettings
+	// Servers are new or changed entries.
+	Servers []ServerEntry
+	// Removed names servers whose entries are gone.
+	Removed []string
+	// Findings are entries that could not be read, each with its place.
+	Findings []error
+}
+
+// Publisher reads what the platform publishes about settings and servers.
+type Publisher interface {
+	// Read returns everything that is published now.
+	Read(ctx context.Context) (Publication, error)
+	// Changes returns what changed after a revision, as soon as something did
+	// or when wait is over. The error is ErrHistoryGone where a new Read is due.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (Publication, error)
+}
+
+// CallerDialect names the header fields between callers and the fleet.
+type CallerDialect struct {
+	// RequestID is the id that the caller gave its request.
+	RequestID string
+	// Deadline is the time in milliseconds that the caller will wait.
+	Deadline string
+	// CallerService names the service on whose VM a request began.
+	CallerService string
+}
+
+// ServerDialect names the header fields between the fleet and a server.
+type ServerDialect struct {
+	RequestID string
+	Deadline  string
+	// Stamp proves that an answer is a server's own.
+	Stamp string
+	// Expect carries the identity of the only server that may run a request.
+	Expect string
+	// NotExecuted marks an answer to a request that the server did not run.
+	NotExecuted string
+	// Identity is the server's name in its answers.
+	Identity string
+	// Load holds requests running, requests waiting and slots.
+	Load string
+}
--- a/replay/play.go
+++ b/replay/play.go
@@ -9,8 +9,8 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
-	"slatewind.example/slatewind/internal/schedule"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/internal/schedule"
 	"slatewind.example/slatewind/policy"
 )
 
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -18,8 +18,8 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
-	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/sidecar"
 )
--- a/slatewind.go
+++ b/slatewind.go
@@ -25,6 +25,9 @@
 	KindRepeatable Kind = "repeatable"
 	// KindOnce requests run at most once by their idempotency key.
 	KindOnce Kind = "once"
+	// KindSingle requests run at most once and have no key: they go to a second
+	// server only with a proof that the first did not run them.
+	KindSingle Kind = "single"
 )
 
 // Priority says who gets a slot first.
