--- a/admin/admin.go
+++ b/admin/admin.go
@@ -11,8 +11,10 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/member"
+	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/sidecar"
 )
 
@@ -28,6 +30,10 @@
 	Ingress     ingress.View   `json:"ingress"`
 	Sidecar     sidecar.View   `json:"sidecar"`
 	Members     []member.Entry `json:"members"`
+	// Outbound and Inbound stand in for Ingress and Sidecar where the platform's
+	// store lists the servers.
+	Outbound *outbound.View `json:"outbound,omitempty"`
+	Inbound  *inbound.View  `json:"inbound,omitempty"`
 }
 
 // Settings tells which file is in force.
--- a/admission/admission.go
+++ b/admission/admission.go
@@ -33,6 +33,15 @@
 	Customer string
 	// Deadline is when the request must have its answer.
 	Deadline time.Time
+	// Rank orders requests of one priority; lower goes first.
+	Rank uint32
+	// StartBy is when waiting for a slot is no longer worth it; zero is never.
+	StartBy time.Time
+}
+
+// late reports whether an item that starts at a time comes too late.
+func (it Item) late(start time.Time, service time.Duration) bool {
+	return start.Add(service).After(it.Deadline) || !it.StartBy.IsZero() && start.After(it.StartBy)
 }
 
 // Action says what becomes of an item.
@@ -98,11 +107,11 @@
 // Offer decides about a new item. Further decisions concern items that had to
 // make room for it.
 func (s *Server) Offer(now time.Time, it Item) []Decision {
-	if s.fits(it) && !s.interactiveWaits() {
+	if s.fits(it) && !s.othersGoFirst(it) {
 		s.start(it)
 		return []Decision{{Item: it, Action: ActionStart}}
 	}
-	if wait := s.wait(it); now.Add(wait + s.service).After(it.Deadline) {
+	if it.late(now.Add(s.wait(it)), s.service) {
 		return []Decision{s.refuse(it, "no slot will be free in time")}
 	}
 	if len(s.queue) < s.slots*queuePerSlot {
@@ -183,9 +192,10 @@
 	return free > 0
 }
 
-func (s *Server) interactiveWaits() bool {
-	for _, it := range s.queue {
-		if it.Priority != slatewind.PriorityBackground {
+// othersGoFirst reports whether somebody waits whom a newcomer must not pass.
+func (s *Server) othersGoFirst(it Item) bool {
+	for _, q := range s.queue {
+		if q.Priority != slatewind.PriorityBackground && q.Rank <= it.Rank {
 			return true
 		}
 	}
@@ -213,12 +223,16 @@
 	if aBack != bBack {
 		return bBack
 	}
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
 	return s.running[a.Customer] < s.running[b.Customer]
 }
 
 // victim returns the index of the item that makes room for a newcomer, or -1:
 // a background item for an interactive one, else the latest item of a customer
-// that has at least two more waiting than the newcomer's.
+// or the latest of a lower rank, else the latest item of a customer that has at
+// least two more waiting than the newcomer's.
 func (s *Server) victim(it Item) int {
 	waiting := map[string]int{}
 	for i := len(s.queue) - 1; i >= 0; i-- {
@@ -231,6 +245,9 @@
 	if it.Priority == slatewind.PriorityBackground {
 		return -1
 	}
+	if i := s.lowest(); s.queue[i].Rank > it.Rank {
+		return i
+	}
 	best := -1
 	for i, q := range s.queue {
 		if waiting[q.Customer] < waiting[it.Customer]+2 {
@@ -243,13 +260,25 @@
 	return best
 }
 
+// lowest returns the latest of the waiting items that would go last. The queue
+// is not empty.
+func (s *Server) lowest() int {
+	last := 0
+	for i, q := range s.queue {
+		if q.Rank >= s.queue[last].Rank {
+			last = i
+		}
+	}
+	return last
+}
+
 // wait estimates how long an item would wait for its slot.
 func (s *Server) wait(it Item) time.Duration {
 	ahead := len(s.queue) + 1
 	if it.Priority != slatewind.PriorityBackground {
 		ahead = 1
 		for _, q := range s.queue {
-			if q.Priority != slatewind.PriorityBackground {
+			if q.Priority != slatewind.PriorityBackground && q.Rank <= it.Rank {
 				ahead++
 			}
 		}
@@ -262,7 +291,7 @@
 	var decisions []Decision
 	kept := s.queue[:0]
 	for _, it := range s.queue {
-		if now.Add(s.service).After(it.Deadline) {
+		if it.late(now, s.service) {
 			decisions = append(decisions, s.refuse(it, "no slot came free in time"))
 			continue
 		}
--- /dev/null
+++ b/backend/backend.go
@@ -0,0 +1,309 @@
+// Package backend is the HTTP/1.1 client that a process uses for the one server
+// beside it.
+//
+// The language's own client repeats requests by itself when a kept connection
+// breaks, and takes whatever comes next on a connection for the answer. Here
+// both must be known exactly: whether anything was sent decides whether a
+// request may go elsewhere, and a server may send surplus answers, which belong
+// to no request. So a connection carries one request at a time, is looked at
+// before it is used again, and an answer with another request's id is passed
+// over.
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"slatewind.example/slatewind"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("backend")
+
+var (
+	// ErrNotAnAnswer: what came back is not an answer in the protocol.
+	ErrNotAnAnswer = Error.New("the bytes are no answer")
+	// ErrCrossed: only answers to other requests came back.
+	ErrCrossed = Error.New("the answer belongs to another request")
+	// ErrNoStamp: a success without the server's proof.
+	ErrNoStamp = Error.New("a success without the server's stamp")
+)
+
+const (
+	// dialTimeout bounds a connect to a server on the same VM.
+	dialTimeout = 500 * time.Millisecond
+	// idleTime is how long a connection is kept where the server does not say;
+	// idleMargin is taken off what it says.
+	idleTime   = 4 * time.Second
+	idleMargin = 1500 * time.Millisecond
+	// maxIdle bounds the kept connections.
+	maxIdle = 16
+	// maxSurplus bounds the foreign answers that are passed over on one
+	// connection before it is given up.
+	maxSurplus = 3
+	// maxHeader bounds the head of an answer.
+	maxHeader = 64 << 10
+	// bufferBytes is the size of a connection's read buffer.
+	bufferBytes = 4 << 10
+)
+
+// conn is one connection to the server.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// expires is when the connection must not be used any more.
+	expires time.Time
+}
+
+// Pool keeps connections to one server.
+type Pool struct {
+	address string
+	dialect slatewind.ServerDialect
+
+	mu   sync.Mutex
+	idle []*conn
+	// Opened counts connections, for the metrics.
+	opened uint64
+}
+
+// NewPool returns a pool for the server at an address.
+func NewPool(address string, dialect slatewind.ServerDialect) *Pool {
+	return &Pool{address: address, dialect: dialect}
+}
+
+// Opened returns how many connections were opened so far.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// CloseIdle closes the connections that no request uses.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// Answer is a server's answer. Its body must be read to the end or closed.
+type Answer struct {
+	*http.Response
+	pool *Pool
+	conn *conn
+	// stop ends the watch of the request's context.
+	stop func() bool
+	// sent is closed once the whole request is written.
+	sent <-chan struct{}
+	done bool
+}
+
+// Do sends one request. sent is false only if no byte of it was written.
+// A success is returned only with the server's stamp.
+func (p *Pool) Do(ctx context.Context, request *http.Request) (answer *Answer, sent bool, err error) {
+	c, err := p.connection(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	written := make(chan struct{})
+	writer := &countingWriter{w: c}
+	go func() {
+		defer close(written)
+		// A failure shows as a missing answer: a server may answer early and
+		// stop reading.
+		_ = request.Write(writer)
+	}()
+	response, err := p.readResponse(c, request)
+	if err != nil {
+		_ = c.Close()
+		stop()
+		<-written
+		if ctx.Err() != nil {
+			err = errs.Combine(ctx.Err(), err)
+		}
+		return nil, writer.wrote, Error.Wrap(err)
+	}
+	return &Answer{Response: response, pool: p, conn: c, stop: stop, sent: written}, true, nil
+}
+
+// countingWriter notes whether anything was written.
+type countingWriter struct {
+	w     io.Writer
+	wrote bool
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(b []byte) (int, error) {
+	n, err := w.w.Write(b)
+	w.wrote = w.wrote || n > 0
+	return n, err
+}
+
+// readResponse reads the answer to a request and passes over others.
+func (p *Pool) readResponse(c *conn, request *http.Request) (*http.Response, error) {
+	for range maxSurplus {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, notAnAnswer(err)
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if id := response.Header.Get(p.dialect.RequestID); id != "" && id != request.Header.Get(p.dialect.RequestID) {
+			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+				return nil, ErrCrossed
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return nil, notAnAnswer(err)
+			}
+			continue
+		}
+		if response.StatusCode < http.StatusMultipleChoices && response.Header.Get(p.dialect.Stamp) == "" {
+			return nil, ErrNoStamp
+		}
+		if response.Header.Get("Content-Encoding") != "" {
+			return nil, errs.Combine(ErrNotAnAnswer, Error.New("an encoded body that nobody asked for"))
+		}
+		return response, nil
+	}
+	return nil, ErrCrossed
+}
+
+func notAnAnswer(err error) error {
+	var network net.Error
+	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return errs.Combine(ErrNotAnAnswer, err)
+}
+
+// Close ends the use of an answer. The connection is kept if the body was read
+// to its end and the server keeps it too.
+func (a *Answer) Close() {
+	if a.done {
+		return
+	}
+	a.done = true
+	aborted := !a.stop()
+	if aborted || !a.mayKeep() {
+		_ = a.conn.Close()
+		return
+	}
+	a.pool.keep(a.conn, a.Header)
+}
+
+func (a *Answer) mayKeep() bool {
+	if a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+		return false
+	}
+	var one [1]byte
+	if n, err := a.Body.Read(one[:]); n > 0 || !errors.Is(err, io.EOF) {
+		return false
+	}
+	if a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	select {
+	case <-a.sent:
+		return true
+	default:
+		// The rest of the request's body would be taken for the next request.
+		return false
+	}
+}
+
+// connection returns a kept connection or a new one.
+func (p *Pool) connection(ctx context.Context) (*conn, error) {
+	for {
+		c := p.take()
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && untouched(c.Conn) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+}
+
+// take returns the connection that was kept last, or nil.
+func (p *Pool) take() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) keep(c *conn, header http.Header) {
+	c.expires = time.Now().Add(keepTime(header))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// keepTime returns how long a connection may rest, by the server's Keep-Alive.
+func keepTime(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+		}
+	}
+	return idleTime
+}
+
+// untouched reports whether nothing arrived on an idle connection, neither
+// bytes, which would belong to no request, nor its end.
+func untouched(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, readErr := syscall.Read(int(descriptor), one[:])
+		quiet = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/breaker/breaker.go
@@ -0,0 +1,261 @@
+// Package breaker judges one backend server from beside it.
+//
+// The process beside a server sees every request that the server gets, so it
+// knows after one or two failures what an observer elsewhere learns from many.
+// Each failure adds suspicion by how unlikely a healthy server is to show it: a
+// reset counts in full, an error answer by half, since servers answer a few
+// requests with an error when nothing is wrong. At the threshold the breaker
+// opens and requests are refused before they reach the server, which proves
+// that they did not run. Repeatable requests are then let through one at a
+// time as trials; after enough successes in a row the breaker closes, and only
+// then may requests that must not repeat come back.
+//
+// Health probes are not asked: the servers that fail grayly answer them well.
+package breaker
+
+import (
+	"time"
+
+	"slatewind.example/slatewind"
+)
+
+// State is the breaker's judgement.
+type State string
+
+// States of a breaker.
+const (
+	// StateClosed lets everything through.
+	StateClosed State = "closed"
+	// StateOpen lets single repeatable requests through, now and then.
+	StateOpen State = "open"
+	// StateHalfOpen lets repeatable requests through one after the other.
+	StateHalfOpen State = "half-open"
+)
+
+// Result is what one request showed of the server.
+type Result string
+
+// Results of requests.
+const (
+	// ResultOK is a whole answer in good time.
+	ResultOK Result = "ok"
+	// ResultBroken is a reset, an early end or bytes that are no answer.
+	ResultBroken Result = "broken"
+	// ResultError is the server's own error answer.
+	ResultError Result = "error"
+	// ResultShed is a rejection by the server although it had a free slot.
+	ResultShed Result = "shed"
+	// ResultNone tells nothing: the caller left, or nothing was sent.
+	ResultNone Result = "none"
+)
+
+// Weights of evidence, as shares of the threshold. Measured in fleet days: a
+// healthy server resets nothing and answers about one request in eighty with an
+// error of its own.
+const (
+	threshold    = 1.0
+	brokenWeight = 1.0
+	errorWeight  = 0.5
+	shedWeight   = 0.4
+	slowWeight   = 0.5
+	// successWeight is taken off for each success. At 0.2 a server that fails
+	// every third request opens the breaker, one that fails every tenth not.
+	successWeight = 0.2
+)
+
+const (
+	// firstTrialAfter is the pause before the first trial; it grows by
+	// trialGrowth with each failed one up to maxTrialAfter.
+	firstTrialAfter = 500 * time.Millisecond
+	trialGrowth     = 1.5
+	maxTrialAfter   = 2 * time.Second
+	// successesNeeded in a row close the breaker; each opening within
+	// relapseTime of the last close asks for more, up to maxSuccesses.
+	successesNeeded = 3
+	maxSuccesses    = 8
+	relapseTime     = 5 * time.Second
+)
+
+const (
+	// overdueFactor times the mean of a route is too long for one request, and
+	// at least overdueLeast more than the mean.
+	overdueFactor = 4
+	overdueLeast  = 250 * time.Millisecond
+	// meanWeight is the weight of the newest duration in a route's mean, and
+	// leastSamples how many it takes before the mean is used.
+	meanWeight   = 0.1
+	leastSamples = 4
+)
+
+// running is a request that the server has.
+type running struct {
+	route   string
+	started time.Time
+	trial   bool
+	overdue bool
+}
+
+// mean is the mean duration of a route's successes.
+type mean struct {
+	value   time.Duration
+	samples int
+}
+
+// Breaker is the judgement of one server. It is not safe for use by several
+// goroutines; its host guards it.
+type Breaker struct {
+	state      State
+	score      float64
+	successes  int
+	needed     int
+	changed    time.Time
+	trialAfter time.Duration
+	lastTrial  time.Time
+	trials     int
+	running    map[string]*running
+	means      map[string]mean
+	// LastSuccess is when the server last gave a whole answer in good time.
+	LastSuccess time.Time
+}
+
+// New returns a closed breaker.
+func New() *Breaker {
+	return &Breaker{state: StateClosed, needed: successesNeeded, running: map[string]*running{}, means: map[string]mean{}}
+}
+
+// State returns the judgement.
+func (b *Breaker) State() State { return b.state }
+
+// Score returns the suspicion; at 1 the breaker opens.
+func (b *Breaker) Score() float64 { return b.score }
+
+// Allow reports whether a request of a kind may go to the server now.
+func (b *Breaker) Allow(now time.Time, kind slatewind.Kind) bool {
+	switch b.state {
+	case StateClosed:
+		return true
+	case StateHalfOpen:
+		return kind == slatewind.KindRepeatable && b.trials == 0
+	}
+	return kind == slatewind.KindRepeatable && b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
+}
+
+// RetryAfter returns when a trial is due, or zero where the breaker is closed.
+func (b *Breaker) RetryAfter(now time.Time) time.Duration {
+	if b.state == StateClosed {
+		return 0
+	}
+	return max(b.trialAfter-now.Sub(b.lastTrial), 0)
+}
+
+// Start notes that the server gets a request.
+func (b *Breaker) Start(now time.Time, id, route string) {
+	r := &running{route: route, started: now, trial: b.state != StateClosed}
+	if r.trial {
+		b.trials++
+		b.lastTrial = now
+	}
+	b.running[id] = r
+}
+
+// End notes what became of a request. It reports whether the state changed.
+func (b *Breaker) End(now time.Time, id string, result Result) bool {
+	r := b.running[id]
+	if r == nil {
+		return false
+	}
+	delete(b.running, id)
+	if r.trial {
+		b.trials--
+	}
+	took := now.Sub(r.started)
+	if result == ResultOK && (r.overdue || b.tooLong(r.route, took)) {
+		return !r.overdue && b.fail(now, slowWeight)
+	}
+	switch result {
+	case ResultOK:
+		b.learn(r.route, took)
+		return b.succeed(now)
+	case ResultBroken:
+		return b.fail(now, brokenWeight)
+	case ResultError:
+		return b.fail(now, errorWeight)
+	case ResultShed:
+		return b.fail(now, shedWeight)
+	}
+	return false
+}
+
+// Tick counts requests that run for too long. It reports whether the state
+// changed.
+func (b *Breaker) Tick(now time.Time) bool {
+	changed := false
+	for _, r := range b.running {
+		if r.overdue || !b.tooLong(r.route, now.Sub(r.started)) {
+			continue
+		}
+		r.overdue = true
+		changed = b.fail(now, slowWeight) || changed
+	}
+	return changed
+}
+
+// Reset forgets all suspicion: another server has the place.
+func (b *Breaker) Reset() {
+	*b = *New()
+}
+
+func (b *Breaker) tooLong(route string, took time.Duration) bool {
+	m := b.means[route]
+	return m.samples >= leastSamples && took > max(overdueFactor*m.value, m.value+overdueLeast)
+}
+
+func (b *Breaker) learn(route string, took time.Duration) {
+	m := b.means[route]
+	if m.samples == 0 {
+		m.value = took
+	}
+	m.value += time.Duration(meanWeight * float64(took-m.value))
+	m.samples++
+	b.means[route] = m
+}
+
+func (b *Breaker) succeed(now time.Time) bool {
+	b.LastSuccess = now
+	if b.state == StateClosed {
+		b.score = max(b.score-successWeight, 0)
+		return false
+	}
+	b.state = StateHalfOpen
+	b.successes++
+	if b.successes < b.needed {
+		return false
+	}
+	b.state = StateClosed
+	b.score = 0
+	b.changed = now
+	return true
+}
+
+func (b *Breaker) fail(now time.Time, weight float64) bool {
+	if b.state != StateClosed {
+		b.state = StateOpen
+		b.successes = 0
+		b.trialAfter = min(time.Duration(trialGrowth*float64(b.trialAfter)), maxTrialAfter)
+		return false
+	}
+	b.score += weight
+	if b.score < threshold {
+		return false
+	}
+	b.needed = successesNeeded
+	if !b.changed.IsZero() && now.Sub(b.changed) < relapseTime {
+		b.needed = min(b.needed+2, maxSuccesses)
+	}
+	b.state = StateOpen
+	b.successes = 0
+	b.changed = now
+	b.trialAfter = firstTrialAfter
+	b.lastTrial = now
+	return true
+}
--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -24,7 +24,7 @@
 )
 
 type options struct {
-	Settings string `short:"s" long:"settings" description:"YAML file with the settings of this process" value-name:"FILE"`
+	Settings string `short:"s" long:"settings" env:"SLATEWIND_CONFIG" description:"YAML file with the settings of this process" value-name:"FILE"`
 	Verbose  bool   `short:"v" long:"verbose" description:"log decisions about single requests too"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
@@ -49,7 +49,7 @@
 		return exitOK
 	}
 	if o.Settings == "" {
-		fmt.Fprintln(os.Stderr, "slatewindd: --settings is missing; see --help")
+		fmt.Fprintln(os.Stderr, "slatewindd: neither --settings nor SLATEWIND_CONFIG is given; see --help")
 		return exitUsage
 	}
 	process, err := config.LoadProcess(o.Settings)
--- a/config/check.go
+++ b/config/check.go
@@ -39,6 +39,7 @@
 	{"SW1011", "No two routes match the same requests", "Which of them counted would depend on the order of the file.", "0.1"},
 	{"SW1012", "Path prefixes begin with a slash", "Request paths do, so nothing would ever match.", "0.1"},
 	{"SW1013", "A route's largest body fits into a message between processes", "A larger one would be accepted from the caller and could not be passed on.", "0.1"},
+	{"SW1014", "Extra attempts are bounded by a ratio from 0 to 1", "A ratio above 1 would let retries more than double the load of sick servers.", "0.2"},
 }
 
 // MaxBodyBytes is the largest request body that fits into a message between
@@ -211,6 +212,10 @@
 	for i, address := range process.GetSeedPeers() {
 		c.checkAddress(address, "seed_peers", i)
 	}
+	if process.GetStore() != nil {
+		c.checkNode(process)
+		return c.findings
+	}
 	base, err := url.Parse(process.GetPlatformUrl())
 	if err != nil || base.Scheme != "http" || base.Host == "" {
 		c.add("SW1007", fmt.Sprintf("platform URL %q is not http://IP:port", process.GetPlatformUrl()), "platform_url")
@@ -218,6 +223,26 @@
 	return c.findings
 }
 
+// checkNode checks what a process needs whose servers the platform's store lists.
+func (c *checker) checkNode(process *slatewindv1.Process) {
+	c.checkAddress(process.GetStore().GetAddress(), "store", "address")
+	c.checkAddress(process.GetReadyAddress(), "ready_address")
+	c.checkAddress(process.GetLocalServer().GetAddress(), "local_server", "address")
+	if process.GetLocalServer().GetService() == "" {
+		c.add("SW1004", "the local server names no service", "local_server", "service")
+	}
+	bounds := process.GetBounds()
+	for name, bound := range map[string]*durationpb.Duration{
+		"drain": bounds.GetDrain(), "grace": bounds.GetGrace(), "settings": bounds.GetSettings(),
+		"retry_window": bounds.GetRetryWindow(), "address_reuse": bounds.GetAddressReuse(),
+	} {
+		c.checkDuration(bound, "bounds", name)
+	}
+	if ratio := bounds.GetRetryRatio(); ratio < 0 || ratio > 1 {
+		c.add("SW1014", fmt.Sprintf("retry_ratio %g is outside 0 to 1", ratio), "bounds", "retry_ratio")
+	}
+}
+
 // Defaults of the operators' file. The caution defaults come from the curve in
 // docs/POLICY.md.
 const (
--- a/config/store.go
+++ b/config/store.go
@@ -63,6 +63,25 @@
 	return true, nil
 }
 
+// Adopt puts published settings in force if they are newer than what is. It
+// reports whether they are in force now because of this call.
+func (s *Store) Adopt(now time.Time, source string, settings *slatewind.PublishedSettings) bool {
+	version := Version{Revision: settings.Version}
+	for {
+		current := s.current.Load()
+		if current != nil && !version.Newer(current.Version) {
+			s.noteStale(now, source, version, current.Version)
+			return false
+		}
+		if s.current.CompareAndSwap(current, NewSnapshot(version, now, nil, settings.Fleet)) {
+			break
+		}
+	}
+	reason := fmt.Sprintf("version %d is in force", settings.Version)
+	s.add(now, slatewind.DecisionSettings, reason, fmt.Sprintf("source=%s routes=%d", source, len(settings.Fleet.GetRoutes())))
+	return true
+}
+
 func (s *Store) noteStale(now time.Time, source string, offered, current Version) {
 	if offered == current {
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,9 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -56,6 +53,9 @@
 
 // Options returns the wiring of a process with the given settings.
 func Options(process *slatewindv1.Process, logger *log.Logger) fx.Option {
+	if process.GetStore() != nil {
+		return nodeOptions(process, logger)
+	}
 	return fx.Options(
 		fx.NopLogger,
 		fx.StopTimeout(StopTimeout+5*time.Second),
@@ -152,42 +152,18 @@
 	return nil
 }
 
-// listen opens the three listeners; if one fails, the others are closed.
+// listen opens the three listeners.
 func (p *Process) listen() error {
-	addresses := []string{p.settings.GetIngressAddress(), p.settings.GetPeerAddress(), p.settings.GetAdminAddress()}
-	listeners := make([]net.Listener, 0, len(addresses))
-	var group errs.Group
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			group.Add(Error.New("cannot listen on %s: %w", address, err))
-			continue
-		}
-		listeners = append(listeners, listener)
-	}
-	if err := group.Err(); err != nil {
-		for _, listener := range listeners {
-			group.Add(listener.Close())
-		}
-		return err
-	}
 	p.callers = &http.Server{Handler: p.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	p.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSidecarServer(p.peers, sidecarServer{sidecar: p.sidecar})
 	slatewindv1.RegisterPeerServer(p.peers, peerServer{gossip: p.gossip})
-	p.serve("callers", func() error { return p.callers.Serve(listeners[0]) })
-	p.serve("peers", func() error { return p.peers.Serve(listeners[1]) })
-	p.serve("admin", func() error { return p.admin.Serve(listeners[2]) })
-	return nil
-}
-
-func (p *Process) serve(what string, serve func() error) {
-	go func() {
-		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			p.logger.Error("listener ended", "listener", what, "error", err)
-		}
-	}()
+	return serveAll(p.logger, []service{
+		{"callers", p.settings.GetIngressAddress(), p.callers.Serve},
+		{"peers", p.settings.GetPeerAddress(), p.peers.Serve},
+		{"admin", p.settings.GetAdminAddress(), p.admin.Serve},
+	})
 }
 
 // Stop drains the process: no new work, everything in hand is finished, and
@@ -278,13 +254,7 @@
 }
 
 func (p *Process) inForce() admin.Settings {
-	s := admin.Settings{VM: p.settings.GetVm()}
-	if current := p.store.Current(); current != nil {
-		s.Revision = current.Version.Revision
-		s.Digest = fmt.Sprintf("%016x", current.Version.Digest)
-		s.Since = current.Since
-	}
-	return s
+	return inForce(p.settings.GetVm(), p.store)
 }
 
 func (p *Process) state() admin.State {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -13,6 +13,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/once"
 )
 
@@ -134,7 +135,7 @@
 		target:   r.URL.RequestURI(),
 		host:     r.Host,
 		customer: r.Header.Get(HeaderCustomer),
-		headers:  forwarded(r.Header),
+		headers:  link.ForwardedHeaders(r.Header),
 	}
 	if rq.shard == nil {
 		return nil, &badRequest{http.StatusServiceUnavailable, "the service of the route is being set up"}
@@ -229,34 +230,6 @@
 	return nil
 }
 
-// hopByHop lists the header fields that concern one connection only, and those
-// of the fleet itself (RFC 9110, section 7.6.1).
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
-	"Proxy-Authorization": true, "Proxy-Authenticate": true,
-}
-
-// forwarded returns the header fields that go on.
-func forwarded(h http.Header) []*slatewindv1.Header {
-	named := map[string]bool{}
-	for _, value := range h.Values("Connection") {
-		for token := range strings.SplitSeq(value, ",") {
-			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
-		}
-	}
-	var list []*slatewindv1.Header
-	for name, values := range h {
-		if hopByHop[name] || named[name] {
-			continue
-		}
-		for _, value := range values {
-			list = append(list, &slatewindv1.Header{Name: name, Value: value})
-		}
-	}
-	return list
-}
-
 // final is the answer to a caller.
 type final struct {
 	outcome    slatewind.Outcome
@@ -318,7 +291,7 @@
 	reply := f.reply.Reply
 	defer f.reply.done()
 	for _, h := range reply.Head.GetHeaders() {
-		if !hopByHop[h.GetName()] {
+		if !link.HopByHop[h.GetName()] {
 			w.Header().Add(h.GetName(), h.GetValue())
 		}
 	}
--- /dev/null
+++ b/link/headers.go
@@ -0,0 +1,40 @@
+package link
+
+import (
+	"net/http"
+	"strings"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// HopByHop lists the header fields that concern one connection only (RFC 9110,
+// section 7.6.1).
+var HopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+	"Proxy-Authorization": true, "Proxy-Authenticate": true,
+}
+
+// ForwardedHeaders returns the header fields that go on with a request: all but
+// those of one connection and those that are set anew.
+func ForwardedHeaders(h http.Header, without ...string) []*slatewindv1.Header {
+	dropped := map[string]bool{}
+	for _, name := range without {
+		dropped[http.CanonicalHeaderKey(name)] = true
+	}
+	for _, value := range h.Values("Connection") {
+		for token := range strings.SplitSeq(value, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	var list []*slatewindv1.Header
+	for name, values := range h {
+		if HopByHop[name] || dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			list = append(list, &slatewindv1.Header{Name: name, Value: value})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/link/use.go
@@ -0,0 +1,126 @@
+package link
+
+import (
+	"context"
+	"io"
+
+	"google.golang.org/grpc"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// Use is the ingress's end of one reservation. Its context ends it: a slot that
+// is held is given back, and a reservation that was never followed by a request
+// proves that nothing ran.
+type Use interface {
+	Send(*slatewindv1.UseRequest) error
+	// Recv returns io.EOF after the last part.
+	Recv() (*slatewindv1.UseReply, error)
+}
+
+// UseStream is the sidecar's end of one reservation.
+type UseStream interface {
+	Context() context.Context
+	Send(*slatewindv1.UseReply) error
+	Recv() (*slatewindv1.UseRequest, error)
+}
+
+// Use begins a reservation at the process at an address.
+func (p *Pool) Use(ctx context.Context, address string) (Use, error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := slatewindv1.NewSlotsClient(conn).Use(ctx)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return stream, nil
+}
+
+// LocalUse begins a reservation at this process's own server: the same messages
+// without a connection.
+func LocalUse(ctx context.Context, serve func(UseStream) error) Use {
+	l := &localUse{
+		ctx:      ctx,
+		requests: make(chan *slatewindv1.UseRequest, 1),
+		replies:  make(chan *slatewindv1.UseReply, 1),
+	}
+	go func() {
+		defer close(l.replies)
+		l.err = serve(localStream{l})
+	}()
+	return l
+}
+
+// localUse joins both ends by channels.
+type localUse struct {
+	ctx      context.Context
+	requests chan *slatewindv1.UseRequest
+	replies  chan *slatewindv1.UseReply
+	// err is set before replies is closed.
+	err error
+}
+
+// Send implements Use.
+func (l *localUse) Send(request *slatewindv1.UseRequest) error {
+	select {
+	case l.requests <- request:
+		return nil
+	case <-l.ctx.Done():
+		return l.ctx.Err()
+	}
+}
+
+// Recv implements Use.
+func (l *localUse) Recv() (*slatewindv1.UseReply, error) {
+	select {
+	case reply, ok := <-l.replies:
+		if ok {
+			return reply, nil
+		}
+		if l.err != nil {
+			return nil, l.err
+		}
+		return nil, io.EOF
+	case <-l.ctx.Done():
+		return nil, l.ctx.Err()
+	}
+}
+
+// localStream is the other end of a localUse.
+type localStream struct{ *localUse }
+
+// Context implements UseStream.
+func (s localStream) Context() context.Context { return s.ctx }
+
+// Send implements UseStream.
+func (s localStream) Send(reply *slatewindv1.UseReply) error {
+	select {
+	case s.replies <- reply:
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+// Recv implements UseStream.
+func (s localStream) Recv() (*slatewindv1.UseRequest, error) {
+	select {
+	case request := <-s.requests:
+		return request, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// SlotsServer serves reservations to other processes.
+type SlotsServer struct {
+	slatewindv1.UnimplementedSlotsServer
+	Serve func(UseStream) error
+}
+
+// Use implements the generated interface.
+func (s SlotsServer) Use(stream grpc.BidiStreamingServer[slatewindv1.UseRequest, slatewindv1.UseReply]) error {
+	return s.Serve(stream)
+}
--- /dev/null
+++ b/outbound/dispatch.go
@@ -0,0 +1,340 @@
+package outbound
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+const (
+	// answerSlack is how long after a request's time a server's own answer may
+	// still come.
+	answerSlack = 150 * time.Millisecond
+	// heldBytes is how much of an answer is held until it is whole. Longer ones
+	// are passed on while they come and are cut short visibly on failure.
+	heldBytes = 1 << 20
+	// chunkBytes is the size of the parts in which a request's body travels.
+	chunkBytes = 64 << 10
+	// defaultAttempts counts where a route does not state its attempts.
+	defaultAttempts = 2
+	// hedgeShare is the share of its objective after which a repeatable request
+	// without an answer is sent to a second server as well.
+	hedgeShare = 0.75
+)
+
+// answer is a server's answer.
+type answer struct {
+	head *slatewindv1.AnswerHead
+	body []byte
+	// rest reads what follows body where the answer was too long to hold. It
+	// returns io.EOF only after a whole answer.
+	rest  func() ([]byte, error)
+	close func()
+}
+
+// result is what became of one attempt.
+type result struct {
+	final
+	// arrived says that a server has seen the request.
+	arrived bool
+}
+
+// dispatch decides about a request until its final answer.
+func (o *Outbound) dispatch(ctx context.Context, rq *request) final {
+	if !rq.repeatable() {
+		// Its caller may leave; what it began goes on, since breaking it off
+		// does not undo it.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := rq.context(ctx)
+	d := &dispatch{o: o, rq: rq, ctx: ctx, results: make(chan result, maxTries), tried: map[string]bool{}}
+	f := d.run()
+	if f.answer == nil {
+		cancel()
+		return f
+	}
+	closeAnswer := f.answer.close
+	f.answer.close = func() { closeAnswer(); cancel() }
+	return f
+}
+
+// maxTries bounds the attempts at one request, refused ones included.
+const maxTries = 8
+
+// dispatch is the state of one request's attempts.
+type dispatch struct {
+	o       *Outbound
+	rq      *request
+	ctx     context.Context
+	results chan result
+	tried   map[string]bool
+	// active counts attempts without a result, tries all attempts, arrivals
+	// those that a server has seen.
+	active, tries, arrivals int
+	// mayHaveRun says that some attempt is not proved not to have run.
+	mayHaveRun bool
+	// best is a server's own error answer, kept in case nothing better comes.
+	best *final
+}
+
+func (d *dispatch) run() final {
+	d.rq.shard.mu.Lock()
+	d.rq.shard.budget.First()
+	d.rq.shard.mu.Unlock()
+	d.start()
+	hedge := time.NewTimer(time.Duration(hedgeShare * float64(d.rq.objective())))
+	defer hedge.Stop()
+	for {
+		select {
+		case r := <-d.results:
+			d.active--
+			if f, done := d.take(r); done {
+				return f
+			}
+		case <-hedge.C:
+			if d.rq.repeatable() && d.active == 1 && d.mayRepeat() {
+				d.note(slatewind.DecisionHedge, "", "no answer after most of its objective")
+				d.start()
+			}
+		case <-d.ctx.Done():
+			return d.ended()
+		}
+	}
+}
+
+// ended is the outcome of a request whose time is over or whose caller left.
+// The attempts end with it, so what became of them is known in a moment.
+func (d *dispatch) ended() final {
+	for ; d.active > 0; d.active-- {
+		r := <-d.results
+		if r.answer != nil {
+			return r.final
+		}
+		d.learn(r)
+	}
+	if d.best != nil {
+		return *d.best
+	}
+	f := final{outcome: slatewind.OutcomeNotRun, reason: "no answer in the request's time", timedOut: true}
+	if errors.Is(d.ctx.Err(), context.Canceled) {
+		f.reason = "the caller left"
+	}
+	if d.mayHaveRun {
+		f.outcome = slatewind.OutcomeUnknown
+	}
+	return f
+}
+
+// learn notes what a result tells of the request's fate.
+func (d *dispatch) learn(r result) {
+	if !r.arrived {
+		return
+	}
+	d.arrivals++
+	d.tried[r.server] = true
+	d.mayHaveRun = d.mayHaveRun || r.outcome != slatewind.OutcomeNotRun
+}
+
+// start begins an attempt.
+func (d *dispatch) start() {
+	d.active++
+	d.tries++
+	tried := make(map[string]bool, len(d.tried))
+	for name := range d.tried {
+		tried[name] = true
+	}
+	go func() { d.results <- d.o.attempt(d.ctx, d.rq, tried) }()
+}
+
+// mayRepeat takes one extra arrival at a server out of the budgets.
+func (d *dispatch) mayRepeat() bool {
+	attempts := int(d.rq.route.GetAttempts())
+	if attempts == 0 {
+		attempts = defaultAttempts
+	}
+	if d.arrivals+d.active >= attempts || d.tries >= maxTries || d.rq.remaining(time.Now()) <= 0 {
+		return false
+	}
+	d.rq.shard.mu.Lock()
+	defer d.rq.shard.mu.Unlock()
+	return d.rq.shard.budget.Take()
+}
+
+// take handles the result of one attempt; done says that f is final.
+func (d *dispatch) take(r result) (f final, done bool) {
+	d.learn(r)
+	failed := r.answer != nil && r.answer.head.GetStatus() >= http.StatusInternalServerError
+	switch {
+	case r.answer != nil && !failed:
+		return r.final, true
+	case failed:
+		d.best = &r.final
+	}
+	if d.rq.repeatable() || r.outcome == slatewind.OutcomeNotRun {
+		if d.again(r) {
+			return final{}, false
+		}
+	}
+	if d.active > 0 {
+		return final{}, false
+	}
+	if d.best != nil {
+		return *d.best, true
+	}
+	if d.mayHaveRun {
+		// A refused second attempt proves nothing of the first.
+		r.outcome = slatewind.OutcomeUnknown
+	}
+	return r.final, true
+}
+
+// again starts another attempt after a failed one, if that is allowed. A refused
+// reservation was the end of a long search; only what was sent is tried again.
+func (d *dispatch) again(r result) bool {
+	if !r.arrived || d.ctx.Err() != nil {
+		return false
+	}
+	if !d.mayRepeat() {
+		return false
+	}
+	reason := r.reason
+	if r.answer != nil {
+		reason = fmt.Sprintf("the server answered with status %d", r.answer.head.GetStatus())
+	}
+	d.note(slatewind.DecisionRetry, r.server, reason)
+	d.start()
+	return true
+}
+
+func (d *dispatch) note(kind slatewind.DecisionKind, server, reason string) {
+	d.o.meter.Extra(d.rq.service, string(kind))
+	d.o.journal.Add(slatewind.Decision{
+		Time: time.Now(), Kind: kind, Service: d.rq.service, Server: server, Request: d.rq.id, Reason: reason,
+		Evidence: fmt.Sprintf("route=%s after=%s arrivals=%d", d.rq.route.GetName(), time.Since(d.rq.began).Round(time.Millisecond), d.arrivals),
+	})
+}
+
+// attempt looks for a slot and runs the request in it.
+func (o *Outbound) attempt(ctx context.Context, rq *request, tried map[string]bool) result {
+	slot, refused := o.acquire(ctx, rq, tried, rq.patience())
+	if slot == nil {
+		return result{final: *refused}
+	}
+	r := o.run(rq, slot)
+	rq.shard.mu.Lock()
+	defer rq.shard.mu.Unlock()
+	rq.shard.choice.Ended(slot.server.Name)
+	if r.answer != nil && r.answer.head.GetStatus() < http.StatusInternalServerError {
+		rq.shard.choice.Succeeded(time.Now(), slot.server.Name)
+	}
+	return r
+}
+
+// run sends the request to the process that holds a slot for it.
+func (o *Outbound) run(rq *request, slot *held) result {
+	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+	if err := rq.send(slot); err != nil {
+		slot.cancel()
+		r.reason = "the request could not be sent whole: " + err.Error()
+		return r
+	}
+	reply, err := slot.use.Recv()
+	switch {
+	case err != nil:
+		slot.cancel()
+		r.reason = "no reply from the process beside the server: " + err.Error()
+		r.timedOut = errors.Is(err, context.DeadlineExceeded) || time.Now().After(rq.deadline)
+	case reply.GetHead() != nil:
+		return o.read(rq, slot, reply.GetHead())
+	case reply.GetFailure() != nil:
+		slot.cancel()
+		failure := reply.GetFailure()
+		r.outcome, r.reason = slatewind.Outcome(failure.GetOutcome()), failure.GetReason()
+		r.timedOut = time.Now().After(rq.deadline)
+		o.hear(rq, slot, failure.GetState())
+	case reply.GetRefusal() != nil:
+		slot.cancel()
+		r.outcome, r.reason = slatewind.OutcomeNotRun, reply.GetRefusal().GetReason()
+		o.hear(rq, slot, reply.GetRefusal().GetState())
+	default:
+		slot.cancel()
+		r.reason = "a reply that is none"
+	}
+	return r
+}
+
+// send sends the request and its body.
+func (rq *request) send(slot *held) error {
+	first := rq.body[:min(len(rq.body), chunkBytes)]
+	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
+		RemainingNanos: int64(rq.remaining(time.Now())), Method: rq.method, Target: rq.target, Host: rq.host,
+		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
+	}}})
+	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
+		n := min(len(rest), chunkBytes)
+		err = slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Chunk{Chunk: rest[:n]}})
+		rest = rest[n:]
+	}
+	return err
+}
+
+func (o *Outbound) hear(rq *request, slot *held, state *slatewindv1.SlotState) {
+	if state == nil {
+		return
+	}
+	rq.shard.mu.Lock()
+	defer rq.shard.mu.Unlock()
+	rq.shard.choice.Heard(time.Now(), slot.server.Name, toldOf(state))
+}
+
+// errBroken: an answer ended early, or its length or checksum is wrong.
+var errBroken = Error.New("the answer is not whole")
+
+// read reads the answer that follows a head.
+func (o *Outbound) read(rq *request, slot *held, head *slatewindv1.AnswerHead) result {
+	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+	sum := xxhash.New()
+	length := int64(0)
+	next := func() ([]byte, error) {
+		reply, err := slot.use.Recv()
+		if err != nil {
+			return nil, errors.Join(errBroken, err)
+		}
+		if end := reply.GetEnd(); end != nil {
+			if end.GetLength() != length || end.GetChecksum() != sum.Sum64() {
+				return nil, errBroken
+			}
+			o.hear(rq, slot, end.GetState())
+			return nil, io.EOF
+		}
+		chunk := reply.GetChunk()
+		_, _ = sum.Write(chunk)
+		length += int64(len(chunk))
+		return chunk, nil
+	}
+	a := &answer{head: head, close: slot.cancel}
+	for len(a.body) <= heldBytes {
+		chunk, err := next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, errBroken) {
+			r.outcome, r.answer = slatewind.OutcomeAnswer, a
+			return r
+		}
+		if err != nil {
+			slot.cancel()
+			r.reason = err.Error()
+			return r
+		}
+		a.body = append(a.body, chunk...)
+	}
+	a.rest = next
+	r.outcome, r.answer = slatewind.OutcomeAnswer, a
+	return r
+}
--- /dev/null
+++ b/outbound/request.go
@@ -0,0 +1,265 @@
+package outbound
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/link"
+)
+
+const (
+	// defaultTimeout counts where neither caller nor route state a time.
+	defaultTimeout = 5 * time.Second
+	// defaultBodyBytes counts until settings state a limit.
+	defaultBodyBytes = 64 << 20
+	// bodyTime bounds how long a caller may take to send its body.
+	bodyTime = 30 * time.Second
+	// leastRetryAfter keeps refused callers from coming back at once.
+	leastRetryAfter = 50 * time.Millisecond
+	// unreadyRetryAfter is told before settings are known.
+	unreadyRetryAfter = 500 * time.Millisecond
+)
+
+// request is one caller's request with all that its decisions need.
+type request struct {
+	id       string
+	snapshot *config.Snapshot
+	route    *slatewindv1.Route
+	service  string
+	shard    *shard
+	method   string
+	target   string
+	host     string
+	headers  []*slatewindv1.Header
+	body     []byte
+	began    time.Time
+	deadline time.Time
+}
+
+func (rq *request) kind() slatewind.Kind { return slatewind.Kind(rq.route.GetKind()) }
+
+func (rq *request) repeatable() bool { return rq.kind() == slatewind.KindRepeatable }
+
+func (rq *request) objective() time.Duration {
+	if objective := rq.route.GetObjective().AsDuration(); objective > 0 {
+		return objective
+	}
+	return rq.deadline.Sub(rq.began) / 2
+}
+
+// rejection is a request that is refused before anything is sent.
+type rejection struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (r *rejection) Error() string { return r.reason }
+
+// ServeHTTP implements http.Handler for callers.
+func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.inFlight.Add(1)
+	defer o.inFlight.Add(-1)
+	now := time.Now()
+	o.lastArrival.Store(now.UnixNano())
+	if o.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	rq, err := o.newRequest(now, w, r)
+	if err != nil {
+		o.reject(w, r, err)
+		return
+	}
+	final := o.dispatch(r.Context(), rq)
+	o.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
+	o.answer(w, rq, final)
+}
+
+// reject answers a request that cannot be sent anywhere.
+func (o *Outbound) reject(w http.ResponseWriter, r *http.Request, err error) {
+	rejected := &rejection{status: http.StatusBadRequest, reason: err.Error()}
+	errors.As(err, &rejected)
+	o.meter.Request("", slatewind.OutcomeNotRun, 0)
+	o.journal.Add(slatewind.Decision{
+		Time: time.Now(), Kind: slatewind.DecisionRefuse, Request: r.Header.Get(o.dialect.RequestID), Reason: rejected.reason,
+		Evidence: fmt.Sprintf("status=%d version=%d", rejected.status, o.store.Version().Revision),
+	})
+	o.writeOwn(w, r.Header.Get(o.dialect.RequestID), rejected.status, rejected.reason, rejected.retryAfter)
+}
+
+// writeOwn writes an answer that is not a server's.
+func (o *Outbound) writeOwn(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration) {
+	if id != "" {
+		w.Header().Set(o.dialect.RequestID, id)
+	}
+	if status == http.StatusServiceUnavailable {
+		seconds := max(retryAfter, leastRetryAfter).Seconds()
+		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 2, 64))
+	}
+	http.Error(w, reason, status)
+}
+
+// newRequest reads and checks a caller's request.
+func (o *Outbound) newRequest(now time.Time, w http.ResponseWriter, r *http.Request) (*request, error) {
+	snapshot := o.store.Current()
+	if snapshot == nil {
+		return nil, &rejection{http.StatusServiceUnavailable, "no settings are in force yet", unreadyRetryAfter}
+	}
+	route := snapshot.Routes.Find(hostOnly(r.Host), r.Method, r.URL.Path)
+	if route == nil {
+		return nil, &rejection{status: http.StatusNotFound, reason: fmt.Sprintf("no route for %s%s", r.Host, r.URL.Path)}
+	}
+	rq := &request{
+		id:       r.Header.Get(o.dialect.RequestID),
+		snapshot: snapshot,
+		route:    route,
+		method:   r.Method,
+		target:   r.RequestURI,
+		host:     r.Host,
+		began:    now,
+		deadline: now.Add(o.timeFor(r, route)),
+	}
+	rq.service = o.split(rq)
+	rq.shard = o.shard(rq.service)
+	rq.headers = append(link.ForwardedHeaders(r.Header, o.dialect.CallerService, o.dialect.Deadline),
+		&slatewindv1.Header{Name: o.dialect.CallerService, Value: o.self.Service})
+	if err := rq.readBody(w, r); err != nil {
+		return nil, err
+	}
+	return rq, nil
+}
+
+// timeFor returns how long a request may take: as long as its caller waits and
+// its route allows.
+func (o *Outbound) timeFor(r *http.Request, route *slatewindv1.Route) time.Duration {
+	allowed := route.GetTimeout().AsDuration()
+	if ms, err := strconv.ParseInt(r.Header.Get(o.dialect.Deadline), 10, 64); err == nil {
+		wanted := time.Duration(ms) * time.Millisecond
+		if allowed <= 0 || wanted < allowed {
+			return wanted
+		}
+	}
+	if allowed <= 0 {
+		return defaultTimeout
+	}
+	return allowed
+}
+
+func hostOnly(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+func (rq *request) readBody(w http.ResponseWriter, r *http.Request) error {
+	limit := int64(rq.snapshot.Fleet.GetCallerLimits().GetBodyBytes())
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &rejection{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body is over the limit of %d bytes", limit)}
+	}
+	if err != nil {
+		return &rejection{status: http.StatusBadRequest, reason: "body did not arrive whole: " + err.Error()}
+	}
+	rq.body = body
+	return nil
+}
+
+// final is what becomes of a request.
+type final struct {
+	outcome    slatewind.Outcome
+	reason     string
+	retryAfter time.Duration
+	server     string
+	// timedOut says that the request's time ended while a server had it.
+	timedOut bool
+	// answer is set for OutcomeAnswer.
+	answer *answer
+}
+
+func (o *Outbound) answer(w http.ResponseWriter, rq *request, f final) {
+	if f.outcome == slatewind.OutcomeAnswer {
+		o.passOn(w, rq, f)
+		return
+	}
+	kind, status := slatewind.DecisionRefuse, http.StatusServiceUnavailable
+	if f.outcome == slatewind.OutcomeUnknown {
+		kind, status = slatewind.DecisionUnknown, http.StatusBadGateway
+		if f.timedOut {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	o.journal.Add(slatewind.Decision{
+		Time: time.Now(), Kind: kind, Service: rq.service, Server: f.server, Request: rq.id, Reason: f.reason,
+		Evidence: fmt.Sprintf("route=%s kind=%s status=%d took=%s version=%d",
+			rq.route.GetName(), rq.kind(), status, time.Since(rq.began).Round(time.Millisecond), rq.snapshot.Version.Revision),
+	})
+	o.writeOwn(w, rq.id, status, f.reason, f.retryAfter)
+}
+
+// passOn gives the server's own answer to the caller. One that breaks off while
+// it is passed on cuts the caller's connection, so that it cannot look whole.
+func (o *Outbound) passOn(w http.ResponseWriter, rq *request, f final) {
+	defer f.answer.close()
+	header := w.Header()
+	for _, h := range f.answer.head.GetHeaders() {
+		if !link.HopByHop[h.GetName()] {
+			header.Add(h.GetName(), h.GetValue())
+		}
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// Without this the library would guess one.
+		header["Content-Type"] = nil
+	}
+	if f.answer.rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(f.answer.body)))
+	}
+	w.WriteHeader(int(f.answer.head.GetStatus()))
+	_, err := w.Write(f.answer.body)
+	for err == nil && f.answer.rest != nil {
+		var chunk []byte
+		if chunk, err = f.answer.rest(); err == nil {
+			_, err = w.Write(chunk)
+		}
+	}
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyNotAllowed) {
+		return
+	}
+	o.journal.Add(slatewind.Decision{
+		Time: time.Now(), Kind: slatewind.DecisionUnknown, Service: rq.service, Server: f.server, Request: rq.id,
+		Reason: "the answer broke off while it was passed on: " + err.Error(),
+	})
+	if f.answer.rest != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// remaining returns the time left to a request.
+func (rq *request) remaining(now time.Time) time.Duration {
+	return rq.deadline.Sub(now)
+}
+
+// ctxWithDeadline ends with the request's time and a moment for a server's own
+// answer that the time is over.
+func (rq *request) context(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, rq.deadline.Add(answerSlack))
+}
