Try sick servers four times a second and let shedding alone not open the breaker

Cause: after a server had recovered, its breaker stayed open for 1.7 s on average of a 9 s cycle: trials backed off to 2 s and three had to succeed one after the other. Servers that shed part of their requests were set aside all at once. Change: trials every 250 to 500 ms, up to three at once after a success, two successes close; a rejection weighs less than a success makes good.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -56,8 +56,10 @@
 	threshold    = 1.0
 	brokenWeight = 1.0
 	errorWeight  = 0.5
-	shedWeight   = 0.4
-	slowWeight   = 0.5
+	// shedWeight is below successWeight: a rejection proves that nothing ran, so
+	// a server that sheds half of its requests is still of use.
+	shedWeight = 0.15
+	slowWeight = 0.5
 	// successWeight is taken off for each success. At 0.2 a server that fails
 	// every third request opens the breaker, one that fails every tenth not.
 	successWeight = 0.2
@@ -66,12 +68,14 @@
 const (
 	// firstTrialAfter is the pause before the first trial; it grows by
 	// trialGrowth with each failed one up to maxTrialAfter.
-	firstTrialAfter = 500 * time.Millisecond
-	trialGrowth     = 1.5
-	maxTrialAfter   = 2 * time.Second
+	firstTrialAfter = 250 * time.Millisecond
+	trialGrowth     = 1.2
+	maxTrialAfter   = 500 * time.Millisecond
+	// maxTrials is how many trials may run at once after a first success.
+	maxTrials = 3
 	// successesNeeded in a row close the breaker; each opening within
 	// relapseTime of the last close asks for more, up to maxSuccesses.
-	successesNeeded = 3
+	successesNeeded = 2
 	maxSuccesses    = 8
 	relapseTime     = 5 * time.Second
 )
@@ -135,7 +139,7 @@
 	case StateClosed:
 		return true
 	case StateHalfOpen:
-		return kind == slatewind.KindRepeatable && b.trials == 0
+		return kind == slatewind.KindRepeatable && b.trials < maxTrials
 	}
 	return kind == slatewind.KindRepeatable && b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
 }
