Let only a first attempt with another one left be a trial

Change: reservations say whether they must not be a trial (careful): requests that cannot repeat, second attempts, and those for which no budget is left.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -13,11 +13,7 @@
 // Health probes are not asked: the servers that fail grayly answer them well.
 package breaker
 
-import (
-	"time"
-
-	"slatewind.example/slatewind"
-)
+import "time"
 
 // State is the breaker's judgement.
 type State string
@@ -133,15 +129,16 @@
 // Score returns the suspicion; at 1 the breaker opens.
 func (b *Breaker) Score() float64 { return b.score }
 
-// Allow reports whether a request of a kind may go to the server now.
-func (b *Breaker) Allow(now time.Time, kind slatewind.Kind) bool {
+// Allow reports whether a request may go to the server now. A careful one must
+// not be a trial.
+func (b *Breaker) Allow(now time.Time, careful bool) bool {
 	switch b.state {
 	case StateClosed:
 		return true
 	case StateHalfOpen:
-		return kind == slatewind.KindRepeatable && b.trials < maxTrials
+		return !careful && b.trials < maxTrials
 	}
-	return kind == slatewind.KindRepeatable && b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
+	return !careful && b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
 }
 
 // RetryAfter returns when a trial is due, or zero where the breaker is closed.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,17 +29,17 @@
 	// warmingCost stands for a server that has just started and is slow.
 	warmingCost = 0.5
 	// quietCost stands for a server without a recent success, for requests that
-	// cannot be repeated.
+	// must not be trials.
 	quietCost = 0.2
 	// jitter separates equals, so that many ingresses do not choose the same.
 	jitter = 0.15
 )
 
 const (
-	// sickMemory is how long a told sickness counts for repeatable requests,
-	// which may be trials, and sickMemorySingle for the others.
-	sickMemory       = 600 * time.Millisecond
-	sickMemorySingle = 2 * time.Second
+	// sickMemory is how long a told sickness counts for requests that may be
+	// trials, and sickMemoryCareful for the others.
+	sickMemory        = 600 * time.Millisecond
+	sickMemoryCareful = 2 * time.Second
 	// loadMemory is how long a told load counts.
 	loadMemory = 1500 * time.Millisecond
 	// recentSuccess is how old a success may be that makes a server trusted.
@@ -110,8 +110,9 @@
 // Len returns the number of known servers.
 func (s *Service) Len() int { return len(s.servers) }
 
-// Order returns the servers that may get a request, cheapest first.
-func (s *Service) Order(now time.Time, kind slatewind.Kind) []slatewind.ServerEntry {
+// Order returns the servers that may get a request, cheapest first. A careful
+// request must not be a trial of a server that looks sick.
+func (s *Service) Order(now time.Time, careful bool) []slatewind.ServerEntry {
 	type priced struct {
 		entry slatewind.ServerEntry
 		cost  float64
@@ -121,7 +122,7 @@
 		if server.Leaving || server.told.Leaving && now.Sub(server.toldAt) < loadMemory {
 			continue
 		}
-		list = append(list, priced{server.ServerEntry, s.cost(now, server, kind)})
+		list = append(list, priced{server.ServerEntry, s.cost(now, server, careful)})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].cost < list[j].cost })
 	entries := make([]slatewind.ServerEntry, len(list))
@@ -132,7 +133,7 @@
 }
 
 // Cost returns a server's cost without the random part, for state dumps.
-func (s *Service) Cost(now time.Time, server *Server, kind slatewind.Kind) float64 {
+func (s *Service) Cost(now time.Time, server *Server, careful bool) float64 {
 	cost := server.occupancy(now)
 	if server.DataCentre != s.dataCentre {
 		cost += remoteCost
@@ -143,22 +144,21 @@
 	if now.Before(server.warmUntil) {
 		cost += warmingCost
 	}
-	single := kind != slatewind.KindRepeatable
 	memory := sickMemory
-	if single {
-		memory = sickMemorySingle
+	if careful {
+		memory = sickMemoryCareful
 	}
 	if server.told.Sick && now.Sub(server.toldAt) < memory {
 		cost += sickCost
 	}
-	if single && now.Sub(server.success) > recentSuccess {
+	if careful && now.Sub(server.success) > recentSuccess {
 		cost += quietCost
 	}
 	return cost
 }
 
-func (s *Service) cost(now time.Time, server *Server, kind slatewind.Kind) float64 {
-	return s.Cost(now, server, kind) + jitter*s.random.Float64()
+func (s *Service) cost(now time.Time, server *Server, careful bool) float64 {
+	return s.Cost(now, server, careful) + jitter*s.random.Float64()
 }
 
 // occupancy is how full the server is, as a share of its slots.
@@ -236,7 +236,7 @@
 	views := make([]View, 0, len(s.servers))
 	for _, server := range s.servers {
 		views = append(views, View{
-			ServerEntry: server.ServerEntry, Cost: s.Cost(now, server, slatewind.KindSingle),
+			ServerEntry: server.ServerEntry, Cost: s.Cost(now, server, true),
 			Load: server.told.Load, Sick: server.told.Sick, InFlight: server.inFlight,
 		})
 	}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -269,7 +269,7 @@
 		return in.refusal(CauseLeaving, in.stopping, 0)
 	case in.away != "":
 		return in.refusal(CauseLeaving, "the server is leaving: "+in.away, 0)
-	case !in.breaker.Allow(now, slatewind.Kind(r.GetKind())):
+	case !in.breaker.Allow(now, r.GetCareful()):
 		reason := fmt.Sprintf("the breaker is %s", in.breaker.State())
 		return in.refusal(CauseSick, reason, in.breaker.RetryAfter(now))
 	}
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -66,6 +66,7 @@
 type search struct {
 	o     *Outbound
 	rq    *request
+	aim   aim
 	ctx   context.Context
 	words chan word
 	// open holds the reservations without a final word, queued how many of
@@ -83,15 +84,22 @@
 	retryAfter time.Duration
 }
 
-// acquire looks for a slot for a request until its patience ends. Servers in
-// tried are passed over.
-func (o *Outbound) acquire(ctx context.Context, rq *request, tried map[string]bool, until time.Time) (*held, *final) {
-	s := &search{o: o, rq: rq, ctx: ctx, open: map[*asked]bool{}, last: "no server of the service is known"}
+// aim says which servers an attempt may go to.
+type aim struct {
+	// tried are passed over.
+	tried map[string]bool
+	// careful attempts must not be trials of servers that look sick.
+	careful bool
+}
+
+// acquire looks for a slot for a request until its patience ends.
+func (o *Outbound) acquire(ctx context.Context, rq *request, aim aim, until time.Time) (*held, *final) {
+	s := &search{o: o, rq: rq, aim: aim, ctx: ctx, open: map[*asked]bool{}, last: "no server of the service is known"}
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
 	defer patience.Stop()
 	for {
-		s.begin(tried)
+		s.begin()
 		slot, over := s.round(patience.C)
 		if slot != nil {
 			return slot, nil
@@ -119,14 +127,14 @@
 }
 
 // begin starts a round: all servers are asked in the order of their cost.
-func (s *search) begin(tried map[string]bool) {
+func (s *search) begin() {
 	sh := s.rq.shard
 	sh.mu.Lock()
-	order := sh.choice.Order(time.Now(), s.rq.kind())
+	order := sh.choice.Order(time.Now(), s.aim.careful)
 	sh.mu.Unlock()
 	s.queue = s.queue[:0]
 	for _, server := range order {
-		if !tried[server.Name] {
+		if !s.aim.tried[server.Name] {
 			s.queue = append(s.queue, server)
 		}
 	}
@@ -201,15 +209,15 @@
 	s.rq.shard.mu.Lock()
 	s.rq.shard.choice.Reserved(server.Name)
 	s.rq.shard.mu.Unlock()
-	go s.o.reserve(ctx, s.rq, a, s.words)
+	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.careful), a, s.words)
 	return true
 }
 
 // reserve carries one reservation to its final word.
-func (o *Outbound) reserve(ctx context.Context, rq *request, a *asked, words chan<- word) {
+func (o *Outbound) reserve(ctx context.Context, reservation *slatewindv1.Reservation, a *asked, words chan<- word) {
 	use, err := o.links.Open(ctx, a.server)
 	if err == nil {
-		err = use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Reservation{Reservation: rq.reservation(a.server)}})
+		err = use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Reservation{Reservation: reservation}})
 	}
 	for {
 		var reply *slatewindv1.UseReply
@@ -223,11 +231,11 @@
 	}
 }
 
-func (rq *request) reservation(server slatewind.ServerEntry) *slatewindv1.Reservation {
+func (rq *request) reservation(server slatewind.ServerEntry, careful bool) *slatewindv1.Reservation {
 	now := time.Now()
 	return &slatewindv1.Reservation{
 		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
-		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)),
+		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)), Careful: careful,
 	}
 }
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -147,20 +148,24 @@
 func (d *dispatch) start() {
 	d.active++
 	d.tries++
-	tried := make(map[string]bool, len(d.tried))
-	for name := range d.tried {
-		tried[name] = true
+	to := aim{tried: maps.Clone(d.tried), careful: !d.mayTry()}
+	go func() { d.results <- d.o.attempt(d.ctx, d.rq, to) }()
+}
+
+// mayTry reports whether the next attempt may be a trial of a server that looks
+// sick: another attempt must be left after it.
+func (d *dispatch) mayTry() bool {
+	if !d.rq.repeatable() || d.tries > 1 || d.rq.attempts() < 2 {
+		return false
 	}
-	go func() { d.results <- d.o.attempt(d.ctx, d.rq, tried) }()
+	d.rq.shard.mu.Lock()
+	defer d.rq.shard.mu.Unlock()
+	return d.rq.shard.budget.Left()
 }
 
 // mayRepeat takes one extra arrival at a server out of the budgets.
 func (d *dispatch) mayRepeat() bool {
-	attempts := int(d.rq.route.GetAttempts())
-	if attempts == 0 {
-		attempts = defaultAttempts
-	}
-	if d.arrivals+d.active >= attempts || d.tries >= maxTries || d.rq.remaining(time.Now()) <= 0 {
+	if d.arrivals+d.active >= d.rq.attempts() || d.tries >= maxTries || d.rq.remaining(time.Now()) <= 0 {
 		return false
 	}
 	d.rq.shard.mu.Lock()
@@ -223,8 +228,8 @@
 }
 
 // attempt looks for a slot and runs the request in it.
-func (o *Outbound) attempt(ctx context.Context, rq *request, tried map[string]bool) result {
-	slot, refused := o.acquire(ctx, rq, tried, rq.patience())
+func (o *Outbound) attempt(ctx context.Context, rq *request, to aim) result {
+	slot, refused := o.acquire(ctx, rq, to, rq.patience())
 	if slot == nil {
 		return result{final: *refused}
 	}
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -49,6 +49,14 @@
 
 func (rq *request) repeatable() bool { return rq.kind() == slatewind.KindRepeatable }
 
+// attempts returns to how many servers the request may be sent.
+func (rq *request) attempts() int {
+	if n := int(rq.route.GetAttempts()); n > 0 {
+		return n
+	}
+	return defaultAttempts
+}
+
 func (rq *request) objective() time.Duration {
 	if objective := rq.route.GetObjective().AsDuration(); objective > 0 {
 		return objective
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -37,3 +37,8 @@
 	b.tokens--
 	return true
 }
+
+// Left reports whether an extra attempt would be allowed now.
+func (b *Budget) Left() bool {
+	return b.tokens >= 1
+}
