Ask a sick or full server again only after a pause

Change: a server that refused as sick is asked again when its next trial is due, or after 300 ms by careful requests; a full one after 60 ms; rounds are 20 to 80 ms apart.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,11 @@
 	// firstSilence and maxSilence bound how long a silent process is avoided.
 	firstSilence = 500 * time.Millisecond
 	maxSilence   = 3 * time.Second
+	// sickPause is the least time before a careful request asks a sick server
+	// again, and fullPause that for any request and a full one. Asking all of
+	// them over and over would fill the network just when all are full.
+	sickPause = 300 * time.Millisecond
+	fullPause = 60 * time.Millisecond
 	// goneMemory is how long a server is avoided that another took the place of.
 	goneMemory = 3 * time.Second
 )
@@ -57,6 +62,10 @@
 	Slots   float64
 	Sick    bool
 	Leaving bool
+	// Full says that a reservation was refused for want of a slot.
+	Full bool
+	// TrialIn is when a sick server may get its next trial.
+	TrialIn time.Duration
 }
 
 // Server is one server in the eyes of an ingress.
@@ -119,7 +128,7 @@
 	}
 	list := make([]priced, 0, len(s.servers))
 	for _, server := range s.servers {
-		if server.Leaving || server.told.Leaving && now.Sub(server.toldAt) < loadMemory {
+		if !server.worthAsking(now, careful) {
 			continue
 		}
 		list = append(list, priced{server.ServerEntry, s.cost(now, server, careful)})
@@ -132,6 +141,22 @@
 	return entries
 }
 
+// worthAsking reports whether a reservation may be granted now.
+func (server *Server) worthAsking(now time.Time, careful bool) bool {
+	age := now.Sub(server.toldAt)
+	switch {
+	case server.Leaving, server.told.Leaving && age < loadMemory:
+		return false
+	case server.told.Full && age < fullPause:
+		return false
+	case server.told.Sick && careful:
+		return age >= max(server.told.TrialIn, sickPause)
+	case server.told.Sick:
+		return age >= server.told.TrialIn
+	}
+	return true
+}
+
 // Cost returns a server's cost without the random part, for state dumps.
 func (s *Service) Cost(now time.Time, server *Server, careful bool) float64 {
 	cost := server.occupancy(now)
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -22,8 +22,10 @@
 	// maxQueued is at how many servers a request waits at once. It takes the
 	// first slot, and the others go to the next in their queues.
 	maxQueued = 3
-	// roundPause is the pause before all servers are asked anew.
-	roundPause = 40 * time.Millisecond
+	// firstPause is the pause before the servers are asked anew; it doubles up
+	// to maxPause.
+	firstPause = 20 * time.Millisecond
+	maxPause   = 80 * time.Millisecond
 	// patienceShare is the share of a request's time that it may wait for a
 	// slot, and objectiveShare that of its objective, whichever is longer.
 	patienceShare  = 0.25
@@ -98,13 +100,13 @@
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
 	defer patience.Stop()
-	for {
+	for wait := firstPause; ; wait = min(2*wait, maxPause) {
 		s.begin()
 		slot, over := s.round(patience.C)
 		if slot != nil {
 			return slot, nil
 		}
-		if over || !time.Now().Add(roundPause).Before(until) || !pause(ctx, roundPause) {
+		if over || !time.Now().Add(wait).Before(until) || !pause(ctx, wait) {
 			return nil, s.refusal()
 		}
 	}
@@ -179,10 +181,10 @@
 		s.unreached(w)
 	case w.reply.GetGranted() != nil:
 		delete(s.open, w.of)
-		s.heard(w.of.server.Name, w.reply.GetGranted())
+		s.heard(w.of.server.Name, toldOf(w.reply.GetGranted()))
 		return &held{server: w.of.server, use: w.use, cancel: w.of.cancel}
 	case w.reply.GetQueued() != nil:
-		s.heard(w.of.server.Name, w.reply.GetQueued())
+		s.heard(w.of.server.Name, toldOf(w.reply.GetQueued()))
 		s.queued++
 		if s.queued < maxQueued {
 			s.ask()
@@ -248,10 +250,10 @@
 	s.rq.shard.choice.Ended(a.server.Name)
 }
 
-func (s *search) heard(server string, state *slatewindv1.SlotState) {
+func (s *search) heard(server string, told choice.Told) {
 	s.rq.shard.mu.Lock()
 	defer s.rq.shard.mu.Unlock()
-	s.rq.shard.choice.Heard(time.Now(), server, toldOf(state))
+	s.rq.shard.choice.Heard(time.Now(), server, told)
 }
 
 func toldOf(state *slatewindv1.SlotState) choice.Told {
@@ -262,6 +264,17 @@
 	}
 }
 
+func toldByRefusal(refusal *slatewindv1.Refusal) choice.Told {
+	told := toldOf(refusal.GetState())
+	switch inbound.Cause(refusal.GetCause()) {
+	case inbound.CauseFull:
+		told.Full = true
+	case inbound.CauseSick:
+		told.TrialIn = time.Duration(refusal.GetRetryAfterNanos())
+	}
+	return told
+}
+
 func (s *search) unreached(w word) {
 	s.end(w.of)
 	s.last, s.server = fmt.Sprintf("the process beside %s cannot be reached: %v", w.of.server.Name, w.err), w.of.server.Name
@@ -278,7 +291,7 @@
 	if after := time.Duration(refusal.GetRetryAfterNanos()); after > 0 && (s.retryAfter == 0 || after < s.retryAfter) {
 		s.retryAfter = after
 	}
-	s.heard(name, refusal.GetState())
+	s.heard(name, toldByRefusal(refusal))
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseMoved {
 		s.rq.shard.mu.Lock()
 		defer s.rq.shard.mu.Unlock()
