Use a server that still answers half of its requests before refusing

Cause: while answers of most servers were lost one time in three, all breakers were open and half of the requests were refused, although each server would have served most of them. Slow servers were noticed only at four times the mean. Change: breakers keep the share of good answers; where a search finds no healthy server, those with a share of half or more are asked as a last resort. A request is overdue at three times the mean of its route.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -79,14 +79,21 @@
 const (
 	// overdueFactor times the mean of a route is too long for one request, and
 	// at least overdueLeast more than the mean.
-	overdueFactor = 4
-	overdueLeast  = 250 * time.Millisecond
+	overdueFactor = 3
+	overdueLeast  = 150 * time.Millisecond
 	// meanWeight is the weight of the newest duration in a route's mean, and
 	// leastSamples how many it takes before the mean is used.
 	meanWeight   = 0.1
 	leastSamples = 4
 )
 
+const (
+	// shareWeight is the weight of the newest outcome in the share of successes.
+	shareWeight = 0.2
+	// usefulShare is the share from which a sick server is better than none.
+	usefulShare = 0.5
+)
+
 // running is a request that the server has.
 type running struct {
 	route   string
@@ -114,13 +121,14 @@
 	trials     int
 	running    map[string]*running
 	means      map[string]mean
+	share      float64
 	// LastSuccess is when the server last gave a whole answer in good time.
 	LastSuccess time.Time
 }
 
 // New returns a closed breaker.
 func New() *Breaker {
-	return &Breaker{state: StateClosed, needed: successesNeeded, running: map[string]*running{}, means: map[string]mean{}}
+	return &Breaker{state: StateClosed, needed: successesNeeded, share: 1, running: map[string]*running{}, means: map[string]mean{}}
 }
 
 // State returns the judgement.
@@ -129,18 +137,32 @@
 // Score returns the suspicion; at 1 the breaker opens.
 func (b *Breaker) Score() float64 { return b.score }
 
-// Allow reports whether a request may go to the server now. A careful one must
-// not be a trial.
-func (b *Breaker) Allow(now time.Time, careful bool) bool {
-	switch b.state {
-	case StateClosed:
+// Ask says what kind of request wants to go to the server.
+type Ask struct {
+	// Careful requests must not be trials.
+	Careful bool
+	// LastResort requests have no healthy server to go to.
+	LastResort bool
+}
+
+// Allow reports whether a request may go to the server now.
+func (b *Breaker) Allow(now time.Time, ask Ask) bool {
+	switch {
+	case b.state == StateClosed:
+		return true
+	case ask.LastResort && b.share >= usefulShare:
 		return true
-	case StateHalfOpen:
-		return !careful && b.trials < maxTrials
+	case ask.Careful:
+		return false
+	case b.state == StateHalfOpen:
+		return b.trials < maxTrials
 	}
-	return !careful && b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
+	return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
 }
 
+// Share returns the share of the newest requests that the server answered well.
+func (b *Breaker) Share() float64 { return b.share }
+
 // RetryAfter returns when a trial is due, or zero where the breaker is closed.
 func (b *Breaker) RetryAfter(now time.Time) time.Duration {
 	if b.state == StateClosed {
@@ -223,6 +245,7 @@
 
 func (b *Breaker) succeed(now time.Time) bool {
 	b.LastSuccess = now
+	b.share += shareWeight * (1 - b.share)
 	if b.state == StateClosed {
 		b.score = max(b.score-successWeight, 0)
 		return false
@@ -239,6 +262,7 @@
 }
 
 func (b *Breaker) fail(now time.Time, weight float64) bool {
+	b.share -= shareWeight * b.share
 	if b.state != StateClosed {
 		b.state = StateOpen
 		b.successes = 0
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/breaker"
 )
 
 // Costs, in units of one whole server's slots.
@@ -52,6 +53,8 @@
 	// them over and over would fill the network just when all are full.
 	sickPause = 300 * time.Millisecond
 	fullPause = 60 * time.Millisecond
+	// usefulShare of successes makes a sick server better than none at all.
+	usefulShare = 0.5
 	// goneMemory is how long a server is avoided that another took the place of.
 	goneMemory = 3 * time.Second
 )
@@ -62,6 +65,8 @@
 	Slots   float64
 	Sick    bool
 	Leaving bool
+	// SuccessShare is the share of its newest requests that it answered well.
+	SuccessShare float64
 	// Full says that a reservation was refused for want of a slot.
 	Full bool
 	// TrialIn is when a sick server may get its next trial.
@@ -119,19 +124,18 @@
 // Len returns the number of known servers.
 func (s *Service) Len() int { return len(s.servers) }
 
-// Order returns the servers that may get a request, cheapest first. A careful
-// request must not be a trial of a server that looks sick.
-func (s *Service) Order(now time.Time, careful bool) []slatewind.ServerEntry {
+// Order returns the servers that may get a request, cheapest first.
+func (s *Service) Order(now time.Time, ask breaker.Ask) []slatewind.ServerEntry {
 	type priced struct {
 		entry slatewind.ServerEntry
 		cost  float64
 	}
 	list := make([]priced, 0, len(s.servers))
 	for _, server := range s.servers {
-		if !server.worthAsking(now, careful) {
+		if !server.worthAsking(now, ask) {
 			continue
 		}
-		list = append(list, priced{server.ServerEntry, s.cost(now, server, careful)})
+		list = append(list, priced{server.ServerEntry, s.cost(now, server, ask)})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].cost < list[j].cost })
 	entries := make([]slatewind.ServerEntry, len(list))
@@ -142,14 +146,16 @@
 }
 
 // worthAsking reports whether a reservation may be granted now.
-func (server *Server) worthAsking(now time.Time, careful bool) bool {
+func (server *Server) worthAsking(now time.Time, ask breaker.Ask) bool {
 	age := now.Sub(server.toldAt)
 	switch {
 	case server.Leaving, server.told.Leaving && age < loadMemory:
 		return false
 	case server.told.Full && age < fullPause:
 		return false
-	case server.told.Sick && careful:
+	case server.told.Sick && ask.LastResort:
+		return server.told.SuccessShare >= usefulShare || age >= sickPause
+	case server.told.Sick && ask.Careful:
 		return age >= max(server.told.TrialIn, sickPause)
 	case server.told.Sick:
 		return age >= server.told.TrialIn
@@ -158,7 +164,7 @@
 }
 
 // Cost returns a server's cost without the random part, for state dumps.
-func (s *Service) Cost(now time.Time, server *Server, careful bool) float64 {
+func (s *Service) Cost(now time.Time, server *Server, ask breaker.Ask) float64 {
 	cost := server.occupancy(now)
 	if server.DataCentre != s.dataCentre {
 		cost += remoteCost
@@ -170,20 +176,20 @@
 		cost += warmingCost
 	}
 	memory := sickMemory
-	if careful {
+	if ask.Careful {
 		memory = sickMemoryCareful
 	}
 	if server.told.Sick && now.Sub(server.toldAt) < memory {
-		cost += sickCost
+		cost += sickCost * (1 - server.told.SuccessShare/2)
 	}
-	if careful && now.Sub(server.success) > recentSuccess {
+	if ask.Careful && now.Sub(server.success) > recentSuccess {
 		cost += quietCost
 	}
 	return cost
 }
 
-func (s *Service) cost(now time.Time, server *Server, careful bool) float64 {
-	return s.Cost(now, server, careful) + jitter*s.random.Float64()
+func (s *Service) cost(now time.Time, server *Server, ask breaker.Ask) float64 {
+	return s.Cost(now, server, ask) + jitter*s.random.Float64()
 }
 
 // occupancy is how full the server is, as a share of its slots.
@@ -261,7 +267,7 @@
 	views := make([]View, 0, len(s.servers))
 	for _, server := range s.servers {
 		views = append(views, View{
-			ServerEntry: server.ServerEntry, Cost: s.Cost(now, server, true),
+			ServerEntry: server.ServerEntry, Cost: s.Cost(now, server, breaker.Ask{Careful: true}),
 			Load: server.told.Load, Sick: server.told.Sick, InFlight: server.inFlight,
 		})
 	}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -196,7 +196,7 @@
 		InUse:  uint32(in.slots.InUse()), Queued: uint32(in.slots.Queued()), Slots: uint32(in.slots.Slots()),
 		Health:    string(healthOf(in.breaker.State())),
 		Leaving:   in.away != "" || in.stopping != "",
-		HoldNanos: int64(in.slots.Mean()),
+		HoldNanos: int64(in.slots.Mean()), SuccessShare: in.breaker.Share(),
 	}
 }
 
@@ -269,7 +269,7 @@
 		return in.refusal(CauseLeaving, in.stopping, 0)
 	case in.away != "":
 		return in.refusal(CauseLeaving, "the server is leaving: "+in.away, 0)
-	case !in.breaker.Allow(now, r.GetCareful()):
+	case !in.breaker.Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort()}):
 		reason := fmt.Sprintf("the breaker is %s", in.breaker.State())
 		return in.refusal(CauseSick, reason, in.breaker.RetryAfter(now))
 	}
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -7,6 +7,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
@@ -90,8 +91,8 @@
 type aim struct {
 	// tried are passed over.
 	tried map[string]bool
-	// careful attempts must not be trials of servers that look sick.
-	careful bool
+	// ask says what the attempt may do to servers that look sick.
+	ask breaker.Ask
 }
 
 // acquire looks for a slot for a request until its patience ends.
@@ -106,6 +107,7 @@
 		if slot != nil {
 			return slot, nil
 		}
+		s.aim.ask.LastResort = true
 		if over || !time.Now().Add(wait).Before(until) || !pause(ctx, wait) {
 			return nil, s.refusal()
 		}
@@ -132,7 +134,7 @@
 func (s *search) begin() {
 	sh := s.rq.shard
 	sh.mu.Lock()
-	order := sh.choice.Order(time.Now(), s.aim.careful)
+	order := sh.choice.Order(time.Now(), s.aim.ask)
 	sh.mu.Unlock()
 	s.queue = s.queue[:0]
 	for _, server := range order {
@@ -211,7 +213,7 @@
 	s.rq.shard.mu.Lock()
 	s.rq.shard.choice.Reserved(server.Name)
 	s.rq.shard.mu.Unlock()
-	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.careful), a, s.words)
+	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.ask), a, s.words)
 	return true
 }
 
@@ -233,11 +235,11 @@
 	}
 }
 
-func (rq *request) reservation(server slatewind.ServerEntry, careful bool) *slatewindv1.Reservation {
+func (rq *request) reservation(server slatewind.ServerEntry, ask breaker.Ask) *slatewindv1.Reservation {
 	now := time.Now()
 	return &slatewindv1.Reservation{
 		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
-		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)), Careful: careful,
+		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)), Careful: ask.Careful, LastResort: ask.LastResort,
 	}
 }
 
@@ -260,7 +262,7 @@
 	return choice.Told{
 		Load: float64(state.GetInUse() + state.GetQueued()), Slots: float64(state.GetSlots()),
 		Sick:    slatewind.ServerState(state.GetHealth()) != slatewind.ServerHealthy,
-		Leaving: state.GetLeaving(),
+		Leaving: state.GetLeaving(), SuccessShare: state.GetSuccessShare(),
 	}
 }
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -13,6 +13,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/breaker"
 )
 
 const (
@@ -148,7 +149,7 @@
 func (d *dispatch) start() {
 	d.active++
 	d.tries++
-	to := aim{tried: maps.Clone(d.tried), careful: !d.mayTry()}
+	to := aim{tried: maps.Clone(d.tried), ask: breaker.Ask{Careful: !d.mayTry()}}
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, to) }()
 }
 
