Let rejections make a server dearer and never open its breaker

Change: a rejection leaves the breaker alone; its share is told with each reply and adds to the server's cost.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -39,7 +39,9 @@
 	ResultBroken Result = "broken"
 	// ResultError is the server's own error answer.
 	ResultError Result = "error"
-	// ResultShed is a rejection by the server although it had a free slot.
+	// ResultShed is a rejection by the server although it had a free slot. It
+	// proves that nothing ran, so it never opens the breaker; others are
+	// preferred to the server while it sheds.
 	ResultShed Result = "shed"
 	// ResultNone tells nothing: the caller left, or nothing was sent.
 	ResultNone Result = "none"
@@ -52,10 +54,7 @@
 	threshold    = 1.0
 	brokenWeight = 1.0
 	errorWeight  = 0.5
-	// shedWeight is below successWeight: a rejection proves that nothing ran, so
-	// a server that sheds half of its requests is still of use.
-	shedWeight = 0.15
-	slowWeight = 0.5
+	slowWeight   = 0.5
 	// successWeight is taken off for each success. At 0.2 a server that fails
 	// every third request opens the breaker, one that fails every tenth not.
 	successWeight = 0.2
@@ -122,6 +121,7 @@
 	running    map[string]*running
 	means      map[string]mean
 	share      float64
+	shed       float64
 	// LastSuccess is when the server last gave a whole answer in good time.
 	LastSuccess time.Time
 }
@@ -160,6 +160,9 @@
 	return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
 }
 
+// Shed returns the share of the newest requests that the server rejected.
+func (b *Breaker) Shed() float64 { return b.shed }
+
 // Share returns the share of the newest requests that the server answered well.
 func (b *Breaker) Share() float64 { return b.share }
 
@@ -204,7 +207,7 @@
 	case ResultError:
 		return b.fail(now, errorWeight)
 	case ResultShed:
-		return b.fail(now, shedWeight)
+		b.shed += shareWeight * (1 - b.shed)
 	}
 	return false
 }
@@ -246,6 +249,7 @@
 func (b *Breaker) succeed(now time.Time) bool {
 	b.LastSuccess = now
 	b.share += shareWeight * (1 - b.share)
+	b.shed -= shareWeight * b.shed
 	if b.state == StateClosed {
 		b.score = max(b.score-successWeight, 0)
 		return false
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,8 @@
 	remoteCost = 0.3
 	// sickCost stands for a sickness that was told a moment ago.
 	sickCost = 3.0
+	// shedCost stands for a server that rejects every request.
+	shedCost = 1.5
 	// silentCost stands for a process that did not answer.
 	silentCost = 10.0
 	// warmingCost stands for a server that has just started and is slow.
@@ -43,6 +45,8 @@
 	sickMemoryCareful = 2 * time.Second
 	// loadMemory is how long a told load counts.
 	loadMemory = 1500 * time.Millisecond
+	// shedMemory is how long a told share of rejections counts.
+	shedMemory = 2 * time.Second
 	// recentSuccess is how old a success may be that makes a server trusted.
 	recentSuccess = 700 * time.Millisecond
 	// firstSilence and maxSilence bound how long a silent process is avoided.
@@ -67,6 +71,8 @@
 	Leaving bool
 	// SuccessShare is the share of its newest requests that it answered well.
 	SuccessShare float64
+	// ShedShare is the share of its newest requests that it rejected.
+	ShedShare float64
 	// Full says that a reservation was refused for want of a slot.
 	Full bool
 	// TrialIn is when a sick server may get its next trial.
@@ -169,6 +175,9 @@
 	if server.DataCentre != s.dataCentre {
 		cost += remoteCost
 	}
+	if now.Sub(server.toldAt) < shedMemory {
+		cost += shedCost * server.told.ShedShare
+	}
 	if now.Before(server.avoid) {
 		cost += silentCost
 	}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -196,7 +196,7 @@
 		InUse:  uint32(in.slots.InUse()), Queued: uint32(in.slots.Queued()), Slots: uint32(in.slots.Slots()),
 		Health:    string(healthOf(in.breaker.State())),
 		Leaving:   in.away != "" || in.stopping != "",
-		HoldNanos: int64(in.slots.Mean()), SuccessShare: in.breaker.Share(),
+		HoldNanos: int64(in.slots.Mean()), SuccessShare: in.breaker.Share(), ShedShare: in.breaker.Shed(),
 	}
 }
 
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -262,7 +262,7 @@
 	return choice.Told{
 		Load: float64(state.GetInUse() + state.GetQueued()), Slots: float64(state.GetSlots()),
 		Sick:    slatewind.ServerState(state.GetHealth()) != slatewind.ServerHealthy,
-		Leaving: state.GetLeaving(), SuccessShare: state.GetSuccessShare(),
+		Leaving: state.GetLeaving(), SuccessShare: state.GetSuccessShare(), ShedShare: state.GetShedShare(),
 	}
 }
 
