--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,7 @@
 const (
 	// remoteCost keeps requests in their own data centre until its servers are
 	// that much fuller than others. Bytes between data centres are paid for.
-	remoteCost = 0.3
+	remoteCost = 0.5
 	// sickCost stands for a sickness that was told a moment ago.
 	sickCost = 3.0
 	// shedCost stands for a server that rejects every request.
