Let only trials close a breaker

Change: while the breaker is not closed, only requests that began since then count. Test: TestBreaker/what_began_before_tells_nothing_of_now failed first.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -201,6 +201,10 @@
 	switch result {
 	case ResultOK:
 		b.learn(r.route, took)
+		if b.state != StateClosed && !r.trial {
+			// It began before the server became sick and tells nothing of now.
+			return false
+		}
 		return b.succeed(now)
 	case ResultBroken:
 		return b.fail(now, brokenWeight)
--- /dev/null
+++ b/breaker/breaker_test.go
@@ -0,0 +1,102 @@
+package breaker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/breaker"
+)
+
+// step is one event at a server: a request begins, ends, or time passes.
+type step struct {
+	after  time.Duration
+	start  string
+	end    string
+	result breaker.Result
+}
+
+const ms = time.Millisecond
+
+func run(steps []step) (*breaker.Breaker, time.Time) {
+	b := breaker.New()
+	now := time.Unix(1000, 0)
+	for _, s := range steps {
+		now = now.Add(s.after)
+		if s.start != "" {
+			b.Start(now, s.start, "route")
+		}
+		if s.end != "" {
+			b.End(now, s.end, s.result)
+		}
+		b.Tick(now)
+	}
+	return b, now
+}
+
+// served is n requests one after the other that all end well after took.
+func served(n int, took time.Duration) []step {
+	var steps []step
+	for i := range n {
+		id := fmt.Sprint("served-", i)
+		steps = append(steps, step{start: id}, step{after: took, end: id, result: breaker.ResultOK})
+	}
+	return steps
+}
+
+// TestBreaker plays what one server shows and states what may come to it then.
+func TestBreaker(t *testing.T) {
+	broken := []step{{start: "broken"}, {after: ms, end: "broken", result: breaker.ResultBroken}}
+	tests := map[string]struct {
+		steps []step
+		state breaker.State
+		// trial, careful and lastResort say whether such requests may come.
+		trial, careful, lastResort bool
+	}{
+		"all is well":                {served(5, 100*ms), breaker.StateClosed, true, true, true},
+		"one reset opens":            {broken, breaker.StateOpen, false, false, true},
+		"a trial after a pause":      {append(broken, step{after: 260 * ms}), breaker.StateOpen, true, false, true},
+		"one error answer does not":  {[]step{{start: "a"}, {after: ms, end: "a", result: breaker.ResultError}}, breaker.StateClosed, true, true, true},
+		"two error answers in a row": {[]step{{start: "a"}, {after: ms, end: "a", result: breaker.ResultError}, {start: "b"}, {after: ms, end: "b", result: breaker.ResultError}}, breaker.StateOpen, false, false, true},
+		"rejections never open": {
+			[]step{{start: "a"}, {end: "a", result: breaker.ResultShed}, {start: "b"}, {end: "b", result: breaker.ResultShed}, {start: "c"}, {end: "c", result: breaker.ResultShed}},
+			breaker.StateClosed, true, true, true,
+		},
+		"one success is not enough": {append(broken, step{after: 260 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK}), breaker.StateHalfOpen, true, false, true},
+		"two successful trials close": {
+			append(broken, step{after: 260 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK}, step{start: "u"}, step{after: 50 * ms, end: "u", result: breaker.ResultOK}),
+			breaker.StateClosed, true, true, true,
+		},
+		"what began before tells nothing of now": {
+			[]step{
+				{start: "old-1"}, {start: "old-2"},
+				{after: 50 * ms, start: "x"}, {after: ms, end: "x", result: breaker.ResultBroken},
+				{after: 50 * ms, end: "old-1", result: breaker.ResultOK}, {end: "old-2", result: breaker.ResultOK},
+			},
+			breaker.StateOpen, false, false, true,
+		},
+		"a request that the caller left": {[]step{{start: "a"}, {after: ms, end: "a", result: breaker.ResultNone}}, breaker.StateClosed, true, true, true},
+		"requests that hang": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{after: 400 * ms}),
+			breaker.StateOpen, false, false, true,
+		},
+		"nearly all fail": {
+			append(broken,
+				step{after: 260 * ms, start: "t"}, step{after: ms, end: "t", result: breaker.ResultBroken},
+				step{after: 310 * ms, start: "u"}, step{after: ms, end: "u", result: breaker.ResultBroken},
+				step{after: 380 * ms, start: "v"}, step{after: ms, end: "v", result: breaker.ResultBroken}),
+			breaker.StateOpen, false, false, false,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, now := run(test.steps)
+			assert.Equal(t, b.State(), test.state)
+			assert.Equal(t, b.Allow(now, breaker.Ask{}), test.trial, "trial")
+			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true}), test.careful, "careful")
+			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true, LastResort: true}), test.lastResort, "last resort")
+		})
+	}
+}
