Try sick servers once a second, or at once where there is no other

Change: trials 0.4 to 1 s apart; a repeatable request whose search found nothing healthy may be a trial at once.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -63,9 +63,9 @@
 const (
 	// firstTrialAfter is the pause before the first trial; it grows by
 	// trialGrowth with each failed one up to maxTrialAfter.
-	firstTrialAfter = 250 * time.Millisecond
-	trialGrowth     = 1.2
-	maxTrialAfter   = 500 * time.Millisecond
+	firstTrialAfter = 400 * time.Millisecond
+	trialGrowth     = 1.5
+	maxTrialAfter   = time.Second
 	// maxTrials is how many trials may run at once after a first success.
 	maxTrials = 3
 	// successesNeeded in a row close the breaker; each opening within
@@ -154,7 +154,7 @@
 		return true
 	case ask.Careful:
 		return false
-	case b.state == StateHalfOpen:
+	case b.state == StateHalfOpen, ask.LastResort:
 		return b.trials < maxTrials
 	}
 	return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -57,16 +57,17 @@
 	}{
 		"all is well":                {served(5, 100*ms), breaker.StateClosed, true, true, true},
 		"one reset opens":            {broken, breaker.StateOpen, false, false, true},
-		"a trial after a pause":      {append(broken, step{after: 260 * ms}), breaker.StateOpen, true, false, true},
+		"no trial before the pause":  {append(broken, step{after: 390 * ms}), breaker.StateOpen, false, false, true},
+		"a trial after a pause":      {append(broken, step{after: 410 * ms}), breaker.StateOpen, true, false, true},
 		"one error answer does not":  {[]step{{start: "a"}, {after: ms, end: "a", result: breaker.ResultError}}, breaker.StateClosed, true, true, true},
 		"two error answers in a row": {[]step{{start: "a"}, {after: ms, end: "a", result: breaker.ResultError}, {start: "b"}, {after: ms, end: "b", result: breaker.ResultError}}, breaker.StateOpen, false, false, true},
 		"rejections never open": {
 			[]step{{start: "a"}, {end: "a", result: breaker.ResultShed}, {start: "b"}, {end: "b", result: breaker.ResultShed}, {start: "c"}, {end: "c", result: breaker.ResultShed}},
 			breaker.StateClosed, true, true, true,
 		},
-		"one success is not enough": {append(broken, step{after: 260 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK}), breaker.StateHalfOpen, true, false, true},
+		"one success is not enough": {append(broken, step{after: 410 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK}), breaker.StateHalfOpen, true, false, true},
 		"two successful trials close": {
-			append(broken, step{after: 260 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK}, step{start: "u"}, step{after: 50 * ms, end: "u", result: breaker.ResultOK}),
+			append(broken, step{after: 410 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK}, step{start: "u"}, step{after: 50 * ms, end: "u", result: breaker.ResultOK}),
 			breaker.StateClosed, true, true, true,
 		},
 		"what began before tells nothing of now": {
@@ -84,9 +85,9 @@
 		},
 		"nearly all fail": {
 			append(broken,
-				step{after: 260 * ms, start: "t"}, step{after: ms, end: "t", result: breaker.ResultBroken},
-				step{after: 310 * ms, start: "u"}, step{after: ms, end: "u", result: breaker.ResultBroken},
-				step{after: 380 * ms, start: "v"}, step{after: ms, end: "v", result: breaker.ResultBroken}),
+				step{after: 410 * ms, start: "t"}, step{after: ms, end: "t", result: breaker.ResultBroken},
+				step{after: 610 * ms, start: "u"}, step{after: ms, end: "u", result: breaker.ResultBroken},
+				step{after: 910 * ms, start: "v"}, step{after: ms, end: "v", result: breaker.ResultBroken}),
 			breaker.StateOpen, false, false, false,
 		},
 	}
@@ -97,6 +98,7 @@
 			assert.Equal(t, b.Allow(now, breaker.Ask{}), test.trial, "trial")
 			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true}), test.careful, "careful")
 			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true, LastResort: true}), test.lastResort, "last resort")
+			assert.Equal(t, b.Allow(now, breaker.Ask{LastResort: true}), true, "repeatable last resort")
 		})
 	}
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,6 +57,9 @@
 	// them over and over would fill the network just when all are full.
 	sickPause = 300 * time.Millisecond
 	fullPause = 60 * time.Millisecond
+	// lastResortPause is that before a request without a better choice makes
+	// itself the trial of a sick server.
+	lastResortPause = 100 * time.Millisecond
 	// usefulShare of successes makes a sick server better than none at all.
 	usefulShare = 0.5
 	// goneMemory is how long a server is avoided that another took the place of.
@@ -160,7 +163,7 @@
 	case server.told.Full && age < fullPause:
 		return false
 	case server.told.Sick && ask.LastResort:
-		return server.told.SuccessShare >= usefulShare || age >= sickPause
+		return server.told.SuccessShare >= usefulShare || age >= sickPause || !ask.Careful && age >= lastResortPause
 	case server.told.Sick && ask.Careful:
 		return age >= max(server.told.TrialIn, sickPause)
 	case server.told.Sick:
