Let two processes of a data centre read the store for all

Change: discovery.Share asks the two readers of the data centre, which follow from the list of servers; old news, silence or an empty view lead back to the store, and where the store is away, to any peer or the seeds.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -107,22 +107,41 @@
 		platform.Callers(), store, j, n, m,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
-	n.watcher = discovery.NewWatcher(client, n)
+	share := discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
+	n.watcher = discovery.NewWatcher(share, n)
+	share.Follow(n.watcher, process.GetDataCentre())
 	return n
 }
 
-// Open implements outbound.Opener. Every VM of a fleet uses the same ports, and
-// the server's address names its VM.
+// Open implements outbound.Opener.
 func (n *Node) Open(ctx context.Context, server slatewind.ServerEntry) (link.Use, error) {
-	host := outbound.HostOf(server.Address)
-	own, port, err := net.SplitHostPort(n.settings.GetPeerAddress())
+	peer, err := n.peerOf(server.Address)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	if host == own {
+	if peer == n.settings.GetPeerAddress() {
 		return link.LocalUse(ctx, n.inbound.Serve), nil
 	}
-	return n.pool.Use(ctx, net.JoinHostPort(host, port))
+	return n.pool.Use(ctx, peer)
+}
+
+// Since implements discovery.Peers.
+func (n *Node) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
+	peer, err := n.peerOf(address)
+	if err != nil {
+		return slatewind.Publication{}, err
+	}
+	return n.pool.Since(ctx, peer, after, version)
+}
+
+// peerOf returns the peer address of the process on the VM of an address: every
+// VM of a fleet uses the same ports.
+func (n *Node) peerOf(address string) (string, error) {
+	_, port, err := net.SplitHostPort(n.settings.GetPeerAddress())
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	return net.JoinHostPort(outbound.HostOf(address), port), nil
 }
 
 // Start opens the listeners and begins all work, which ends with Stop.
@@ -166,6 +185,7 @@
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	n.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSlotsServer(n.peers, link.SlotsServer{Serve: n.inbound.Serve})
+	slatewindv1.RegisterNewsServer(n.peers, link.NewsServer{Known: n.watcher.Since})
 	return serveAll(n.logger, []service{
 		{"callers", n.settings.GetIngressAddress(), n.callers.Serve},
 		{"ready", n.settings.GetReadyAddress(), n.ready.Serve},
--- /dev/null
+++ b/discovery/share.go
@@ -0,0 +1,156 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+
+	"slatewind.example/slatewind"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("discovery")
+
+const (
+	// Readers is how many processes of a data centre follow the store. The
+	// others ask these, so that calls to the store do not grow with the fleet.
+	Readers = 2
+	// freshAge is how old a peer's word may be.
+	freshAge = 1200 * time.Millisecond
+	// askTimeout bounds a question to a peer. In a data centre an answer takes
+	// a millisecond, from a busy process some tens.
+	askTimeout = 250 * time.Millisecond
+	// failedTime is how long a peer that did not answer is passed over.
+	failedTime = 3 * time.Second
+	// directPause is the least time between two direct calls of a process that
+	// need not be a reader. While the store is away its readers try for all.
+	directPause = time.Second
+)
+
+// Peers asks other processes what they know.
+type Peers interface {
+	// Since asks the process beside the server at an address.
+	Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error)
+}
+
+// Share is a publisher that spares the store: few processes of each data centre
+// read it, the others ask them. Who reads follows from the list of servers, so
+// that all agree without a word: the first by the hash of their addresses that
+// answer. Where the readers' news is old, a process asks the store itself.
+type Share struct {
+	store slatewind.Publisher
+	peers Peers
+	self  string
+	// local returns the addresses of the servers in the own data centre.
+	local func() []string
+	// all returns those of every data centre.
+	all func() []string
+	// version returns that of the newest settings.
+	version func() uint64
+	// seeds are asked where no server is known yet.
+	seeds []string
+
+	failed     map[string]time.Time
+	lastDirect time.Time
+}
+
+// NewShare returns a publisher for the process beside the server at self. Follow
+// must be called before its use.
+func NewShare(store slatewind.Publisher, peers Peers, self string, seeds []string) *Share {
+	return &Share{store: store, peers: peers, self: self, seeds: seeds, failed: map[string]time.Time{}}
+}
+
+// Follow names the watcher whose servers are the peers.
+func (s *Share) Follow(w *Watcher, dataCentre string) {
+	s.local = func() []string { return w.Peers(dataCentre) }
+	s.all = func() []string { return w.Peers("") }
+	s.version = w.Version
+}
+
+// Read implements slatewind.Publisher. A process that begins reads the store,
+// so that it starts with the newest; where the store is away, it asks others.
+func (s *Share) Read(ctx context.Context) (slatewind.Publication, error) {
+	p, err := s.store.Read(ctx)
+	if err == nil {
+		return p, nil
+	}
+	if p, ok := s.askAnybody(ctx, 0); ok {
+		return p, nil
+	}
+	return p, err
+}
+
+// Changes implements slatewind.Publisher.
+func (s *Share) Changes(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
+	now := time.Now()
+	readers := s.readers(now)
+	if slices.Contains(readers, s.self) || len(readers) == 0 {
+		return s.direct(ctx, after, wait)
+	}
+	reader := readers[rand.IntN(len(readers))]
+	p, ok := s.ask(ctx, reader, after)
+	if ok && p.Age <= freshAge {
+		return p, nil
+	}
+	if now.Sub(s.lastDirect) < directPause {
+		if ok {
+			return p, nil
+		}
+		return slatewind.Publication{}, Error.New("the process beside %s did not answer", reader)
+	}
+	return s.direct(ctx, after, wait)
+}
+
+// direct asks the store. A process that the store turns away lives on what
+// others heard.
+func (s *Share) direct(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
+	s.lastDirect = time.Now()
+	p, err := s.store.Changes(ctx, after, wait)
+	if err == nil {
+		return p, nil
+	}
+	if other, ok := s.askAnybody(ctx, after); ok && other.Revision > after {
+		return other, nil
+	}
+	return p, err
+}
+
+// readers returns the processes that read the store for the own data centre.
+func (s *Share) readers(now time.Time) []string {
+	candidates := slices.DeleteFunc(s.local(), func(address string) bool {
+		return now.Before(s.failed[address])
+	})
+	sort.Slice(candidates, func(i, j int) bool {
+		return xxhash.Sum64String(candidates[i]) < xxhash.Sum64String(candidates[j])
+	})
+	return candidates[:min(len(candidates), Readers)]
+}
+
+// ask asks one process; ok says that it answered and knows something.
+func (s *Share) ask(ctx context.Context, address string, after uint64) (p slatewind.Publication, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	p, err := s.peers.Since(ctx, address, after, s.version())
+	if err != nil || p.Revision == 0 {
+		s.failed[address] = time.Now().Add(failedTime)
+		return p, false
+	}
+	return p, true
+}
+
+// askAnybody asks a random process, of those that are known or else of the seeds.
+func (s *Share) askAnybody(ctx context.Context, after uint64) (p slatewind.Publication, ok bool) {
+	others := slices.DeleteFunc(s.all(), func(address string) bool { return address == s.self })
+	if len(others) == 0 {
+		others = s.seeds
+	}
+	if len(others) == 0 {
+		return p, false
+	}
+	return s.ask(ctx, others[rand.IntN(len(others))], after)
+}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -15,7 +16,7 @@
 	// their entries all the time, so an eager watch would return many times a
 	// second, and each call is paid for. A leaving server must be heard of
 	// within two seconds.
-	pace = 500 * time.Millisecond
+	pace = 450 * time.Millisecond
 	// watchWait is how long the store may hold a watch. A connection that has
 	// gone silent is noticed after that and the call's own timeout.
 	watchWait = time.Second
@@ -25,6 +26,9 @@
 	// lapseTime is how long a server whose entry vanished while the store was
 	// out of reach may write it anew before it counts as gone.
 	lapseTime = 1500 * time.Millisecond
+	// maxRemoved bounds how many removed servers are remembered for others;
+	// whoever lacks more is told everything.
+	maxRemoved = 1024
 )
 
 // Sink takes what a watcher hears.
@@ -41,14 +45,27 @@
 	Reach(now time.Time, reached bool, cause error)
 }
 
-// Watcher follows a publisher and keeps no state but what it takes to tell
-// changes.
+// known is an entry with the revision at which it was heard of.
+type known struct {
+	slatewind.ServerEntry
+	revision uint64
+}
+
+// Watcher follows a publisher. It keeps what was published, to tell changes and
+// to pass the news on.
 type Watcher struct {
 	source slatewind.Publisher
 	sink   Sink
 
+	mu       sync.Mutex
 	revision uint64
-	known    map[string]slatewind.ServerEntry
+	seen     time.Time
+	settings *slatewind.PublishedSettings
+	servers  map[string]known
+	// removed holds the revisions at which servers went; forgotten is the
+	// revision up to which it may lack some.
+	removed   map[string]uint64
+	forgotten uint64
 	// lapsed holds servers whose entries vanished, with the time at which they
 	// count as gone.
 	lapsed map[string]time.Time
@@ -59,7 +76,10 @@
 
 // NewWatcher returns a watcher that has heard nothing yet.
 func NewWatcher(source slatewind.Publisher, sink Sink) *Watcher {
-	return &Watcher{source: source, sink: sink, known: map[string]slatewind.ServerEntry{}, lapsed: map[string]time.Time{}}
+	return &Watcher{
+		source: source, sink: sink,
+		servers: map[string]known{}, removed: map[string]uint64{}, lapsed: map[string]time.Time{},
+	}
 }
 
 // Start follows the publisher until ctx ends.
@@ -71,45 +91,60 @@
 	retry := firstRetry
 	for ctx.Err() == nil {
 		err := w.step(ctx)
-		now := time.Now()
-		w.expire(now)
-		if err == nil {
-			w.reached(now)
-			retry = firstRetry
-			sleep(ctx, pace)
-			continue
-		}
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, slatewind.ErrHistoryGone) {
-			w.revision = 0
-			continue
+		switch {
+		case err == nil:
+			retry = firstRetry
+			sleep(ctx, pace)
+		case errors.Is(err, slatewind.ErrHistoryGone):
+			w.readAnew()
+		default:
+			sleep(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, maxRetry)
 		}
-		w.failed(now, err)
-		sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
 	}
 }
 
 // step makes one call and tells what it brought.
 func (w *Watcher) step(ctx context.Context) error {
-	if w.revision == 0 {
-		all, err := w.source.Read(ctx)
-		if err != nil {
-			return err
-		}
-		w.takeAll(time.Now(), all)
-		return nil
+	after := w.Revision()
+	var p slatewind.Publication
+	var err error
+	if after == 0 {
+		p, err = w.source.Read(ctx)
+	} else {
+		p, err = w.source.Changes(ctx, after, watchWait)
 	}
-	changes, err := w.source.Changes(ctx, w.revision, watchWait)
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer w.expire(now)
 	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, slatewind.ErrHistoryGone) {
+			w.failed(now, err)
+		}
 		return err
 	}
-	w.take(time.Now(), changes)
+	w.take(now, p)
+	w.reached(now)
 	return nil
 }
 
+// Revision returns the store's revision up to which everything is known.
+func (w *Watcher) Revision() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision
+}
+
+func (w *Watcher) readAnew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision = 0
+}
+
 func (w *Watcher) reached(now time.Time) {
 	if w.lost {
 		w.sink.Reach(now, true, nil)
@@ -125,46 +160,53 @@
 	w.lostAt = now
 }
 
-// takeAll takes a whole publication: servers that it lacks are gone.
-func (w *Watcher) takeAll(now time.Time, all slatewind.Publication) {
-	listed := make(map[string]bool, len(all.Servers))
-	for _, entry := range all.Servers {
-		listed[entry.Name] = true
-	}
-	for name := range w.known {
-		if !listed[name] {
-			w.vanished(now, name)
-		}
-	}
-	w.take(now, all)
-}
-
+// take takes a publication. Servers that a whole one lacks are gone.
 func (w *Watcher) take(now time.Time, p slatewind.Publication) {
 	for _, finding := range p.Findings {
 		w.sink.Finding(now, finding)
 	}
-	if p.Settings != nil {
+	if p.Settings != nil && (w.settings == nil || p.Settings.Version > w.settings.Version) {
+		w.settings = p.Settings
 		w.sink.Settings(now, p.Settings)
 	}
+	if p.Whole {
+		w.removeOthers(now, p)
+	}
 	for _, name := range p.Removed {
-		w.vanished(now, name)
+		w.vanished(now, name, p.Revision)
 	}
 	for _, entry := range p.Servers {
 		delete(w.lapsed, entry.Name)
-		if before, ok := w.known[entry.Name]; ok && before == entry {
+		if before, ok := w.servers[entry.Name]; ok && before.ServerEntry == entry {
 			continue
 		}
-		w.known[entry.Name] = entry
+		w.servers[entry.Name] = known{entry, p.Revision}
+		delete(w.removed, entry.Name)
 		w.sink.Server(now, entry)
 	}
 	w.revision = max(w.revision, p.Revision)
+	if seen := now.Add(-p.Age); seen.After(w.seen) {
+		w.seen = seen
+	}
+}
+
+func (w *Watcher) removeOthers(now time.Time, all slatewind.Publication) {
+	listed := make(map[string]bool, len(all.Servers))
+	for _, entry := range all.Servers {
+		listed[entry.Name] = true
+	}
+	for name := range w.servers {
+		if !listed[name] {
+			w.vanished(now, name, all.Revision)
+		}
+	}
 }
 
 // vanished handles an entry that is no longer there. Entries run out while the
 // store is away although their servers are well, so after an outage a server
 // may come back for a moment; otherwise it is gone at once.
-func (w *Watcher) vanished(now time.Time, name string) {
-	if _, ok := w.known[name]; !ok {
+func (w *Watcher) vanished(now time.Time, name string, revision uint64) {
+	if _, ok := w.servers[name]; !ok {
 		return
 	}
 	if w.lost || !w.lostAt.IsZero() && now.Sub(w.lostAt) < lapseTime {
@@ -173,12 +215,17 @@
 		}
 		return
 	}
-	w.gone(now, name)
+	w.gone(now, name, revision)
 }
 
-func (w *Watcher) gone(now time.Time, name string) {
-	delete(w.known, name)
+func (w *Watcher) gone(now time.Time, name string, revision uint64) {
+	delete(w.servers, name)
 	delete(w.lapsed, name)
+	if len(w.removed) >= maxRemoved {
+		clear(w.removed)
+		w.forgotten = revision
+	}
+	w.removed[name] = revision
 	w.sink.ServerGone(now, name)
 }
 
@@ -193,7 +240,59 @@
 	}
 	for name, until := range w.lapsed {
 		if now.After(until) {
-			w.gone(now, name)
+			// Others may know the revision already, so that they hear of this
+			// only as part of everything.
+			w.forgotten = w.revision
+			w.gone(now, name, w.revision)
+		}
+	}
+}
+
+// Since returns what changed after a revision, for another process. version is
+// that of its settings.
+func (w *Watcher) Since(after, version uint64) slatewind.Publication {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.revision == 0 {
+		return slatewind.Publication{}
+	}
+	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten}
+	if w.settings != nil && w.settings.Version > version {
+		p.Settings = w.settings
+	}
+	for _, server := range w.servers {
+		if p.Whole || server.revision > after {
+			p.Servers = append(p.Servers, server.ServerEntry)
+		}
+	}
+	for name, revision := range w.removed {
+		if !p.Whole && revision > after {
+			p.Removed = append(p.Removed, name)
+		}
+	}
+	return p
+}
+
+// Version returns the version of the newest settings, or 0.
+func (w *Watcher) Version() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.settings == nil {
+		return 0
+	}
+	return w.settings.Version
+}
+
+// Peers returns the addresses of the servers in a data centre, or everywhere
+// where it is empty.
+func (w *Watcher) Peers(dataCentre string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	addresses := make([]string, 0, len(w.servers))
+	for _, server := range w.servers {
+		if dataCentre == "" || server.DataCentre == dataCentre {
+			addresses = append(addresses, server.Address)
 		}
 	}
+	return addresses
 }
--- /dev/null
+++ b/link/news.go
@@ -0,0 +1,55 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+// Since asks the process at an address what changed after a revision of the
+// store. version is that of the settings that the caller has.
+func (p *Pool) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
+	reply, err := call(ctx, p, address, &slatewindv1.SinceRequest{Revision: after, Version: version}, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Since)
+	if err != nil {
+		return slatewind.Publication{}, err
+	}
+	news := slatewind.Publication{
+		Revision: reply.GetRevision(), Age: time.Duration(reply.GetAgeNanos()), Whole: reply.GetWhole(), Removed: reply.GetRemoved(),
+	}
+	if reply.GetSettings() != nil {
+		news.Settings = &slatewind.PublishedSettings{Version: reply.GetVersion(), Fleet: reply.GetSettings()}
+	}
+	for _, s := range reply.GetServers() {
+		news.Servers = append(news.Servers, slatewind.ServerEntry{
+			Name: s.GetName(), Service: s.GetService(), Address: s.GetAddress(), DataCentre: s.GetDataCentre(), Release: s.GetRelease(),
+			Slots: int(s.GetSlots()), Leaving: s.GetLeaving(), Warming: time.Duration(s.GetWarmingNanos()),
+		})
+	}
+	return news, nil
+}
+
+// NewsServer passes on what a process knows of the store.
+type NewsServer struct {
+	slatewindv1.UnimplementedNewsServer
+	Known func(after, version uint64) slatewind.Publication
+}
+
+// Since implements the generated interface.
+func (s NewsServer) Since(_ context.Context, request *slatewindv1.SinceRequest) (*slatewindv1.SinceReply, error) {
+	news := s.Known(request.GetRevision(), request.GetVersion())
+	reply := &slatewindv1.SinceReply{
+		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed,
+	}
+	if news.Settings != nil {
+		reply.Version, reply.Settings = news.Settings.Version, news.Settings.Fleet
+	}
+	for _, e := range news.Servers {
+		reply.Servers = append(reply.Servers, &slatewindv1.PublishedServer{
+			Name: e.Name, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Release: e.Release,
+			Slots: int32(e.Slots), Leaving: e.Leaving, WarmingNanos: int64(e.Warming),
+		})
+	}
+	return reply, nil
+}
--- a/publish.go
+++ b/publish.go
@@ -45,6 +45,10 @@
 	Servers []ServerEntry
 	// Removed names servers whose entries are gone.
 	Removed []string
+	// Whole says that Servers are all that there are.
+	Whole bool
+	// Age is how long ago the platform said so; zero is just now.
+	Age time.Duration
 	// Findings are entries that could not be read, each with its place.
 	Findings []error
 }
