Let a new entry at an address end the older one

Change: a new start at an address replaces the older; the process beside a server sends the identity that it knows itself.

--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -258,13 +258,22 @@
 	return item, nil, decision
 }
 
+// expected returns the identity that a request is sent for: the server's as it is
+// known here, where that is newer than the sender's, or the sender's.
+func (in *Inbound) expected(r *slatewindv1.Reservation) string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.name != "" {
+		return in.name
+	}
+	return r.GetServer()
+}
+
 // refuses returns why the server may not get a request now, or nil.
 func (in *Inbound) refuses(now time.Time, r *slatewindv1.Reservation) *slatewindv1.Refusal {
 	switch {
 	case r.GetService() != in.server.Service:
 		return in.refusal(CauseMoved, "the server here belongs to service "+in.server.Service, 0)
-	case in.name != "" && r.GetServer() != "" && r.GetServer() != in.name:
-		return in.refusal(CauseMoved, "the server here is "+in.name, 0)
 	case in.stopping != "":
 		return in.refusal(CauseLeaving, in.stopping, 0)
 	case in.away != "":
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -239,8 +239,8 @@
 		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
 	}
 	header.Set(dialect.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	if u.reservation.GetServer() != "" {
-		header.Set(dialect.Expect, u.reservation.GetServer())
+	if expected := u.in.expected(u.reservation); expected != "" {
+		header.Set(dialect.Expect, expected)
 	}
 	r := &http.Request{
 		Method: from.GetMethod(), URL: &url.URL{Opaque: from.GetTarget()}, Host: from.GetHost(), Header: header,
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -79,8 +79,10 @@
 
 	mu     sync.RWMutex
 	shards map[string]*shard
-	// services says to which service each known server belongs.
+	// services says to which service each known server belongs, places which
+	// server stands at an address.
 	services map[string]string
+	places   map[string]string
 
 	splitMu sync.Mutex
 	splits  map[string]*splitter
@@ -96,7 +98,7 @@
 func New(self Self, bounds Bounds, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, meter Meter) *Outbound {
 	return &Outbound{
 		self: self, bounds: bounds, dialect: dialect, store: store, journal: journal, links: links, meter: meter,
-		shards: map[string]*shard{}, services: map[string]string{}, splits: map[string]*splitter{},
+		shards: map[string]*shard{}, services: map[string]string{}, places: map[string]string{}, splits: map[string]*splitter{},
 	}
 }
 
@@ -139,8 +141,14 @@
 	o.mu.Lock()
 	before, known := o.services[entry.Name]
 	o.services[entry.Name] = entry.Service
+	older, taken := o.places[entry.Address]
+	o.places[entry.Address] = entry.Name
 	fleet := len(o.services)
 	o.mu.Unlock()
+	if taken && older != entry.Name && !known {
+		// One server stands at an address: a new one says that the older ended.
+		o.Remove(older)
+	}
 	if known && before != entry.Service {
 		o.remove(before, entry.Name)
 	}
