--- a/discovery/share.go
+++ b/discovery/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -27,6 +28,11 @@
 	askTimeout = 250 * time.Millisecond
 	// failedTime is how long a peer that did not answer is passed over.
 	failedTime = 3 * time.Second
+	// pingEvery is how often a process that others tell the news asks whether
+	// it could reach the store itself, and pingTimeout how long it waits. Three
+	// missed heartbeats of a server that is cut off take longer.
+	pingEvery   = 2 * time.Second
+	pingTimeout = 700 * time.Millisecond
 	// directPause is the least time between two direct calls of a process that
 	// need not be a reader. While the store is away its readers try for all.
 	directPause = time.Second
@@ -38,12 +44,19 @@
 	Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error)
 }
 
+// Store is the platform's store itself.
+type Store interface {
+	slatewind.Publisher
+	// Ping asks, at a small price, whether the store can be reached.
+	Ping(ctx context.Context) error
+}
+
 // Share is a publisher that spares the store: few processes of each data centre
 // read it, the others ask them. Who reads follows from the list of servers, so
 // that all agree without a word: the first by the hash of their addresses that
 // answer. Where the readers' news is old, a process asks the store itself.
 type Share struct {
-	store slatewind.Publisher
+	store Store
 	peers Peers
 	self  string
 	// local returns the addresses of the servers in the own data centre.
@@ -57,11 +70,14 @@
 
 	failed     map[string]time.Time
 	lastDirect time.Time
+	// cut says that the store could not be reached at lastWord.
+	cut      bool
+	lastWord time.Time
 }
 
 // NewShare returns a publisher for the process beside the server at self. Follow
 // must be called before its use.
-func NewShare(store slatewind.Publisher, peers Peers, self string, seeds []string) *Share {
+func NewShare(store Store, peers Peers, self string, seeds []string) *Share {
 	return &Share{store: store, peers: peers, self: self, seeds: seeds, failed: map[string]time.Time{}}
 }
 
@@ -93,6 +109,7 @@
 		return s.direct(ctx, after, wait)
 	}
 	reader := readers[rand.IntN(len(readers))]
+	s.ping(ctx, now)
 	p, ok := s.ask(ctx, reader, after)
 	if ok && p.Age <= freshAge {
 		return p, nil
@@ -106,11 +123,28 @@
 	return s.direct(ctx, after, wait)
 }
 
+// ping finds out now and then whether this process could reach the store.
+func (s *Share) ping(ctx context.Context, now time.Time) {
+	if now.Sub(s.lastWord) < pingEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	s.heard(s.store.Ping(ctx))
+}
+
+// heard notes whether the store answered.
+func (s *Share) heard(err error) {
+	s.lastWord = time.Now()
+	s.cut = err != nil && !errors.Is(err, slatewind.ErrHistoryGone)
+}
+
 // direct asks the store. A process that the store turns away lives on what
 // others heard.
 func (s *Share) direct(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
 	s.lastDirect = time.Now()
 	p, err := s.store.Changes(ctx, after, wait)
+	s.heard(err)
 	if err == nil {
 		return p, nil
 	}
@@ -140,6 +174,7 @@
 		s.failed[address] = time.Now().Add(failedTime)
 		return p, false
 	}
+	p.Cut = s.cut
 	return p, true
 }
 
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -127,8 +127,12 @@
 		}
 		return err
 	}
+	if p.Cut {
+		w.failed(now, errCut)
+	} else {
+		w.reached(now)
+	}
 	w.take(now, p)
-	w.reached(now)
 	return nil
 }
 
@@ -139,6 +143,9 @@
 	return w.revision
 }
 
+// errCut: others reach the store, this process does not.
+var errCut = Error.New("only other processes reach the store")
+
 func (w *Watcher) readAnew() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/publish.go
+++ b/publish.go
@@ -47,6 +47,9 @@
 	Removed []string
 	// Whole says that Servers are all that there are.
 	Whole bool
+	// Cut says that the reader itself cannot reach the platform: it heard this
+	// from others, and servers near it may miss from the list for that alone.
+	Cut bool
 	// Age is how long ago the platform said so; zero is just now.
 	Age time.Duration
 	// Findings are entries that could not be read, each with its place.
