--- a/discovery/share.go
+++ b/discovery/share.go
@@ -22,7 +22,7 @@
 	// others ask these, so that calls to the store do not grow with the fleet.
 	Readers = 2
 	// freshAge is how old a peer's word may be.
-	freshAge = 1200 * time.Millisecond
+	freshAge = 1500 * time.Millisecond
 	// askTimeout bounds a question to a peer. In a data centre an answer takes
 	// a millisecond, from a busy process some tens.
 	askTimeout = 250 * time.Millisecond
@@ -174,6 +174,7 @@
 		s.failed[address] = time.Now().Add(failedTime)
 		return p, false
 	}
+	p.Relayed = true
 	p.Cut = s.cut
 	return p, true
 }
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// pace is the least time between two calls of a watcher. Servers write
+	// storePace is the least time between two calls to the store. Servers write
 	// their entries all the time, so an eager watch would return many times a
-	// second, and each call is paid for. A leaving server must be heard of
-	// within two seconds.
-	pace = 450 * time.Millisecond
+	// second, and each call is paid for. peerPace is that between two questions
+	// to a peer. A leaving server must be heard of within two seconds, which
+	// both together leave time for.
+	storePace = 800 * time.Millisecond
+	peerPace  = 450 * time.Millisecond
 	// watchWait is how long the store may hold a watch. A connection that has
 	// gone silent is noticed after that and the call's own timeout.
 	watchWait = time.Second
@@ -90,14 +92,14 @@
 func (w *Watcher) loop(ctx context.Context) {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		err := w.step(ctx)
+		relayed, err := w.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		switch {
 		case err == nil:
 			retry = firstRetry
-			sleep(ctx, pace)
+			sleep(ctx, paceOf(relayed))
 		case errors.Is(err, slatewind.ErrHistoryGone):
 			w.readAnew()
 		default:
@@ -107,11 +109,18 @@
 	}
 }
 
-// step makes one call and tells what it brought.
-func (w *Watcher) step(ctx context.Context) error {
+func paceOf(relayed bool) time.Duration {
+	if relayed {
+		return peerPace
+	}
+	return storePace
+}
+
+// step makes one call and tells what it brought. relayed says that it came from
+// a peer.
+func (w *Watcher) step(ctx context.Context) (relayed bool, err error) {
 	after := w.Revision()
 	var p slatewind.Publication
-	var err error
 	if after == 0 {
 		p, err = w.source.Read(ctx)
 	} else {
@@ -125,7 +134,7 @@
 		if ctx.Err() == nil && !errors.Is(err, slatewind.ErrHistoryGone) {
 			w.failed(now, err)
 		}
-		return err
+		return false, err
 	}
 	if p.Cut {
 		w.failed(now, errCut)
@@ -133,7 +142,7 @@
 		w.reached(now)
 	}
 	w.take(now, p)
-	return nil
+	return p.Relayed, nil
 }
 
 // Revision returns the store's revision up to which everything is known.
--- /dev/null
+++ b/inbound/inbound_test.go
@@ -0,0 +1,263 @@
+package inbound_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/timer"
+)
+
+// place is a server with the process beside it.
+type place struct {
+	*inbound.Inbound
+	server *standin.Stamped
+	name   string
+}
+
+const slots = 2
+
+func newPlace(t *testing.T) *place {
+	server := standin.NewStamped("s-1", platform.Servers())
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	p := &place{server: server, name: "s-1"}
+	p.Inbound = inbound.New(inbound.Server{
+		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Dialect: platform.Servers(),
+	}, history.New(0, nil))
+	t.Cleanup(p.Close)
+	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
+	return p
+}
+
+// reservation is one for a request that may be a trial.
+func reservation(id string) *slatewindv1.Reservation {
+	return &slatewindv1.Reservation{
+		RequestId: id, Service: "svc", Server: "s-1", Route: "r", Kind: string(slatewind.KindRepeatable),
+		RemainingNanos: int64(2 * time.Second), PatienceNanos: int64(time.Second),
+	}
+}
+
+// reserve begins a use and returns its first word.
+func (p *place) reserve(ctx context.Context, r *slatewindv1.Reservation) (link.Use, *slatewindv1.UseReply) {
+	use := link.LocalUse(ctx, p.Serve)
+	if err := use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Reservation{Reservation: r}}); err != nil {
+		panic(err)
+	}
+	reply, err := use.Recv()
+	if err != nil {
+		panic(err)
+	}
+	return use, reply
+}
+
+// request sends the request that takes a granted slot and returns the reply.
+func request(use link.Use, id, body string) (*slatewindv1.UseReply, error) {
+	err := use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
+		RemainingNanos: int64(2 * time.Second), Method: "POST", Target: "/x", Host: "h",
+		Headers: []*slatewindv1.Header{{Name: "X-Request-Id", Value: id}}, Body: []byte(body), BodyLength: int64(len(body)),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	return use.Recv()
+}
+
+// run takes one request through both steps; word says what came of it.
+func (p *place) run(r *slatewindv1.Reservation) (word string) {
+	use, reply := p.reserve(context.Background(), r)
+	if refusal := reply.GetRefusal(); refusal != nil {
+		return refusal.GetCause()
+	}
+	reply, err := request(use, r.GetRequestId(), "b")
+	switch {
+	case err != nil:
+		return err.Error()
+	case reply.GetFailure() != nil:
+		return reply.GetFailure().GetOutcome()
+	case reply.GetRefusal() != nil:
+		return reply.GetRefusal().GetCause()
+	}
+	var text strings.Builder
+	for {
+		part, err := use.Recv()
+		if errors.Is(err, io.EOF) || part.GetEnd() != nil {
+			return fmt.Sprint(reply.GetHead().GetStatus(), " ", text.String())
+		}
+		text.Write(part.GetChunk())
+	}
+}
+
+// TestOutcomes: what becomes of one request, by how the server behaves, and
+// whether the server ran it.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		mode standin.StampedMode
+		word string
+		runs int
+	}{
+		"an answer":             {standin.StampedOK, "200 s-1 /x b", 1},
+		"an error of its own":   {standin.StampedError, "500 s-1 /x b", 1},
+		"a reset":               {standin.StampedReset, "unknown", 0},
+		"a lost answer":         {standin.StampedLost, "unknown", 1},
+		"a rejection":           {standin.StampedShed, "not-run", 0},
+		"an answer that is cut": {standin.StampedCut, "unknown", 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlace(t)
+			p.server.SetMode(test.mode)
+			assert.Equal(t, p.run(reservation("id")), test.word)
+			assert.Equal(t, p.server.Runs()["id"], test.runs)
+			assert.Equal(t, p.server.Arrivals(), 1, "nothing is sent twice")
+			assert.Equal(t, p.InUse(), 0)
+		})
+	}
+}
+
+// TestRefusals: refused reservations touch no server.
+func TestRefusals(t *testing.T) {
+	careful := reservation("id")
+	careful.Careful = true
+	other := reservation("id")
+	other.Service = "another"
+	tests := map[string]struct {
+		before func(p *place)
+		r      *slatewindv1.Reservation
+		cause  inbound.Cause
+	}{
+		"another service":       {func(*place) {}, other, inbound.CauseMoved},
+		"a leaving server":      {func(p *place) { p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Leaving: true}) }, reservation("id"), inbound.CauseLeaving},
+		"a server that is gone": {func(p *place) { p.Gone(time.Now(), "s-1") }, reservation("id"), inbound.CauseLeaving},
+		"a stopping process":    {func(p *place) { p.Stop(time.Now()) }, reservation("id"), inbound.CauseLeaving},
+		"a sick server": {func(p *place) {
+			p.server.SetMode(standin.StampedReset)
+			p.run(reservation("victim"))
+			p.server.SetMode(standin.StampedOK)
+		}, careful, inbound.CauseSick},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlace(t)
+			test.before(p)
+			before := p.server.Arrivals()
+			assert.Equal(t, p.run(test.r), string(test.cause))
+			assert.Equal(t, p.server.Arrivals(), before)
+		})
+	}
+}
+
+// TestServerReturns: a server whose entry is back, or that another start took
+// the place of, is served again.
+func TestServerReturns(t *testing.T) {
+	p := newPlace(t)
+	p.Gone(time.Now(), "an older start")
+	assert.Equal(t, p.run(reservation("a")), "200 s-1 /x b")
+	p.Gone(time.Now(), "s-1")
+	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
+	assert.Equal(t, p.run(reservation("b")), "200 s-1 /x b")
+}
+
+// TestOtherStart: a request that is meant for another start is not run, and the
+// name that the server tells is used from then on.
+func TestOtherStart(t *testing.T) {
+	p := newPlace(t)
+	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-0", Service: "svc", Slots: slots})
+	assert.Equal(t, p.run(reservation("a")), "not-run")
+	assert.Equal(t, p.server.Runs()["a"], 0)
+	assert.Equal(t, p.run(reservation("b")), "200 s-1 /x b")
+}
+
+// TestQueue: a reservation beyond the slots waits, takes the next free one, and
+// a sender that leaves gives its place back.
+func TestQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &place{Inbound: inbound.New(inbound.Server{Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers()}, history.New(0, nil))}
+		ctx, stop := context.WithCancel(t.Context())
+		p.Start(ctx, timer.New())
+		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
+		var cancels []context.CancelFunc
+		for i := range slots {
+			holding, cancel := context.WithCancel(ctx)
+			cancels = append(cancels, cancel)
+			_, reply := p.reserve(holding, reservation(fmt.Sprint("held-", i)))
+			assert.Assert(t, reply.GetGranted() != nil)
+		}
+		leaving, cancelLeaving := context.WithCancel(ctx)
+		_, reply := p.reserve(leaving, reservation("leaves"))
+		assert.Assert(t, reply.GetQueued() != nil)
+		use, reply := p.reserve(ctx, reservation("waits"))
+		assert.Equal(t, reply.GetQueued().GetQueued(), uint32(2))
+		cancelLeaving()
+		synctest.Wait()
+		cancels[0]()
+		reply, err := use.Recv()
+		assert.NilError(t, err)
+		assert.Assert(t, reply.GetGranted() != nil, "the slot that was given back")
+		cancels[1]()
+		stop()
+		synctest.Wait()
+	})
+}
+
+// TestGrantRunsOut: a granted slot that no request takes is given back, and a
+// request that comes later is refused. A sender or a process that was frozen
+// meanwhile starts nothing late.
+func TestGrantRunsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &place{Inbound: inbound.New(inbound.Server{Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers()}, history.New(0, nil))}
+		ctx, stop := context.WithCancel(t.Context())
+		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
+		use, reply := p.reserve(ctx, reservation("late"))
+		assert.Assert(t, reply.GetGranted() != nil)
+		assert.Equal(t, p.InUse(), 1)
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, p.InUse(), 0)
+		reply, err := use.Recv()
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetRefusal().GetCause(), string(inbound.CauseLate))
+		stop()
+		synctest.Wait()
+	})
+}
+
+// TestPatience: a reservation that would wait too long is refused at once, with
+// the time after which a slot is likely.
+func TestPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &place{Inbound: inbound.New(inbound.Server{Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers()}, history.New(0, nil))}
+		ctx, stop := context.WithCancel(t.Context())
+		p.Start(ctx, timer.New())
+		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: 1})
+		_, reply := p.reserve(ctx, reservation("held"))
+		assert.Assert(t, reply.GetGranted() != nil)
+		waits := reservation("waits")
+		waits.PatienceNanos = int64(300 * time.Millisecond)
+		began := time.Now()
+		use, reply := p.reserve(ctx, waits)
+		assert.Assert(t, reply.GetQueued() != nil)
+		reply, err := use.Recv()
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetRefusal().GetCause(), string(inbound.CauseFull))
+		assert.Assert(t, reply.GetRefusal().GetRetryAfterNanos() > 0)
+		assert.Assert(t, time.Since(began) < 400*time.Millisecond)
+		stop()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/outbound/outbound_test.go
@@ -0,0 +1,416 @@
+package outbound_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/outbound"
+	"slatewind.example/slatewind/platform"
+)
+
+// way is how the path to a process behaves.
+type way string
+
+const (
+	wayOpen way = ""
+	// wayRefused cannot be connected.
+	wayRefused way = "refused"
+	// waySilent takes messages and says nothing.
+	waySilent way = "silent"
+	// wayLost loses what comes back after a request was sent.
+	wayLost way = "lost"
+)
+
+// mesh is one ingress with some servers and the processes beside them.
+type mesh struct {
+	*outbound.Outbound
+	store   *config.Store
+	history *history.Journal
+	callers *httptest.Server
+
+	mu      sync.Mutex
+	ways    map[string]way
+	servers map[string]*standin.Stamped
+	places  map[string]*inbound.Inbound
+}
+
+func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
+func (m *mesh) Extra(string, string)                             {}
+
+// Open implements outbound.Opener.
+func (m *mesh) Open(ctx context.Context, server slatewind.ServerEntry) (link.Use, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	place := m.places[server.Name]
+	switch m.ways[server.Name] {
+	case wayRefused:
+		return nil, errors.New("connection refused")
+	case waySilent:
+		return link.LocalUse(ctx, func(s link.UseStream) error { <-s.Context().Done(); return nil }), nil
+	case wayLost:
+		return &lossy{Use: link.LocalUse(ctx, place.Serve), ctx: ctx}, nil
+	}
+	return link.LocalUse(ctx, place.Serve), nil
+}
+
+// lossy is a reservation whose replies get lost once the request was sent.
+type lossy struct {
+	link.Use
+	ctx  context.Context
+	sent bool
+}
+
+func (l *lossy) Send(r *slatewindv1.UseRequest) error {
+	l.sent = l.sent || r.GetRequest() != nil
+	return l.Use.Send(r)
+}
+
+func (l *lossy) Recv() (*slatewindv1.UseReply, error) {
+	if l.sent {
+		<-l.ctx.Done()
+		return nil, l.ctx.Err()
+	}
+	return l.Use.Recv()
+}
+
+func newMesh(t *testing.T, names ...string) *mesh {
+	m := &mesh{
+		ways: map[string]way{}, servers: map[string]*standin.Stamped{}, places: map[string]*inbound.Inbound{},
+		history: history.New(0, nil),
+	}
+	m.store = config.NewStore(m.history)
+	m.Outbound = outbound.New(
+		outbound.Self{VM: "vm", DataCentre: "dc", Service: "caller"}, outbound.Bounds{RetryRatio: 0.2, RetrySlack: 60},
+		platform.Callers(), m.store, m.history, m, m,
+	)
+	for _, name := range names {
+		m.add(t, name, "svc")
+	}
+	m.callers = httptest.NewServer(m.Outbound)
+	t.Cleanup(m.callers.Close)
+	m.publish(1)
+	return m
+}
+
+func (m *mesh) add(t *testing.T, name, service string) {
+	server := standin.NewStamped(name, platform.Servers())
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	entry := slatewind.ServerEntry{Name: name, Service: service, Address: strings.TrimPrefix(web.URL, "http://"), DataCentre: "dc", Slots: 2}
+	place := inbound.New(inbound.Server{Service: service, Address: entry.Address, Dialect: platform.Servers()}, m.history)
+	t.Cleanup(place.Close)
+	place.Published(time.Now(), &entry)
+	m.mu.Lock()
+	m.servers[name], m.places[name] = server, place
+	m.mu.Unlock()
+	m.Put(time.Now(), entry)
+}
+
+// publish puts settings in force: a route for each kind and one that is split.
+func (m *mesh) publish(version uint64, more ...*slatewindv1.Route) {
+	route := func(prefix string, kind slatewind.Kind) *slatewindv1.Route {
+		return &slatewindv1.Route{
+			Name: prefix, Host: "h.example", PathPrefix: prefix, Kind: string(kind), Service: "svc", Attempts: 2,
+			Timeout: durationpb.New(2 * time.Second), Objective: durationpb.New(400 * time.Millisecond),
+		}
+	}
+	m.store.Adopt(time.Now(), "test", &slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
+		Routes:       append([]*slatewindv1.Route{route("/look/", slatewind.KindRepeatable), route("/pay/", slatewind.KindSingle)}, more...),
+		CallerLimits: &slatewindv1.CallerLimits{BodyBytes: 100},
+	}})
+}
+
+// got is what a caller got.
+type got struct {
+	status     int
+	body       string
+	retryAfter float64
+	took       time.Duration
+}
+
+func (m *mesh) send(method, path, id, body string, deadline time.Duration) got {
+	r, err := http.NewRequest(method, m.callers.URL+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set("X-Caller-Service", "forged")
+	began := time.Now()
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return got{body: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	after, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return got{response.StatusCode, string(text), after, time.Since(began)}
+}
+
+// runs returns how often all servers together ran a request.
+func (m *mesh) runs(id string) int {
+	n := 0
+	for _, server := range m.servers {
+		n += server.Runs()[id]
+	}
+	return n
+}
+
+func (m *mesh) arrivals() int {
+	n := 0
+	for _, server := range m.servers {
+		n += server.Arrivals()
+	}
+	return n
+}
+
+// setAll has every server behave alike, but for some.
+func (m *mesh) setAll(mode standin.StampedMode, but ...string) {
+	for name, server := range m.servers {
+		server.SetMode(mode)
+		for _, other := range but {
+			if name == other {
+				server.SetMode(standin.StampedOK)
+			}
+		}
+	}
+}
+
+// TestOneRequest: what a caller of each kind gets, by how the three servers and
+// the ways to them behave, how often it ran, and that a refusal is true.
+func TestOneRequest(t *testing.T) {
+	all := func(mode standin.StampedMode, but ...string) func(*mesh) {
+		return func(m *mesh) { m.setAll(mode, but...) }
+	}
+	ways := func(w way, names ...string) func(*mesh) {
+		return func(m *mesh) {
+			for _, name := range names {
+				m.ways[name] = w
+			}
+		}
+	}
+	tests := map[string]struct {
+		before func(*mesh)
+		path   string
+		status int
+		runs   int
+		// arrivals bounds what servers saw.
+		arrivals int
+	}{
+		"all is well":                            {func(*mesh) {}, "/pay/1", 200, 1, 1},
+		"single, its answer is lost":             {all(standin.StampedLost), "/pay/1", 502, 1, 1},
+		"repeatable, its answer is lost":         {all(standin.StampedLost), "/look/1", 502, 2, 2},
+		"single, reset":                          {all(standin.StampedReset), "/pay/1", 502, 0, 1},
+		"single, the server's own error":         {all(standin.StampedError), "/pay/1", 500, 1, 1},
+		"repeatable, the servers' own errors":    {all(standin.StampedError), "/look/1", 500, 2, 2},
+		"single, rejected everywhere":            {all(standin.StampedShed), "/pay/1", 503, 0, 2},
+		"single, an answer that is cut":          {all(standin.StampedCut), "/pay/1", 502, 1, 1},
+		"single, two of three cannot be reached": {ways(wayRefused, "a", "b"), "/pay/1", 200, 1, 1},
+		"single, two of three are silent":        {ways(waySilent, "a", "b"), "/pay/1", 200, 1, 1},
+		"single, no process can be reached":      {ways(wayRefused, "a", "b", "c"), "/pay/1", 503, 0, 0},
+		"single, all processes are silent":       {ways(waySilent, "a", "b", "c"), "/pay/1", 503, 0, 0},
+		"no route":                               {func(*mesh) {}, "/other/1", 404, 0, 0},
+		"the path of a route without its slash":  {func(*mesh) {}, "/payment/1", 404, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t, "a", "b", "c")
+			test.before(m)
+			g := m.send("POST", test.path, "id", "body", 2*time.Second)
+			assert.Equal(t, g.status, test.status, g.body)
+			assert.Equal(t, m.runs("id"), test.runs)
+			assert.Assert(t, m.arrivals() <= test.arrivals, m.arrivals())
+			if g.status == http.StatusServiceUnavailable {
+				assert.Assert(t, g.retryAfter > 0, "a refusal says when to come back")
+			}
+			if g.status == http.StatusOK {
+				assert.Assert(t, strings.HasSuffix(g.body, test.path+" body"), g.body)
+			}
+		})
+	}
+}
+
+// TestRetryGoesElsewhere: a repeatable request that one server fails is answered
+// by another, and the next careful one does not go to the sick server.
+func TestRetryGoesElsewhere(t *testing.T) {
+	m := newMesh(t, "a", "b", "c")
+	m.setAll(standin.StampedOK)
+	m.servers["a"].SetMode(standin.StampedReset)
+	for i := range 30 {
+		g := m.send("GET", "/look/1", fmt.Sprint("look-", i), "", 2*time.Second)
+		assert.Equal(t, g.status, 200, g.body)
+	}
+	assert.Assert(t, m.servers["a"].Arrivals() > 0, "the sick server was met")
+	before := m.servers["a"].Arrivals()
+	for i := range 30 {
+		g := m.send("POST", "/pay/1", fmt.Sprint("pay-", i), "", 2*time.Second)
+		assert.Equal(t, g.status, 200, g.body)
+	}
+	assert.Equal(t, m.servers["a"].Arrivals(), before)
+}
+
+// TestLostReply: when nothing comes back after a request was sent, a single one
+// is not sent again, and its caller gets an answer that promises nothing.
+func TestLostReply(t *testing.T) {
+	m := newMesh(t, "a", "b", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		m.ways[name] = wayLost
+	}
+	g := m.send("POST", "/pay/1", "id", "", 300*time.Millisecond)
+	assert.Equal(t, g.status, http.StatusGatewayTimeout, g.body)
+	assert.Equal(t, m.runs("id"), 1)
+}
+
+// TestTime: a request ends with its caller's or its route's time, whichever is
+// shorter, though its server hangs.
+func TestTime(t *testing.T) {
+	m := newMesh(t, "a")
+	m.setAll(standin.StampedHang)
+	for name, deadline := range map[string]time.Duration{"caller": 200 * time.Millisecond, "route": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			g := m.send("POST", "/pay/1", name, "", deadline)
+			assert.Equal(t, g.status, http.StatusGatewayTimeout, g.body)
+			assert.Assert(t, g.took < 5*time.Second, g.took)
+			assert.Equal(t, m.runs(name), 1)
+		})
+	}
+}
+
+// TestBudget: while all servers reject, they receive no more than the budget
+// allows beyond the first attempts.
+func TestBudget(t *testing.T) {
+	m := newMesh(t, "a", "b", "c", "d", "e")
+	m.setAll(standin.StampedShed)
+	const requests = 100
+	for i := range requests {
+		m.send("GET", "/look/1", fmt.Sprint("id-", i), "", 2*time.Second)
+	}
+	extra := m.arrivals() - requests
+	assert.Assert(t, extra > 0 && extra <= requests/5+12, "%d extra arrivals", extra)
+}
+
+// TestBeforeSettings: a process without settings says that it cannot serve yet,
+// and never that a route does not exist.
+func TestBeforeSettings(t *testing.T) {
+	m := newMesh(t, "a")
+	empty := config.NewStore(m.history)
+	o := outbound.New(outbound.Self{VM: "vm"}, outbound.Bounds{}, platform.Callers(), empty, m.history, m, m)
+	w := httptest.NewRecorder()
+	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, w.Header().Get("Retry-After") != "")
+}
+
+// TestVersions: newer settings count from the next request on, older ones never.
+func TestVersions(t *testing.T) {
+	m := newMesh(t, "a")
+	added := &slatewindv1.Route{Name: "new", Host: "h.example", PathPrefix: "/new/", Kind: string(slatewind.KindRepeatable), Service: "svc", Timeout: durationpb.New(time.Second)}
+	m.publish(5, added)
+	assert.Equal(t, m.send("GET", "/new/1", "a", "", time.Second).status, 200)
+	m.publish(4)
+	assert.Equal(t, m.send("GET", "/new/1", "b", "", time.Second).status, 200)
+	m.publish(9)
+	assert.Equal(t, m.send("GET", "/new/1", "c", "", time.Second).status, 404)
+}
+
+// TestSplit: a route's requests are divided by its weights.
+func TestSplit(t *testing.T) {
+	m := newMesh(t, "a")
+	m.add(t, "b", "other")
+	m.publish(2, &slatewindv1.Route{
+		Name: "split", Host: "h.example", PathPrefix: "/split/", Kind: string(slatewind.KindRepeatable), Timeout: durationpb.New(time.Second),
+		Splits: []*slatewindv1.Split{{Service: "svc", Weight: 90}, {Service: "other", Weight: 10}},
+	})
+	const requests = 100
+	for i := range requests {
+		assert.Equal(t, m.send("GET", "/split/1", fmt.Sprint(i), "", time.Second).status, 200)
+	}
+	assert.Assert(t, m.servers["b"].Arrivals() >= 9 && m.servers["b"].Arrivals() <= 11, m.servers["b"].Arrivals())
+}
+
+// TestLimits: a body over the limit is refused before anything is sent.
+func TestLimits(t *testing.T) {
+	m := newMesh(t, "a")
+	g := m.send("POST", "/pay/1", "id", strings.Repeat("x", 101), time.Second)
+	assert.Equal(t, g.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, m.arrivals(), 0)
+}
+
+// TestCallerLeaves: a repeatable request ends with its caller, a single one goes
+// on, since breaking it off does not undo it.
+func TestCallerLeaves(t *testing.T) {
+	for path, freed := range map[string]bool{"/look/1": true, "/pay/1": false} {
+		t.Run(path, func(t *testing.T) {
+			m := newMesh(t, "a")
+			m.setAll(standin.StampedHang)
+			ctx, leave := context.WithCancel(context.Background())
+			r, err := http.NewRequestWithContext(ctx, "GET", m.callers.URL+path, nil)
+			assert.NilError(t, err)
+			r.Host = "h.example"
+			r.Header.Set("X-Request-Id", "id")
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				if response, err := http.DefaultClient.Do(r); err == nil {
+					_ = response.Body.Close()
+				}
+			}()
+			await(t, func() bool { return m.runs("id") == 1 })
+			leave()
+			<-ended
+			if freed {
+				await(t, func() bool { return m.places["a"].InUse() == 0 })
+				return
+			}
+			assert.Equal(t, m.places["a"].InUse(), 1)
+			m.setAll(standin.StampedOK)
+			await(t, func() bool { return m.places["a"].InUse() == 0 })
+		})
+	}
+}
+
+// TestNewerStart: a new start at an address takes the place of the older one.
+func TestNewerStart(t *testing.T) {
+	m := newMesh(t, "a")
+	entry := slatewind.ServerEntry{Name: "a-2", Service: "svc", Address: m.onlyAddress(t), DataCentre: "dc"}
+	m.Put(time.Now(), entry)
+	assert.Equal(t, m.Servers(), 1)
+}
+
+// onlyAddress returns the address of the only known server.
+func (m *mesh) onlyAddress(t *testing.T) string {
+	view := m.View(time.Now())
+	assert.Equal(t, len(view.Services[0].Servers), 1)
+	return view.Services[0].Servers[0].Address
+}
+
+func await(t *testing.T, what func() bool) {
+	t.Helper()
+	for range 5000 {
+		if what() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("waited in vain")
+}
--- a/publish.go
+++ b/publish.go
@@ -47,6 +47,8 @@
 	Removed []string
 	// Whole says that Servers are all that there are.
 	Whole bool
+	// Relayed publications came from another process.
+	Relayed bool
 	// Cut says that the reader itself cannot reach the platform: it heard this
 	// from others, and servers near it may miss from the list for that alone.
 	Cut bool
