Prove the node end to end and bound its log

Cause: no test started whole nodes, and a reader of the log that stands still would have held up requests. Change: tests start nodes in front of a store and servers that are stand-ins: serving, a draining server, a planned stop, a start while the store is away, an outage. Log lines pass through a bounded queue; what does not fit is left out and counted, lines about requests last. Logs go to standard output.

--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -57,7 +57,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if err := serve(fx.New(daemon.Options(process, daemon.NewLogger(o.Verbose)))); err != nil {
+	ctx, cancel := context.WithCancel(context.Background())
+	lines := daemon.NewLogWriter(ctx, os.Stdout)
+	defer lines.Wait()
+	defer cancel()
+	if err := serve(fx.New(daemon.Options(process, daemon.NewLogger(lines, o.Verbose)))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -290,13 +290,13 @@
 }
 
 // NewLogger returns a logger that writes one line of key=value pairs for each
-// event.
-func NewLogger(verbose bool) *log.Logger {
+// event to out.
+func NewLogger(out io.Writer, verbose bool) *log.Logger {
 	level := log.InfoLevel
 	if verbose {
 		level = log.DebugLevel
 	}
-	return log.NewWithOptions(os.Stderr, log.Options{
+	return log.NewWithOptions(out, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: level,
 	})
 }
--- /dev/null
+++ b/daemon/node_test.go
@@ -0,0 +1,248 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/metrics"
+	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/timer"
+)
+
+const nodeConfig = `{"Version":"%08x","Routes":{
+ "pay":{"Host":"h.example","PathPrefix":"/pay/","Kind":"unsafe","TimeoutMs":8000,"TargetLatencyMs":800,"Service":"svc","RetryAttempts":2},
+ "look":{"Host":"h.example","PathPrefix":"/look/","Kind":"safe","TimeoutMs":8000,"TargetLatencyMs":800,"Service":"svc","RetryAttempts":2}},
+ "Services":{"svc":{}},"Limits":{"MaxBodyBytes":1000}}`
+
+// nodes is a small fleet of nodes in one process, each with an IP of its own,
+// in front of a store and servers that are stand-ins.
+type nodes struct {
+	t       *testing.T
+	store   *standin.Platform
+	web     *httptest.Server
+	servers []*standin.Stamped
+	nodes   []*Node
+	base    string
+}
+
+// nextNet gives each test addresses of its own on loopback.
+var nextNet atomic.Int64
+
+func newNodes(t *testing.T, n int) *nodes {
+	f := &nodes{t: t, store: standin.NewPlatform(), base: fmt.Sprintf("127.88.%d", (int64(os.Getpid())+nextNet.Add(1))%250)}
+	f.web = httptest.NewServer(f.store.Handler())
+	t.Cleanup(f.web.Close)
+	f.publish(1)
+	for i := range n {
+		server := standin.NewStamped(fmt.Sprint("s-", i), platform.Servers())
+		listener, err := net.Listen("tcp", f.address(i, 9000))
+		assert.NilError(t, err)
+		web := &http.Server{Handler: server, ReadHeaderTimeout: time.Second}
+		go func() { _ = web.Serve(listener) }()
+		t.Cleanup(func() { _ = web.Close() })
+		f.servers = append(f.servers, server)
+		f.enter(i, "ready")
+		f.nodes = append(f.nodes, f.start(i))
+	}
+	for i := range n {
+		f.awaitReady(i)
+	}
+	return f
+}
+
+func (f *nodes) address(i, port int) string { return fmt.Sprintf("%s.%d:%d", f.base, i+1, port) }
+
+func (f *nodes) publish(version int) {
+	f.store.Put(platform.ConfigKey, fmt.Appendf(nil, nodeConfig, version))
+}
+
+// enter writes the entry of a server as the server does.
+func (f *nodes) enter(i int, state string) {
+	f.store.Put(fmt.Sprint(platform.ServersPrefix, "s-", i), fmt.Appendf(nil,
+		`{"Service":"svc","Address":%q,"Zone":"dc","Slots":4,"State":%q}`, f.address(i, 9000), state))
+}
+
+func (f *nodes) start(i int) *Node {
+	process := &slatewindv1.Process{
+		Vm: fmt.Sprint("vm-", i), DataCentre: "dc",
+		IngressAddress: f.address(i, 8000), PeerAddress: f.address(i, 8001), AdminAddress: f.address(i, 8002), ReadyAddress: f.address(i, 8003),
+		LocalServer: &slatewindv1.LocalServer{Service: "svc", Address: f.address(i, 9000)},
+		Store:       &slatewindv1.Store{Address: strings.TrimPrefix(f.web.URL, "http://")},
+		Bounds:      &slatewindv1.Bounds{Grace: durationpb.New(20 * time.Second), RetryRatio: 0.2, RetrySlack: 50},
+		SeedPeers:   []string{f.address(0, 8001), f.address(1, 8001)},
+	}
+	m, err := metrics.New()
+	assert.NilError(f.t, err)
+	j := history.New(0, nil)
+	n := newNode(process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool())
+	assert.NilError(f.t, n.Start(context.Background()))
+	stopped := false
+	f.t.Cleanup(func() {
+		if !stopped {
+			stopped = true
+			f.end(n)
+		}
+	})
+	return n
+}
+
+// end ends a node at once, as a kill does.
+func (f *nodes) end(n *Node) {
+	n.cancel()
+	_ = n.callers.Close()
+	_ = n.ready.Close()
+	_ = n.admin.Close()
+	n.peers.Stop()
+	_ = n.pool.Close()
+}
+
+func (f *nodes) ready(i int) bool {
+	response, err := http.Get("http://" + f.address(i, 8003) + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *nodes) awaitReady(i int) {
+	f.await(fmt.Sprint("node ", i, " ready"), func() bool { return f.ready(i) })
+}
+
+func (f *nodes) await(what string, done func() bool) {
+	f.t.Helper()
+	for range 3000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatal("waited in vain for: ", what)
+}
+
+// send sends a request to a node and returns its status.
+func (f *nodes) send(i int, path, id string) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(i, 8000)+path, bytes.NewReader([]byte("b")))
+	assert.NilError(f.t, err)
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "8000")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func (f *nodes) runs(id string) (n int) {
+	for _, server := range f.servers {
+		n += server.Runs()[id]
+	}
+	return n
+}
+
+// TestNodesServe: a request that begins at any node is run once by some server.
+func TestNodesServe(t *testing.T) {
+	f := newNodes(t, 3)
+	for i := range 30 {
+		id := fmt.Sprint("id-", i)
+		assert.Equal(t, f.send(i%3, "/pay/1", id), http.StatusOK)
+		assert.Equal(t, f.runs(id), 1)
+	}
+}
+
+// TestNodeLeavesDrainingServer: a server whose entry says draining gets nothing
+// from any node.
+func TestNodeLeavesDrainingServer(t *testing.T) {
+	f := newNodes(t, 2)
+	f.enter(0, "draining")
+	f.await("the drain to be heard", func() bool { return f.nodes[0].inbound.View().Leaving != "" })
+	before := f.servers[0].Arrivals()
+	for i := range 20 {
+		assert.Equal(t, f.send(i%2, "/pay/1", fmt.Sprint("id-", i)), http.StatusOK)
+	}
+	assert.Equal(t, f.servers[0].Arrivals(), before)
+}
+
+// TestNodeStopCutsOffNothing: a node that is told to stop is unready at once,
+// finishes what it has in both roles, and loses no request.
+func TestNodeStopCutsOffNothing(t *testing.T) {
+	f := newNodes(t, 2)
+	for _, server := range f.servers {
+		server.SetDelay(700 * time.Millisecond)
+	}
+	results := make(chan int, 16)
+	for i := range cap(results) {
+		go func() { results <- f.send(i%2, "/pay/1", fmt.Sprint("id-", i)) }()
+	}
+	f.await("both servers to work", func() bool { return f.servers[0].Arrivals() > 0 && f.servers[1].Arrivals() > 0 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.nodes[0].Stop(context.Background()) }()
+	f.await("node 0 unready", func() bool { return !f.ready(0) })
+	ok := 0
+	for range cap(results) {
+		status := <-results
+		assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, status)
+		if status == http.StatusOK {
+			ok++
+		}
+	}
+	assert.Assert(t, ok >= 8, ok)
+	for i := range cap(results) {
+		assert.Assert(t, f.runs(fmt.Sprint("id-", i)) <= 1)
+	}
+	assert.NilError(t, <-stopped)
+}
+
+// TestNodeStartsWithoutStore: a node that starts while the store is away learns
+// settings and servers from a seed, and the newest ones.
+func TestNodeStartsWithoutStore(t *testing.T) {
+	f := newNodes(t, 3)
+	f.publish(7)
+	f.await("version 7 everywhere", func() bool {
+		for _, n := range f.nodes {
+			if n.store.Version().Revision != 7 {
+				return false
+			}
+		}
+		return true
+	})
+	f.end(f.nodes[2])
+	f.store.SetMode(standin.PlatformDown)
+	f.nodes[2] = f.start(2)
+	f.awaitReady(2)
+	assert.Equal(t, f.nodes[2].store.Version().Revision, uint64(7))
+	assert.Equal(t, f.send(2, "/pay/1", "id"), http.StatusOK)
+}
+
+// TestNodeOutlivesStore: while the store is away all goes on.
+func TestNodeOutlivesStore(t *testing.T) {
+	f := newNodes(t, 2)
+	f.store.SetMode(standin.PlatformDown)
+	f.await("the loss to be noticed", func() bool { return f.store.Calls()["watch"] > 6 })
+	for i := range 10 {
+		assert.Equal(t, f.send(i%2, "/look/1", fmt.Sprint("id-", i)), http.StatusOK)
+	}
+	assert.Assert(t, f.ready(0) && f.ready(1))
+}
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -125,7 +125,7 @@
 	assert.NilError(m.t, os.WriteFile(file, []byte(text), 0o600))
 	log := &bytes.Buffer{}
 	command := exec.Command(program, "--settings", file, "--verbose")
-	command.Stderr = log
+	command.Stdout, command.Stderr = log, log
 	p.command = command
 	assert.NilError(m.t, command.Start())
 	m.t.Cleanup(func() {
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -49,7 +49,7 @@
 platform_url: http://$platform
 seed_peers: ["$seed"]
 YAML
-  bin/slatewindd --settings "$work/$vm.yaml" 2>"$work/$vm.log" &
+  bin/slatewindd --settings "$work/$vm.yaml" >"$work/$vm.log" 2>&1 &
   pids+=($!)
 done <<<"$vms"
 bin/slatewind ready "${admins[@]}"
