--- a/backend/backend.go
+++ b/backend/backend.go
@@ -32,11 +32,11 @@
 var Error = errs.Class("backend")
 
 var (
-	// ErrNotAnAnswer: what came back is not an answer in the protocol.
+	// ErrNotAnAnswer says that what came back is not an answer in the protocol.
 	ErrNotAnAnswer = Error.New("the bytes are no answer")
-	// ErrCrossed: only answers to other requests came back.
+	// ErrCrossed says that only answers to other requests came back.
 	ErrCrossed = Error.New("the answer belongs to another request")
-	// ErrNoStamp: a success without the server's proof.
+	// ErrNoStamp says that a success came without the server's proof.
 	ErrNoStamp = Error.New("a success without the server's stamp")
 )
 
@@ -52,8 +52,6 @@
 	// maxSurplus bounds the foreign answers that are passed over on one
 	// connection before it is given up.
 	maxSurplus = 3
-	// maxHeader bounds the head of an answer.
-	maxHeader = 64 << 10
 	// bufferBytes is the size of a connection's read buffer.
 	bufferBytes = 4 << 10
 )
@@ -73,7 +71,7 @@
 
 	mu   sync.Mutex
 	idle []*conn
-	// Opened counts connections, for the metrics.
+	// opened counts connections.
 	opened uint64
 }
 
@@ -127,7 +125,7 @@
 		// stop reading.
 		_ = request.Write(writer)
 	}()
-	response, err := p.readResponse(c, request)
+	response, err := p.readResponse(c, request) //nolint:bodyclose // Answer.Close ends the connection.
 	if err != nil {
 		_ = c.Close()
 		stop()
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -277,5 +276,5 @@
 	assert.ErrorIs(t, <-failed, context.Canceled)
 	body, _, err := do(pool, "id-2")
 	assert.NilError(t, err)
-	assert.Equal(t, body, "body", fmt.Sprint("on a new connection"))
+	assert.Equal(t, body, "body", "on a new connection")
 }
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -72,9 +72,12 @@
 		},
 		"what began before tells nothing of now": {
 			[]step{
-				{start: "old-1"}, {start: "old-2"},
-				{after: 50 * ms, start: "x"}, {after: ms, end: "x", result: breaker.ResultBroken},
-				{after: 50 * ms, end: "old-1", result: breaker.ResultOK}, {end: "old-2", result: breaker.ResultOK},
+				{start: "old-1"},
+				{start: "old-2"},
+				{after: 50 * ms, start: "x"},
+				{after: ms, end: "x", result: breaker.ResultBroken},
+				{after: 50 * ms, end: "old-1", result: breaker.ResultOK},
+				{end: "old-2", result: breaker.ResultOK},
 			},
 			breaker.StateOpen, false, false, true,
 		},
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -38,7 +38,7 @@
 	return s.Changes(ctx, 0, 0)
 }
 
-func (s storeOf) Changes(ctx context.Context, after uint64, _ time.Duration) (slatewind.Publication, error) {
+func (s storeOf) Changes(ctx context.Context, _ uint64, _ time.Duration) (slatewind.Publication, error) {
 	s.f.mu.Lock()
 	s.f.calls[s.self]++
 	cut, p := s.f.cut[s.self], s.f.published
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -28,6 +28,7 @@
 func (h *heardBy) ServerGone(_ time.Time, name string)         { delete(h.servers, name) }
 func (h *heardBy) Finding(time.Time, error)                    { h.findings++ }
 func (h *heardBy) Reach(_ time.Time, reached bool, _ error)    { h.reach = append(h.reach, reached) }
+
 func (h *heardBy) names() []string {
 	var names []string
 	for name := range h.servers {
@@ -121,7 +122,9 @@
 		"it goes not at once":                    {[]answer{all(1, "a", "b"), down, gone(3, "a")}, time.Second, []string{"a", "b"}, nil, 1, false},
 		"a process that is cut off keeps what others lost": {
 			[]answer{all(1, "a", "b"), cut(nothing), cut(gone(3, "a")), cut(nothing), cut(nothing), cut(nothing), cut(nothing), cut(nothing), cut(nothing)},
-			3 * time.Second, []string{"a", "b"}, nil, 1, true,
+			3 * time.Second,
+			[]string{"a", "b"},
+			nil, 1, true,
 		},
 	}
 	for name, test := range tests {
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -350,7 +351,7 @@
 
 // ignoreEnd leaves out errors that only say that the sender is gone.
 func ignoreEnd(ctx context.Context, err error) error {
-	if ctx.Err() != nil || err == io.EOF {
+	if ctx.Err() != nil || errors.Is(err, io.EOF) {
 		return nil
 	}
 	return err
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -91,7 +91,6 @@
 	inFlight atomic.Int64
 	// lastArrival is when the newest request came, in nanoseconds since 1970.
 	lastArrival atomic.Int64
-	nextID      atomic.Uint64
 }
 
 // New returns an ingress that knows no servers yet.
@@ -202,10 +201,6 @@
 	return now.Sub(time.Unix(0, o.lastArrival.Load()))
 }
 
-func (o *Outbound) newID() string {
-	return fmt.Sprintf("%s/%d", o.self.VM, o.nextID.Add(1))
-}
-
 // splitter divides the requests of a route among services by their weights:
 // each request goes to the service that is furthest behind its share.
 type splitter struct {
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -30,8 +30,8 @@
 // way is how the path to a process behaves.
 type way string
 
+// An open way is the empty word.
 const (
-	wayOpen way = ""
 	// wayRefused cannot be connected.
 	wayRefused way = "refused"
 	// waySilent takes messages and says nothing.
