Give up silent calls to the store sooner

Ruled out: the order of versions, and peers that pass on old news (all were late). TestSilence states 2.5 s after the outage; it failed with the old figures.

--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -21,10 +21,10 @@
 	peerPace  = 450 * time.Millisecond
 	// watchWait is how long the store may hold a watch. A connection that has
 	// gone silent is noticed after that and the call's own timeout.
-	watchWait = time.Second
+	watchWait = 500 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
-	maxRetry   = 800 * time.Millisecond
+	maxRetry   = 400 * time.Millisecond
 	// lapseTime is how long a server whose entry vanished while the store was
 	// out of reach may write it anew before it counts as gone.
 	lapseTime = 1500 * time.Millisecond
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -199,3 +200,60 @@
 	empty := NewWatcher(nil, heard).Since(0, 0)
 	assert.Equal(t, empty.Revision, uint64(0), "who knows nothing says so")
 }
+
+// silentStore is a store that answers nothing until it is back: each call ends
+// with its own time.
+type silentStore struct {
+	mu       sync.Mutex
+	back     time.Time
+	revision uint64
+}
+
+// silence has the store answer nothing for a while, and then a newer version.
+func (s *silentStore) silence(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.back = time.Now().Add(d)
+	s.revision++
+}
+
+func (s *silentStore) Read(ctx context.Context) (slatewind.Publication, error) {
+	return s.Changes(ctx, 0, 0)
+}
+
+func (s *silentStore) Changes(ctx context.Context, _ uint64, wait time.Duration) (slatewind.Publication, error) {
+	s.mu.Lock()
+	silent, revision := time.Now().Before(s.back), s.revision
+	s.mu.Unlock()
+	if silent {
+		sleep(ctx, wait+storeTimeout)
+		return slatewind.Publication{}, errors.New("silent")
+	}
+	return version(revision, revision).Publication, nil
+}
+
+// storeTimeout is that of package platform's calls.
+const storeTimeout = 900 * time.Millisecond
+
+// TestSilence: a process hears of settings within 2.5 s after a silent store is
+// back. A played day broke a rule when the last silent call and the pause after
+// it took 3.2 s.
+func TestSilence(t *testing.T) {
+	for i := range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			source := &silentStore{revision: 1}
+			heard := &heardBy{servers: map[string]bool{}}
+			ctx, cancel := context.WithCancel(t.Context())
+			NewWatcher(source, heard).Start(ctx, nil)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			outage := 5*time.Second + time.Duration(i)*50*time.Millisecond
+			source.silence(outage)
+			time.Sleep(outage + 2500*time.Millisecond)
+			synctest.Wait()
+			assert.DeepEqual(t, heard.versions, []uint64{1, 2})
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
