Give each attempt its own patience

Cause: an incident of Dakar had 181 repeatable requests whose first try failed and whose second was refused at once as full: the search for the first had used up the time that a request may wait for a slot. Change: the time to wait counts from the beginning of each attempt, as a share of what is left.

--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -33,13 +33,15 @@
 	objectiveShare = 0.4
 )
 
-// patience returns until when a request may wait for a slot.
-func (rq *request) patience() time.Time {
+// patience returns until when an attempt that begins now may wait for a slot.
+// Each attempt has its own: one that follows a failed try has been offered to a
+// server already, and the search for the first may have taken long.
+func (rq *request) patience(now time.Time) time.Time {
 	wait := max(
-		time.Duration(patienceShare*float64(rq.deadline.Sub(rq.began))),
-		time.Duration(objectiveShare*float64(rq.objective())),
+		time.Duration(patienceShare*float64(rq.remaining(now))),
+		min(time.Duration(objectiveShare*float64(rq.objective())), rq.remaining(now)),
 	)
-	return rq.began.Add(wait)
+	return now.Add(wait)
 }
 
 // held is a granted slot.
@@ -70,6 +72,7 @@
 	o     *Outbound
 	rq    *request
 	aim   aim
+	until time.Time
 	ctx   context.Context
 	words chan word
 	// open holds the reservations without a final word, queued how many of
@@ -97,7 +100,7 @@
 
 // acquire looks for a slot for a request until its patience ends.
 func (o *Outbound) acquire(ctx context.Context, rq *request, aim aim, until time.Time) (*held, *final) {
-	s := &search{o: o, rq: rq, aim: aim, ctx: ctx, open: map[*asked]bool{}, last: "no server of the service is known"}
+	s := &search{o: o, rq: rq, aim: aim, until: until, ctx: ctx, open: map[*asked]bool{}, last: "no server of the service is known"}
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
 	defer patience.Stop()
@@ -213,7 +216,7 @@
 	s.rq.shard.mu.Lock()
 	s.rq.shard.choice.Reserved(server.Name)
 	s.rq.shard.mu.Unlock()
-	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.ask), a, s.words)
+	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.ask, s.until), a, s.words)
 	return true
 }
 
@@ -235,11 +238,11 @@
 	}
 }
 
-func (rq *request) reservation(server slatewind.ServerEntry, ask breaker.Ask) *slatewindv1.Reservation {
+func (rq *request) reservation(server slatewind.ServerEntry, ask breaker.Ask, until time.Time) *slatewindv1.Reservation {
 	now := time.Now()
 	return &slatewindv1.Reservation{
 		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
-		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)), Careful: ask.Careful, LastResort: ask.LastResort,
+		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(until.Sub(now)), Careful: ask.Careful, LastResort: ask.LastResort,
 	}
 }
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -230,7 +230,7 @@
 
 // attempt looks for a slot and runs the request in it.
 func (o *Outbound) attempt(ctx context.Context, rq *request, to aim) result {
-	slot, refused := o.acquire(ctx, rq, to, rq.patience())
+	slot, refused := o.acquire(ctx, rq, to, rq.patience(time.Now()))
 	if slot == nil {
 		return result{final: *refused}
 	}
