Let a server go a heartbeat after an outage, not after the news of it

Change: what vanishes during an outage or 1.5 s after it goes when these 1.5 s are over, to the moment; a process that cannot reach the store asks twice a second. TestWatcher has the case and failed first.

--- a/discovery/share.go
+++ b/discovery/share.go
@@ -33,6 +33,8 @@
 	// missed heartbeats of a server that is cut off take longer.
 	pingEvery   = 2 * time.Second
 	pingTimeout = 700 * time.Millisecond
+	// cutPingEvery is how often it asks while it cannot reach the store.
+	cutPingEvery = 500 * time.Millisecond
 	// directPause is the least time between two direct calls of a process that
 	// need not be a reader. While the store is away its readers try for all.
 	directPause = time.Second
@@ -125,7 +127,11 @@
 
 // ping finds out now and then whether this process could reach the store.
 func (s *Share) ping(ctx context.Context, now time.Time) {
-	if now.Sub(s.lastWord) < pingEvery {
+	every := pingEvery
+	if s.cut {
+		every = cutPingEvery
+	}
+	if now.Sub(s.lastWord) < every {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -25,8 +25,8 @@
 	// firstRetry and maxRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 400 * time.Millisecond
-	// lapseTime is how long a server whose entry vanished while the store was
-	// out of reach may write it anew before it counts as gone.
+	// lapseTime is how long after an outage servers may write their entries
+	// anew before they count as gone: a heartbeat of theirs.
 	lapseTime = 1500 * time.Millisecond
 	// maxRemoved bounds how many removed servers are remembered for others;
 	// whoever lacks more is told everything.
@@ -68,19 +68,18 @@
 	// revision up to which it may lack some.
 	removed   map[string]uint64
 	forgotten uint64
-	// lapsed holds servers whose entries vanished, with the time at which they
-	// count as gone.
-	lapsed map[string]time.Time
-	// lost says that the last call failed, lostAt when the last failure was.
-	lost   bool
-	lostAt time.Time
+	// lapsed holds servers whose entries vanished during an outage.
+	lapsed map[string]bool
+	// lost says that the last call failed, regained when the last outage ended.
+	lost     bool
+	regained time.Time
 }
 
 // NewWatcher returns a watcher that has heard nothing yet.
 func NewWatcher(source slatewind.Publisher, sink Sink) *Watcher {
 	return &Watcher{
 		source: source, sink: sink,
-		servers: map[string]known{}, removed: map[string]uint64{}, lapsed: map[string]time.Time{},
+		servers: map[string]known{}, removed: map[string]uint64{}, lapsed: map[string]bool{},
 	}
 }
 
@@ -99,7 +98,7 @@
 		switch {
 		case err == nil:
 			retry = firstRetry
-			sleep(ctx, paceOf(relayed))
+			w.rest(ctx, paceOf(relayed))
 		case errors.Is(err, slatewind.ErrHistoryGone):
 			w.readAnew()
 		default:
@@ -116,6 +115,25 @@
 	return storePace
 }
 
+// rest pauses between two calls, and lets go on the way what was waited for.
+func (w *Watcher) rest(ctx context.Context, pause time.Duration) {
+	end := time.Now().Add(pause)
+	if wait, pending := w.pending(); pending && wait < pause {
+		sleep(ctx, wait)
+		w.mu.Lock()
+		w.expire(time.Now())
+		w.mu.Unlock()
+	}
+	sleep(ctx, time.Until(end))
+}
+
+// pending returns when entries that vanished during an outage count as gone.
+func (w *Watcher) pending() (wait time.Duration, pending bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.regained.Add(lapseTime)), !w.lost && len(w.lapsed) > 0
+}
+
 // step makes one call and tells what it brought. relayed says that it came from
 // a peer.
 func (w *Watcher) step(ctx context.Context) (relayed bool, err error) {
@@ -162,10 +180,12 @@
 }
 
 func (w *Watcher) reached(now time.Time) {
-	if w.lost {
-		w.sink.Reach(now, true, nil)
+	if !w.lost {
+		return
 	}
 	w.lost = false
+	w.regained = now
+	w.sink.Reach(now, true, nil)
 }
 
 func (w *Watcher) failed(now time.Time, err error) {
@@ -173,7 +193,6 @@
 		w.sink.Reach(now, false, err)
 	}
 	w.lost = true
-	w.lostAt = now
 }
 
 // take takes a publication. Servers that a whole one lacks are gone.
@@ -225,10 +244,8 @@
 	if _, ok := w.servers[name]; !ok {
 		return
 	}
-	if w.lost || !w.lostAt.IsZero() && now.Sub(w.lostAt) < lapseTime {
-		if _, waiting := w.lapsed[name]; !waiting {
-			w.lapsed[name] = now.Add(lapseTime)
-		}
+	if w.lost || now.Before(w.regained.Add(lapseTime)) {
+		w.lapsed[name] = true
 		return
 	}
 	w.gone(now, name, revision)
@@ -248,19 +265,14 @@
 // expire ends the waiting for entries that did not come back. While the store
 // is away nobody can write, so the waiting goes on.
 func (w *Watcher) expire(now time.Time) {
-	if w.lost {
-		for name := range w.lapsed {
-			w.lapsed[name] = now.Add(lapseTime)
-		}
+	if w.lost || now.Before(w.regained.Add(lapseTime)) {
 		return
 	}
-	for name, until := range w.lapsed {
-		if now.After(until) {
-			// Others may know the revision already, so that they hear of this
-			// only as part of everything.
-			w.forgotten = w.revision
-			w.gone(now, name, w.revision)
-		}
+	for name := range w.lapsed {
+		// Others may know the revision already, so that they hear of this only
+		// as part of everything.
+		w.forgotten = w.revision
+		w.gone(now, name, w.revision)
 	}
 }
 
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -120,7 +120,14 @@
 		"while the store is away nothing goes":   {append([]answer{all(1, "a")}, slices.Repeat([]answer{down}, 100)...), 10 * time.Second, []string{"a"}, nil, 1, true},
 		"after an outage an entry may come back": {[]answer{all(1, "a", "b"), down, gone(3, "a"), {Publication: slatewind.Publication{Revision: 4, Servers: servers("a")}}}, 4 * time.Second, []string{"a", "b"}, nil, 1, false},
 		"after an outage it goes if it does not": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, 4 * time.Second, []string{"b"}, nil, 1, false},
-		"it goes not at once":                    {[]answer{all(1, "a", "b"), down, gone(3, "a")}, time.Second, []string{"a", "b"}, nil, 1, false},
+		"what vanishes soon after an outage goes a lapse time after it": {
+			[]answer{all(1, "a", "b"), down, nothing, gone(3, "a")},
+			// The outage ends at some 1.0 s, the entry vanishes at some 1.8 s.
+			2600 * time.Millisecond,
+			[]string{"b"},
+			nil, 1, false,
+		},
+		"it goes not at once": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, time.Second, []string{"a", "b"}, nil, 1, false},
 		"a process that is cut off keeps what others lost": {
 			[]answer{all(1, "a", "b"), cut(nothing), cut(gone(3, "a")), cut(nothing), cut(nothing), cut(nothing), cut(nothing), cut(nothing), cut(nothing)},
 			3 * time.Second,
