--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -122,8 +122,6 @@
 	means      map[string]mean
 	share      float64
 	shed       float64
-	// LastSuccess is when the server last gave a whole answer in good time.
-	LastSuccess time.Time
 }
 
 // New returns a closed breaker.
@@ -251,7 +249,6 @@
 }
 
 func (b *Breaker) succeed(now time.Time) bool {
-	b.LastSuccess = now
 	b.share += shareWeight * (1 - b.share)
 	b.shed -= shareWeight * b.shed
 	if b.state == StateClosed {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -125,14 +125,6 @@
 	delete(s.servers, name)
 }
 
-// Find returns the server of a name, or nil.
-func (s *Service) Find(name string) *Server {
-	return s.servers[name]
-}
-
-// Len returns the number of known servers.
-func (s *Service) Len() int { return len(s.servers) }
-
 // Order returns the servers that may get a request, cheapest first.
 func (s *Service) Order(now time.Time, ask breaker.Ask) []slatewind.ServerEntry {
 	type priced struct {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -102,7 +102,7 @@
 		Dialect: platform.Servers(),
 	}, j)
 	n.outbound = outbound.New(
-		outbound.Self{VM: process.GetVm(), DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
+		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
 		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: int(process.GetBounds().GetRetrySlack())},
 		platform.Callers(), store, j, n, m,
 	)
@@ -153,7 +153,7 @@
 		return err
 	}
 	n.inbound.Start(ctx, n.timers)
-	n.watcher.Start(ctx, n.timers)
+	n.watcher.Start(ctx)
 	n.hearReloads(ctx)
 	n.logger.Info("started", "vm", n.settings.GetVm(), "data_centre", n.settings.GetDataCentre(),
 		"service", n.settings.GetLocalServer().GetService(), "callers", n.settings.GetIngressAddress(),
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -94,7 +94,7 @@
 	f.sinks[self] = &heardBy{servers: map[string]bool{}}
 	f.watchers[self] = NewWatcher(share, f.sinks[self])
 	share.Follow(f.watchers[self], "")
-	f.watchers[self].Start(ctx, nil)
+	f.watchers[self].Start(ctx)
 }
 
 // settle lets time pass until all is quiet.
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/timer"
 )
 
 const (
@@ -85,7 +84,7 @@
 }
 
 // Start follows the publisher until ctx ends.
-func (w *Watcher) Start(ctx context.Context, _ *timer.Service) {
+func (w *Watcher) Start(ctx context.Context) {
 	go w.loop(ctx)
 }
 
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -133,7 +133,7 @@
 				source := &scripted{answers: test.answers}
 				heard := &heardBy{servers: map[string]bool{}}
 				ctx, cancel := context.WithCancel(t.Context())
-				NewWatcher(source, heard).Start(ctx, nil)
+				NewWatcher(source, heard).Start(ctx)
 				time.Sleep(test.wait)
 				synctest.Wait()
 				assert.DeepEqual(t, heard.names(), test.servers)
@@ -153,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &counted{}
 		ctx, cancel := context.WithCancel(t.Context())
-		NewWatcher(source, &heardBy{servers: map[string]bool{}}).Start(ctx, nil)
+		NewWatcher(source, &heardBy{servers: map[string]bool{}}).Start(ctx)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		assert.Assert(t, source.calls <= int(10*time.Second/storePace)+2, source.calls)
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -54,7 +54,6 @@
 
 // Self says where an ingress stands.
 type Self struct {
-	VM         string
 	DataCentre string
 	// Service is that of the VM, by which its requests are known to servers.
 	Service string
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -99,7 +99,7 @@
 	}
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
-		outbound.Self{VM: "vm", DataCentre: "dc", Service: "caller"}, outbound.Bounds{RetryRatio: 0.2, RetrySlack: 60},
+		outbound.Self{DataCentre: "dc", Service: "caller"}, outbound.Bounds{RetryRatio: 0.2, RetrySlack: 60},
 		platform.Callers(), m.store, m.history, m, m,
 	)
 	for _, name := range names {
@@ -314,7 +314,7 @@
 func TestBeforeSettings(t *testing.T) {
 	m := newMesh(t, "a")
 	empty := config.NewStore(m.history)
-	o := outbound.New(outbound.Self{VM: "vm"}, outbound.Bounds{}, platform.Callers(), empty, m.history, m, m)
+	o := outbound.New(outbound.Self{}, outbound.Bounds{}, platform.Callers(), empty, m.history, m, m)
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
