Let one piece serve where the same logic stood twice

Header lists, chunk and held sizes, the host of an address, the share from which a sick server is useful, the first error status and the random pause after a failure each stand once now.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -86,12 +86,13 @@
 	leastSamples = 4
 )
 
-const (
-	// shareWeight is the weight of the newest outcome in the share of successes.
-	shareWeight = 0.2
-	// usefulShare is the share from which a sick server is better than none.
-	usefulShare = 0.5
-)
+// shareWeight is the weight of the newest outcome in the shares of successes and
+// of rejections.
+const shareWeight = 0.2
+
+// UsefulShare is the share of successes, from 0 to 1, from which a sick server
+// is better than none.
+const UsefulShare = 0.5
 
 // running is a request that the server has.
 type running struct {
@@ -148,7 +149,7 @@
 	switch {
 	case b.state == StateClosed:
 		return true
-	case ask.LastResort && b.share >= usefulShare:
+	case ask.LastResort && b.share >= UsefulShare:
 		return true
 	case ask.Careful:
 		return false
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,8 +60,6 @@
 	// lastResortPause is that before a request without a better choice makes
 	// itself the trial of a sick server.
 	lastResortPause = 100 * time.Millisecond
-	// usefulShare of successes makes a sick server better than none at all.
-	usefulShare = 0.5
 	// goneMemory is how long a server is avoided that another took the place of.
 	goneMemory = 3 * time.Second
 )
@@ -155,7 +153,7 @@
 	case server.told.Full && age < fullPause:
 		return false
 	case server.told.Sick && ask.LastResort:
-		return server.told.SuccessShare >= usefulShare || age >= sickPause || !ask.Careful && age >= lastResortPause
+		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !ask.Careful && age >= lastResortPause
 	case server.told.Sick && ask.Careful:
 		return age >= max(server.told.TrialIn, sickPause)
 	case server.told.Sick:
--- a/discovery/reader.go
+++ b/discovery/reader.go
@@ -73,7 +73,7 @@
 		if first || r.views.MayRead(time.Now()) {
 			err := look(ctx)
 			if err != nil {
-				wait = backoff/2 + rand.N(backoff)
+				wait = spread(backoff)
 				backoff = min(2*backoff, maxBackoff)
 			} else {
 				backoff = minBackoff
@@ -84,6 +84,12 @@
 	}
 }
 
+// spread returns a random time from half of d to one and a half of it, so that
+// processes which failed together do not all call again at once.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -102,7 +101,7 @@
 		case errors.Is(err, slatewind.ErrHistoryGone):
 			w.readAnew()
 		default:
-			sleep(ctx, retry/2+rand.N(retry))
+			sleep(ctx, spread(retry))
 			retry = min(2*retry, maxRetry)
 		}
 	}
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -23,12 +23,7 @@
 )
 
 const (
-	// chunkBytes is the size of the parts in which bodies travel.
-	chunkBytes = 64 << 10
-	// heldBytes is how much of an answer is read before its head is sent, so
-	// that one that breaks off early is a plain failure and not half an answer.
-	heldBytes = 1 << 20
-	// maxBody bounds a request's body, whatever the sender says.
+	// maxBody bounds a request's body in bytes, whatever the sender says.
 	maxBody = 64 << 20
 )
 
@@ -291,12 +286,14 @@
 	if answer.Header.Get(u.in.server.Dialect.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
 		return u.notExecuted(answer)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, heldBytes+1))
+	// An answer that breaks off while it is still held is a plain failure and
+	// not half an answer, since its head was not sent yet.
+	body, err := io.ReadAll(io.LimitReader(answer.Body, link.MaxHeld+1))
 	if err != nil {
 		return u.fail(ctx, true, err)
 	}
-	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: flatten(answer.Header)}
-	if len(body) <= heldBytes {
+	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header)}
+	if len(body) <= link.MaxHeld {
 		answer.Close()
 		u.end(resultOf(answer.StatusCode), "an error answer")
 		return u.sendAnswer(head, body, nil)
@@ -357,13 +354,13 @@
 		return err
 	}
 	w := &chunkSender{use: u, sum: xxhash.New()}
-	for part := range slices.Chunk(held, chunkBytes) {
+	for part := range slices.Chunk(held, link.ChunkBytes) {
 		if _, err := w.Write(part); err != nil {
 			return err
 		}
 	}
 	if rest != nil {
-		if _, err := io.CopyBuffer(w, onlyReader{rest}, make([]byte, chunkBytes)); err != nil {
+		if _, err := io.CopyBuffer(w, onlyReader{rest}, make([]byte, link.ChunkBytes)); err != nil {
 			return err
 		}
 	}
@@ -389,13 +386,3 @@
 	err := w.use.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Chunk{Chunk: bytes.Clone(p)}})
 	return len(p), err
 }
-
-func flatten(h http.Header) []*slatewindv1.Header {
-	var list []*slatewindv1.Header
-	for name, values := range h {
-		for _, value := range values {
-			list = append(list, &slatewindv1.Header{Name: name, Value: value})
-		}
-	}
-	return list
-}
--- a/link/headers.go
+++ b/link/headers.go
@@ -27,14 +27,24 @@
 			dropped[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
 		}
 	}
-	var list []*slatewindv1.Header
+	return list(h, func(name string) bool { return !HopByHop[name] && !dropped[name] })
+}
+
+// AllHeaders returns every header field.
+func AllHeaders(h http.Header) []*slatewindv1.Header {
+	return list(h, func(string) bool { return true })
+}
+
+// list returns the fields whose names are wanted, in no order that matters.
+func list(h http.Header, wanted func(name string) bool) []*slatewindv1.Header {
+	var fields []*slatewindv1.Header
 	for name, values := range h {
-		if HopByHop[name] || dropped[name] {
+		if !wanted(name) {
 			continue
 		}
 		for _, value := range values {
-			list = append(list, &slatewindv1.Header{Name: name, Value: value})
+			fields = append(fields, &slatewindv1.Header{Name: name, Value: value})
 		}
 	}
-	return list
+	return fields
 }
--- a/link/link.go
+++ b/link/link.go
@@ -41,6 +41,10 @@
 // answers are passed on while they come and are cut short visibly on failure.
 const MaxHeld = 1 << 20
 
+// ChunkBytes is the size of the parts in which the bodies of a reservation's
+// request and answer travel.
+const ChunkBytes = 64 << 10
+
 // MaxMessage bounds one message between processes.
 const MaxMessage = 8 << 20
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,17 +13,13 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/link"
 )
 
 const (
 	// answerSlack is how long after a request's time a server's own answer may
 	// still come.
 	answerSlack = 150 * time.Millisecond
-	// heldBytes is how much of an answer is held until it is whole. Longer ones
-	// are passed on while they come and are cut short visibly on failure.
-	heldBytes = 1 << 20
-	// chunkBytes is the size of the parts in which a request's body travels.
-	chunkBytes = 64 << 10
 	// defaultAttempts counts where a route does not state its attempts.
 	defaultAttempts = 2
 	// hedgeShare is the share of its objective after which a repeatable request
@@ -177,7 +172,7 @@
 // take handles the result of one attempt; done says that f is final.
 func (d *dispatch) take(r result) (f final, done bool) {
 	d.learn(r)
-	failed := r.answer != nil && r.answer.head.GetStatus() >= http.StatusInternalServerError
+	failed := r.answer != nil && r.answer.head.GetStatus() >= slatewind.FirstServerError
 	switch {
 	case r.answer != nil && !failed:
 		return r.final, true
@@ -238,7 +233,7 @@
 	rq.shard.mu.Lock()
 	defer rq.shard.mu.Unlock()
 	rq.shard.choice.Ended(slot.server.Name)
-	if r.answer != nil && r.answer.head.GetStatus() < http.StatusInternalServerError {
+	if r.answer != nil && r.answer.head.GetStatus() < slatewind.FirstServerError {
 		rq.shard.choice.Succeeded(time.Now(), slot.server.Name)
 	}
 	return r
@@ -279,13 +274,13 @@
 
 // send sends the request and its body.
 func (rq *request) send(slot *held) error {
-	first := rq.body[:min(len(rq.body), chunkBytes)]
+	first := rq.body[:min(len(rq.body), link.ChunkBytes)]
 	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
 		RemainingNanos: int64(rq.remaining(time.Now())), Method: rq.method, Target: rq.target, Host: rq.host,
 		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
 	}}})
 	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
-		n := min(len(rest), chunkBytes)
+		n := min(len(rest), link.ChunkBytes)
 		err = slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Chunk{Chunk: rest[:n]}})
 		rest = rest[n:]
 	}
@@ -327,7 +322,7 @@
 		return chunk, nil
 	}
 	a := &answer{head: head, close: slot.cancel}
-	for len(a.body) <= heldBytes {
+	for len(a.body) <= link.MaxHeld {
 		chunk, err := next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, errBroken) {
 			r.outcome, r.answer = slatewind.OutcomeAnswer, a
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -271,7 +271,8 @@
 	return v
 }
 
-// HostOf returns the IP of an IP:port address, or the address itself.
+// HostOf returns the host of a host:port address without its port, or the
+// address itself where it has none.
 func HostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -123,7 +122,7 @@
 	if snapshot == nil {
 		return nil, &rejection{http.StatusServiceUnavailable, "no settings are in force yet", unreadyRetryAfter}
 	}
-	route := snapshot.Routes.Find(hostOnly(r.Host), r.Method, r.URL.Path)
+	route := snapshot.Routes.Find(HostOf(r.Host), r.Method, r.URL.Path)
 	if route == nil {
 		return nil, &rejection{status: http.StatusNotFound, reason: fmt.Sprintf("no route for %s%s", r.Host, r.URL.Path)}
 	}
@@ -163,13 +162,6 @@
 	return allowed
 }
 
-func hostOnly(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 func (rq *request) readBody(w http.ResponseWriter, r *http.Request) error {
 	limit := int64(rq.snapshot.Fleet.GetCallerLimits().GetBodyBytes())
 	if limit <= 0 {
