--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,6 +40,9 @@
 const (
 	// StopTimeout bounds a planned stop; routes' timeouts lie far below it.
 	StopTimeout = 60 * time.Second
+	// stopMargin is how much longer the wiring waits, so that the process's own
+	// bound ends a stop and not the wiring's.
+	stopMargin = 5 * time.Second
 	// drainPoll is how often a draining process looks whether work is left.
 	drainPoll = 20 * time.Millisecond
 	// drainNotice is how long a draining process stays after its last work, so
@@ -56,21 +59,27 @@
 	if process.GetStore() != nil {
 		return nodeOptions(process, logger)
 	}
+	return fx.Options(
+		commonOptions(process, logger),
+		fx.Provide(newJournal, newProcess),
+		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
+			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
+		}),
+	)
+}
+
+// commonOptions returns the wiring that a process and a node share.
+func commonOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
 		fx.NopLogger,
-		fx.StopTimeout(StopTimeout+5*time.Second),
+		fx.StopTimeout(StopTimeout+stopMargin),
 		fx.Supply(process, logger),
 		fx.Provide(
 			metrics.New,
-			newJournal,
 			func(j *history.Journal) *config.Store { return config.NewStore(j) },
 			timer.New,
 			link.NewPool,
-			newProcess,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
-			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
-		}),
 	)
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -46,17 +46,8 @@
 // platform's store.
 func nodeOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
-		fx.NopLogger,
-		fx.StopTimeout(StopTimeout+5*time.Second),
-		fx.Supply(process, logger),
-		fx.Provide(
-			metrics.New,
-			newNodeHistory,
-			func(j *history.Journal) *config.Store { return config.NewStore(j) },
-			timer.New,
-			link.NewPool,
-			newNode,
-		),
+		commonOptions(process, logger),
+		fx.Provide(newNodeHistory, newNode),
 		fx.Invoke(func(lc fx.Lifecycle, n *Node) {
 			lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
 		}),
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -124,6 +124,21 @@
 	f.published = p
 }
 
+// publishVersion publishes a version of the settings.
+func (f *fleet) publishVersion(version uint64) {
+	next := f.published
+	next.Settings = &slatewind.PublishedSettings{Version: version}
+	f.publish(next)
+}
+
+// allHeard checks that every process has heard of just one version.
+func (f *fleet) allHeard(t *testing.T, version uint64) {
+	t.Helper()
+	for name, sink := range f.sinks {
+		assert.Check(t, slices.Equal(sink.versions, []uint64{version}), "%s: %v", name, sink.versions)
+	}
+}
+
 // TestShare states how many processes call the store, and who hears what.
 func TestShare(t *testing.T) {
 	tests := map[string]func(t *testing.T, ctx context.Context, f *fleet){
@@ -131,13 +146,9 @@
 			assert.Equal(t, len(f.called()), Readers)
 		},
 		"all hear of settings in time": func(t *testing.T, _ context.Context, f *fleet) {
-			next := f.published
-			next.Settings = &slatewind.PublishedSettings{Version: 3}
-			f.publish(next)
+			f.publishVersion(3)
 			settle(1500 * time.Millisecond)
-			for name, sink := range f.sinks {
-				assert.Check(t, slices.Equal(sink.versions, []uint64{3}), "%s: %v", name, sink.versions)
-			}
+			f.allHeard(t, 3)
 		},
 		"all hear of a server that goes": func(t *testing.T, _ context.Context, f *fleet) {
 			next := f.published
@@ -154,25 +165,17 @@
 				f.frozen[name] = true
 				f.mu.Unlock()
 			}
-			next := f.published
-			next.Settings = &slatewind.PublishedSettings{Version: 3}
-			f.publish(next)
+			f.publishVersion(3)
 			settle(3 * time.Second)
-			for name, sink := range f.sinks {
-				assert.Check(t, slices.Equal(sink.versions, []uint64{3}), "%s: %v", name, sink.versions)
-			}
+			f.allHeard(t, 3)
 		},
 		"others read when the readers are cut off": func(t *testing.T, _ context.Context, f *fleet) {
 			for _, name := range f.called() {
 				f.cutOff(name, true)
 			}
-			next := f.published
-			next.Settings = &slatewind.PublishedSettings{Version: 3}
-			f.publish(next)
+			f.publishVersion(3)
 			settle(5 * time.Second)
-			for name, sink := range f.sinks {
-				assert.Check(t, slices.Equal(sink.versions, []uint64{3}), "%s: %v", name, sink.versions)
-			}
+			f.allHeard(t, 3)
 		},
 		"a process that is cut off keeps servers that vanish": func(t *testing.T, _ context.Context, f *fleet) {
 			victim := f.follower()
@@ -205,7 +208,6 @@
 				clear(f.calls)
 				f.mu.Unlock()
 				settle(5 * time.Second)
-				synctest.Wait()
 				test(t, ctx, f)
 				cancel()
 				synctest.Wait()
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -27,7 +27,6 @@
 type place struct {
 	*inbound.Inbound
 	server *standin.Stamped
-	name   string
 }
 
 const slots = 2
@@ -36,7 +35,7 @@
 	server := standin.NewStamped("s-1", platform.Servers())
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
-	p := &place{server: server, name: "s-1"}
+	p := &place{server: server}
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Dialect: platform.Servers(),
 	}, history.New(0, nil))
@@ -45,6 +44,14 @@
 	return p
 }
 
+// newUnreached returns a place for tests of reservations alone: nothing listens
+// at its server's address.
+func newUnreached() *place {
+	return &place{Inbound: inbound.New(inbound.Server{
+		Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers(),
+	}, history.New(0, nil))}
+}
+
 // reservation is one for a request that may be a trial.
 func reservation(id string) *slatewindv1.Reservation {
 	return &slatewindv1.Reservation{
@@ -187,7 +194,7 @@
 // a sender that leaves gives its place back.
 func TestQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &place{Inbound: inbound.New(inbound.Server{Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers()}, history.New(0, nil))}
+		p := newUnreached()
 		ctx, stop := context.WithCancel(t.Context())
 		p.Start(ctx, timer.New())
 		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
@@ -220,7 +227,7 @@
 // meanwhile starts nothing late.
 func TestGrantRunsOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &place{Inbound: inbound.New(inbound.Server{Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers()}, history.New(0, nil))}
+		p := newUnreached()
 		ctx, stop := context.WithCancel(t.Context())
 		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 		use, reply := p.reserve(ctx, reservation("late"))
@@ -241,7 +248,7 @@
 // the time after which a slot is likely.
 func TestPatience(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &place{Inbound: inbound.New(inbound.Server{Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers()}, history.New(0, nil))}
+		p := newUnreached()
 		ctx, stop := context.WithCancel(t.Context())
 		p.Start(ctx, timer.New())
 		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: 1})
