--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// silentAfter is how long a reservation may stay without any word before
-	// the next server is asked as well. A word takes a round trip, some 3 ms
+	// silentAfter is how long a reservation may stay without any reply before
+	// the next server is asked as well. A reply takes a round trip, some 3 ms
 	// between data centres, and a busy process some ten more.
 	silentAfter = 40 * time.Millisecond
-	// strikeAfter is how long a process must have been silent to be avoided.
-	strikeAfter = 120 * time.Millisecond
+	// avoidAfter is how long a process must have been silent to be avoided.
+	avoidAfter = 120 * time.Millisecond
 	// maxQueued is at how many servers a request waits at once. It takes the
 	// first slot, and the others go to the next in their queues.
 	maxQueued = 3
@@ -49,17 +49,18 @@
 	cancel context.CancelFunc
 }
 
-// asked is one reservation without a final word.
-type asked struct {
+// pending is one reservation without a final reply.
+type pending struct {
 	server slatewind.ServerEntry
 	cancel context.CancelFunc
 	since  time.Time
-	heard  bool
+	// heard says that some reply came.
+	heard bool
 }
 
-// word is what a reservation brought.
-type word struct {
-	of    *asked
+// event is a reply to a reservation, or the error that ended it.
+type event struct {
+	of    *pending
 	use   link.Use
 	reply *slatewindv1.UseReply
 	err   error
@@ -67,23 +68,23 @@
 
 // search is one look for a slot.
 type search struct {
-	o     *Outbound
-	rq    *request
-	aim   aim
-	ctx   context.Context
-	words chan word
-	// open holds the reservations without a final word, queued how many of
+	o      *Outbound
+	rq     *request
+	aim    aim
+	ctx    context.Context
+	events chan event
+	// open holds the reservations without a final reply, queued how many of
 	// them wait for a slot.
-	open   map[*asked]bool
+	open   map[*pending]bool
 	queued int
 	// queue holds the servers that are still to be asked in this round.
 	queue []slatewind.ServerEntry
 	// newest is the reservation that was made last.
-	newest *asked
-	// last says why the newest reservation was refused, and retryAfter the
-	// least time after which a slot was promised.
+	newest *pending
+	// last says why the newest refused reservation was, and lastServer by which
+	// server; retryAfter is the least time after which a slot may be free.
 	last       string
-	server     string
+	lastServer string
 	retryAfter time.Duration
 }
 
@@ -95,9 +96,10 @@
 	ask breaker.Ask
 }
 
-// acquire looks for a slot for a request until its patience ends.
+// acquire looks for a slot for a request until a time. Where there is none, the
+// outcome says why.
 func (o *Outbound) acquire(ctx context.Context, rq *request, aim aim, until time.Time) (*held, *final) {
-	s := &search{o: o, rq: rq, aim: aim, ctx: ctx, open: map[*asked]bool{}, last: "no server of the service is known"}
+	s := &search{o: o, rq: rq, aim: aim, ctx: ctx, open: map[*pending]bool{}, last: "no server of the service is known"}
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
 	defer patience.Stop()
@@ -126,24 +128,23 @@
 	}
 }
 
+// refusal is the outcome of a search without a slot.
 func (s *search) refusal() *final {
-	return &final{outcome: slatewind.OutcomeNotRun, reason: s.last, server: s.server, retryAfter: s.retryAfter}
+	return &final{outcome: slatewind.OutcomeNotRun, reason: s.last, server: s.lastServer, retryAfter: s.retryAfter}
 }
 
 // begin starts a round: all servers are asked in the order of their cost.
 func (s *search) begin() {
-	sh := s.rq.shard
-	sh.mu.Lock()
-	order := sh.choice.Order(time.Now(), s.aim.ask)
-	sh.mu.Unlock()
+	var order []slatewind.ServerEntry
+	s.rq.shard.update(func(c *choice.Service) { order = c.Order(time.Now(), s.aim.ask) })
 	s.queue = s.queue[:0]
 	for _, server := range order {
 		if !s.aim.tried[server.Name] {
 			s.queue = append(s.queue, server)
 		}
 	}
-	// Each reservation brings at most one word that it waits and a final one.
-	s.words = make(chan word, 2*len(s.queue))
+	// Each reservation brings at most one reply that it waits and a final one.
+	s.events = make(chan event, 2*len(s.queue))
 }
 
 // round asks one server after the other. over says that waiting longer is no use.
@@ -155,8 +156,8 @@
 	defer silent.Stop()
 	for len(s.open) > 0 {
 		select {
-		case w := <-s.words:
-			if slot := s.take(w); slot != nil {
+		case e := <-s.events:
+			if slot := s.take(e); slot != nil {
 				return slot, false
 			}
 		case <-silent.C:
@@ -172,28 +173,28 @@
 	return nil, false
 }
 
-// take handles one word. It returns the slot if one was granted.
-func (s *search) take(w word) *held {
-	if !s.open[w.of] {
+// take handles one reply. It returns the slot if one was granted.
+func (s *search) take(e event) *held {
+	if !s.open[e.of] {
 		return nil
 	}
-	w.of.heard = true
+	e.of.heard = true
 	switch {
-	case w.err != nil:
-		s.unreached(w)
-	case w.reply.GetGranted() != nil:
-		delete(s.open, w.of)
-		s.heard(w.of.server.Name, toldOf(w.reply.GetGranted()))
-		return &held{server: w.of.server, use: w.use, cancel: w.of.cancel}
-	case w.reply.GetQueued() != nil:
-		s.heard(w.of.server.Name, toldOf(w.reply.GetQueued()))
+	case e.err != nil:
+		s.unreached(e)
+	case e.reply.GetGranted() != nil:
+		delete(s.open, e.of)
+		s.heard(e.of.server.Name, toldOf(e.reply.GetGranted()))
+		return &held{server: e.of.server, use: e.use, cancel: e.of.cancel}
+	case e.reply.GetQueued() != nil:
+		s.heard(e.of.server.Name, toldOf(e.reply.GetQueued()))
 		s.queued++
 		if s.queued < maxQueued {
 			s.ask()
 		}
 		return nil
 	default:
-		s.refused(w)
+		s.refused(e)
 	}
 	s.ask()
 	return nil
@@ -207,18 +208,16 @@
 	server := s.queue[0]
 	s.queue = s.queue[1:]
 	ctx, cancel := context.WithCancel(s.ctx)
-	a := &asked{server: server, cancel: cancel, since: time.Now()}
+	a := &pending{server: server, cancel: cancel, since: time.Now()}
 	s.open[a] = true
 	s.newest = a
-	s.rq.shard.mu.Lock()
-	s.rq.shard.choice.Reserved(server.Name)
-	s.rq.shard.mu.Unlock()
-	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.ask), a, s.words)
+	s.rq.shard.update(func(c *choice.Service) { c.Reserved(server.Name) })
+	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.ask), a, s.events)
 	return true
 }
 
-// reserve carries one reservation to its final word.
-func (o *Outbound) reserve(ctx context.Context, reservation *slatewindv1.Reservation, a *asked, words chan<- word) {
+// reserve makes one reservation and passes its replies on up to the final one.
+func (o *Outbound) reserve(ctx context.Context, reservation *slatewindv1.Reservation, a *pending, events chan<- event) {
 	use, err := o.links.Open(ctx, a.server)
 	if err == nil {
 		err = use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Reservation{Reservation: reservation}})
@@ -228,36 +227,36 @@
 		if err == nil {
 			reply, err = use.Recv()
 		}
-		words <- word{of: a, use: use, reply: reply, err: err}
+		events <- event{of: a, use: use, reply: reply, err: err}
 		if err != nil || reply.GetQueued() == nil {
 			return
 		}
 	}
 }
 
+// reservation is the message that asks for a slot at a server.
 func (rq *request) reservation(server slatewind.ServerEntry, ask breaker.Ask) *slatewindv1.Reservation {
 	now := time.Now()
 	return &slatewindv1.Reservation{
 		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
-		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)), Careful: ask.Careful, LastResort: ask.LastResort,
+		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(rq.patience().Sub(now)),
+		Careful: ask.Careful, LastResort: ask.LastResort,
 	}
 }
 
 // end closes a reservation that brought no slot.
-func (s *search) end(a *asked) {
+func (s *search) end(a *pending) {
 	delete(s.open, a)
 	a.cancel()
-	s.rq.shard.mu.Lock()
-	defer s.rq.shard.mu.Unlock()
-	s.rq.shard.choice.Ended(a.server.Name)
+	s.rq.shard.update(func(c *choice.Service) { c.Ended(a.server.Name) })
 }
 
+// heard notes what the process beside a server told of it.
 func (s *search) heard(server string, told choice.Told) {
-	s.rq.shard.mu.Lock()
-	defer s.rq.shard.mu.Unlock()
-	s.rq.shard.choice.Heard(time.Now(), server, told)
+	s.rq.shard.update(func(c *choice.Service) { c.Heard(time.Now(), server, told) })
 }
 
+// toldOf translates the state that a reply carries.
 func toldOf(state *slatewindv1.SlotState) choice.Told {
 	return choice.Told{
 		Load: float64(state.GetInUse() + state.GetQueued()), Slots: float64(state.GetSlots()),
@@ -266,6 +265,7 @@
 	}
 }
 
+// toldByRefusal adds to the state what the refusal's cause says.
 func toldByRefusal(refusal *slatewindv1.Refusal) choice.Told {
 	told := toldOf(refusal.GetState())
 	switch inbound.Cause(refusal.GetCause()) {
@@ -277,40 +277,36 @@
 	return told
 }
 
-func (s *search) unreached(w word) {
-	s.end(w.of)
-	s.last, s.server = fmt.Sprintf("the process beside %s cannot be reached: %v", w.of.server.Name, w.err), w.of.server.Name
-	s.rq.shard.mu.Lock()
-	defer s.rq.shard.mu.Unlock()
-	s.rq.shard.choice.Silent(time.Now(), w.of.server.Name)
+// unreached ends a reservation that failed on its way.
+func (s *search) unreached(e event) {
+	s.end(e.of)
+	s.last, s.lastServer = fmt.Sprintf("the process beside %s cannot be reached: %v", e.of.server.Name, e.err), e.of.server.Name
+	s.rq.shard.update(func(c *choice.Service) { c.Silent(time.Now(), e.of.server.Name) })
 }
 
-func (s *search) refused(w word) {
-	s.end(w.of)
-	refusal := w.reply.GetRefusal()
-	name := w.of.server.Name
-	s.last, s.server = fmt.Sprintf("%s: %s", refusal.GetCause(), refusal.GetReason()), name
+// refused ends a reservation that the process beside the server refused.
+func (s *search) refused(e event) {
+	s.end(e.of)
+	refusal := e.reply.GetRefusal()
+	name := e.of.server.Name
+	s.last, s.lastServer = fmt.Sprintf("%s: %s", refusal.GetCause(), refusal.GetReason()), name
 	if after := time.Duration(refusal.GetRetryAfterNanos()); after > 0 && (s.retryAfter == 0 || after < s.retryAfter) {
 		s.retryAfter = after
 	}
 	s.heard(name, toldByRefusal(refusal))
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseMoved {
-		s.rq.shard.mu.Lock()
-		defer s.rq.shard.mu.Unlock()
-		s.rq.shard.choice.Moved(time.Now(), name)
+		s.rq.shard.update(func(c *choice.Service) { c.Moved(time.Now(), name) })
 	}
 }
 
 // close ends all reservations but the one that was granted. Processes that
-// never said a word are avoided for a while.
+// never replied are avoided for a while.
 func (s *search) close() {
 	now := time.Now()
 	for a := range s.open {
 		s.end(a)
-		if !a.heard && now.Sub(a.since) >= strikeAfter {
-			s.rq.shard.mu.Lock()
-			s.rq.shard.choice.Silent(now, a.server.Name)
-			s.rq.shard.mu.Unlock()
+		if !a.heard && now.Sub(a.since) >= avoidAfter {
+			s.rq.shard.update(func(c *choice.Service) { c.Silent(now, a.server.Name) })
 		}
 	}
 }
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -13,6 +13,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/link"
 )
 
@@ -230,12 +231,12 @@
 		return result{final: *refused}
 	}
 	r := o.run(rq, slot)
-	rq.shard.mu.Lock()
-	defer rq.shard.mu.Unlock()
-	rq.shard.choice.Ended(slot.server.Name)
-	if r.answer != nil && r.answer.head.GetStatus() < slatewind.FirstServerError {
-		rq.shard.choice.Succeeded(time.Now(), slot.server.Name)
-	}
+	rq.shard.update(func(c *choice.Service) {
+		c.Ended(slot.server.Name)
+		if r.answer != nil && r.answer.head.GetStatus() < slatewind.FirstServerError {
+			c.Succeeded(time.Now(), slot.server.Name)
+		}
+	})
 	return r
 }
 
@@ -291,9 +292,7 @@
 	if state == nil {
 		return
 	}
-	rq.shard.mu.Lock()
-	defer rq.shard.mu.Unlock()
-	rq.shard.choice.Heard(time.Now(), slot.server.Name, toldOf(state))
+	rq.shard.update(func(c *choice.Service) { c.Heard(time.Now(), slot.server.Name, toldOf(state)) })
 }
 
 // errBroken: an answer ended early, or its length or checksum is wrong.
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -66,6 +66,13 @@
 	budget *retry.Budget
 }
 
+// update gives the choice among the service's servers to f under its lock.
+func (sh *shard) update(f func(c *choice.Service)) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	f(sh.choice)
+}
+
 // Outbound is the host of an ingress's decisions.
 type Outbound struct {
 	self    Self
@@ -171,10 +178,7 @@
 }
 
 func (o *Outbound) remove(service, name string) {
-	sh := o.shard(service)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	sh.choice.Remove(name)
+	o.shard(service).update(func(c *choice.Service) { c.Remove(name) })
 }
 
 // Servers returns how many servers are known.
@@ -264,9 +268,9 @@
 	o.mu.RLock()
 	defer o.mu.RUnlock()
 	for name, sh := range o.shards {
-		sh.mu.Lock()
-		v.Services = append(v.Services, ServiceView{Name: name, Servers: sh.choice.Views(now)})
-		sh.mu.Unlock()
+		sh.update(func(c *choice.Service) {
+			v.Services = append(v.Services, ServiceView{Name: name, Servers: c.Views(now)})
+		})
 	}
 	return v
 }
