Split long files, one job a file

Declarations only move: search and reservations, the run of a request, replies to callers, connection pool, costs of servers, what a watcher knows, a node's wiring, stop and sink, and the stand-in's HTTP interface.

--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,139 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"slatewind.example/slatewind"
+)
+
+// conn is one connection to the server.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// expires is when the connection must not be used any more.
+	expires time.Time
+}
+
+// Pool keeps connections to one server.
+type Pool struct {
+	address string
+	dialect slatewind.ServerDialect
+
+	mu   sync.Mutex
+	idle []*conn
+	// opened counts connections.
+	opened uint64
+}
+
+// NewPool returns a pool for the server at an address.
+func NewPool(address string, dialect slatewind.ServerDialect) *Pool {
+	return &Pool{address: address, dialect: dialect}
+}
+
+// Opened returns how many connections were opened so far.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// CloseIdle closes the connections that no request uses.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// connection returns a kept connection or a new one.
+func (p *Pool) connection(ctx context.Context) (*conn, error) {
+	for {
+		c := p.take()
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && untouched(c.Conn) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+}
+
+// take returns the connection that was kept last, or nil.
+func (p *Pool) take() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) keep(c *conn, header http.Header) {
+	c.expires = time.Now().Add(keepTime(header))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// keepTime returns how long a connection may rest, by the server's Keep-Alive.
+func keepTime(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+		}
+	}
+	return idleTime
+}
+
+// untouched reports whether nothing arrived on an idle connection, neither
+// bytes, which would belong to no request, nor its end.
+func untouched(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, readErr := syscall.Read(int(descriptor), one[:])
+		quiet = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/zeebo/errs"
-	"go.uber.org/fx"
 	"google.golang.org/grpc"
 
 	"slatewind.example/slatewind"
@@ -29,41 +27,6 @@
 	"slatewind.example/slatewind/timer"
 )
 
-const (
-	// noticeTime is how long a stopping node goes on taking requests: the
-	// platform asks each second whether it is ready and sends callers elsewhere
-	// after two answers that it is not.
-	noticeTime = 2200 * time.Millisecond
-	// quietTime without a new request says that callers have gone elsewhere.
-	quietTime = 400 * time.Millisecond
-	// graceMargin is kept of the time until the end by force.
-	graceMargin = 500 * time.Millisecond
-	// defaultGrace counts where the bounds do not state it.
-	defaultGrace = 6 * time.Second
-)
-
-// nodeOptions returns the wiring of a process whose servers are listed in the
-// platform's store.
-func nodeOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
-	return fx.Options(
-		commonOptions(process, logger),
-		fx.Provide(newNodeHistory, newNode),
-		fx.Invoke(func(lc fx.Lifecycle, n *Node) {
-			lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
-		}),
-	)
-}
-
-// newNodeHistory logs every decision; those that touch a request are what
-// on-call engineers look for.
-func newNodeHistory(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics) *history.Journal {
-	return history.New(int(process.GetLimits().GetJournalEntries()), func(d slatewind.Decision) {
-		m.Decision(d.Kind)
-		logger.Info("decision", "kind", d.Kind, "service", d.Service, "server", d.Server,
-			"request", d.Request, "reason", d.Reason, "evidence", d.Evidence)
-	})
-}
-
 // Node is a running slatewindd beside one server that the platform's store lists.
 type Node struct {
 	settings *slatewindv1.Process
@@ -85,25 +48,6 @@
 	peers    *grpc.Server
 }
 
-func newNode(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
-	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool}
-	n.inbound = inbound.New(inbound.Server{
-		Service: process.GetLocalServer().GetService(),
-		Address: process.GetLocalServer().GetAddress(),
-		Dialect: platform.Servers(),
-	}, j)
-	n.outbound = outbound.New(
-		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: int(process.GetBounds().GetRetrySlack())},
-		platform.Callers(), store, j, n, m,
-	)
-	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
-	share := discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
-	n.watcher = discovery.NewWatcher(share, n)
-	share.Follow(n.watcher, process.GetDataCentre())
-	return n
-}
-
 // Open implements outbound.Opener.
 func (n *Node) Open(ctx context.Context, server slatewind.ServerEntry) (link.Use, error) {
 	peer, err := n.peerOf(server.Address)
@@ -198,77 +142,6 @@
 	return !n.stopping.Load() && n.store.Current() != nil && n.outbound.Servers() > 0
 }
 
-// Stop drains the node: it is unready at once, gives out no more slots, serves
-// callers until they have gone elsewhere, and finishes what is in hand.
-func (n *Node) Stop(ctx context.Context) error {
-	n.stopping.Store(true)
-	n.outbound.Leave()
-	n.inbound.Stop(time.Now())
-	n.waitUntilQuiet(ctx)
-	ending, cancel := context.WithTimeout(ctx, drainNotice)
-	defer cancel()
-	n.callers.SetKeepAlivesEnabled(false)
-	err := n.callers.Shutdown(ending)
-	n.peers.Stop()
-	n.cancel()
-	n.inbound.Close()
-	n.logger.Info("stopped", "vm", n.settings.GetVm())
-	return errs.Combine(err, n.ready.Close(), n.admin.Close(), n.pool.Close())
-}
-
-// waitUntilQuiet waits until nothing is in hand and no caller comes any more.
-func (n *Node) waitUntilQuiet(ctx context.Context) {
-	grace := n.settings.GetBounds().GetGrace().AsDuration()
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	began := time.Now()
-	for time.Since(began) < grace-graceMargin && ctx.Err() == nil {
-		now := time.Now()
-		idle := n.outbound.InFlight() == 0 && n.inbound.InUse() == 0
-		if idle && now.Sub(began) >= noticeTime && n.outbound.QuietFor(now) >= quietTime {
-			return
-		}
-		time.Sleep(drainPoll)
-	}
-	n.logger.Warn("stopping with work in hand", "running", n.inbound.InUse(), "callers", n.outbound.InFlight())
-}
-
-// Settings implements discovery.Sink.
-func (n *Node) Settings(now time.Time, settings *slatewind.PublishedSettings) {
-	n.store.Adopt(now, "store", settings)
-}
-
-// Server implements discovery.Sink.
-func (n *Node) Server(now time.Time, entry slatewind.ServerEntry) {
-	n.outbound.Put(now, entry)
-	if entry.Address == n.settings.GetLocalServer().GetAddress() {
-		n.inbound.Published(now, &entry)
-	}
-}
-
-// ServerGone implements discovery.Sink.
-func (n *Node) ServerGone(now time.Time, name string) {
-	n.outbound.Remove(name)
-	n.inbound.Gone(now, name)
-}
-
-// Finding implements discovery.Sink.
-func (n *Node) Finding(now time.Time, finding error) {
-	n.history.Add(slatewind.Decision{
-		Time: now, Kind: slatewind.DecisionStale, Reason: "an entry cannot be read; what was in force stays", Evidence: finding.Error(),
-	})
-}
-
-// Reach implements discovery.Sink.
-func (n *Node) Reach(_ time.Time, reached bool, cause error) {
-	if reached {
-		n.logger.Info("dependency regained", "dependency", "store")
-		return
-	}
-	n.logger.Warn("dependency lost", "dependency", "store", "cause", cause)
-}
-
 func (n *Node) sources() admin.Sources {
 	return admin.Sources{
 		State:    n.state,
--- /dev/null
+++ b/daemon/nodesink.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"time"
+
+	"slatewind.example/slatewind"
+)
+
+// Settings implements discovery.Sink.
+func (n *Node) Settings(now time.Time, settings *slatewind.PublishedSettings) {
+	n.store.Adopt(now, "store", settings)
+}
+
+// Server implements discovery.Sink.
+func (n *Node) Server(now time.Time, entry slatewind.ServerEntry) {
+	n.outbound.Put(now, entry)
+	if entry.Address == n.settings.GetLocalServer().GetAddress() {
+		n.inbound.Published(now, &entry)
+	}
+}
+
+// ServerGone implements discovery.Sink.
+func (n *Node) ServerGone(now time.Time, name string) {
+	n.outbound.Remove(name)
+	n.inbound.Gone(now, name)
+}
+
+// Finding implements discovery.Sink.
+func (n *Node) Finding(now time.Time, finding error) {
+	n.history.Add(slatewind.Decision{
+		Time: now, Kind: slatewind.DecisionStale, Reason: "an entry cannot be read; what was in force stays", Evidence: finding.Error(),
+	})
+}
+
+// Reach implements discovery.Sink.
+func (n *Node) Reach(_ time.Time, reached bool, cause error) {
+	if reached {
+		n.logger.Info("dependency regained", "dependency", "store")
+		return
+	}
+	n.logger.Warn("dependency lost", "dependency", "store", "cause", cause)
+}
--- /dev/null
+++ b/daemon/nodewiring.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/discovery"
+	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/metrics"
+	"slatewind.example/slatewind/outbound"
+	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/timer"
+)
+
+// nodeOptions returns the wiring of a process whose servers are listed in the
+// platform's store.
+func nodeOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
+	return fx.Options(
+		commonOptions(process, logger),
+		fx.Provide(newNodeHistory, newNode),
+		fx.Invoke(func(lc fx.Lifecycle, n *Node) {
+			lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+		}),
+	)
+}
+
+// newNodeHistory logs every decision; those that touch a request are what
+// on-call engineers look for.
+func newNodeHistory(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics) *history.Journal {
+	return history.New(int(process.GetLimits().GetJournalEntries()), func(d slatewind.Decision) {
+		m.Decision(d.Kind)
+		logger.Info("decision", "kind", d.Kind, "service", d.Service, "server", d.Server,
+			"request", d.Request, "reason", d.Reason, "evidence", d.Evidence)
+	})
+}
+
+func newNode(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
+	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool}
+	n.inbound = inbound.New(inbound.Server{
+		Service: process.GetLocalServer().GetService(),
+		Address: process.GetLocalServer().GetAddress(),
+		Dialect: platform.Servers(),
+	}, j)
+	n.outbound = outbound.New(
+		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
+		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: int(process.GetBounds().GetRetrySlack())},
+		platform.Callers(), store, j, n, m,
+	)
+	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
+	share := discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
+	n.watcher = discovery.NewWatcher(share, n)
+	share.Follow(n.watcher, process.GetDataCentre())
+	return n
+}
--- /dev/null
+++ b/discovery/known.go
@@ -0,0 +1,150 @@
+package discovery
+
+import (
+	"time"
+
+	"slatewind.example/slatewind"
+)
+
+// known is an entry with the revision at which it was heard of.
+type known struct {
+	slatewind.ServerEntry
+	revision uint64
+}
+
+// take takes a publication. Servers that a whole one lacks are gone.
+func (w *Watcher) take(now time.Time, p slatewind.Publication) {
+	for _, finding := range p.Findings {
+		w.sink.Finding(now, finding)
+	}
+	if p.Settings != nil && (w.settings == nil || p.Settings.Version > w.settings.Version) {
+		w.settings = p.Settings
+		w.sink.Settings(now, p.Settings)
+	}
+	if p.Whole {
+		w.removeOthers(now, p)
+	}
+	for _, name := range p.Removed {
+		w.vanished(now, name, p.Revision)
+	}
+	for _, entry := range p.Servers {
+		delete(w.lapsed, entry.Name)
+		if before, ok := w.servers[entry.Name]; ok && before.ServerEntry == entry {
+			continue
+		}
+		w.servers[entry.Name] = known{entry, p.Revision}
+		delete(w.removed, entry.Name)
+		w.sink.Server(now, entry)
+	}
+	w.revision = max(w.revision, p.Revision)
+	if seen := now.Add(-p.Age); seen.After(w.seen) {
+		w.seen = seen
+	}
+}
+
+func (w *Watcher) removeOthers(now time.Time, all slatewind.Publication) {
+	listed := make(map[string]bool, len(all.Servers))
+	for _, entry := range all.Servers {
+		listed[entry.Name] = true
+	}
+	for name := range w.servers {
+		if !listed[name] {
+			w.vanished(now, name, all.Revision)
+		}
+	}
+}
+
+// vanished handles an entry that is no longer there. Entries run out while the
+// store is away although their servers are well, so after an outage a server
+// may come back for a moment; otherwise it is gone at once.
+func (w *Watcher) vanished(now time.Time, name string, revision uint64) {
+	if _, ok := w.servers[name]; !ok {
+		return
+	}
+	if w.lost || !w.lostAt.IsZero() && now.Sub(w.lostAt) < lapseTime {
+		if _, waiting := w.lapsed[name]; !waiting {
+			w.lapsed[name] = now.Add(lapseTime)
+		}
+		return
+	}
+	w.gone(now, name, revision)
+}
+
+func (w *Watcher) gone(now time.Time, name string, revision uint64) {
+	delete(w.servers, name)
+	delete(w.lapsed, name)
+	if len(w.removed) >= maxRemoved {
+		clear(w.removed)
+		w.forgotten = revision
+	}
+	w.removed[name] = revision
+	w.sink.ServerGone(now, name)
+}
+
+// expire ends the waiting for entries that did not come back. While the store
+// is away nobody can write, so the waiting goes on.
+func (w *Watcher) expire(now time.Time) {
+	if w.lost {
+		for name := range w.lapsed {
+			w.lapsed[name] = now.Add(lapseTime)
+		}
+		return
+	}
+	for name, until := range w.lapsed {
+		if now.After(until) {
+			// Others may know the revision already, so that they hear of this
+			// only as part of everything.
+			w.forgotten = w.revision
+			w.gone(now, name, w.revision)
+		}
+	}
+}
+
+// Since returns what changed after a revision, for another process. version is
+// that of its settings.
+func (w *Watcher) Since(after, version uint64) slatewind.Publication {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.revision == 0 {
+		return slatewind.Publication{}
+	}
+	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten}
+	if w.settings != nil && w.settings.Version > version {
+		p.Settings = w.settings
+	}
+	for _, server := range w.servers {
+		if p.Whole || server.revision > after {
+			p.Servers = append(p.Servers, server.ServerEntry)
+		}
+	}
+	for name, revision := range w.removed {
+		if !p.Whole && revision > after {
+			p.Removed = append(p.Removed, name)
+		}
+	}
+	return p
+}
+
+// Version returns the version of the newest settings, or 0.
+func (w *Watcher) Version() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.settings == nil {
+		return 0
+	}
+	return w.settings.Version
+}
+
+// Peers returns the addresses of the servers in a data centre, or everywhere
+// where it is empty.
+func (w *Watcher) Peers(dataCentre string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	addresses := make([]string, 0, len(w.servers))
+	for _, server := range w.servers {
+		if dataCentre == "" || server.DataCentre == dataCentre {
+			addresses = append(addresses, server.Address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/inbound/run.go
@@ -0,0 +1,101 @@
+package inbound
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/breaker"
+)
+
+// run has the server run the request.
+func (u *use) run(request *slatewindv1.SlotRequest, body []byte) error {
+	now := time.Now()
+	remaining := min(time.Duration(request.GetRemainingNanos()), u.deadline.Sub(now))
+	if remaining <= 0 {
+		u.release()
+		return u.refuse(CauseLate, "its time was over before the start")
+	}
+	ctx, cancel := u.context(remaining)
+	defer cancel()
+	answer, sent, err := u.in.pool.Do(ctx, u.request(ctx, request, body, remaining))
+	if err != nil {
+		return u.fail(ctx, sent, err)
+	}
+	defer answer.Close()
+	return u.pass(ctx, answer)
+}
+
+// serverSlack is how long after the request's own time a server may still
+// answer that the time is over.
+const serverSlack = 100 * time.Millisecond
+
+// context ends a request that may be repeated when its sender leaves. One that
+// may not is left to run: breaking it off gains nothing, it counts as run.
+func (u *use) context(remaining time.Duration) (context.Context, context.CancelFunc) {
+	ctx := u.stream.Context()
+	if slatewind.Kind(u.reservation.GetKind()) != slatewind.KindRepeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithTimeout(ctx, remaining+serverSlack)
+}
+
+// request builds the server's request. Its target is sent as it came.
+func (u *use) request(ctx context.Context, from *slatewindv1.SlotRequest, body []byte, remaining time.Duration) *http.Request {
+	dialect := u.in.server.Dialect
+	header := http.Header{"User-Agent": {""}}
+	for _, h := range from.GetHeaders() {
+		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
+	}
+	header.Set(dialect.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	if expected := u.in.expected(u.reservation); expected != "" {
+		header.Set(dialect.Expect, expected)
+	}
+	r := &http.Request{
+		Method: from.GetMethod(), URL: &url.URL{Opaque: from.GetTarget()}, Host: from.GetHost(), Header: header,
+		ContentLength: int64(len(body)),
+	}
+	if len(body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	if values := header["User-Agent"]; len(values) > 1 {
+		header["User-Agent"] = values[1:]
+	}
+	return r.WithContext(ctx)
+}
+
+// fail ends a request that got no answer.
+func (u *use) fail(ctx context.Context, sent bool, err error) error {
+	result := breaker.ResultBroken
+	outcome := slatewind.OutcomeUnknown
+	if !sent {
+		outcome = slatewind.OutcomeNotRun
+	}
+	if ctx.Err() != nil {
+		result = breaker.ResultNone
+	}
+	u.end(result, "no answer: "+err.Error())
+	return u.sendFailure(outcome, err.Error())
+}
+
+func (u *use) sendFailure(outcome slatewind.Outcome, reason string) error {
+	failure := &slatewindv1.Failure{Outcome: string(outcome), Reason: reason, State: u.state()}
+	return u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Failure{Failure: failure}})
+}
+
+// end notes the outcome of a run and gives the slot back.
+func (u *use) end(result breaker.Result, why string) {
+	now := time.Now()
+	u.in.mu.Lock()
+	defer u.in.mu.Unlock()
+	if u.in.breaker.End(now, u.item.ID, result) {
+		u.in.noteBreaker(now, why)
+	}
+	u.in.deliver(u.in.slots.Done(now, u.item, now.Sub(u.granted)))
+}
--- /dev/null
+++ b/inbound/slots.go
@@ -0,0 +1,130 @@
+package inbound
+
+import (
+	"fmt"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/admission"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/breaker"
+)
+
+// state returns what replies tell of the server. The lock is held.
+func (in *Inbound) state() *slatewindv1.SlotState {
+	return &slatewindv1.SlotState{
+		Server: in.name,
+		InUse:  uint32(in.slots.InUse()), Queued: uint32(in.slots.Queued()), Slots: uint32(in.slots.Slots()),
+		Health:    string(healthOf(in.breaker.State())),
+		Leaving:   in.away != "" || in.stopping != "",
+		HoldNanos: int64(in.slots.Mean()), SuccessShare: in.breaker.Share(), ShedShare: in.breaker.Shed(),
+	}
+}
+
+func healthOf(state breaker.State) slatewind.ServerState {
+	switch state {
+	case breaker.StateOpen:
+		return slatewind.ServerEjected
+	case breaker.StateHalfOpen:
+		return slatewind.ServerTrial
+	}
+	return slatewind.ServerHealthy
+}
+
+// noteBreaker writes down that the judgement changed. The lock is held.
+func (in *Inbound) noteBreaker(now time.Time, why string) {
+	kind := slatewind.DecisionReturn
+	if in.breaker.State() != breaker.StateClosed {
+		kind = slatewind.DecisionEject
+	}
+	in.journal.Add(slatewind.Decision{
+		Time: now, Kind: kind, Service: in.server.Service, Server: in.name,
+		Reason:   fmt.Sprintf("breaker is %s: %s", in.breaker.State(), why),
+		Evidence: fmt.Sprintf("score=%.1f in_use=%d slots=%d", in.breaker.Score(), in.slots.InUse(), in.slots.Slots()),
+	})
+}
+
+// deliver hands decisions to those who wait for them. The lock is held.
+func (in *Inbound) deliver(decisions []admission.Decision) {
+	for _, d := range decisions {
+		if d.Action == admission.ActionQueue {
+			continue
+		}
+		if waiter, ok := in.waiting[d.Item.ID]; ok {
+			delete(in.waiting, d.Item.ID)
+			waiter <- d
+		}
+	}
+}
+
+// offer asks for a slot. It returns the decision at once, or the channel that
+// will give it.
+func (in *Inbound) offer(now time.Time, r *slatewindv1.Reservation) (admission.Item, *slatewindv1.Refusal, <-chan admission.Decision) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if refusal := in.refuses(now, r); refusal != nil {
+		return admission.Item{}, refusal, nil
+	}
+	in.nextID++
+	item := admission.Item{
+		ID:       fmt.Sprint(in.nextID),
+		Priority: slatewind.PriorityInteractive,
+		Rank:     r.GetRank(),
+		Deadline: now.Add(time.Duration(r.GetRemainingNanos())),
+		StartBy:  now.Add(time.Duration(r.GetPatienceNanos())),
+	}
+	decision := make(chan admission.Decision, 1)
+	in.waiting[item.ID] = decision
+	in.deliver(in.slots.Offer(now, item))
+	return item, nil, decision
+}
+
+// expected returns the identity that a request is sent for: the server's as it is
+// known here, where that is newer than the sender's, or the sender's.
+func (in *Inbound) expected(r *slatewindv1.Reservation) string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.name != "" {
+		return in.name
+	}
+	return r.GetServer()
+}
+
+// refuses returns why the server may not get a request now, or nil.
+func (in *Inbound) refuses(now time.Time, r *slatewindv1.Reservation) *slatewindv1.Refusal {
+	switch {
+	case r.GetService() != in.server.Service:
+		return in.refusal(CauseMoved, "the server here belongs to service "+in.server.Service, 0)
+	case in.stopping != "":
+		return in.refusal(CauseLeaving, in.stopping, 0)
+	case in.away != "":
+		return in.refusal(CauseLeaving, "the server is leaving: "+in.away, 0)
+	case !in.breaker.Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort()}):
+		reason := fmt.Sprintf("the breaker is %s", in.breaker.State())
+		return in.refusal(CauseSick, reason, in.breaker.RetryAfter(now))
+	}
+	return nil
+}
+
+// refusal returns a refusal with the server's state. The lock is held.
+func (in *Inbound) refusal(cause Cause, reason string, after time.Duration) *slatewindv1.Refusal {
+	return &slatewindv1.Refusal{Cause: string(cause), Reason: reason, RetryAfterNanos: int64(after), State: in.state()}
+}
+
+// abandon takes a waiting reservation back, or its slot if it got one meanwhile.
+func (in *Inbound) abandon(item admission.Item, decision <-chan admission.Decision) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.slots.Remove(item.ID) {
+		delete(in.waiting, item.ID)
+		return
+	}
+	if d := <-decision; d.Action == admission.ActionStart {
+		in.release(time.Now(), item)
+	}
+}
+
+// release gives a slot back that no request used. The lock is held.
+func (in *Inbound) release(now time.Time, item admission.Item) {
+	in.deliver(in.slots.Done(now, item, in.slots.Mean()))
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/platform"
+)
+
+// Handler returns the store's HTTP interface. Paths under /control are for
+// whoever makes it fail.
+func (p *Platform) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(platform.PathKey, p.enter("key", p.readKey)).Methods(http.MethodGet)
+	router.HandleFunc(platform.PathRange, p.enter("range", p.readRange)).Methods(http.MethodGet)
+	router.HandleFunc(platform.PathWatch, p.enter("watch", p.watch)).Methods(http.MethodGet)
+	router.HandleFunc("/control/settings", p.controlSettings).Methods(http.MethodPut)
+	router.HandleFunc("/control/vm", p.controlVM).Methods(http.MethodPut)
+	router.HandleFunc("/control/mode", func(_ http.ResponseWriter, r *http.Request) {
+		p.SetMode(PlatformMode(r.URL.Query().Get("mode")))
+	}).Methods(http.MethodPost)
+	router.HandleFunc("/control/calls", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(p.Calls())
+	}).Methods(http.MethodGet)
+	return router
+}
+
+// enter counts a call and answers it, unless the platform fails.
+func (p *Platform) enter(call string, answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.calls[call]++
+		mode := p.mode
+		p.mu.Unlock()
+		switch mode {
+		case PlatformDown:
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		case PlatformBusy:
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		case PlatformSlow:
+			time.Sleep(slowAnswer)
+		}
+		answer(w, r)
+	}
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func sorted(items map[string]platform.Item, prefix string) []platform.Item {
+	var list []platform.Item
+	for key, item := range items {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, item)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
+
+// listed returns the items below a prefix as a reader sees them now.
+func (p *Platform) listed(prefix string) []platform.Item {
+	if p.mode != PlatformStale {
+		return sorted(p.items, prefix)
+	}
+	var list []platform.Item
+	for _, item := range p.stale {
+		if strings.HasPrefix(item.Key, prefix) {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+func (p *Platform) readKey(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get(platform.ParamKey)
+	p.mu.Lock()
+	items, revision := p.listed(key), p.revision
+	p.mu.Unlock()
+	if len(items) == 0 || items[0].Key != key {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	reply(w, platform.KeyAnswer{Item: items[0], AsOf: revision})
+}
+
+func (p *Platform) readRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	p.mu.Lock()
+	items, revision := p.listed(query.Get(platform.ParamPrefix)), p.revision
+	p.mu.Unlock()
+	first := sort.Search(len(items), func(i int) bool { return items[i].Key > query.Get(platform.ParamAfter) })
+	if query.Get(platform.ParamAfter) == "" {
+		first = 0
+	}
+	page := items[first:]
+	truncated := len(page) > pageItems
+	if truncated {
+		page = page[:pageItems]
+	}
+	reply(w, platform.Answer{Items: page, Truncated: truncated, AsOf: revision})
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get(platform.ParamAfter), 10, 64)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("%s is not a revision", platform.ParamAfter), http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get(platform.ParamWait))
+	deadline := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	defer deadline.Stop()
+	for {
+		events, revision, changed, gone := p.since(after, query.Get(platform.ParamPrefix))
+		if gone {
+			http.Error(w, "history is gone", http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			reply(w, platform.Answer{Events: events, AsOf: revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			reply(w, platform.Answer{AsOf: revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes below a prefix after a revision, and what is closed
+// at the next change.
+func (p *Platform) since(after uint64, prefix string) (events []platform.Item, revision uint64, changed <-chan struct{}, gone bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if after < p.forgotten {
+		return nil, p.revision, p.changed, true
+	}
+	if p.mode == PlatformStale {
+		return nil, after, p.changed, false
+	}
+	for _, item := range p.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, p.revision, p.changed, false
+}
+
+func (p *Platform) controlSettings(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_, _ = io.WriteString(w, strconv.FormatUint(p.Publish(text), 10)+"\n")
+}
+
+func (p *Platform) controlVM(w http.ResponseWriter, r *http.Request) {
+	var vm slatewind.VM
+	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetVM(vm)
+}
--- /dev/null
+++ b/outbound/run.go
@@ -0,0 +1,140 @@
+package outbound
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/choice"
+	"slatewind.example/slatewind/link"
+)
+
+// answer is a server's answer.
+type answer struct {
+	head *slatewindv1.AnswerHead
+	body []byte
+	// rest reads what follows body where the answer was too long to hold. It
+	// returns io.EOF only after a whole answer.
+	rest  func() ([]byte, error)
+	close func()
+}
+
+// attempt looks for a slot and runs the request in it.
+func (o *Outbound) attempt(ctx context.Context, rq *request, to aim) result {
+	slot, refused := o.acquire(ctx, rq, to, rq.patience())
+	if slot == nil {
+		return result{final: *refused}
+	}
+	r := o.run(rq, slot)
+	rq.shard.update(func(c *choice.Service) {
+		c.Ended(slot.server.Name)
+		if r.answer != nil && r.answer.head.GetStatus() < slatewind.FirstServerError {
+			c.Succeeded(time.Now(), slot.server.Name)
+		}
+	})
+	return r
+}
+
+// run sends the request to the process that holds a slot for it.
+func (o *Outbound) run(rq *request, slot *held) result {
+	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+	if err := rq.send(slot); err != nil {
+		slot.cancel()
+		r.reason = "the request could not be sent whole: " + err.Error()
+		return r
+	}
+	reply, err := slot.use.Recv()
+	switch {
+	case err != nil:
+		slot.cancel()
+		r.reason = "no reply from the process beside the server: " + err.Error()
+		r.timedOut = errors.Is(err, context.DeadlineExceeded) || time.Now().After(rq.deadline)
+	case reply.GetHead() != nil:
+		return o.read(rq, slot, reply.GetHead())
+	case reply.GetFailure() != nil:
+		slot.cancel()
+		failure := reply.GetFailure()
+		r.outcome, r.reason = slatewind.Outcome(failure.GetOutcome()), failure.GetReason()
+		r.timedOut = time.Now().After(rq.deadline)
+		o.hear(rq, slot, failure.GetState())
+	case reply.GetRefusal() != nil:
+		slot.cancel()
+		r.outcome, r.reason = slatewind.OutcomeNotRun, reply.GetRefusal().GetReason()
+		o.hear(rq, slot, reply.GetRefusal().GetState())
+	default:
+		slot.cancel()
+		r.reason = "a reply that is none"
+	}
+	return r
+}
+
+// send sends the request and its body.
+func (rq *request) send(slot *held) error {
+	first := rq.body[:min(len(rq.body), link.ChunkBytes)]
+	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
+		RemainingNanos: int64(rq.remaining(time.Now())), Method: rq.method, Target: rq.target, Host: rq.host,
+		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
+	}}})
+	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
+		n := min(len(rest), link.ChunkBytes)
+		err = slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Chunk{Chunk: rest[:n]}})
+		rest = rest[n:]
+	}
+	return err
+}
+
+func (o *Outbound) hear(rq *request, slot *held, state *slatewindv1.SlotState) {
+	if state == nil {
+		return
+	}
+	rq.shard.update(func(c *choice.Service) { c.Heard(time.Now(), slot.server.Name, toldOf(state)) })
+}
+
+// errBroken: an answer ended early, or its length or checksum is wrong.
+var errBroken = Error.New("the answer is not whole")
+
+// read reads the answer that follows a head.
+func (o *Outbound) read(rq *request, slot *held, head *slatewindv1.AnswerHead) result {
+	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+	sum := xxhash.New()
+	length := int64(0)
+	next := func() ([]byte, error) {
+		reply, err := slot.use.Recv()
+		if err != nil {
+			return nil, errors.Join(errBroken, err)
+		}
+		if end := reply.GetEnd(); end != nil {
+			if end.GetLength() != length || end.GetChecksum() != sum.Sum64() {
+				return nil, errBroken
+			}
+			o.hear(rq, slot, end.GetState())
+			return nil, io.EOF
+		}
+		chunk := reply.GetChunk()
+		_, _ = sum.Write(chunk)
+		length += int64(len(chunk))
+		return chunk, nil
+	}
+	a := &answer{head: head, close: slot.cancel}
+	for len(a.body) <= link.MaxHeld {
+		chunk, err := next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, errBroken) {
+			r.outcome, r.answer = slatewind.OutcomeAnswer, a
+			return r
+		}
+		if err != nil {
+			slot.cancel()
+			r.reason = err.Error()
+			return r
+		}
+		a.body = append(a.body, chunk...)
+	}
+	a.rest = next
+	r.outcome, r.answer = slatewind.OutcomeAnswer, a
+	return r
+}
--- /dev/null
+++ b/outbound/split.go
@@ -0,0 +1,52 @@
+package outbound
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+)
+
+// splitter divides the requests of a route among services by their weights:
+// each request goes to the service that is furthest behind its share.
+type splitter struct {
+	sent  map[string]float64
+	total float64
+}
+
+// split returns the service for the next request of a route.
+func (o *Outbound) split(rq *request) string {
+	splits := rq.route.GetSplits()
+	if len(splits) == 0 {
+		return rq.route.GetService()
+	}
+	sum := 0.0
+	for _, part := range splits {
+		sum += float64(part.GetWeight())
+	}
+	key := fmt.Sprintf("%s@%d", rq.route.GetName(), rq.snapshot.Version.Revision)
+	o.splitMu.Lock()
+	defer o.splitMu.Unlock()
+	sp := o.splits[key]
+	if sp == nil {
+		// A route's shares begin anew with each version; old ones go.
+		sp = &splitter{sent: map[string]float64{}}
+		for old := range o.splits {
+			if strings.HasPrefix(old, rq.route.GetName()+"@") {
+				delete(o.splits, old)
+			}
+		}
+		o.splits[key] = sp
+		// Ingresses that all began with the same part would overload it.
+		sp.sent[splits[rand.IntN(len(splits))].GetService()] = rand.Float64()
+	}
+	sp.total++
+	best, furthest := "", 0.0
+	for _, part := range splits {
+		behind := sp.total*float64(part.GetWeight())/max(sum, 1) - sp.sent[part.GetService()]
+		if best == "" || behind > furthest {
+			best, furthest = part.GetService(), behind
+		}
+	}
+	sp.sent[best]++
+	return best
+}
--- /dev/null
+++ b/outbound/view.go
@@ -0,0 +1,33 @@
+package outbound
+
+import (
+	"time"
+
+	"slatewind.example/slatewind/choice"
+)
+
+// ServiceView is one service in a state dump.
+type ServiceView struct {
+	Name    string        `json:"name"`
+	Servers []choice.View `json:"servers"`
+}
+
+// View is the ingress's part of a state dump.
+type View struct {
+	InFlight int           `json:"in_flight"`
+	Leaving  bool          `json:"leaving"`
+	Services []ServiceView `json:"services"`
+}
+
+// View returns the ingress's part of a state dump.
+func (o *Outbound) View(now time.Time) View {
+	v := View{InFlight: o.InFlight(), Leaving: o.leaving.Load()}
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	for name, sh := range o.shards {
+		sh.update(func(c *choice.Service) {
+			v.Services = append(v.Services, ServiceView{Name: name, Servers: c.Views(now)})
+		})
+	}
+	return v
+}
