--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -69,10 +69,12 @@
 	// maxTrials is how many trials may run at once after a first success.
 	maxTrials = 3
 	// successesNeeded in a row close the breaker; each opening within
-	// relapseTime of the last close asks for more, up to maxSuccesses.
-	successesNeeded = 2
-	maxSuccesses    = 8
-	relapseTime     = 5 * time.Second
+	// relapseTime of the last close asks for relapseSuccesses more, up to
+	// maxSuccesses.
+	successesNeeded  = 2
+	relapseSuccesses = 2
+	maxSuccesses     = 8
+	relapseTime      = 5 * time.Second
 )
 
 const (
@@ -281,7 +283,7 @@
 	}
 	b.needed = successesNeeded
 	if !b.changed.IsZero() && now.Sub(b.changed) < relapseTime {
-		b.needed = min(b.needed+2, maxSuccesses)
+		b.needed = min(b.needed+relapseSuccesses, maxSuccesses)
 	}
 	b.state = StateOpen
 	b.successes = 0
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -88,7 +88,7 @@
 		if !server.worthAsking(now, ask) {
 			continue
 		}
-		list = append(list, priced{server.ServerEntry, s.cost(now, server, ask)})
+		list = append(list, priced{server.ServerEntry, s.cost(now, server, ask) + jitter*s.random.Float64()})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].cost < list[j].cost })
 	entries := make([]slatewind.ServerEntry, len(list))
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -13,6 +13,9 @@
 	remoteCost = 0.5
 	// sickCost stands for a sickness that was told a moment ago.
 	sickCost = 3.0
+	// sickRelief is the share of sickCost that a sick server is spared if it
+	// still answers every request well; it shrinks with the share of successes.
+	sickRelief = 0.5
 	// shedCost stands for a server that rejects every request.
 	shedCost = 1.5
 	// silentCost stands for a process that did not answer.
@@ -70,8 +73,8 @@
 	return true
 }
 
-// Cost returns a server's cost without the random part, for state dumps.
-func (s *Service) Cost(now time.Time, server *Server, ask breaker.Ask) float64 {
+// cost returns a server's cost without the random part.
+func (s *Service) cost(now time.Time, server *Server, ask breaker.Ask) float64 {
 	cost := server.occupancy(now)
 	if server.DataCentre != s.dataCentre {
 		cost += remoteCost
@@ -90,7 +93,7 @@
 		memory = sickMemoryCareful
 	}
 	if server.told.Sick && now.Sub(server.toldAt) < memory {
-		cost += sickCost * (1 - server.told.SuccessShare/2)
+		cost += sickCost * (1 - sickRelief*server.told.SuccessShare)
 	}
 	if ask.Careful && now.Sub(server.success) > recentSuccess {
 		cost += quietCost
@@ -98,10 +101,6 @@
 	return cost
 }
 
-func (s *Service) cost(now time.Time, server *Server, ask breaker.Ask) float64 {
-	return s.Cost(now, server, ask) + jitter*s.random.Float64()
-}
-
 // occupancy is how full the server is, as a share of its slots.
 func (server *Server) occupancy(now time.Time) float64 {
 	slots := max(float64(server.Slots), server.told.Slots, 1)
--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"slatewind.example/slatewind"
 )
 
 const (
@@ -20,8 +22,12 @@
 	logReport = time.Second
 )
 
-// lastLeftOut marks the lines that are left out last.
-var lastLeftOut = [][]byte{[]byte("kind=refuse"), []byte("kind=unknown"), []byte("kind=retry"), []byte("kind=hedge")}
+// lastLeftOut marks the lines that are left out last, by the key and value that
+// newNodeHistory writes.
+var lastLeftOut = [][]byte{
+	[]byte("kind=" + slatewind.DecisionRefuse), []byte("kind=" + slatewind.DecisionUnknown),
+	[]byte("kind=" + slatewind.DecisionRetry), []byte("kind=" + slatewind.DecisionHedge),
+}
 
 // LogWriter hands lines to a reader that may be slow or stand still. Writing to
 // it never waits: what does not fit is left out and counted.
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -67,13 +67,20 @@
 	return u.sendFailure(slatewind.OutcomeNotRun, reason)
 }
 
-// learnSlots takes the third figure of a load report: running, waiting, slots.
+// A load report has three figures: requests running, requests waiting, slots
+// (slatewind.ServerDialect).
+const (
+	loadFigures = 3
+	slotsFigure = 2
+)
+
+// learnSlots takes the number of slots from a load report.
 func (u *use) learnSlots(report string) {
 	parts := strings.Split(report, ",")
-	if len(parts) != 3 {
+	if len(parts) != loadFigures {
 		return
 	}
-	if slots, err := strconv.Atoi(strings.TrimSpace(parts[2])); err == nil {
+	if slots, err := strconv.Atoi(strings.TrimSpace(parts[slotsFigure])); err == nil {
 		u.in.mu.Lock()
 		u.in.setSlots(slots)
 		u.in.mu.Unlock()
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -10,10 +10,8 @@
 	"slatewind.example/slatewind/link"
 )
 
-const (
-	// maxBody bounds a request's body in bytes, whatever the sender says.
-	maxBody = 64 << 20
-)
+// maxBody bounds a request's body in bytes, whatever the sender says.
+const maxBody = 64 << 20
 
 // use is one reservation on its way.
 type use struct {
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -34,6 +34,10 @@
 	o.writeOwn(w, r.Header.Get(o.dialect.RequestID), rejected.status, rejected.reason, rejected.retryAfter)
 }
 
+// retryAfterDecimals is how exactly callers are told when to come back: in
+// hundredths of a second.
+const retryAfterDecimals = 2
+
 // writeOwn writes an answer that is not a server's.
 func (o *Outbound) writeOwn(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration) {
 	if id != "" {
@@ -41,7 +45,7 @@
 	}
 	if status == http.StatusServiceUnavailable {
 		seconds := max(retryAfter, leastRetryAfter).Seconds()
-		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 2, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', retryAfterDecimals, 64))
 	}
 	http.Error(w, reason, status)
 }
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -18,7 +18,10 @@
 const (
 	// defaultTimeout counts where neither caller nor route state a time.
 	defaultTimeout = 5 * time.Second
-	// defaultBodyBytes counts until settings state a limit.
+	// objectivePart of a request's time is its objective where the route states
+	// none: a half.
+	objectivePart = 2
+	// defaultBodyBytes bounds a body where settings state no limit, in bytes.
 	defaultBodyBytes = 64 << 20
 	// bodyTime bounds how long a caller may take to send its body.
 	bodyTime = 30 * time.Second
@@ -60,7 +63,7 @@
 	if objective := rq.route.GetObjective().AsDuration(); objective > 0 {
 		return objective
 	}
-	return rq.deadline.Sub(rq.began) / 2
+	return rq.deadline.Sub(rq.began) / objectivePart
 }
 
 // ServeHTTP implements http.Handler for callers.
@@ -155,7 +158,7 @@
 	return rq.deadline.Sub(now)
 }
 
-// ctxWithDeadline ends with the request's time and a moment for a server's own
+// context ends with the request's time and a moment for a server's own
 // answer that the time is over.
 func (rq *request) context(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(ctx, rq.deadline.Add(answerSlack))
