--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -44,13 +44,12 @@
 	// runs counts runs by request id, arrivals everything that came.
 	runs     map[string]int
 	arrivals int
-	callers  map[string]int
 	release  chan struct{}
 }
 
 // NewStamped returns a server with a name.
 func NewStamped(name string, dialect slatewind.ServerDialect) *Stamped {
-	return &Stamped{dialect: dialect, name: name, runs: map[string]int{}, callers: map[string]int{}, release: make(chan struct{})}
+	return &Stamped{dialect: dialect, name: name, runs: map[string]int{}, release: make(chan struct{})}
 }
 
 // SetMode changes how the server behaves; requests that hang are let go.
