--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,9 +4,9 @@
 // A request that cannot start in time is refused at once, with the time after
 // which a slot is likely: a quick refusal can still be served elsewhere, a late
 // one cannot. The queue is short for the same reason. Interactive requests go
-// before background ones, which get only spare slots, and among customers the
-// one with the fewest requests in slots goes first, so that one customer's
-// launch does not starve the rest.
+// before background ones, which get only spare slots; then the lower rank goes
+// first; and among customers the one with the fewest requests in slots, so that
+// one customer's launch does not starve the rest.
 package admission
 
 import (
@@ -192,7 +192,8 @@
 	return free > 0
 }
 
-// othersGoFirst reports whether somebody waits whom a newcomer must not pass.
+// othersGoFirst reports whether an item waits that a newcomer must not pass: an
+// interactive one of the same rank or a lower.
 func (s *Server) othersGoFirst(it Item) bool {
 	for _, q := range s.queue {
 		if q.Priority != slatewind.PriorityBackground && q.Rank <= it.Rank {
@@ -230,9 +231,9 @@
 }
 
 // victim returns the index of the item that makes room for a newcomer, or -1:
-// a background item for an interactive one, else the latest item of a customer
-// or the latest of a lower rank, else the latest item of a customer that has at
-// least two more waiting than the newcomer's.
+// a background item for an interactive one, else the latest of the items with the
+// highest rank if that is above the newcomer's, else the latest item of a customer
+// that has at least two more waiting than the newcomer's.
 func (s *Server) victim(it Item) int {
 	waiting := map[string]int{}
 	for i := len(s.queue) - 1; i >= 0; i-- {
@@ -260,8 +261,8 @@
 	return best
 }
 
-// lowest returns the latest of the waiting items that would go last. The queue
-// is not empty.
+// lowest returns the index of the latest of the waiting items with the highest
+// rank, which go last. The queue is not empty.
 func (s *Server) lowest() int {
 	last := 0
 	for i, q := range s.queue {
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -1,13 +1,13 @@
 // Package backend is the HTTP/1.1 client that a process uses for the one server
 // beside it.
 //
-// The language's own client repeats requests by itself when a kept connection
+// The standard library's client repeats requests by itself when a kept connection
 // breaks, and takes whatever comes next on a connection for the answer. Here
 // both must be known exactly: whether anything was sent decides whether a
 // request may go elsewhere, and a server may send surplus answers, which belong
-// to no request. So a connection carries one request at a time, is looked at
-// before it is used again, and an answer with another request's id is passed
-// over.
+// to no request. So a connection carries one request at a time, is checked for
+// unexpected bytes before it is used again, and an answer with another request's
+// id is passed over.
 package backend
 
 import (
@@ -40,21 +40,23 @@
 	// idleMargin is taken off what it says.
 	idleTime   = 4 * time.Second
 	idleMargin = 1500 * time.Millisecond
-	// maxIdle bounds the kept connections.
+	// maxIdle is how many connections are kept at most.
 	maxIdle = 16
 	// maxSurplus bounds the foreign answers that are passed over on one
 	// connection before it is given up.
 	maxSurplus = 3
-	// bufferBytes is the size of a connection's read buffer.
+	// bufferBytes is the size of a connection's read buffer, in bytes.
 	bufferBytes = 4 << 10
 )
 
-// Answer is a server's answer. Its body must be read to the end or closed.
+// Answer is a server's answer. It must be closed; its connection is kept only if
+// its body was read to the end before.
 type Answer struct {
 	*http.Response
 	pool *Pool
 	conn *conn
-	// stop ends the watch of the request's context.
+	// stop ends the watch of the request's context; it reports false if the
+	// context ended first.
 	stop func() bool
 	// sent is closed once the whole request is written.
 	sent <-chan struct{}
@@ -62,7 +64,9 @@
 }
 
 // Do sends one request. sent is false only if no byte of it was written.
-// A success is returned only with the server's stamp.
+// A success is returned only with the server's stamp. The error is ctx's own
+// where that ended first, ErrNotAnAnswer, ErrCrossed, ErrNoStamp, or one of the
+// network.
 func (p *Pool) Do(ctx context.Context, request *http.Request) (answer *Answer, sent bool, err error) {
 	c, err := p.connection(ctx)
 	if err != nil {
@@ -133,6 +137,8 @@
 	return nil, ErrCrossed
 }
 
+// notAnAnswer adds ErrNotAnAnswer to an error of the protocol; errors of the
+// network stay as they are.
 func notAnAnswer(err error) error {
 	var network net.Error
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
@@ -156,6 +162,7 @@
 	a.pool.keep(a.conn, a.Header)
 }
 
+// mayKeep reports whether the answer's connection can carry another request.
 func (a *Answer) mayKeep() bool {
 	if a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
 		return false
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,11 +30,11 @@
 
 	mu   sync.Mutex
 	idle []*conn
-	// opened counts connections.
+	// opened counts the connections that were ever opened.
 	opened uint64
 }
 
-// NewPool returns a pool for the server at an address.
+// NewPool returns a pool for the server at an IP:port address.
 func NewPool(address string, dialect slatewind.ServerDialect) *Pool {
 	return &Pool{address: address, dialect: dialect}
 }
@@ -92,6 +92,7 @@
 	return c
 }
 
+// keep puts a connection back, or closes it where enough are kept.
 func (p *Pool) keep(c *conn, header http.Header) {
 	c.expires = time.Now().Add(keepTime(header))
 	p.mu.Lock()
--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -6,11 +6,13 @@
 // reset counts in full, an error answer by half, since servers answer a few
 // requests with an error when nothing is wrong. At the threshold the breaker
 // opens and requests are refused before they reach the server, which proves
-// that they did not run. Repeatable requests are then let through one at a
-// time as trials; after enough successes in a row the breaker closes, and only
-// then may requests that must not repeat come back.
+// that they did not run. Repeatable requests are then let through as trials: one
+// after a pause, and a few at once after a first success. After enough successes
+// in a row the breaker closes. Until then, requests that must not repeat come
+// only where they have no healthy server and this one still answers most.
 //
-// Health probes are not asked: the servers that fail grayly answer them well.
+// Health probes are not used: servers that fail only part of their requests
+// answer them well.
 package breaker
 
 import "time"
@@ -24,7 +26,7 @@
 	StateClosed State = "closed"
 	// StateOpen lets single repeatable requests through, now and then.
 	StateOpen State = "open"
-	// StateHalfOpen lets repeatable requests through one after the other.
+	// StateHalfOpen lets up to maxTrials repeatable requests through at once.
 	StateHalfOpen State = "half-open"
 )
 
@@ -55,14 +57,17 @@
 	brokenWeight = 1.0
 	errorWeight  = 0.5
 	slowWeight   = 0.5
-	// successWeight is taken off for each success. At 0.2 a server that fails
-	// every third request opens the breaker, one that fails every tenth not.
+	// successWeight is taken off for each success. At 0.2 a server that answers
+	// every third request with an error opens the breaker, one that does so with
+	// every tenth not.
 	successWeight = 0.2
 )
 
 const (
 	// firstTrialAfter is the pause before the first trial; it grows by
-	// trialGrowth with each failed one up to maxTrialAfter.
+	// trialGrowth with each failed one up to maxTrialAfter. Tried on played days
+	// against 250 to 500 ms: sick spells last some nine seconds, and each failed
+	// trial costs its request an attempt.
 	firstTrialAfter = 400 * time.Millisecond
 	trialGrowth     = 1.5
 	maxTrialAfter   = time.Second
@@ -78,8 +83,9 @@
 )
 
 const (
-	// overdueFactor times the mean of a route is too long for one request, and
-	// at least overdueLeast more than the mean.
+	// A request takes too long when it takes more than overdueFactor times the
+	// mean of its route, and at least overdueLeast more than the mean. At four
+	// times the mean, slow servers were noticed late on played days.
 	overdueFactor = 3
 	overdueLeast  = 150 * time.Millisecond
 	// meanWeight is the weight of the newest duration in a route's mean, and
@@ -113,18 +119,27 @@
 // Breaker is the judgement of one server. It is not safe for use by several
 // goroutines; its host guards it.
 type Breaker struct {
-	state      State
-	score      float64
-	successes  int
-	needed     int
-	changed    time.Time
+	state State
+	// score is the suspicion, as a share of the threshold.
+	score float64
+	// successes counts the trials in a row that went well, needed is how many
+	// close the breaker.
+	successes int
+	needed    int
+	// changed is when the breaker last opened or closed.
+	changed time.Time
+	// trialAfter is the pause between lastTrial and the next trial, trials how
+	// many run now.
 	trialAfter time.Duration
 	lastTrial  time.Time
 	trials     int
-	running    map[string]*running
-	means      map[string]mean
-	share      float64
-	shed       float64
+	// running holds the server's requests by id, means the routes' by name.
+	running map[string]*running
+	means   map[string]mean
+	// share is the share of successes, shed that of rejections, both of the
+	// newest requests.
+	share float64
+	shed  float64
 }
 
 // New returns a closed breaker.
@@ -140,7 +155,8 @@
 
 // Ask says what kind of request wants to go to the server.
 type Ask struct {
-	// Careful requests must not be trials.
+	// Careful requests must not be trials: they cannot be repeated, or no further
+	// attempt is left to them.
 	Careful bool
 	// LastResort requests have no healthy server to go to.
 	LastResort bool
@@ -167,7 +183,8 @@
 // Share returns the share of the newest requests that the server answered well.
 func (b *Breaker) Share() float64 { return b.share }
 
-// RetryAfter returns when a trial is due, or zero where the breaker is closed.
+// RetryAfter returns how long it is until a trial is due, or zero where the
+// breaker is closed.
 func (b *Breaker) RetryAfter(now time.Time) time.Duration {
 	if b.state == StateClosed {
 		return 0
@@ -231,16 +248,18 @@
 	return changed
 }
 
-// Reset forgets all suspicion: another server has the place.
+// Reset forgets everything: another server runs at the address now.
 func (b *Breaker) Reset() {
 	*b = *New()
 }
 
+// tooLong reports whether a request takes far longer than its route's mean.
 func (b *Breaker) tooLong(route string, took time.Duration) bool {
 	m := b.means[route]
 	return m.samples >= leastSamples && took > max(overdueFactor*m.value, m.value+overdueLeast)
 }
 
+// learn adds the duration of a success to its route's mean.
 func (b *Breaker) learn(route string, took time.Duration) {
 	m := b.means[route]
 	if m.samples == 0 {
@@ -251,6 +270,7 @@
 	b.means[route] = m
 }
 
+// succeed counts a success. It reports whether the breaker closed.
 func (b *Breaker) succeed(now time.Time) bool {
 	b.share += shareWeight * (1 - b.share)
 	b.shed -= shareWeight * b.shed
@@ -269,6 +289,7 @@
 	return true
 }
 
+// fail adds suspicion. It reports whether the breaker opened.
 func (b *Breaker) fail(now time.Time, weight float64) bool {
 	b.share -= shareWeight * b.share
 	if b.state != StateClosed {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,13 @@
 // Package choice decides which server of a service gets a request, as one
 // ingress sees them.
 //
-// Each server has a cost: how full it was when its process last told, plus what
-// this ingress has sent there since, plus surcharges for another data centre, a
-// sickness that was told, and silence on the way. The cheapest server is asked
+// Each server has a cost: how full it was by the last reply of the process beside
+// it, plus what this ingress has sent there since, plus surcharges for another
+// data centre, a reported sickness, rejections, warming up, and a process that
+// did not reply. The cheapest server is asked
 // first. A wrong choice is cheap, since a server that is full or sick refuses
-// the reservation within a round trip, without a request being lost; what it
-// tells with the refusal makes the next choice better.
+// the reservation within a round trip, without a request being lost; the state
+// that comes with the refusal makes the next choice better.
 package choice
 
 import (
@@ -20,32 +21,39 @@
 
 // Told is what the process beside a server told of it.
 type Told struct {
-	Load    float64
-	Slots   float64
+	// Load is how many requests hold a slot or wait for one, Slots how many
+	// slots there are.
+	Load  float64
+	Slots float64
+	// Sick says that the breaker is not closed.
 	Sick    bool
 	Leaving bool
-	// SuccessShare is the share of its newest requests that it answered well.
+	// SuccessShare is the share of its newest requests that it answered well,
+	// from 0 to 1.
 	SuccessShare float64
-	// ShedShare is the share of its newest requests that it rejected.
+	// ShedShare is the share of its newest requests that it rejected, from 0 to 1.
 	ShedShare float64
 	// Full says that a reservation was refused for want of a slot.
 	Full bool
-	// TrialIn is when a sick server may get its next trial.
+	// TrialIn is how long it is until a sick server may get its next trial.
 	TrialIn time.Duration
 }
 
 // Server is one server in the eyes of an ingress.
 type Server struct {
 	slatewind.ServerEntry
-	told      Told
-	toldAt    time.Time
+	// told is the newest state, as it was told at toldAt.
+	told   Told
+	toldAt time.Time
+	// success is when this ingress last got a whole answer from it.
 	success   time.Time
 	warmUntil time.Time
-	// sentSince counts reservations since the last word, inFlight all of them.
+	// sentSince counts reservations since toldAt, inFlight all that are open.
 	sentSince int
 	inFlight  int
-	silence   time.Duration
-	avoid     time.Time
+	// silence is how long a process that does not reply is avoided, until avoid.
+	silence time.Duration
+	avoid   time.Time
 }
 
 // Service chooses among the servers of one service. It is not safe for use by
@@ -77,7 +85,8 @@
 	delete(s.servers, name)
 }
 
-// Order returns the servers that may get a request, cheapest first.
+// Order returns the servers that may get a request, cheapest first. ask says
+// what kind of request it is.
 func (s *Service) Order(now time.Time, ask breaker.Ask) []slatewind.ServerEntry {
 	type priced struct {
 		entry slatewind.ServerEntry
@@ -114,7 +123,7 @@
 	}
 }
 
-// Heard takes what the process beside a server told.
+// Heard takes the state that the process beside a server replied with.
 func (s *Service) Heard(now time.Time, name string, told Told) {
 	server := s.servers[name]
 	if server == nil {
@@ -134,8 +143,8 @@
 	}
 }
 
-// Silent notes that the process beside a server did not answer; it is avoided
-// for a while that doubles.
+// Silent notes that the process beside a server did not reply; it is avoided for
+// a while, twice as long each time up to maxSilence.
 func (s *Service) Silent(now time.Time, name string) {
 	if server := s.servers[name]; server != nil {
 		server.silence = min(max(2*server.silence, firstSilence), maxSilence)
@@ -143,7 +152,7 @@
 	}
 }
 
-// Moved notes that another server stands at a server's address.
+// Moved notes that a server of another service runs at a server's address.
 func (s *Service) Moved(now time.Time, name string) {
 	if server := s.servers[name]; server != nil {
 		server.avoid = now.Add(goneMemory)
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -6,10 +6,11 @@
 	"slatewind.example/slatewind/breaker"
 )
 
-// Costs, in units of one whole server's slots.
+// Costs: 1 is a server all of whose slots are in use.
 const (
 	// remoteCost keeps requests in their own data centre until its servers are
 	// that much fuller than others. Bytes between data centres are paid for.
+	// Tried on played days against 0.3.
 	remoteCost = 0.5
 	// sickCost stands for a sickness that was told a moment ago.
 	sickCost = 3.0
@@ -18,7 +19,7 @@
 	sickRelief = 0.5
 	// shedCost stands for a server that rejects every request.
 	shedCost = 1.5
-	// silentCost stands for a process that did not answer.
+	// silentCost stands for a process that did not reply.
 	silentCost = 10.0
 	// warmingCost stands for a server that has just started and is slow.
 	warmingCost = 0.5
@@ -51,7 +52,7 @@
 	// lastResortPause is that before a request without a better choice makes
 	// itself the trial of a sick server.
 	lastResortPause = 100 * time.Millisecond
-	// goneMemory is how long a server is avoided that another took the place of.
+	// goneMemory is how long a server is avoided at whose address another runs.
 	goneMemory = 3 * time.Second
 )
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,5 +1,6 @@
 // Package daemon puts the parts of a slatewindd process together, starts them
-// and drains them at the end.
+// and drains them at the end. Where the platform's store lists the servers, the
+// process is a Node, otherwise a Process.
 package daemon
 
 import (
@@ -54,7 +55,8 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// Options returns the wiring of a process with the given settings.
+// Options returns the wiring of a process with the given settings: of a Node
+// where they name the platform's store, otherwise of a Process.
 func Options(process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	if process.GetStore() != nil {
 		return nodeOptions(process, logger)
--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -18,7 +18,7 @@
 	// logReserve of it is kept for lines about requests that failed, were
 	// refused or were sent again; all others are left out before them.
 	logReserve = 1024
-	// logReport is how often the number of lines that were left out is told.
+	// logReport is how often the number of lines that were left out is logged.
 	logReport = time.Second
 )
 
@@ -36,7 +36,8 @@
 	ended chan struct{}
 
 	mu sync.Mutex
-	// leftOut counts lines, urgent those that are left out last.
+	// leftOut counts the lines left out since the last report, urgent those of
+	// them that are left out last.
 	leftOut, urgent int
 }
 
@@ -62,6 +63,7 @@
 	return len(line), nil
 }
 
+// isUrgent reports whether a line is one of those that are left out last.
 func isUrgent(line []byte) bool {
 	for _, mark := range lastLeftOut {
 		if bytes.Contains(line, mark) {
@@ -71,6 +73,7 @@
 	return false
 }
 
+// leaveOut counts a line that is left out.
 func (w *LogWriter) leaveOut(urgent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -124,6 +127,7 @@
 	}
 }
 
+// report writes how many lines were left out since the last report, if any.
 func (w *LogWriter) report(out io.Writer) {
 	w.mu.Lock()
 	leftOut, urgent := w.leftOut, w.urgent
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -27,7 +27,8 @@
 	"slatewind.example/slatewind/timer"
 )
 
-// Node is a running slatewindd beside one server that the platform's store lists.
+// Node is a running slatewindd beside one server that the platform's store lists:
+// an ingress for the callers of its VM and the sidecar of the server.
 type Node struct {
 	settings *slatewindv1.Process
 	logger   *log.Logger
@@ -114,6 +115,7 @@
 	}()
 }
 
+// listen opens the four listeners.
 func (n *Node) listen() error {
 	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
@@ -129,6 +131,7 @@
 	})
 }
 
+// serveReady answers the platform's question whether callers may come.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath || !n.isReady() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -142,6 +145,7 @@
 	return !n.stopping.Load() && n.store.Current() != nil && n.outbound.Servers() > 0
 }
 
+// sources returns what the admin page shows.
 func (n *Node) sources() admin.Sources {
 	return admin.Sources{
 		State:    n.state,
--- a/daemon/nodestop.go
+++ b/daemon/nodestop.go
@@ -14,9 +14,11 @@
 	noticeTime = 2200 * time.Millisecond
 	// quietTime without a new request says that callers have gone elsewhere.
 	quietTime = 400 * time.Millisecond
-	// graceMargin is kept of the time until the end by force.
+	// graceMargin is how long before the platform ends the process by force a
+	// stop ends its wait for work in hand.
 	graceMargin = 500 * time.Millisecond
-	// defaultGrace counts where the bounds do not state it.
+	// defaultGrace is the time from the request to stop until the end by force
+	// where the bounds do not state it.
 	defaultGrace = 6 * time.Second
 )
 
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -39,6 +39,7 @@
 	})
 }
 
+// newNode puts the parts of a node together.
 func newNode(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
 	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool}
 	n.inbound = inbound.New(inbound.Server{
--- a/discovery/known.go
+++ b/discovery/known.go
@@ -12,7 +12,8 @@
 	revision uint64
 }
 
-// take takes a publication. Servers that a whole one lacks are gone.
+// take takes a publication. Servers that a whole one lacks are gone. The lock is
+// held.
 func (w *Watcher) take(now time.Time, p slatewind.Publication) {
 	for _, finding := range p.Findings {
 		w.sink.Finding(now, finding)
@@ -42,6 +43,7 @@
 	}
 }
 
+// removeOthers handles the servers that a whole publication lacks.
 func (w *Watcher) removeOthers(now time.Time, all slatewind.Publication) {
 	listed := make(map[string]bool, len(all.Servers))
 	for _, entry := range all.Servers {
@@ -70,6 +72,7 @@
 	w.gone(now, name, revision)
 }
 
+// gone forgets a server and tells the sink.
 func (w *Watcher) gone(now time.Time, name string, revision uint64) {
 	delete(w.servers, name)
 	delete(w.lapsed, name)
@@ -101,7 +104,7 @@
 }
 
 // Since returns what changed after a revision, for another process. version is
-// that of its settings.
+// that of its settings. The publication is empty where nothing is known yet.
 func (w *Watcher) Since(after, version uint64) slatewind.Publication {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/discovery/reader.go
+++ b/discovery/reader.go
@@ -3,7 +3,8 @@
 //
 // There are two ways. A Reader serves the product's own YAML file and list of
 // VMs: a few processes read, the others hear of it by gossip. A Watcher follows
-// the servers that record themselves in the platform's store.
+// the servers that record themselves in the platform's store, through a Share,
+// with which a few processes of each data centre read for all.
 package discovery
 
 import (
@@ -90,6 +91,7 @@
 	return d/2 + rand.N(d)
 }
 
+// sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -99,6 +101,7 @@
 	}
 }
 
+// watch waits for a change of the operators' file.
 func (r *Reader) watch(ctx context.Context) error {
 	file, err := r.config.Watch(ctx, r.revision)
 	r.meter.PlatformCall("settings", err)
@@ -114,6 +117,7 @@
 	return nil
 }
 
+// list reads the VM list.
 func (r *Reader) list(ctx context.Context) error {
 	vms, err := r.vms.List(ctx)
 	r.meter.PlatformCall("vms", err)
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -21,16 +21,17 @@
 	// Readers is how many processes of a data centre follow the store. The
 	// others ask these, so that calls to the store do not grow with the fleet.
 	Readers = 2
-	// freshAge is how old a peer's word may be.
+	// freshAge is how old a peer's answer may be before the store is asked.
 	freshAge = 1500 * time.Millisecond
 	// askTimeout bounds a question to a peer. In a data centre an answer takes
 	// a millisecond, from a busy process some tens.
 	askTimeout = 250 * time.Millisecond
 	// failedTime is how long a peer that did not answer is passed over.
 	failedTime = 3 * time.Second
-	// pingEvery is how often a process that others tell the news asks whether
-	// it could reach the store itself, and pingTimeout how long it waits. Three
-	// missed heartbeats of a server that is cut off take longer.
+	// pingEvery is how often a process that asks its peers checks whether it could
+	// reach the store itself, and pingTimeout how long it waits. Both are over
+	// before a server that is cut off has missed the three heartbeats after which
+	// its entry runs out.
 	pingEvery   = 2 * time.Second
 	pingTimeout = 700 * time.Millisecond
 	// directPause is the least time between two direct calls of a process that
@@ -40,7 +41,8 @@
 
 // Peers asks other processes what they know.
 type Peers interface {
-	// Since asks the process beside the server at an address.
+	// Since asks the process beside the server at an address what changed after a
+	// revision of the store; version is that of the settings that are known here.
 	Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error)
 }
 
@@ -53,12 +55,15 @@
 
 // Share is a publisher that spares the store: few processes of each data centre
 // read it, the others ask them. Who reads follows from the list of servers, so
-// that all agree without a word: the first by the hash of their addresses that
-// answer. Where the readers' news is old, a process asks the store itself.
+// that no messages are needed to agree: the first by the hash of their addresses
+// that answer. Where the readers' answer is old, a process asks the store itself.
+// A Share serves one watcher and is not safe for use by several goroutines.
 type Share struct {
 	store Store
 	peers Peers
-	self  string
+	// self is the address of the server beside this process. Processes are known
+	// by their servers' addresses here.
+	self string
 	// local returns the addresses of the servers in the own data centre.
 	local func() []string
 	// all returns those of every data centre.
@@ -68,11 +73,13 @@
 	// seeds are asked where no server is known yet.
 	seeds []string
 
-	failed     map[string]time.Time
+	// failed holds until when a peer that did not answer is passed over.
+	failed map[string]time.Time
+	// lastDirect is when the store was last asked for changes.
 	lastDirect time.Time
-	// cut says that the store could not be reached at lastWord.
-	cut      bool
-	lastWord time.Time
+	// cut says that the store could not be reached at lastContact.
+	cut         bool
+	lastContact time.Time
 }
 
 // NewShare returns a publisher for the process beside the server at self. Follow
@@ -125,7 +132,7 @@
 
 // ping finds out now and then whether this process could reach the store.
 func (s *Share) ping(ctx context.Context, now time.Time) {
-	if now.Sub(s.lastWord) < pingEvery {
+	if now.Sub(s.lastContact) < pingEvery {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -135,12 +142,11 @@
 
 // heard notes whether the store answered.
 func (s *Share) heard(err error) {
-	s.lastWord = time.Now()
+	s.lastContact = time.Now()
 	s.cut = err != nil && !errors.Is(err, slatewind.ErrHistoryGone)
 }
 
-// direct asks the store. A process that the store turns away lives on what
-// others heard.
+// direct asks the store. Where that fails, a peer may know more.
 func (s *Share) direct(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
 	s.lastDirect = time.Now()
 	p, err := s.store.Changes(ctx, after, wait)
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -26,12 +26,12 @@
 	// lapseTime is how long a server whose entry vanished while the store was
 	// out of reach may write it anew before it counts as gone.
 	lapseTime = 1500 * time.Millisecond
-	// maxRemoved bounds how many removed servers are remembered for others;
-	// whoever lacks more is told everything.
+	// maxRemoved bounds how many removed servers are remembered for peers; one
+	// that asks for changes from before them gets everything.
 	maxRemoved = 1024
 )
 
-// Sink takes what a watcher hears.
+// Sink takes what a watcher learns. Its methods are called one after the other.
 type Sink interface {
 	// Settings offers settings; older ones are ignored.
 	Settings(now time.Time, settings *slatewind.PublishedSettings)
@@ -51,7 +51,9 @@
 	source slatewind.Publisher
 	sink   Sink
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// revision is the store's up to which everything is known, seen when the store
+	// last said so, be it to a peer.
 	revision uint64
 	seen     time.Time
 	settings *slatewind.PublishedSettings
@@ -101,6 +103,7 @@
 	}
 }
 
+// paceOf returns the least time between two calls.
 func paceOf(relayed bool) time.Duration {
 	if relayed {
 		return peerPace
@@ -147,12 +150,14 @@
 // errCut: others reach the store, this process does not.
 var errCut = Error.New("only other processes reach the store")
 
+// readAnew makes the next call read everything.
 func (w *Watcher) readAnew() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.revision = 0
 }
 
+// reached notes that the store can be reached. The lock is held.
 func (w *Watcher) reached(now time.Time) {
 	if w.lost {
 		w.sink.Reach(now, true, nil)
@@ -160,6 +165,7 @@
 	w.lost = false
 }
 
+// failed notes that the store cannot be reached. The lock is held.
 func (w *Watcher) failed(now time.Time, err error) {
 	if !w.lost {
 		w.sink.Reach(now, false, err)
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -87,6 +87,7 @@
 	}
 }
 
+// resultOf returns what an answer's status says of the server.
 func resultOf(status int) breaker.Result {
 	if status >= slatewind.FirstServerError {
 		return breaker.ResultError
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -35,7 +35,7 @@
 	// grantTime is how long a granted slot waits for its request. A sender that
 	// takes longer has given up, or one of the two processes was paused.
 	grantTime = time.Second
-	// defaultSlots counts until the server or its entry tells its slots.
+	// defaultSlots is the number of slots until the server or its entry states it.
 	defaultSlots = 2
 )
 
@@ -46,35 +46,39 @@
 const (
 	// CauseFull: no slot will be free in time.
 	CauseFull Cause = "full"
-	// CauseSick: the breaker is open.
+	// CauseSick: the breaker lets no such request through.
 	CauseSick Cause = "sick"
 	// CauseLeaving: the server or this process takes no new work.
 	CauseLeaving Cause = "leaving"
-	// CauseMoved: another server than the expected one is here.
+	// CauseMoved: the server here belongs to another service.
 	CauseMoved Cause = "moved"
-	// CauseLate: the request's time is over.
+	// CauseLate: the request's time is over, or its granted slot ran out.
 	CauseLate Cause = "late"
 )
 
 // Server says which server stands beside the process.
 type Server struct {
 	Service string
+	// Address is the server's IP:port.
 	Address string
 	Dialect slatewind.ServerDialect
 }
 
-// Inbound hands out the slots of one server.
+// Inbound gives out the slots of one server. It is safe for use by several
+// goroutines.
 type Inbound struct {
 	server  Server
 	pool    *backend.Pool
 	journal slatewind.Journal
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// name is the identity of the server that runs here; empty until known.
 	name    string
 	slots   *admission.Server
 	breaker *breaker.Breaker
+	// waiting holds, by the item's id, where its decision is awaited.
 	waiting map[string]chan admission.Decision
-	// away says why the server takes no work, stopping why the process does.
+	// away says why the server takes no work, stopping why the process takes none.
 	away     string
 	stopping string
 	nextID   uint64
@@ -127,8 +131,8 @@
 	}
 }
 
-// rename notes which start of the server stands here; a new one begins with a
-// clean record.
+// rename notes which start of the server runs here; the breaker forgets what an
+// older one did.
 func (in *Inbound) rename(now time.Time, name string) {
 	if in.name == name {
 		return
@@ -143,6 +147,7 @@
 	in.name = name
 }
 
+// leave refuses all work from now on. The lock is held.
 func (in *Inbound) leave(now time.Time, reason string) {
 	if in.away != "" {
 		return
@@ -182,6 +187,7 @@
 	in.pool.CloseIdle()
 }
 
+// setSlots takes a number of slots where one is stated. The lock is held.
 func (in *Inbound) setSlots(slots int) {
 	if slots > 0 {
 		in.slots.SetSlots(slots)
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -21,6 +21,7 @@
 	}
 }
 
+// healthOf translates a breaker's state into the words of the messages.
 func healthOf(state breaker.State) slatewind.ServerState {
 	switch state {
 	case breaker.StateOpen:
@@ -57,8 +58,8 @@
 	}
 }
 
-// offer asks for a slot. It returns the decision at once, or the channel that
-// will give it.
+// offer asks for a slot. It returns a refusal, or the item and the channel on
+// which its decision comes; that may be there at once.
 func (in *Inbound) offer(now time.Time, r *slatewindv1.Reservation) (admission.Item, *slatewindv1.Refusal, <-chan admission.Decision) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -80,7 +81,7 @@
 }
 
 // expected returns the identity that a request is sent for: the server's as it is
-// known here, where that is newer than the sender's, or the sender's.
+// known here, since that is newer than the sender's, or else the sender's.
 func (in *Inbound) expected(r *slatewindv1.Reservation) string {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -90,7 +91,8 @@
 	return r.GetServer()
 }
 
-// refuses returns why the server may not get a request now, or nil.
+// refuses returns why the server may not get a request now, or nil. The lock is
+// held.
 func (in *Inbound) refuses(now time.Time, r *slatewindv1.Reservation) *slatewindv1.Refusal {
 	switch {
 	case r.GetService() != in.server.Service:
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -19,10 +19,12 @@
 	stream      link.UseStream
 	reservation *slatewindv1.Reservation
 	item        admission.Item
-	deadline    time.Time
-	granted     time.Time
+	// deadline is the end of the request's time, granted when its slot was.
+	deadline time.Time
+	granted  time.Time
 }
 
+// serve takes the reservation through its steps. The error concerns the stream.
 func (u *use) serve() error {
 	granted, err := u.reserve()
 	if !granted || err != nil {
@@ -121,6 +123,8 @@
 	return u.sendRefusal(refusal)
 }
 
+// refuseFull passes on that no slot was free, or that none will be since the
+// server is leaving.
 func (u *use) refuseFull(d admission.Decision) error {
 	cause := CauseFull
 	u.in.mu.Lock()
@@ -160,6 +164,7 @@
 	}
 }
 
+// read reads the request and its body from the stream.
 func (u *use) read() (*slatewindv1.SlotRequest, []byte, error) {
 	message, err := u.stream.Recv()
 	if err != nil {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -24,7 +24,7 @@
 	PlatformStale PlatformMode = "stale"
 	// PlatformSlow answers late.
 	PlatformSlow PlatformMode = "slow"
-	// PlatformBusy turns every call away.
+	// PlatformBusy answers every call with status 429.
 	PlatformBusy PlatformMode = "busy"
 )
 
@@ -84,7 +84,7 @@
 	return p.revision
 }
 
-// Compact forgets the history; watches from before get 410.
+// Compact forgets the history; watches from before get status 410.
 func (p *Platform) Compact() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/link/headers.go
+++ b/link/headers.go
@@ -7,8 +7,8 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 )
 
-// HopByHop lists the header fields that concern one connection only (RFC 9110,
-// section 7.6.1).
+// HopByHop lists the header fields, by their canonical names, that concern one
+// connection only (RFC 9110, section 7.6.1).
 var HopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
--- a/link/link.go
+++ b/link/link.go
@@ -4,6 +4,9 @@
 // towards a peer is known exactly, from the moment the transport takes its
 // header; if not, the request is proved not to have run. And a reply counts
 // only if it belongs to the attempt, has its stated length and its checksum.
+//
+// Reservations of slots, and what they carry, go over one stream each (Use);
+// what the platform published goes from process to process by Since.
 package link
 
 import (
--- a/link/news.go
+++ b/link/news.go
@@ -8,8 +8,8 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 )
 
-// Since asks the process at an address what changed after a revision of the
-// store. version is that of the settings that the caller has.
+// Since asks the process at an IP:port address what changed after a revision of
+// the store. version is that of the settings that the caller has.
 func (p *Pool) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
 	reply, err := call(ctx, p, address, &slatewindv1.SinceRequest{Revision: after, Version: version}, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Since)
 	if err != nil {
@@ -33,6 +33,8 @@
 // NewsServer passes on what a process knows of the store.
 type NewsServer struct {
 	slatewindv1.UnimplementedNewsServer
+	// Known returns what changed after a revision of the store, for a process
+	// that has the given version of the settings.
 	Known func(after, version uint64) slatewind.Publication
 }
 
--- a/link/use.go
+++ b/link/use.go
@@ -9,9 +9,9 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 )
 
-// Use is the ingress's end of one reservation. Its context ends it: a slot that
-// is held is given back, and a reservation that was never followed by a request
-// proves that nothing ran.
+// Use is the ingress's end of one reservation. It ends with the context that it
+// was begun with: a slot that is held is given back, and a reservation that was
+// never followed by a request proves that nothing ran.
 type Use interface {
 	Send(*slatewindv1.UseRequest) error
 	// Recv returns io.EOF after the last part.
@@ -25,7 +25,8 @@
 	Recv() (*slatewindv1.UseRequest, error)
 }
 
-// Use begins a reservation at the process at an address.
+// Use opens a stream for a reservation to the process at an IP:port address. The
+// caller ends it through ctx.
 func (p *Pool) Use(ctx context.Context, address string) (Use, error) {
 	conn, err := p.conn(address)
 	if err != nil {
@@ -39,7 +40,7 @@
 }
 
 // LocalUse begins a reservation at this process's own server: the same messages
-// without a connection.
+// without a connection. serve runs until it returns or ctx ends its stream.
 func LocalUse(ctx context.Context, serve func(UseStream) error) Use {
 	l := &localUse{
 		ctx:      ctx,
@@ -117,6 +118,7 @@
 // SlotsServer serves reservations to other processes.
 type SlotsServer struct {
 	slatewindv1.UnimplementedSlotsServer
+	// Serve handles one reservation until its end.
 	Serve func(UseStream) error
 }
 
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -21,7 +21,7 @@
 	// first slot, and the others go to the next in their queues.
 	maxQueued = 3
 	// firstPause is the pause before the servers are asked anew; it doubles up
-	// to maxPause.
+	// to maxPause. Asking them every 40 ms filled the network under overload.
 	firstPause = 20 * time.Millisecond
 	maxPause   = 80 * time.Millisecond
 	// patienceShare is the share of a request's time that it may wait for a
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -15,7 +15,8 @@
 	// answerSlack is how long after a request's time a server's own answer may
 	// still come.
 	answerSlack = 150 * time.Millisecond
-	// defaultAttempts counts where a route does not state its attempts.
+	// defaultAttempts is the number of attempts where a route states none, the
+	// first included.
 	defaultAttempts = 2
 	// hedgeShare is the share of its objective after which a repeatable request
 	// without an answer is sent to a second server as well.
@@ -67,6 +68,8 @@
 	best *final
 }
 
+// run starts the first attempt, and others after failures or a long wait, until
+// one result is final.
 func (d *dispatch) run() final {
 	d.rq.shard.mu.Lock()
 	d.rq.shard.budget.First()
@@ -93,7 +96,7 @@
 }
 
 // ended is the outcome of a request whose time is over or whose caller left.
-// The attempts end with it, so what became of them is known in a moment.
+// The attempts end with it, so that their results come at once.
 func (d *dispatch) ended() final {
 	for ; d.active > 0; d.active-- {
 		r := <-d.results
@@ -115,7 +118,7 @@
 	return f
 }
 
-// learn notes what a result tells of the request's fate.
+// learn notes whether a server has seen the request and may have run it.
 func (d *dispatch) learn(r result) {
 	if !r.arrived {
 		return
@@ -133,8 +136,8 @@
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, to) }()
 }
 
-// mayTry reports whether the next attempt may be a trial of a server that looks
-// sick: another attempt must be left after it.
+// mayTry reports whether the attempt that begins may be a trial of a server that
+// looks sick: it must be the first, and another attempt must be left after it.
 func (d *dispatch) mayTry() bool {
 	if !d.rq.repeatable() || d.tries > 1 || d.rq.attempts() < 2 {
 		return false
@@ -200,6 +203,7 @@
 	return true
 }
 
+// note counts and writes down an attempt beyond the first.
 func (d *dispatch) note(kind slatewind.DecisionKind, server, reason string) {
 	d.o.meter.Extra(d.rq.service, string(kind))
 	d.o.journal.Add(slatewind.Decision{
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -28,14 +28,16 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("outbound")
 
-// Opener begins reservations at the process beside a server.
+// Opener opens streams for reservations to the process beside a server.
 type Opener interface {
 	Open(ctx context.Context, server slatewind.ServerEntry) (link.Use, error)
 }
 
 // Meter counts what became of requests.
 type Meter interface {
+	// Request counts a request's outcome; route is empty where none was found.
 	Request(route string, outcome slatewind.Outcome, took time.Duration)
+	// Extra counts an attempt beyond the first; why is the kind of decision.
 	Extra(service, why string)
 }
 
@@ -54,7 +56,8 @@
 	Service string
 }
 
-// Outbound is the host of an ingress's decisions.
+// Outbound is an ingress: the http.Handler of the callers on this VM. It is safe
+// for use by several goroutines.
 type Outbound struct {
 	self    Self
 	bounds  Bounds
@@ -67,7 +70,7 @@
 	mu     sync.RWMutex
 	shards map[string]*shard
 	// services says to which service each known server belongs, places which
-	// server stands at an address.
+	// server runs at an address.
 	services map[string]string
 	places   map[string]string
 
@@ -80,7 +83,7 @@
 	lastArrival atomic.Int64
 }
 
-// New returns an ingress that knows no servers yet.
+// New returns an ingress that knows no servers yet. Its settings come from store.
 func New(self Self, bounds Bounds, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, meter Meter) *Outbound {
 	return &Outbound{
 		self: self, bounds: bounds, dialect: dialect, store: store, journal: journal, links: links, meter: meter,
@@ -89,7 +92,7 @@
 }
 
 // Leave begins the drain: callers are told to go elsewhere with their next
-// connection, and requests in flight end in peace.
+// connection, and requests in flight are finished.
 func (o *Outbound) Leave() {
 	o.leaving.Store(true)
 }
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -62,6 +62,7 @@
 	answer *answer
 }
 
+// answer gives a caller the outcome of its request.
 func (o *Outbound) answer(w http.ResponseWriter, rq *request, f final) {
 	if f.outcome == slatewind.OutcomeAnswer {
 		o.passOn(w, rq, f)
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// defaultTimeout counts where neither caller nor route state a time.
+	// defaultTimeout is a request's time where neither caller nor route state one.
 	defaultTimeout = 5 * time.Second
 	// objectivePart of a request's time is its objective where the route states
 	// none: a half.
@@ -33,6 +33,7 @@
 
 // request is one caller's request with all that its decisions need.
 type request struct {
+	// id is the caller's.
 	id       string
 	snapshot *config.Snapshot
 	route    *slatewindv1.Route
@@ -59,6 +60,7 @@
 	return defaultAttempts
 }
 
+// objective returns the time within which the answer has its full worth.
 func (rq *request) objective() time.Duration {
 	if objective := rq.route.GetObjective().AsDuration(); objective > 0 {
 		return objective
@@ -131,6 +133,7 @@
 	return allowed
 }
 
+// readBody reads the caller's body, within the limits of size and time.
 func (rq *request) readBody(w http.ResponseWriter, r *http.Request) error {
 	limit := int64(rq.snapshot.Fleet.GetCallerLimits().GetBodyBytes())
 	if limit <= 0 {
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -20,7 +20,8 @@
 	body []byte
 	// rest reads what follows body where the answer was too long to hold. It
 	// returns io.EOF only after a whole answer.
-	rest  func() ([]byte, error)
+	rest func() ([]byte, error)
+	// close ends the reservation and frees what belongs to the request.
 	close func()
 }
 
@@ -40,7 +41,8 @@
 	return r
 }
 
-// run sends the request to the process that holds a slot for it.
+// run sends the request to the process that holds a slot for it and reads the
+// reply.
 func (o *Outbound) run(rq *request, slot *held) result {
 	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
 	if err := rq.send(slot); err != nil {
@@ -88,6 +90,7 @@
 	return err
 }
 
+// hear takes a server's state that came with a reply, if any did.
 func (o *Outbound) hear(rq *request, slot *held, state *slatewindv1.SlotState) {
 	if state == nil {
 		return
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -35,6 +35,8 @@
 	mostBurst  = 6.0
 )
 
+// newBudget returns the budget of extra attempts of a process in a fleet with so
+// many servers, each with its own process.
 func (o *Outbound) newBudget(servers int) *retry.Budget {
 	burst := budgetShare * float64(o.bounds.RetrySlack) / float64(max(servers, 1))
 	return retry.NewBudget(budgetShare*o.bounds.RetryRatio, min(max(burst, leastBurst), mostBurst))
@@ -68,7 +70,7 @@
 	fleet := len(o.services)
 	o.mu.Unlock()
 	if taken && older != entry.Name && !known {
-		// One server stands at an address: a new one says that the older ended.
+		// One server runs at an address: a new one says that the older ended.
 		o.Remove(older)
 	}
 	if known && before != entry.Service {
@@ -94,6 +96,7 @@
 	}
 }
 
+// remove takes a server out of the choice of its service.
 func (o *Outbound) remove(service, name string) {
 	o.shard(service).update(func(c *choice.Service) { c.Remove(name) })
 }
--- a/publish.go
+++ b/publish.go
@@ -15,13 +15,15 @@
 // ServerEntry is one backend server as it is published.
 type ServerEntry struct {
 	// Name is the identity of one start of a server.
-	Name       string `json:"name"`
-	Service    string `json:"service"`
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	// Address is its IP:port.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
 	// Release is the version of the server's software.
 	Release string `json:"release,omitempty"`
-	Slots   int    `json:"slots"`
+	// Slots is how many requests it runs at once; 0 is unknown.
+	Slots int `json:"slots"`
 	// Leaving servers finish their work and take no more.
 	Leaving bool `json:"leaving,omitempty"`
 	// Warming is how much longer the server is slow after its start.
@@ -30,6 +32,7 @@
 
 // PublishedSettings is one version of the operators' settings.
 type PublishedSettings struct {
+	// Version rises with each change; the highest is in force.
 	Version uint64
 	Fleet   *slatewindv1.Fleet
 }
@@ -49,10 +52,10 @@
 	Whole bool
 	// Relayed publications came from another process.
 	Relayed bool
-	// Cut says that the reader itself cannot reach the platform: it heard this
-	// from others, and servers near it may miss from the list for that alone.
+	// Cut says that the receiver itself cannot reach the platform: it was told by
+	// other processes, and servers near it may be missing for that reason alone.
 	Cut bool
-	// Age is how long ago the platform said so; zero is just now.
+	// Age is how long ago this was the platform's state; zero is just now.
 	Age time.Duration
 	// Findings are entries that could not be read, each with its place.
 	Findings []error
@@ -60,7 +63,7 @@
 
 // Publisher reads what the platform publishes about settings and servers.
 type Publisher interface {
-	// Read returns everything that is published now.
+	// Read returns everything that is published now, as a whole publication.
 	Read(ctx context.Context) (Publication, error)
 	// Changes returns what changed after a revision, as soon as something did
 	// or when wait is over. The error is ErrHistoryGone where a new Read is due.
@@ -79,8 +82,10 @@
 
 // ServerDialect names the header fields between the fleet and a server.
 type ServerDialect struct {
+	// RequestID is the caller's id, in requests and answers.
 	RequestID string
-	Deadline  string
+	// Deadline is the time in milliseconds that is left to the request.
+	Deadline string
 	// Stamp proves that an answer is a server's own.
 	Stamp string
 	// Expect carries the identity of the only server that may run a request.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -19,7 +19,8 @@
 	tokens float64
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a full budget. It grows by ratio with each first attempt, up to
+// burst extra attempts.
 func NewBudget(ratio, burst float64) *Budget {
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
