--- a/outbound/run.go
+++ b/outbound/run.go
@@ -41,35 +41,39 @@
 	return r
 }
 
+// unknownAt is the result of a request that was sent into a slot, as long as
+// nothing more is known of it.
+func unknownAt(slot *held) result {
+	return result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+}
+
 // run sends the request to the process that holds a slot for it and reads the
 // reply.
 func (o *Outbound) run(rq *request, slot *held) result {
-	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+	r := unknownAt(slot)
 	if err := rq.send(slot); err != nil {
 		slot.cancel()
 		r.reason = "the request could not be sent whole: " + err.Error()
 		return r
 	}
 	reply, err := slot.use.Recv()
+	if err == nil && reply.GetHead() != nil {
+		return o.read(rq, slot, reply.GetHead())
+	}
+	slot.cancel()
 	switch {
 	case err != nil:
-		slot.cancel()
 		r.reason = "no reply from the process beside the server: " + err.Error()
 		r.timedOut = errors.Is(err, context.DeadlineExceeded) || time.Now().After(rq.deadline)
-	case reply.GetHead() != nil:
-		return o.read(rq, slot, reply.GetHead())
 	case reply.GetFailure() != nil:
-		slot.cancel()
 		failure := reply.GetFailure()
 		r.outcome, r.reason = slatewind.Outcome(failure.GetOutcome()), failure.GetReason()
 		r.timedOut = time.Now().After(rq.deadline)
 		o.hear(rq, slot, failure.GetState())
 	case reply.GetRefusal() != nil:
-		slot.cancel()
 		r.outcome, r.reason = slatewind.OutcomeNotRun, reply.GetRefusal().GetReason()
 		o.hear(rq, slot, reply.GetRefusal().GetState())
 	default:
-		slot.cancel()
 		r.reason = "a reply that is none"
 	}
 	return r
@@ -103,7 +107,7 @@
 
 // read reads the answer that follows a head.
 func (o *Outbound) read(rq *request, slot *held, head *slatewindv1.AnswerHead) result {
-	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
+	r := unknownAt(slot)
 	sum := xxhash.New()
 	length := int64(0)
 	next := func() ([]byte, error) {
