--- a/backend/backend.go
+++ b/backend/backend.go
@@ -1,31 +1,24 @@
 // Package backend is the HTTP/1.1 client that a process uses for the one server
 // beside it.
 //
-// The language's own client repeats requests by itself when a kept connection
+// The standard library's client repeats requests by itself when a kept connection
 // breaks, and takes whatever comes next on a connection for the answer. Here
 // both must be known exactly: whether anything was sent decides whether a
 // request may go elsewhere, and a server may send surplus answers, which belong
-// to no request. So a connection carries one request at a time, is looked at
-// before it is used again, and an answer with another request's id is passed
-// over.
+// to no request. So a connection carries one request at a time, is checked for
+// unexpected bytes before it is used again, and an answer with another request's
+// id is passed over.
 package backend
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
-
-	"slatewind.example/slatewind"
 )
 
 // Error is the class of errors of this package.
@@ -47,62 +40,23 @@
 	// idleMargin is taken off what it says.
 	idleTime   = 4 * time.Second
 	idleMargin = 1500 * time.Millisecond
-	// maxIdle bounds the kept connections.
+	// maxIdle is how many connections are kept at most.
 	maxIdle = 16
 	// maxSurplus bounds the foreign answers that are passed over on one
 	// connection before it is given up.
 	maxSurplus = 3
-	// bufferBytes is the size of a connection's read buffer.
+	// bufferBytes is the size of a connection's read buffer, in bytes.
 	bufferBytes = 4 << 10
 )
 
-// conn is one connection to the server.
-type conn struct {
-	net.Conn
-	reader *bufio.Reader
-	// expires is when the connection must not be used any more.
-	expires time.Time
-}
-
-// Pool keeps connections to one server.
-type Pool struct {
-	address string
-	dialect slatewind.ServerDialect
-
-	mu   sync.Mutex
-	idle []*conn
-	// opened counts connections.
-	opened uint64
-}
-
-// NewPool returns a pool for the server at an address.
-func NewPool(address string, dialect slatewind.ServerDialect) *Pool {
-	return &Pool{address: address, dialect: dialect}
-}
-
-// Opened returns how many connections were opened so far.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
-// CloseIdle closes the connections that no request uses.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		_ = c.Close()
-	}
-	p.idle = nil
-}
-
-// Answer is a server's answer. Its body must be read to the end or closed.
+// Answer is a server's answer. It must be closed; its connection is kept only if
+// its body was read to the end before.
 type Answer struct {
 	*http.Response
 	pool *Pool
 	conn *conn
-	// stop ends the watch of the request's context.
+	// stop ends the watch of the request's context; it reports false if the
+	// context ended first.
 	stop func() bool
 	// sent is closed once the whole request is written.
 	sent <-chan struct{}
@@ -110,7 +64,9 @@
 }
 
 // Do sends one request. sent is false only if no byte of it was written.
-// A success is returned only with the server's stamp.
+// A success is returned only with the server's stamp. The error is ctx's own
+// where that ended first, ErrNotAnAnswer, ErrCrossed, ErrNoStamp, or one of the
+// network.
 func (p *Pool) Do(ctx context.Context, request *http.Request) (answer *Answer, sent bool, err error) {
 	c, err := p.connection(ctx)
 	if err != nil {
@@ -181,6 +137,8 @@
 	return nil, ErrCrossed
 }
 
+// notAnAnswer adds ErrNotAnAnswer to an error of the protocol; errors of the
+// network stay as they are.
 func notAnAnswer(err error) error {
 	var network net.Error
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
@@ -204,6 +162,7 @@
 	a.pool.keep(a.conn, a.Header)
 }
 
+// mayKeep reports whether the answer's connection can carry another request.
 func (a *Answer) mayKeep() bool {
 	if a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
 		return false
@@ -223,85 +182,3 @@
 		return false
 	}
 }
-
-// connection returns a kept connection or a new one.
-func (p *Pool) connection(ctx context.Context) (*conn, error) {
-	for {
-		c := p.take()
-		if c == nil {
-			break
-		}
-		if time.Now().Before(c.expires) && untouched(c.Conn) {
-			return c, nil
-		}
-		_ = c.Close()
-	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
-}
-
-// take returns the connection that was kept last, or nil.
-func (p *Pool) take() *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
-}
-
-func (p *Pool) keep(c *conn, header http.Header) {
-	c.expires = time.Now().Add(keepTime(header))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) >= maxIdle {
-		_ = c.Close()
-		return
-	}
-	p.idle = append(p.idle, c)
-}
-
-// keepTime returns how long a connection may rest, by the server's Keep-Alive.
-func keepTime(header http.Header) time.Duration {
-	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !found {
-			continue
-		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
-		}
-	}
-	return idleTime
-}
-
-// untouched reports whether nothing arrived on an idle connection, neither
-// bytes, which would belong to no request, nor its end.
-func untouched(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = control.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, readErr := syscall.Read(int(descriptor), one[:])
-		quiet = errors.Is(readErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,5 +1,6 @@
 // Package daemon puts the parts of a slatewindd process together, starts them
-// and drains them at the end.
+// and drains them at the end. Where the platform's store lists the servers, the
+// process is a Node, otherwise a Process.
 package daemon
 
 import (
@@ -40,6 +41,9 @@
 const (
 	// StopTimeout bounds a planned stop; routes' timeouts lie far below it.
 	StopTimeout = 60 * time.Second
+	// stopMargin is how much longer the wiring waits, so that the process's own
+	// bound ends a stop and not the wiring's.
+	stopMargin = 5 * time.Second
 	// drainPoll is how often a draining process looks whether work is left.
 	drainPoll = 20 * time.Millisecond
 	// drainNotice is how long a draining process stays after its last work, so
@@ -51,26 +55,33 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// Options returns the wiring of a process with the given settings.
+// Options returns the wiring of a process with the given settings: of a Node
+// where they name the platform's store, otherwise of a Process.
 func Options(process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	if process.GetStore() != nil {
 		return nodeOptions(process, logger)
 	}
+	return fx.Options(
+		commonOptions(process, logger),
+		fx.Provide(newJournal, newProcess),
+		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
+			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
+		}),
+	)
+}
+
+// commonOptions returns the wiring that a process and a node share.
+func commonOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
 		fx.NopLogger,
-		fx.StopTimeout(StopTimeout+5*time.Second),
+		fx.StopTimeout(StopTimeout+stopMargin),
 		fx.Supply(process, logger),
 		fx.Provide(
 			metrics.New,
-			newJournal,
 			func(j *history.Journal) *config.Store { return config.NewStore(j) },
 			timer.New,
 			link.NewPool,
-			newProcess,
 		),
-		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
-			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
-		}),
 	)
 }
 
--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"slatewind.example/slatewind"
 )
 
 const (
@@ -16,12 +18,16 @@
 	// logReserve of it is kept for lines about requests that failed, were
 	// refused or were sent again; all others are left out before them.
 	logReserve = 1024
-	// logReport is how often the number of lines that were left out is told.
+	// logReport is how often the number of lines that were left out is logged.
 	logReport = time.Second
 )
 
-// lastLeftOut marks the lines that are left out last.
-var lastLeftOut = [][]byte{[]byte("kind=refuse"), []byte("kind=unknown"), []byte("kind=retry"), []byte("kind=hedge")}
+// lastLeftOut marks the lines that are left out last, by the key and value that
+// newNodeHistory writes.
+var lastLeftOut = [][]byte{
+	[]byte("kind=" + slatewind.DecisionRefuse), []byte("kind=" + slatewind.DecisionUnknown),
+	[]byte("kind=" + slatewind.DecisionRetry), []byte("kind=" + slatewind.DecisionHedge),
+}
 
 // LogWriter hands lines to a reader that may be slow or stand still. Writing to
 // it never waits: what does not fit is left out and counted.
@@ -30,7 +36,8 @@
 	ended chan struct{}
 
 	mu sync.Mutex
-	// leftOut counts lines, urgent those that are left out last.
+	// leftOut counts the lines left out since the last report, urgent those of
+	// them that are left out last.
 	leftOut, urgent int
 }
 
@@ -56,6 +63,7 @@
 	return len(line), nil
 }
 
+// isUrgent reports whether a line is one of those that are left out last.
 func isUrgent(line []byte) bool {
 	for _, mark := range lastLeftOut {
 		if bytes.Contains(line, mark) {
@@ -65,6 +73,7 @@
 	return false
 }
 
+// leaveOut counts a line that is left out.
 func (w *LogWriter) leaveOut(urgent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -118,6 +127,7 @@
 	}
 }
 
+// report writes how many lines were left out since the last report, if any.
 func (w *LogWriter) report(out io.Writer) {
 	w.mu.Lock()
 	leftOut, urgent := w.leftOut, w.urgent
--- a/discovery/reader.go
+++ b/discovery/reader.go
@@ -3,7 +3,8 @@
 //
 // There are two ways. A Reader serves the product's own YAML file and list of
 // VMs: a few processes read, the others hear of it by gossip. A Watcher follows
-// the servers that record themselves in the platform's store.
+// the servers that record themselves in the platform's store, through a Share,
+// with which a few processes of each data centre read for all.
 package discovery
 
 import (
@@ -73,7 +74,7 @@
 		if first || r.views.MayRead(time.Now()) {
 			err := look(ctx)
 			if err != nil {
-				wait = backoff/2 + rand.N(backoff)
+				wait = spread(backoff)
 				backoff = min(2*backoff, maxBackoff)
 			} else {
 				backoff = minBackoff
@@ -84,6 +85,13 @@
 	}
 }
 
+// spread returns a random time from half of d to one and a half of it, so that
+// processes which failed together do not all call again at once.
+func spread(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -93,6 +101,7 @@
 	}
 }
 
+// watch waits for a change of the operators' file.
 func (r *Reader) watch(ctx context.Context) error {
 	file, err := r.config.Watch(ctx, r.revision)
 	r.meter.PlatformCall("settings", err)
@@ -108,6 +117,7 @@
 	return nil
 }
 
+// list reads the VM list.
 func (r *Reader) list(ctx context.Context) error {
 	vms, err := r.vms.List(ctx)
 	r.meter.PlatformCall("vms", err)
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/timer"
 )
 
 const (
@@ -28,12 +26,12 @@
 	// lapseTime is how long after an outage servers may write their entries
 	// anew before they count as gone: a heartbeat of theirs.
 	lapseTime = 1500 * time.Millisecond
-	// maxRemoved bounds how many removed servers are remembered for others;
-	// whoever lacks more is told everything.
+	// maxRemoved bounds how many removed servers are remembered for peers; one
+	// that asks for changes from before them gets everything.
 	maxRemoved = 1024
 )
 
-// Sink takes what a watcher hears.
+// Sink takes what a watcher learns. Its methods are called one after the other.
 type Sink interface {
 	// Settings offers settings; older ones are ignored.
 	Settings(now time.Time, settings *slatewind.PublishedSettings)
@@ -47,19 +45,15 @@
 	Reach(now time.Time, reached bool, cause error)
 }
 
-// known is an entry with the revision at which it was heard of.
-type known struct {
-	slatewind.ServerEntry
-	revision uint64
-}
-
 // Watcher follows a publisher. It keeps what was published, to tell changes and
 // to pass the news on.
 type Watcher struct {
 	source slatewind.Publisher
 	sink   Sink
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// revision is the store's up to which everything is known, seen when the store
+	// last said so, be it to a peer.
 	revision uint64
 	seen     time.Time
 	settings *slatewind.PublishedSettings
@@ -84,7 +78,7 @@
 }
 
 // Start follows the publisher until ctx ends.
-func (w *Watcher) Start(ctx context.Context, _ *timer.Service) {
+func (w *Watcher) Start(ctx context.Context) {
 	go w.loop(ctx)
 }
 
@@ -102,12 +96,13 @@
 		case errors.Is(err, slatewind.ErrHistoryGone):
 			w.readAnew()
 		default:
-			sleep(ctx, retry/2+rand.N(retry))
+			sleep(ctx, spread(retry))
 			retry = min(2*retry, maxRetry)
 		}
 	}
 }
 
+// paceOf returns the least time between two calls.
 func paceOf(relayed bool) time.Duration {
 	if relayed {
 		return peerPace
@@ -115,10 +110,11 @@
 	return storePace
 }
 
-// rest pauses between two calls, and lets go on the way what was waited for.
+// rest pauses between two calls, and meanwhile lets servers go whose time for a
+// new entry after an outage ends.
 func (w *Watcher) rest(ctx context.Context, pause time.Duration) {
 	end := time.Now().Add(pause)
-	if wait, pending := w.pending(); pending && wait < pause {
+	if wait, waiting := w.lapseEnds(); waiting && wait < pause {
 		sleep(ctx, wait)
 		w.mu.Lock()
 		w.expire(time.Now())
@@ -127,8 +123,9 @@
 	sleep(ctx, time.Until(end))
 }
 
-// pending returns when entries that vanished during an outage count as gone.
-func (w *Watcher) pending() (wait time.Duration, pending bool) {
+// lapseEnds returns when entries that vanished during an outage count as gone,
+// if there are any.
+func (w *Watcher) lapseEnds() (wait time.Duration, waiting bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return time.Until(w.regained.Add(lapseTime)), !w.lost && len(w.lapsed) > 0
@@ -173,12 +170,14 @@
 // errCut: others reach the store, this process does not.
 var errCut = Error.New("only other processes reach the store")
 
+// readAnew makes the next call read everything.
 func (w *Watcher) readAnew() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.revision = 0
 }
 
+// reached notes that the store can be reached. The lock is held.
 func (w *Watcher) reached(now time.Time) {
 	if !w.lost {
 		return
@@ -188,139 +187,10 @@
 	w.sink.Reach(now, true, nil)
 }
 
+// failed notes that the store cannot be reached. The lock is held.
 func (w *Watcher) failed(now time.Time, err error) {
 	if !w.lost {
 		w.sink.Reach(now, false, err)
 	}
 	w.lost = true
 }
-
-// take takes a publication. Servers that a whole one lacks are gone.
-func (w *Watcher) take(now time.Time, p slatewind.Publication) {
-	for _, finding := range p.Findings {
-		w.sink.Finding(now, finding)
-	}
-	if p.Settings != nil && (w.settings == nil || p.Settings.Version > w.settings.Version) {
-		w.settings = p.Settings
-		w.sink.Settings(now, p.Settings)
-	}
-	if p.Whole {
-		w.removeOthers(now, p)
-	}
-	for _, name := range p.Removed {
-		w.vanished(now, name, p.Revision)
-	}
-	for _, entry := range p.Servers {
-		delete(w.lapsed, entry.Name)
-		if before, ok := w.servers[entry.Name]; ok && before.ServerEntry == entry {
-			continue
-		}
-		w.servers[entry.Name] = known{entry, p.Revision}
-		delete(w.removed, entry.Name)
-		w.sink.Server(now, entry)
-	}
-	w.revision = max(w.revision, p.Revision)
-	if seen := now.Add(-p.Age); seen.After(w.seen) {
-		w.seen = seen
-	}
-}
-
-func (w *Watcher) removeOthers(now time.Time, all slatewind.Publication) {
-	listed := make(map[string]bool, len(all.Servers))
-	for _, entry := range all.Servers {
-		listed[entry.Name] = true
-	}
-	for name := range w.servers {
-		if !listed[name] {
-			w.vanished(now, name, all.Revision)
-		}
-	}
-}
-
-// vanished handles an entry that is no longer there. Entries run out while the
-// store is away although their servers are well, so after an outage a server
-// may come back for a moment; otherwise it is gone at once.
-func (w *Watcher) vanished(now time.Time, name string, revision uint64) {
-	if _, ok := w.servers[name]; !ok {
-		return
-	}
-	if w.lost || now.Before(w.regained.Add(lapseTime)) {
-		w.lapsed[name] = true
-		return
-	}
-	w.gone(now, name, revision)
-}
-
-func (w *Watcher) gone(now time.Time, name string, revision uint64) {
-	delete(w.servers, name)
-	delete(w.lapsed, name)
-	if len(w.removed) >= maxRemoved {
-		clear(w.removed)
-		w.forgotten = revision
-	}
-	w.removed[name] = revision
-	w.sink.ServerGone(now, name)
-}
-
-// expire ends the waiting for entries that did not come back. While the store
-// is away nobody can write, so the waiting goes on.
-func (w *Watcher) expire(now time.Time) {
-	if w.lost || now.Before(w.regained.Add(lapseTime)) {
-		return
-	}
-	for name := range w.lapsed {
-		// Others may know the revision already, so that they hear of this only
-		// as part of everything.
-		w.forgotten = w.revision
-		w.gone(now, name, w.revision)
-	}
-}
-
-// Since returns what changed after a revision, for another process. version is
-// that of its settings.
-func (w *Watcher) Since(after, version uint64) slatewind.Publication {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.revision == 0 {
-		return slatewind.Publication{}
-	}
-	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten}
-	if w.settings != nil && w.settings.Version > version {
-		p.Settings = w.settings
-	}
-	for _, server := range w.servers {
-		if p.Whole || server.revision > after {
-			p.Servers = append(p.Servers, server.ServerEntry)
-		}
-	}
-	for name, revision := range w.removed {
-		if !p.Whole && revision > after {
-			p.Removed = append(p.Removed, name)
-		}
-	}
-	return p
-}
-
-// Version returns the version of the newest settings, or 0.
-func (w *Watcher) Version() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.settings == nil {
-		return 0
-	}
-	return w.settings.Version
-}
-
-// Peers returns the addresses of the servers in a data centre, or everywhere
-// where it is empty.
-func (w *Watcher) Peers(dataCentre string) []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	addresses := make([]string, 0, len(w.servers))
-	for _, server := range w.servers {
-		if dataCentre == "" || server.DataCentre == dataCentre {
-			addresses = append(addresses, server.Address)
-		}
-	}
-	return addresses
-}
--- a/link/link.go
+++ b/link/link.go
@@ -4,6 +4,9 @@
 // towards a peer is known exactly, from the moment the transport takes its
 // header; if not, the request is proved not to have run. And a reply counts
 // only if it belongs to the attempt, has its stated length and its checksum.
+//
+// Reservations of slots, and what they carry, go over one stream each (Use);
+// what the platform published goes from process to process by Since.
 package link
 
 import (
@@ -41,6 +44,10 @@
 // answers are passed on while they come and are cut short visibly on failure.
 const MaxHeld = 1 << 20
 
+// ChunkBytes is the size of the parts in which the bodies of a reservation's
+// request and answer travel.
+const ChunkBytes = 64 << 10
+
 // MaxMessage bounds one message between processes.
 const MaxMessage = 8 << 20
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -4,15 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
-	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
 )
 
@@ -20,28 +15,14 @@
 	// answerSlack is how long after a request's time a server's own answer may
 	// still come.
 	answerSlack = 150 * time.Millisecond
-	// heldBytes is how much of an answer is held until it is whole. Longer ones
-	// are passed on while they come and are cut short visibly on failure.
-	heldBytes = 1 << 20
-	// chunkBytes is the size of the parts in which a request's body travels.
-	chunkBytes = 64 << 10
-	// defaultAttempts counts where a route does not state its attempts.
+	// defaultAttempts is the number of attempts where a route states none, the
+	// first included.
 	defaultAttempts = 2
 	// hedgeShare is the share of its objective after which a repeatable request
 	// without an answer is sent to a second server as well.
 	hedgeShare = 0.75
 )
 
-// answer is a server's answer.
-type answer struct {
-	head *slatewindv1.AnswerHead
-	body []byte
-	// rest reads what follows body where the answer was too long to hold. It
-	// returns io.EOF only after a whole answer.
-	rest  func() ([]byte, error)
-	close func()
-}
-
 // result is what became of one attempt.
 type result struct {
 	final
@@ -87,6 +68,8 @@
 	best *final
 }
 
+// run starts the first attempt, and others after failures or a long wait, until
+// one result is final.
 func (d *dispatch) run() final {
 	d.rq.shard.mu.Lock()
 	d.rq.shard.budget.First()
@@ -113,7 +96,7 @@
 }
 
 // ended is the outcome of a request whose time is over or whose caller left.
-// The attempts end with it, so what became of them is known in a moment.
+// The attempts end with it, so that their results come at once.
 func (d *dispatch) ended() final {
 	for ; d.active > 0; d.active-- {
 		r := <-d.results
@@ -135,7 +118,7 @@
 	return f
 }
 
-// learn notes what a result tells of the request's fate.
+// learn notes whether a server has seen the request and may have run it.
 func (d *dispatch) learn(r result) {
 	if !r.arrived {
 		return
@@ -153,8 +136,8 @@
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, to) }()
 }
 
-// mayTry reports whether the next attempt may be a trial of a server that looks
-// sick: another attempt must be left after it.
+// mayTry reports whether the attempt that begins may be a trial of a server that
+// looks sick: it must be the first, and another attempt must be left after it.
 func (d *dispatch) mayTry() bool {
 	if !d.rq.repeatable() || d.tries > 1 || d.rq.attempts() < 2 {
 		return false
@@ -177,7 +160,7 @@
 // take handles the result of one attempt; done says that f is final.
 func (d *dispatch) take(r result) (f final, done bool) {
 	d.learn(r)
-	failed := r.answer != nil && r.answer.head.GetStatus() >= http.StatusInternalServerError
+	failed := r.answer != nil && r.answer.head.GetStatus() >= slatewind.FirstServerError
 	switch {
 	case r.answer != nil && !failed:
 		return r.final, true
@@ -220,6 +203,7 @@
 	return true
 }
 
+// note counts and writes down an attempt beyond the first.
 func (d *dispatch) note(kind slatewind.DecisionKind, server, reason string) {
 	d.o.meter.Extra(d.rq.service, string(kind))
 	d.o.journal.Add(slatewind.Decision{
@@ -227,120 +211,3 @@
 		Evidence: fmt.Sprintf("route=%s after=%s arrivals=%d", d.rq.route.GetName(), time.Since(d.rq.began).Round(time.Millisecond), d.arrivals),
 	})
 }
-
-// attempt looks for a slot and runs the request in it.
-func (o *Outbound) attempt(ctx context.Context, rq *request, to aim) result {
-	slot, refused := o.acquire(ctx, rq, to, rq.patience(time.Now()))
-	if slot == nil {
-		return result{final: *refused}
-	}
-	r := o.run(rq, slot)
-	rq.shard.mu.Lock()
-	defer rq.shard.mu.Unlock()
-	rq.shard.choice.Ended(slot.server.Name)
-	if r.answer != nil && r.answer.head.GetStatus() < http.StatusInternalServerError {
-		rq.shard.choice.Succeeded(time.Now(), slot.server.Name)
-	}
-	return r
-}
-
-// run sends the request to the process that holds a slot for it.
-func (o *Outbound) run(rq *request, slot *held) result {
-	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
-	if err := rq.send(slot); err != nil {
-		slot.cancel()
-		r.reason = "the request could not be sent whole: " + err.Error()
-		return r
-	}
-	reply, err := slot.use.Recv()
-	switch {
-	case err != nil:
-		slot.cancel()
-		r.reason = "no reply from the process beside the server: " + err.Error()
-		r.timedOut = errors.Is(err, context.DeadlineExceeded) || time.Now().After(rq.deadline)
-	case reply.GetHead() != nil:
-		return o.read(rq, slot, reply.GetHead())
-	case reply.GetFailure() != nil:
-		slot.cancel()
-		failure := reply.GetFailure()
-		r.outcome, r.reason = slatewind.Outcome(failure.GetOutcome()), failure.GetReason()
-		r.timedOut = time.Now().After(rq.deadline)
-		o.hear(rq, slot, failure.GetState())
-	case reply.GetRefusal() != nil:
-		slot.cancel()
-		r.outcome, r.reason = slatewind.OutcomeNotRun, reply.GetRefusal().GetReason()
-		o.hear(rq, slot, reply.GetRefusal().GetState())
-	default:
-		slot.cancel()
-		r.reason = "a reply that is none"
-	}
-	return r
-}
-
-// send sends the request and its body.
-func (rq *request) send(slot *held) error {
-	first := rq.body[:min(len(rq.body), chunkBytes)]
-	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-		RemainingNanos: int64(rq.remaining(time.Now())), Method: rq.method, Target: rq.target, Host: rq.host,
-		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
-	}}})
-	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
-		n := min(len(rest), chunkBytes)
-		err = slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Chunk{Chunk: rest[:n]}})
-		rest = rest[n:]
-	}
-	return err
-}
-
-func (o *Outbound) hear(rq *request, slot *held, state *slatewindv1.SlotState) {
-	if state == nil {
-		return
-	}
-	rq.shard.mu.Lock()
-	defer rq.shard.mu.Unlock()
-	rq.shard.choice.Heard(time.Now(), slot.server.Name, toldOf(state))
-}
-
-// errBroken: an answer ended early, or its length or checksum is wrong.
-var errBroken = Error.New("the answer is not whole")
-
-// read reads the answer that follows a head.
-func (o *Outbound) read(rq *request, slot *held, head *slatewindv1.AnswerHead) result {
-	r := result{final: final{outcome: slatewind.OutcomeUnknown, server: slot.server.Name}, arrived: true}
-	sum := xxhash.New()
-	length := int64(0)
-	next := func() ([]byte, error) {
-		reply, err := slot.use.Recv()
-		if err != nil {
-			return nil, errors.Join(errBroken, err)
-		}
-		if end := reply.GetEnd(); end != nil {
-			if end.GetLength() != length || end.GetChecksum() != sum.Sum64() {
-				return nil, errBroken
-			}
-			o.hear(rq, slot, end.GetState())
-			return nil, io.EOF
-		}
-		chunk := reply.GetChunk()
-		_, _ = sum.Write(chunk)
-		length += int64(len(chunk))
-		return chunk, nil
-	}
-	a := &answer{head: head, close: slot.cancel}
-	for len(a.body) <= heldBytes {
-		chunk, err := next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, errBroken) {
-			r.outcome, r.answer = slatewind.OutcomeAnswer, a
-			return r
-		}
-		if err != nil {
-			slot.cancel()
-			r.reason = err.Error()
-			return r
-		}
-		a.body = append(a.body, chunk...)
-	}
-	a.rest = next
-	r.outcome, r.answer = slatewind.OutcomeAnswer, a
-	return r
-}
