Keep the budget of extra attempts when servers come

Cause, found in reading: each new server replaced its service's budget with a full one, and a process that had just begun had a full one too, so that rolling restarts could spend the fleet's slack many times. Also: a caller that left during a long answer counted against the server, and a 421 without an identity emptied the name that is known. Change: the burst changes and what was spent stays spent; a new process begins with one extra attempt. TestBudgetOutlivesNewServers failed first (42 extra arrivals of 32 allowed).

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -39,7 +39,12 @@
 		return u.sendAnswer(head, body, nil)
 	}
 	if err := u.sendAnswer(head, body, answer.Body); err != nil {
-		u.end(breaker.ResultBroken, "a long answer broke off")
+		result := breaker.ResultBroken
+		if ctx.Err() != nil || u.stream.Context().Err() != nil {
+			// The sender left; that says nothing of the server.
+			result = breaker.ResultNone
+		}
+		u.end(result, "a long answer broke off")
 		return errors.Join(errBrokenOff, err)
 	}
 	u.end(resultOf(answer.StatusCode), "an error answer")
@@ -56,7 +61,9 @@
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		result = breaker.ResultNone
 		u.in.mu.Lock()
-		u.in.rename(time.Now(), answer.Header.Get(u.in.server.Dialect.Identity))
+		if name := answer.Header.Get(u.in.server.Dialect.Identity); name != "" {
+			u.in.rename(time.Now(), name)
+		}
 		u.in.mu.Unlock()
 	}
 	if time.Now().After(u.deadline) {
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -309,6 +309,23 @@
 	assert.Assert(t, extra > 0 && extra <= requests/5+12, "%d extra arrivals", extra)
 }
 
+// TestBudgetOutlivesNewServers: servers that come one after the other do not fill
+// the budget again.
+func TestBudgetOutlivesNewServers(t *testing.T) {
+	m := newMesh(t, "a", "b", "c", "d", "e")
+	m.setAll(standin.StampedShed)
+	const requests = 100
+	for i := range requests {
+		m.send("GET", "/look/1", fmt.Sprint("id-", i), "", 2*time.Second)
+		if i%10 == 0 {
+			m.Put(time.Now(), slatewind.ServerEntry{Name: fmt.Sprint("new-", i), Service: "other", Address: fmt.Sprint("10.0.0.", i, ":1")})
+			m.Put(time.Now(), slatewind.ServerEntry{Name: fmt.Sprint("elsewhere-", i), Service: "svc", Address: fmt.Sprint("10.0.1.", i, ":1"), DataCentre: "far", Leaving: true})
+		}
+	}
+	extra := m.arrivals() - requests
+	assert.Assert(t, extra <= requests/5+12, "%d extra arrivals", extra)
+}
+
 // TestBeforeSettings: a process without settings says that it cannot serve yet,
 // and never that a route does not exist.
 func TestBeforeSettings(t *testing.T) {
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -35,11 +35,18 @@
 	mostBurst  = 6.0
 )
 
-// newBudget returns the budget of extra attempts of a process in a fleet with so
-// many servers, each with its own process.
-func (o *Outbound) newBudget(servers int) *retry.Budget {
-	burst := budgetShare * float64(o.bounds.RetrySlack) / float64(max(servers, 1))
-	return retry.NewBudget(budgetShare*o.bounds.RetryRatio, min(max(burst, leastBurst), mostBurst))
+// newBudget returns the budget of extra attempts of a process that has just
+// begun. It has little to spend: the process before it on the same VM may have
+// spent its share a moment ago.
+func (o *Outbound) newBudget() *retry.Budget {
+	return retry.NewBudget(budgetShare*o.bounds.RetryRatio, leastBurst)
+}
+
+// burst returns a process's share of the fleet's slack. Each of so many servers
+// has its own process.
+func (o *Outbound) burst(servers int) float64 {
+	share := budgetShare * float64(o.bounds.RetrySlack) / float64(max(servers, 1))
+	return min(max(share, leastBurst), mostBurst)
 }
 
 // shard returns the state of a service, made where it does not exist yet.
@@ -55,7 +62,7 @@
 	if sh := o.shards[service]; sh != nil {
 		return sh
 	}
-	sh = &shard{choice: choice.NewService(o.self.DataCentre, rand.Uint64()), budget: o.newBudget(len(o.services))}
+	sh = &shard{choice: choice.NewService(o.self.DataCentre, rand.Uint64()), budget: o.newBudget()}
 	o.shards[service] = sh
 	return sh
 }
@@ -80,9 +87,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sh.choice.Put(now, entry)
-	if !known {
-		sh.budget = o.newBudget(fleet)
-	}
+	sh.budget.SetBurst(o.burst(fleet))
 }
 
 // Remove forgets a server whose entry is gone.
@@ -90,6 +95,11 @@
 	o.mu.Lock()
 	service, known := o.services[name]
 	delete(o.services, name)
+	for address, at := range o.places {
+		if at == name {
+			delete(o.places, address)
+		}
+	}
 	o.mu.Unlock()
 	if known {
 		o.remove(service, name)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -39,6 +39,13 @@
 	return true
 }
 
+// SetBurst changes how many extra attempts may go in a row. What was spent stays
+// spent.
+func (b *Budget) SetBurst(burst float64) {
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Left reports whether an extra attempt would be allowed now.
 func (b *Budget) Left() bool {
 	return b.tokens >= 1
