--- a/config/node_test.go
+++ b/config/node_test.go
@@ -14,7 +14,7 @@
 
 // TestNodeSettings changes one line of a node's settings and states the finding.
 func TestNodeSettings(t *testing.T) {
-	good, err := os.ReadFile("testdata/node.yaml")
+	good, err := os.ReadFile("testdata/process/node.yaml")
 	assert.NilError(t, err)
 	tests := map[string]struct{ from, to, finding string }{
 		"as the template gives them": {},
