Say in a refusal how many servers refused and why

Change: the reason counts the refusals by cause; a closing breaker says that enough trials succeeded; a state dump says truly whether the process reads the store.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -39,6 +39,7 @@
 	pool     *link.Pool
 	inbound  *inbound.Inbound
 	outbound *outbound.Outbound
+	share    *discovery.Share
 	watcher  *discovery.Watcher
 
 	stopping atomic.Bool
@@ -162,6 +163,6 @@
 	out, in := n.outbound.View(now), n.inbound.View()
 	return admin.State{
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
-		Settings: inForce(n.settings.GetVm(), n.store), Reader: true, Outbound: &out, Inbound: &in,
+		Settings: inForce(n.settings.GetVm(), n.store), Reader: n.share.Reads(), Outbound: &out, Inbound: &in,
 	}
 }
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -53,8 +53,8 @@
 		platform.Callers(), store, j, n, m,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
-	share := discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
-	n.watcher = discovery.NewWatcher(share, n)
-	share.Follow(n.watcher, process.GetDataCentre())
+	n.share = discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
+	n.watcher = discovery.NewWatcher(n.share, n)
+	n.share.Follow(n.watcher, process.GetDataCentre())
 	return n
 }
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,9 @@
 // that answer. Where the readers' answer is old, a process asks the store itself.
 // A Share serves one watcher and is not safe for use by several goroutines.
 type Share struct {
+	// reads says that this process reads the store for its data centre.
+	reads atomic.Bool
+
 	store Store
 	peers Peers
 	// self is the address of the server beside this process. Processes are known
@@ -114,7 +118,9 @@
 func (s *Share) Changes(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
 	now := time.Now()
 	readers := s.readers(now)
-	if slices.Contains(readers, s.self) || len(readers) == 0 {
+	reads := slices.Contains(readers, s.self) || len(readers) == 0
+	s.reads.Store(reads)
+	if reads {
 		return s.direct(ctx, after, wait)
 	}
 	reader := readers[rand.IntN(len(readers))]
@@ -202,3 +208,8 @@
 	}
 	return s.ask(ctx, others[rand.IntN(len(others))], after)
 }
+
+// Reads reports whether this process reads the store for its data centre.
+func (s *Share) Reads() bool {
+	return s.reads.Load()
+}
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	watchers map[string]*Watcher
 	sinks    map[string]*heardBy
+	shares   map[string]*Share
 	// cut processes do not reach the store, frozen ones do not answer.
 	cut, frozen map[string]bool
 	calls       map[string]int
@@ -75,7 +76,7 @@
 
 func newFleet(ctx context.Context, n int) *fleet {
 	f := &fleet{
-		watchers: map[string]*Watcher{}, sinks: map[string]*heardBy{}, cut: map[string]bool{}, frozen: map[string]bool{},
+		watchers: map[string]*Watcher{}, sinks: map[string]*heardBy{}, shares: map[string]*Share{}, cut: map[string]bool{}, frozen: map[string]bool{},
 		calls: map[string]int{}, published: slatewind.Publication{Revision: 1},
 	}
 	for i := range n {
@@ -91,6 +92,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	share := NewShare(storeOf{f, self}, f, self, seeds)
+	f.shares[self] = share
 	f.sinks[self] = &heardBy{servers: map[string]bool{}}
 	f.watchers[self] = NewWatcher(share, f.sinks[self])
 	share.Follow(f.watchers[self], "")
@@ -144,6 +146,9 @@
 	tests := map[string]func(t *testing.T, ctx context.Context, f *fleet){
 		"two read for all": func(t *testing.T, _ context.Context, f *fleet) {
 			assert.Equal(t, len(f.called()), Readers)
+			for name, share := range f.shares {
+				assert.Equal(t, share.Reads(), slices.Contains(f.called(), name), name)
+			}
 		},
 		"all hear of settings in time": func(t *testing.T, _ context.Context, f *fleet) {
 			f.publishVersion(3)
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -32,11 +32,12 @@
 	return slatewind.ServerHealthy
 }
 
-// noteBreaker writes down that the judgement changed. The lock is held.
+// noteBreaker writes down that the judgement changed; why is for a breaker that
+// opened. The lock is held.
 func (in *Inbound) noteBreaker(now time.Time, why string) {
-	kind := slatewind.DecisionReturn
-	if in.breaker.State() != breaker.StateClosed {
-		kind = slatewind.DecisionEject
+	kind := slatewind.DecisionEject
+	if in.breaker.State() == breaker.StateClosed {
+		kind, why = slatewind.DecisionReturn, "enough trials succeeded"
 	}
 	in.journal.Add(slatewind.Decision{
 		Time: now, Kind: kind, Service: in.server.Service, Server: in.name,
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/choice"
+	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
 )
 
@@ -67,7 +69,9 @@
 	newest *pending
 	// last says why the newest refused reservation was, and lastServer by which
 	// server; retryAfter is the least time after which a slot may be free.
-	last       string
+	last string
+	// refusals counts the refused reservations by their cause.
+	refusals   map[inbound.Cause]int
 	lastServer string
 	retryAfter time.Duration
 }
@@ -83,7 +87,7 @@
 // acquire looks for a slot for a request until a time. Where there is none, the
 // outcome says why.
 func (o *Outbound) acquire(ctx context.Context, rq *request, aim aim, until time.Time) (*held, *final) {
-	s := &search{o: o, rq: rq, aim: aim, until: until, ctx: ctx, open: map[*pending]bool{}, last: "no server of the service is known"}
+	s := &search{o: o, rq: rq, aim: aim, until: until, ctx: ctx, open: map[*pending]bool{}, refusals: map[inbound.Cause]int{}, last: "no server of the service is known"}
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
 	defer patience.Stop()
@@ -112,9 +116,19 @@
 	}
 }
 
+// reason says why the search found no slot: the newest refusal, and how many
+// there were of each cause.
+func (s *search) reason() string {
+	if len(s.refusals) == 0 {
+		return s.last
+	}
+	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d moved)", s.last,
+		s.refusals[inbound.CauseFull], s.refusals[inbound.CauseSick], s.refusals[inbound.CauseLeaving], s.refusals[inbound.CauseMoved])
+}
+
 // refusal is the outcome of a search without a slot.
 func (s *search) refusal() *final {
-	return &final{outcome: slatewind.OutcomeNotRun, reason: s.last, server: s.lastServer, retryAfter: s.retryAfter}
+	return &final{outcome: slatewind.OutcomeNotRun, reason: s.reason(), server: s.lastServer, retryAfter: s.retryAfter}
 }
 
 // begin starts a round: all servers are asked in the order of their cost.
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -119,6 +119,7 @@
 	s.end(e.of)
 	refusal := e.reply.GetRefusal()
 	name := e.of.server.Name
+	s.refusals[inbound.Cause(refusal.GetCause())]++
 	s.last, s.lastServer = fmt.Sprintf("%s: %s", refusal.GetCause(), refusal.GetReason()), name
 	if after := time.Duration(refusal.GetRetryAfterNanos()); after > 0 && (s.retryAfter == 0 || after < s.retryAfter) {
 		s.retryAfter = after
