Take a slack of retries with a fraction

A deployment with a fraction among its bounds would have had no process at all. Ruled out: the template; it passes the figure on as it is given. Change: retry_slack and reads_per_second are doubles; a slack below zero is a finding (SW1014). TestNodeSettings has the three cases; they failed before.

--- a/config/check.go
+++ b/config/check.go
@@ -39,7 +39,7 @@
 	{"SW1011", "No two routes match the same requests", "Which of them counted would depend on the order of the file.", "0.1"},
 	{"SW1012", "Path prefixes begin with a slash", "Request paths do, so nothing would ever match.", "0.1"},
 	{"SW1013", "A route's largest body fits into a message between processes", "A larger one would be accepted from the caller and could not be passed on.", "0.1"},
-	{"SW1014", "Extra attempts are bounded by a ratio from 0 to 1", "A ratio above 1 would let retries more than double the load of sick servers.", "0.2"},
+	{"SW1014", "Extra attempts are bounded by a ratio from 0 to 1 and a slack from 0", "A ratio above 1 would let retries more than double the load of sick servers.", "0.2"},
 }
 
 // MaxBodyBytes is the largest request body that fits into a message between
@@ -241,6 +241,9 @@
 	if ratio := bounds.GetRetryRatio(); ratio < 0 || ratio > 1 {
 		c.add("SW1014", fmt.Sprintf("retry_ratio %g is outside 0 to 1", ratio), "bounds", "retry_ratio")
 	}
+	if slack := bounds.GetRetrySlack(); slack < 0 {
+		c.add("SW1014", fmt.Sprintf("retry_slack %g is below 0", slack), "bounds", "retry_slack")
+	}
 }
 
 // Defaults of the operators' file. The caution defaults come from the curve in
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -23,6 +23,9 @@
 		"a server without a service": {`service: "vitrine"`, `service: ""`, `the local server names no service (SW1004)`},
 		"a ratio above one":          {"retry_ratio: 0.2", "retry_ratio: 2", `retry_ratio 2 is outside 0 to 1 (SW1014)`},
 		"no time to stop":            {"grace: 6s", "grace: 0s", "time 0s is not positive (SW1009)"},
+		"a slack with a fraction":    {"retry_slack: 56", "retry_slack: 56.25", ""},
+		"reads with a fraction":      {"reads_per_second: 2000", "reads_per_second: 133.3", ""},
+		"a slack below zero":         {"retry_slack: 56", "retry_slack: -1", "retry_slack -1 is below 0 (SW1014)"},
 		"a misspelt field":           {"retry_slack", "retry_slak", "(SW1002)"},
 	}
 	for name, test := range tests {
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -49,7 +49,7 @@
 	}, j)
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: int(process.GetBounds().GetRetrySlack())},
+		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: process.GetBounds().GetRetrySlack()},
 		platform.Callers(), store, j, n, m,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -46,7 +46,7 @@
 	// RetryRatio is how many extra attempts the fleet may make for each first.
 	RetryRatio float64
 	// RetrySlack is how many more the fleet may make in a window.
-	RetrySlack int
+	RetrySlack float64
 }
 
 // Self says where an ingress stands.
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -45,7 +45,7 @@
 // burst returns a process's share of the fleet's slack. Each of so many servers
 // has its own process.
 func (o *Outbound) burst(servers int) float64 {
-	share := budgetShare * float64(o.bounds.RetrySlack) / float64(max(servers, 1))
+	share := budgetShare * o.bounds.RetrySlack / float64(max(servers, 1))
 	return min(max(share, leastBurst), mostBurst)
 }
 
