Keep large requests near, and ask further while they wait

Change: the surcharge grows with the bytes that a route's requests and answers have, as this ingress has seen them. A search that waits at three servers asks three more after 0.15 of the request's objective, so that waiting near does not end in a refusal while slots elsewhere are free. Rounds after the first may wait at three servers again; the count of the first round stood in their way. Tests: two cases of TestOrder; TestWaitsNearThenAsksFar ends in a refusal after 20 s where a search does not ask further. Conclusion: what is large is worth a short wait.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -85,19 +85,26 @@
 	delete(s.servers, name)
 }
 
-// Order returns the servers that may get a request, cheapest first. ask says
-// what kind of request it is.
-func (s *Service) Order(now time.Time, ask breaker.Ask) []slatewind.ServerEntry {
+// Want says what the request is like that needs a server.
+type Want struct {
+	// Ask says what it may do to servers that look sick.
+	breaker.Ask
+	// Bytes is how many bytes it and its answer are expected to have.
+	Bytes float64
+}
+
+// Order returns the servers that may get a request, cheapest first.
+func (s *Service) Order(now time.Time, want Want) []slatewind.ServerEntry {
 	type priced struct {
 		entry slatewind.ServerEntry
 		cost  float64
 	}
 	list := make([]priced, 0, len(s.servers))
 	for _, server := range s.servers {
-		if !server.worthAsking(now, ask) {
+		if !server.worthAsking(now, want.Ask) {
 			continue
 		}
-		list = append(list, priced{server.ServerEntry, s.cost(now, server, ask) + jitter*s.random.Float64()})
+		list = append(list, priced{server.ServerEntry, s.cost(now, server, want) + jitter*s.random.Float64()})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].cost < list[j].cost })
 	entries := make([]slatewind.ServerEntry, len(list))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -26,6 +26,8 @@
 		hear  func(s *choice.Service)
 		after time.Duration
 		ask   breaker.Ask
+		// bytes is the size of the request and its answer.
+		bytes float64
 		// first is asked before all others; without are not asked.
 		first   string
 		without []string
@@ -38,6 +40,23 @@
 			},
 			first: "far-2",
 		},
+		"a large request stays near although the servers are full": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Load: 5, Slots: 4})
+				s.Heard(start, "near-2", choice.Told{Load: 6, Slots: 4})
+			},
+			bytes: 9000,
+			first: "near-1",
+		},
+		"a large request leaves long queues": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Load: 12, Slots: 4})
+				s.Heard(start, "near-2", choice.Told{Load: 13, Slots: 4})
+				s.Heard(start, "far-1", choice.Told{Load: 3, Slots: 4})
+			},
+			bytes: 9000,
+			first: "far-2",
+		},
 		"near goes first while it is not much fuller": {
 			hear:  func(s *choice.Service) { s.Heard(start, "near-1", choice.Told{Load: 3, Slots: 4}) },
 			first: "near-2",
@@ -140,7 +159,7 @@
 				}
 				test.hear(s)
 				var names []string
-				for _, e := range s.Order(start.Add(test.after), test.ask) {
+				for _, e := range s.Order(start.Add(test.after), choice.Want{Ask: test.ask, Bytes: test.bytes}) {
 					names = append(names, e.Name)
 				}
 				if test.first != "" {
@@ -167,8 +186,8 @@
 		s.Heard(now, name, choice.Told{Slots: 2})
 	}
 	s.Reserved("a")
-	assert.Equal(t, s.Order(now, breaker.Ask{})[0].Name, "b")
+	assert.Equal(t, s.Order(now, choice.Want{})[0].Name, "b")
 	s.Ended("a")
 	s.Reserved("b")
-	assert.Equal(t, s.Order(now, breaker.Ask{})[0].Name, "a")
+	assert.Equal(t, s.Order(now, choice.Want{})[0].Name, "a")
 }
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -9,9 +9,13 @@
 // Costs: 1 is a server all of whose slots are in use.
 const (
 	// remoteCost keeps requests in their own data centre until its servers are
-	// that much fuller than others. Bytes between data centres are paid for.
-	// Tried on played days against 0.3.
-	remoteCost = 0.5
+	// that much fuller than others, since bytes between data centres are paid
+	// for. remoteByteCost is added for each expected byte of the request and its
+	// answer, up to mostRemoteCost, so that small requests leave the near slots
+	// to large ones.
+	remoteCost     = 0.3
+	remoteByteCost = 0.25 / 1024
+	mostRemoteCost = 2.5
 	// sickCost stands for a sickness that was told a moment ago.
 	sickCost = 3.0
 	// sickRelief is the share of sickCost that a sick server is spared if it
@@ -75,10 +79,10 @@
 }
 
 // cost returns a server's cost without the random part.
-func (s *Service) cost(now time.Time, server *Server, ask breaker.Ask) float64 {
+func (s *Service) cost(now time.Time, server *Server, want Want) float64 {
 	cost := server.occupancy(now)
 	if server.DataCentre != s.dataCentre {
-		cost += remoteCost
+		cost += min(remoteCost+remoteByteCost*want.Bytes, mostRemoteCost)
 	}
 	if now.Sub(server.toldAt) < shedMemory {
 		cost += shedCost * server.told.ShedShare
@@ -90,13 +94,13 @@
 		cost += warmingCost
 	}
 	memory := sickMemory
-	if ask.Careful {
+	if want.Careful {
 		memory = sickMemoryCareful
 	}
 	if server.told.Sick && now.Sub(server.toldAt) < memory {
 		cost += sickCost * (1 - sickRelief*server.told.SuccessShare)
 	}
-	if ask.Careful && now.Sub(server.success) > recentSuccess {
+	if want.Careful && now.Sub(server.success) > recentSuccess {
 		cost += quietCost
 	}
 	return cost
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -22,6 +22,10 @@
 	// maxQueued is at how many servers a request waits at once. It takes the
 	// first slot, and the others go to the next in their queues.
 	maxQueued = 3
+	// widenShare is the share of its objective that a request waits at these
+	// before it asks as many others. The first ones are mostly near: a short
+	// wait there is cheaper than bytes between data centres.
+	widenShare = 0.15
 	// firstPause is the pause before the servers are asked anew; it doubles up
 	// to maxPause. Asking them every 40 ms filled the network under overload.
 	firstPause = 20 * time.Millisecond
@@ -63,6 +67,8 @@
 	// them wait for a slot.
 	open   map[*pending]bool
 	queued int
+	// mayQueue is at how many servers the request may wait now.
+	mayQueue int
 	// queue holds the servers that are still to be asked in this round.
 	queue []slatewind.ServerEntry
 	// newest is the reservation that was made last.
@@ -133,16 +139,15 @@
 
 // begin starts a round: all servers are asked in the order of their cost.
 func (s *search) begin() {
-	var order []slatewind.ServerEntry
-	s.rq.shard.update(func(c *choice.Service) { order = c.Order(time.Now(), s.aim.ask) })
 	s.queue = s.queue[:0]
-	for _, server := range order {
+	for _, server := range s.rq.shard.order(time.Now(), s.rq, s.aim.ask) {
 		if !s.aim.tried[server.Name] {
 			s.queue = append(s.queue, server)
 		}
 	}
 	// Each reservation brings at most one reply that it waits and a final one.
 	s.events = make(chan event, 2*len(s.queue))
+	s.queued, s.mayQueue = 0, maxQueued
 }
 
 // round asks one server after the other. over says that waiting longer is no use.
@@ -152,6 +157,8 @@
 	}
 	silent := time.NewTicker(silentAfter)
 	defer silent.Stop()
+	widen := time.NewTimer(time.Duration(widenShare * float64(s.rq.objective())))
+	defer widen.Stop()
 	for len(s.open) > 0 {
 		select {
 		case e := <-s.events:
@@ -162,6 +169,8 @@
 			if s.newest != nil && !s.newest.heard && time.Since(s.newest.since) >= silentAfter {
 				s.ask()
 			}
+		case <-widen.C:
+			s.widen()
 		case <-patience:
 			return nil, true
 		case <-s.ctx.Done():
@@ -171,6 +180,15 @@
 	return nil, false
 }
 
+// widen lets the request wait at further servers, besides those that keep it
+// waiting.
+func (s *search) widen() {
+	s.mayQueue += maxQueued
+	if s.queued > 0 {
+		s.ask()
+	}
+}
+
 // take handles one reply. It returns the slot if one was granted.
 func (s *search) take(e event) *held {
 	if !s.open[e.of] {
@@ -187,7 +205,7 @@
 	case e.reply.GetQueued() != nil:
 		s.heard(e.of.server.Name, toldOf(e.reply.GetQueued()))
 		s.queued++
-		if s.queued < maxQueued {
+		if s.queued < s.mayQueue {
 			s.ask()
 		}
 		return nil
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -36,6 +36,7 @@
 		c.Ended(slot.server.Name)
 		if r.answer != nil && r.answer.head.GetStatus() < slatewind.FirstServerError {
 			c.Succeeded(time.Now(), slot.server.Name)
+			rq.shard.learnSize(rq.route.GetName(), len(rq.body)+len(r.answer.body))
 		}
 	})
 	return r
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/retry"
 )
@@ -15,6 +16,9 @@
 	mu     sync.Mutex
 	choice *choice.Service
 	budget *retry.Budget
+	// sizes holds for each route how many bytes a request and its answer have in
+	// the mean.
+	sizes map[string]float64
 }
 
 // update gives the choice among the service's servers to f under its lock.
@@ -24,6 +28,28 @@
 	f(sh.choice)
 }
 
+// sizeWeight is the weight of the newest size in a route's mean.
+const sizeWeight = 0.1
+
+// learnSize adds the size of a request and its answer to its route's mean. The
+// lock is held.
+func (sh *shard) learnSize(route string, bytes int) {
+	mean, known := sh.sizes[route]
+	if !known {
+		mean = float64(bytes)
+	}
+	sh.sizes[route] = mean + sizeWeight*(float64(bytes)-mean)
+}
+
+// order returns the servers that may get a request, cheapest first.
+func (sh *shard) order(now time.Time, rq *request, ask breaker.Ask) []slatewind.ServerEntry {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	// Before the first answer only the request's own size is known.
+	bytes := max(sh.sizes[rq.route.GetName()], float64(len(rq.body)))
+	return sh.choice.Order(now, choice.Want{Ask: ask, Bytes: bytes})
+}
+
 const (
 	// budgetShare is the share of the fleet's budget that processes spend. What
 	// servers receive is counted over windows that slide, so that a process
@@ -62,7 +88,7 @@
 	if sh := o.shards[service]; sh != nil {
 		return sh
 	}
-	sh = &shard{choice: choice.NewService(o.self.DataCentre, rand.Uint64()), budget: o.newBudget()}
+	sh = &shard{choice: choice.NewService(o.self.DataCentre, rand.Uint64()), budget: o.newBudget(), sizes: map[string]float64{}}
 	o.shards[service] = sh
 	return sh
 }
--- /dev/null
+++ b/outbound/waiting_test.go
@@ -0,0 +1,62 @@
+package outbound_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/internal/standin"
+)
+
+// bulk is the body of a large request, in bytes; servers in other data centres
+// are dear for it.
+const bulk = 16 << 10
+
+// publishBulk puts a route in force whose requests may be large and wait long.
+func (m *mesh) publishBulk() {
+	m.store.Adopt(time.Now(), "test", &slatewind.PublishedSettings{Version: 2, Fleet: &slatewindv1.Fleet{
+		Routes: []*slatewindv1.Route{{
+			Name: "bulk", Host: "h.example", PathPrefix: "/bulk/", Kind: string(slatewind.KindSingle), Service: "svc", Attempts: 2,
+			Timeout: durationpb.New(20 * time.Second), Objective: durationpb.New(200 * time.Millisecond),
+		}},
+		CallerLimits: &slatewindv1.CallerLimits{BodyBytes: 2 * bulk},
+	}})
+}
+
+// moveFar says that a server stands in another data centre.
+func (m *mesh) moveFar(name string) {
+	m.mu.Lock()
+	address := m.places[name].View().Address
+	m.mu.Unlock()
+	m.Put(time.Now(), slatewind.ServerEntry{Name: name, Service: "svc", Address: address, DataCentre: "far", Slots: 2})
+}
+
+// TestWaitsNearThenAsksFar: a large request waits at the full servers of its own
+// data centre for a moment, and then takes a free slot elsewhere.
+func TestWaitsNearThenAsksFar(t *testing.T) {
+	m := newMesh(t, "a", "b", "c")
+	m.publishBulk()
+	m.setAll(standin.StampedHang)
+	body := strings.Repeat("x", bulk)
+	var held sync.WaitGroup
+	for i := range 6 {
+		held.Go(func() { m.send("POST", "/bulk/1", fmt.Sprint("held-", i), body, 20*time.Second) })
+	}
+	await(t, func() bool {
+		return m.places["a"].InUse()+m.places["b"].InUse()+m.places["c"].InUse() == 6
+	})
+	m.add(t, "d", "svc")
+	m.moveFar("d")
+	g := m.send("POST", "/bulk/1", "id", body, 20*time.Second)
+	assert.Equal(t, g.status, 200, g.body)
+	assert.Equal(t, m.servers["d"].Runs()["id"], 1)
+	m.setAll(standin.StampedOK)
+	held.Wait()
+}
