Set the windows of connections between processes

Cause: grpc-go measures the window of each connection by pings, one for each burst of data, which cost bytes between data centres and a packet of their own. Answers are small and a round trip is 3 ms, so there is nothing to be measured. Change: fixed windows (1 MB a stream, 4 MB a connection).

--- a/link/link.go
+++ b/link/link.go
@@ -76,6 +76,8 @@
 	return []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.StaticStreamWindowSize(1<<20),
+		grpc.StaticConnWindowSize(4<<20),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
 	}
 }
@@ -138,6 +140,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithStaticStreamWindowSize(1<<20),
+		grpc.WithStaticConnWindowSize(4<<20),
 		grpc.WithStatsHandler(writeWatcher{}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
