Let a second attempt wait longer for its slot

A refusal proves nothing there: the caller gets a 502. Change: an attempt after one that reached a server may wait for 0.6 of the time left. Test: TestPatience.

--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -32,15 +32,21 @@
 	maxPause   = 80 * time.Millisecond
 	// patienceShare is the share of a request's time that it may wait for a
 	// slot, and objectiveShare that of its objective, whichever is longer.
-	patienceShare  = 0.25
+	patienceShare = 0.25
+	// againShare is that share for an attempt after one that reached a server.
+	againShare     = 0.6
 	objectiveShare = 0.4
 )
 
 // patience returns until when an attempt that begins now may wait for a slot.
-// Each attempt has its own: one that follows a failed try has been offered to a
-// server already, and the search for the first may have taken long.
-func (rq *request) patience(now time.Time) time.Time {
+// Each attempt has its own: the search for the first may have taken long. One
+// that is made again, after a server has seen the request, waits longer: a
+// refusal would prove nothing any more.
+func (rq *request) patience(now time.Time, again bool) time.Time {
 	remaining := rq.remaining(now)
+	if again {
+		return now.Add(time.Duration(againShare * float64(remaining)))
+	}
 	wait := max(
 		time.Duration(patienceShare*float64(remaining)),
 		min(time.Duration(objectiveShare*float64(rq.objective())), remaining),
