Collect garbage early and bound what is learned of sizes

A process lives on some 5 MB and held twice that, since the library lets the heap double before it collects. Ruled out: read buffers of connections (4 KB in place of 32 KB and shared write buffers: peak 18.9 MB as before). Change: garbage is collected when the heap has grown by 30 percent, unless GOGC is set. The map of sizes by route is bounded; the windows of connections are named.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,8 +3,8 @@
 //
 // Each server has a cost: how full it was by the last reply of the process beside
 // it, plus what this ingress has sent there since, plus surcharges for another
-// data centre, a reported sickness, rejections, warming up, and a process that
-// did not reply. The cheapest server is asked
+// data centre (the more, the larger the request and its answer are), a reported
+// sickness, rejections, warming up, and a process that did not reply. The cheapest server is asked
 // first. A wrong choice is cheap, since a server that is full or sick refuses
 // the reservation within a round trip, without a request being lost; the state
 // that comes with the refusal makes the next choice better.
--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -57,6 +57,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	daemon.BoundGarbage()
 	ctx, cancel := context.WithCancel(context.Background())
 	lines := daemon.NewLogWriter(ctx, os.Stdout)
 	defer lines.Wait()
--- a/link/link.go
+++ b/link/link.go
@@ -63,6 +63,14 @@
 	resetTime = 50 * time.Millisecond
 )
 
+// Windows of a stream and of a connection, in bytes: how much may be on its way
+// unread. They are fixed, since the library else measures them by pings, one for
+// each burst of data. A held answer fits into a stream's.
+const (
+	streamWindow = MaxHeld
+	connWindow   = 4 * MaxHeld
+)
+
 // Bounds of the server's side of a connection.
 const (
 	// maxStreams bounds the calls in progress on one connection of a peer.
@@ -76,8 +84,8 @@
 	return []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.MaxConcurrentStreams(maxStreams),
-		grpc.StaticStreamWindowSize(1<<20),
-		grpc.StaticConnWindowSize(4<<20),
+		grpc.StaticStreamWindowSize(streamWindow),
+		grpc.StaticConnWindowSize(connWindow),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
 	}
 }
@@ -140,8 +148,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(idleTimeout),
-		grpc.WithStaticStreamWindowSize(1<<20),
-		grpc.WithStaticConnWindowSize(4<<20),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(connWindow),
 		grpc.WithStatsHandler(writeWatcher{}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -32,10 +32,12 @@
 	maxPause   = 80 * time.Millisecond
 	// patienceShare is the share of a request's time that it may wait for a
 	// slot, and objectiveShare that of its objective, whichever is longer.
-	patienceShare = 0.25
-	// againShare is that share for an attempt after one that reached a server.
-	againShare     = 0.6
+	patienceShare  = 0.25
 	objectiveShare = 0.4
+	// againShare is the share of its time that a request may wait for a slot
+	// after a server has seen it without an answer. All three were tried on
+	// played days.
+	againShare = 0.6
 )
 
 // patience returns until when an attempt that begins now may wait for a slot.
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -28,8 +28,13 @@
 	f(sh.choice)
 }
 
-// sizeWeight is the weight of the newest size in a route's mean.
-const sizeWeight = 0.1
+const (
+	// sizeWeight is the weight of the newest size in a route's mean.
+	sizeWeight = 0.1
+	// maxSizes bounds the routes whose sizes are kept; beyond, all are learned
+	// anew, so that routes that are gone do not stay for ever.
+	maxSizes = 4096
+)
 
 // learnSize adds the size of a request and its answer to its route's mean. The
 // lock is held.
@@ -37,6 +42,9 @@
 	mean, known := sh.sizes[route]
 	if !known {
 		mean = float64(bytes)
+		if len(sh.sizes) >= maxSizes {
+			clear(sh.sizes)
+		}
 	}
 	sh.sizes[route] = mean + sizeWeight*(float64(bytes)-mean)
 }
