Soak real processes under faults, and judge what callers and servers saw

Package soak starts slatewindd processes with the stand-ins, a proxy before each peer port and each way to the store, and callers with kept connections, and draws faults from a seed.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Targets: build, test, run, bench, capacity, measure, generate, lint, format.
-.PHONY: build test run bench capacity measure generate lint format
+# Targets: build, test, soak, run, bench, capacity, measure, generate, lint, format.
+.PHONY: build test soak run bench capacity measure generate lint format
 
 GOLANGCI = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
@@ -9,6 +9,12 @@
 test:
 	go test -race -count=1 ./...
 
+# Fault soak: SEEDS runs from SEED on, some 25 s each (docs/DEVELOPING.md).
+SEEDS ?= 10
+SEED ?= 1
+soak:
+	go test -count=1 -timeout=0 -run='TestSoak$$' ./soak -soak.seeds=$(SEEDS) -soak.seed=$(SEED) -v
+
 run: build
 	scripts/run.sh
 
--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -136,7 +136,8 @@
 		w.WriteHeader(http.StatusInternalServerError)
 	}
 	if mode == StampedCut {
-		w.Header().Set("Content-Length", strconv.Itoa(2*len(text)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		text = text[:len(text)/2]
 	}
 	_, _ = io.WriteString(w, text)
 }
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,88 @@
+// Package soak runs real slatewindd processes against stand-ins and breaks things
+// around them, to find orders of events that no single test thinks of.
+//
+// A run is drawn from a seed: a small fleet of processes, each with its server
+// and with a proxy before its peer port and one before the store; callers that
+// keep their connections; and two phases. In the storm, faults come in series
+// and overlap: links are delayed, reset, silenced or cut one way, processes are
+// paused, killed and told to stop, servers fail grayly, the store is away or
+// stale, settings change. In the calm after it, a server leaves, settings change
+// and a process is told to stop, each under load.
+//
+// What callers and servers saw is written down as it happens, and judged in the
+// end (package file judge.go): what must hold always is judged over the whole
+// run, what has a time bound only in the calm. The system keeps nothing on disks,
+// so no fault concerns storage; clocks are those of one machine and do not
+// misbehave here.
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("soak")
+
+// Options say what a run is like.
+type Options struct {
+	// Program is the path of slatewindd.
+	Program string
+	// Seed draws everything that is drawn.
+	Seed uint64
+	// Nodes is how many processes run, each with a server.
+	Nodes int
+	// Storm is how long faults come.
+	Storm time.Duration
+	// Patience is how long a change may take to show in the calm. It is far above
+	// the bounds that the users state, since the machine may be busy.
+	Patience time.Duration
+}
+
+// Defaults of a run.
+const (
+	DefaultNodes    = 5
+	DefaultStorm    = 8 * time.Second
+	DefaultPatience = 15 * time.Second
+)
+
+// Report is what one run found.
+type Report struct {
+	// Breaches are the broken promises.
+	Breaches []Breach
+	// Logs is the folder with the processes' logs, kept where a promise was broken
+	// or the run failed, and empty otherwise.
+	Logs string
+}
+
+// Run plays one seed. The error says that the run itself failed, for example that
+// a process did not become ready.
+func Run(ctx context.Context, o Options) (report Report, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := newFleet(o)
+	if err != nil {
+		return report, err
+	}
+	defer func() {
+		keep := err != nil || len(report.Breaches) > 0
+		if keep {
+			report.Logs = f.dir
+		}
+		f.close(keep)
+	}()
+	if err := f.start(ctx); err != nil {
+		return report, err
+	}
+	random := rand.New(rand.NewPCG(o.Seed, ^o.Seed))
+	callers := f.startCallers(ctx, random)
+	f.storm(ctx, random, o.Storm)
+	err = f.calm(ctx)
+	callers.stop()
+	f.settle()
+	report.Breaches = f.record.judge()
+	return report, errs.Combine(err, f.record.failed())
+}
