--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+)
+
+// TestJudgeRequest states which promise is broken by what a caller got and how
+// often its request ran.
+func TestJudgeRequest(t *testing.T) {
+	single, repeatable := slatewind.KindSingle, slatewind.KindRepeatable
+	tests := map[string]struct {
+		sent Sent
+		runs int
+		want []Promise
+	}{
+		"served":                    {sent: Sent{Kind: single, Status: http.StatusOK, Own: true}, runs: 1},
+		"served in silence":         {sent: Sent{Kind: single, Status: http.StatusOK, Own: true}, want: []Promise{PromiseOwnAnswer}},
+		"another's answer":          {sent: Sent{Kind: single, Status: http.StatusOK}, runs: 1, want: []Promise{PromiseOwnAnswer}},
+		"run twice":                 {sent: Sent{Kind: single, Status: http.StatusOK, Own: true}, runs: 2, want: []Promise{PromiseOnce}},
+		"repeated as it may be":     {sent: Sent{Kind: repeatable, Status: http.StatusOK, Own: true}, runs: 2},
+		"refused":                   {sent: Sent{Kind: single, Status: http.StatusServiceUnavailable}},
+		"refused and run":           {sent: Sent{Kind: single, Status: http.StatusServiceUnavailable}, runs: 1, want: []Promise{PromiseNotRun}},
+		"refused, run, repeatable":  {sent: Sent{Kind: repeatable, Status: http.StatusServiceUnavailable}, runs: 1},
+		"unknown and run":           {sent: Sent{Kind: single, Status: http.StatusBadGateway}, runs: 1},
+		"cut off in the storm":      {sent: Sent{Kind: single}, runs: 1},
+		"cut off by a planned stop": {sent: Sent{Kind: single, Stopping: true}, runs: 1, want: []Promise{PromiseNoCut}},
+		"closed before it was read": {sent: Sent{Kind: single, Stopping: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var broken []Promise
+			for _, b := range judgeRequest(test.sent, test.runs) {
+				broken = append(broken, b.Promise)
+			}
+			assert.DeepEqual(t, broken, test.want)
+		})
+	}
+}
+
+// TestJudgeLeaving: only what comes to a leaver after all have heard counts.
+func TestJudgeLeaving(t *testing.T) {
+	known := time.Unix(1000, 0)
+	leaving := []Leaving{{Server: 2, Known: known}}
+	before, after := known.Add(-time.Second), known.Add(time.Second)
+	assert.Equal(t, len(judgeLeaving(leaving, []Arrival{{Server: 2, At: before}, {Server: 1, At: after}})), 0)
+	assert.Equal(t, len(judgeLeaving(leaving, []Arrival{{Server: 2, At: before}, {Server: 2, At: after}})), 1)
+}
+
+// TestJudgeBudget states how many extra arrivals a fleet may have in a window.
+func TestJudgeBudget(t *testing.T) {
+	tests := map[string]struct {
+		requests, extras int
+		// apart is the time between two extra arrivals.
+		apart  time.Duration
+		broken bool
+	}{
+		"none":                         {requests: 100},
+		"as many as are allowed":       {requests: 100, extras: 20, apart: time.Millisecond},
+		"one more":                     {requests: 100, extras: 21, apart: time.Millisecond, broken: true},
+		"the slack alone":              {extras: 10, apart: time.Millisecond},
+		"many, but in several windows": {requests: 100, extras: 60, apart: 1200 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			sent := map[string]Sent{}
+			for i := range test.requests {
+				id := fmt.Sprint("id-", i)
+				sent[id] = Sent{ID: id, At: start}
+			}
+			arrivals := []Arrival{{ID: "again", At: start}}
+			for i := range test.extras {
+				arrivals = append(arrivals, Arrival{ID: "again", At: start.Add(time.Duration(i+1) * test.apart)})
+			}
+			assert.Equal(t, len(judgeBudget(sent, arrivals)) > 0, test.broken)
+		})
+	}
+}
