Split the soak by subject and name its parts

Newcomers found the checks of the calm among the faults, and settings, nodes and waiting in one file. Names that meant two things (store, web, link) say which they are; types that nobody outside uses are unexported; a field that nobody read is gone, and a copy of all requests that the judge never needed. What is drawn from a seed, and every check, stay as they were.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -20,14 +20,13 @@
 	// leastPause and mostPause bound the pause between two requests of a caller.
 	leastPause = 10 * time.Millisecond
 	mostPause  = 60 * time.Millisecond
-	// callerTime is how long a caller waits, as it states; callerPatience how long
-	// it really does.
+	// callerTime is how long a caller waits, as it states and as the routes have
+	// it; callerPatience how long it really does, far longer, so that a request is
+	// ended by the fleet and not by its caller.
 	callerTime     = 2 * time.Second
 	callerPatience = 6 * time.Second
 	// singleShare is the share of single requests.
 	singleShare = 0.6
-	// probePause is the pause between two looks at the settings in force.
-	probePause = 100 * time.Millisecond
 )
 
 // callers send requests until they are stopped.
@@ -36,6 +35,7 @@
 	work   sync.WaitGroup
 }
 
+// startCallers starts the callers of each process, and a probe of its settings.
 func (f *fleet) startCallers(ctx context.Context, random *rand.Rand) *callers {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &callers{cancel: cancel}
@@ -69,15 +69,15 @@
 	client := newCaller()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		kind, path := slatewind.KindRepeatable, "/look/"
+		kind, path := slatewind.KindRepeatable, repeatablePath
 		if random.Float64() < singleShare {
-			kind, path = slatewind.KindSingle, "/pay/"
+			kind, path = slatewind.KindSingle, singlePath
 		}
 		id := fmt.Sprintf("%016x", random.Uint64())
-		s := Sent{ID: id, Kind: kind, Node: n.number, At: time.Now()}
+		s := sentRequest{ID: id, Kind: kind, Node: n.number, At: time.Now()}
 		stopping := f.stopping.Load()
 		s.Status, s.Own = f.ask(client, n.number, path, id)
-		s.Done, s.Stopping = time.Now(), stopping || f.stopping.Load()
+		s.Stopping = stopping || f.stopping.Load()
 		f.record.noteSent(s)
 		time.Sleep(leastPause + time.Duration(random.Int64N(int64(mostPause-leastPause))))
 	}
@@ -88,11 +88,12 @@
 func (f *fleet) ask(client *http.Client, to int, path, id string) (status int, own bool) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(ownBase, to, portCallers)+path, strings.NewReader(id))
 	if err != nil {
-		panic(err)
+		panic(err) // Only a wrong address or path in this package does that.
 	}
 	r.Host = host
 	r.Header.Set(platform.Callers().RequestID, id)
 	r.Header.Set(platform.Callers().Deadline, fmt.Sprint(callerTime.Milliseconds()))
+	// What went wrong does not matter: the caller has no whole answer.
 	response, err := client.Do(r)
 	if err != nil {
 		return 0, false
@@ -102,37 +103,13 @@
 	if err != nil {
 		return 0, false
 	}
-	server, rest, _ := strings.Cut(string(text), " ")
-	own = response.Header.Get(platform.Servers().Stamp) == server+"-stamp" && rest == path+" "+id &&
-		response.Header.Get(platform.Servers().RequestID) == id
-	return response.StatusCode, own
+	return response.StatusCode, isOwn(response.Header, string(text), path, id)
 }
 
-// probe looks again and again which settings a process has in force: its newest
-// version must never vanish while the process lives.
-func (f *fleet) probe(ctx context.Context, n *node) {
-	client := newCaller()
-	defer client.CloseIdleConnections()
-	var newest uint64
-	var life int64
-	for ctx.Err() == nil {
-		if now := n.life.Load(); now != life {
-			life, newest = now, 0
-		}
-		for _, version := range []uint64{newest, f.version.Load()} {
-			id := newID()
-			s := Sent{ID: id, Kind: slatewind.KindRepeatable, Node: n.number, At: time.Now()}
-			s.Status, s.Own = f.ask(client, n.number, versionPath(version), id)
-			s.Done = time.Now()
-			f.record.noteSent(s)
-			switch {
-			case n.life.Load() != life:
-			case s.Status == http.StatusOK:
-				newest = max(newest, version)
-			case s.Status == http.StatusNotFound && version > 0 && version <= newest:
-				f.record.noteBreach(PromiseForward, "node %d had version %d in force and knows it no more", n.number, version)
-			}
-		}
-		time.Sleep(probePause)
-	}
+// isOwn says whether an answer is that of a server to one request: it is signed
+// by the server that it names, and repeats the path and the id.
+func isOwn(header http.Header, text, path, id string) bool {
+	server, rest, _ := strings.Cut(text, " ")
+	return header.Get(platform.Servers().Stamp) == server+"-stamp" &&
+		header.Get(platform.Servers().RequestID) == id && rest == path+" "+id
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -25,12 +24,15 @@
 // fault is something that goes wrong for a while: begin returns what mends it.
 type fault func(f *fleet, random *rand.Rand) (mend func())
 
-// faults are drawn with equal chances.
+// faults are drawn with equal chances; what is listed twice comes twice as often.
 var faults = []fault{
 	linkFault, linkFault, linkReset, storeLinkFault, storeFault, storeBehind, storeCompact,
 	serverFault, serverFault, serverFault, pause, killAgain, stopAgain, newSettings, reload,
 }
 
+// pick returns one of several values.
+func pick[T any](random *rand.Rand, from ...T) T { return from[random.IntN(len(from))] }
+
 // between returns a random time.
 func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Int64N(int64(most-least)))
@@ -40,7 +42,7 @@
 func (f *fleet) storm(ctx context.Context, random *rand.Rand, length time.Duration) {
 	var mending sync.WaitGroup
 	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
-		mend := faults[random.IntN(len(faults))](f, random)
+		mend := pick(random, faults...)(f, random)
 		lasts := between(random, leastFault, mostFault)
 		mending.Go(func() {
 			time.Sleep(lasts)
@@ -51,31 +53,32 @@
 	mending.Wait()
 }
 
-func (f *fleet) draw(random *rand.Rand) *node { return f.nodes[random.IntN(len(f.nodes))] }
+// draw returns a random node.
+func (f *fleet) draw(random *rand.Rand) *node { return pick(random, f.nodes...) }
 
-// linkFault makes the way to a process bad.
+// linkFault delays or loses what goes between a process and its peers.
 func linkFault(f *fleet, random *rand.Rand) func() {
 	n := f.draw(random)
-	n.link.set([]Way{WayDelayed, WaySilent, WayDeaf, WayMute}[random.IntN(4)])
-	return func() { n.link.set(WayOpen) }
+	n.peerProxy.set(pick(random, linkDelayed, linkDropsAll, linkDropsInbound, linkDropsOutbound))
+	return func() { n.peerProxy.set(linkOpen) }
 }
 
-// linkReset resets all connections to a process.
+// linkReset resets all connections of peers to a process.
 func linkReset(f *fleet, random *rand.Rand) func() {
-	f.draw(random).link.resetAll()
+	f.draw(random).peerProxy.resetAll()
 	return func() {}
 }
 
-// storeLinkFault cuts a process off from the store, or delays what it hears.
+// storeLinkFault delays or loses what goes between a process and the store.
 func storeLinkFault(f *fleet, random *rand.Rand) func() {
 	n := f.draw(random)
-	n.store.set([]Way{WayDelayed, WaySilent, WayMute}[random.IntN(3)])
-	return func() { n.store.set(WayOpen) }
+	n.storeProxy.set(pick(random, linkDelayed, linkDropsAll, linkDropsOutbound))
+	return func() { n.storeProxy.set(linkOpen) }
 }
 
 // storeFault makes the store bad for all.
 func storeFault(f *fleet, random *rand.Rand) func() {
-	f.store.SetMode([]standin.PlatformMode{standin.PlatformDown, standin.PlatformBusy, standin.PlatformSlow, standin.PlatformStale}[random.IntN(4)])
+	f.store.SetMode(pick(random, standin.PlatformDown, standin.PlatformBusy, standin.PlatformSlow, standin.PlatformStale))
 	return func() { f.store.SetMode(standin.PlatformOK) }
 }
 
@@ -96,13 +99,14 @@
 // serverFault makes a server sick.
 func serverFault(f *fleet, random *rand.Rand) func() {
 	n := f.draw(random)
-	n.server.SetMode([]standin.StampedMode{
-		standin.StampedReset, standin.StampedLost, standin.StampedError, standin.StampedShed, standin.StampedHang, standin.StampedCut,
-	}[random.IntN(6)])
+	n.server.SetMode(pick(random,
+		standin.StampedReset, standin.StampedLost, standin.StampedError,
+		standin.StampedShed, standin.StampedHang, standin.StampedCut,
+	))
 	return func() { n.server.SetMode(standin.StampedOK) }
 }
 
-// pause stops a process's clock for a while; it wakes with an old view.
+// pause suspends a process for a while; it goes on with an old view.
 func pause(f *fleet, random *rand.Rand) func() {
 	n := f.draw(random)
 	p := n.current()
@@ -146,110 +150,3 @@
 	f.draw(random).current().signal(syscall.SIGHUP)
 	return func() {}
 }
-
-// calm checks what has a time bound, one after the other, under load and without
-// any fault.
-func (f *fleet) calm(ctx context.Context) error {
-	f.store.SetMode(standin.PlatformOK)
-	if err := f.awaitReady(ctx); err != nil {
-		return err
-	}
-	f.checkSettings(ctx)
-	f.showOlder()
-	f.spendBudget()
-	f.checkLeaving(ctx)
-	return f.checkStop(ctx)
-}
-
-// olderTime is how long the store shows older settings, several times as long as
-// news takes to travel.
-const olderTime = 2500 * time.Millisecond
-
-// showOlder has the store show the settings before the newest; the probes would
-// notice if a process took them.
-func (f *fleet) showOlder() {
-	f.store.Put(platform.ConfigKey, encodeVersion(f.version.Load()-1))
-	time.Sleep(olderTime)
-	f.store.Put(platform.ConfigKey, encodeVersion(f.version.Load()))
-}
-
-// sheddingTime is how long all servers reject everything, several times as long
-// as it takes to spend the budget with one extra attempt for each request.
-const sheddingTime = 2 * time.Second
-
-// spendBudget has all servers reject what comes, so that each request could be
-// sent again; the arrivals are judged in the end.
-func (f *fleet) spendBudget() {
-	f.setServers(standin.StampedShed)
-	time.Sleep(sheddingTime)
-	f.setServers(standin.StampedOK)
-}
-
-func (f *fleet) setServers(mode standin.StampedMode) {
-	for _, n := range f.nodes {
-		n.server.SetMode(mode)
-	}
-}
-
-// checkSettings publishes settings and waits until all have them in force.
-func (f *fleet) checkSettings(ctx context.Context) {
-	version := f.publish()
-	end := time.Now().Add(f.options.Patience)
-	client := newCaller()
-	defer client.CloseIdleConnections()
-	for _, n := range f.nodes {
-		if !await(ctx, time.Until(end), func() bool {
-			status, _ := f.ask(client, n.number, versionPath(version), newID())
-			return status != 0 && status != http.StatusNotFound
-		}) {
-			f.record.noteBreach(PromiseSettings, "node %d does not know version %d after %s", n.number, version, f.options.Patience)
-		}
-	}
-}
-
-// quietTime without a request says that all have heard of a leaving server.
-const quietTime = 2 * time.Second
-
-// checkLeaving takes a server out of the store, by its own word.
-func (f *fleet) checkLeaving(ctx context.Context) {
-	leaver := f.nodes[len(f.nodes)-1]
-	f.enter(leaver.number, true)
-	arrivals, since := leaver.server.Arrivals(), time.Now()
-	if !await(ctx, f.options.Patience, func() bool {
-		if now := leaver.server.Arrivals(); now != arrivals {
-			arrivals, since = now, time.Now()
-		}
-		return time.Since(since) >= quietTime
-	}) {
-		f.record.noteBreach(PromiseLeaving, "server %d still gets requests %s after its entry said that it leaves", leaver.number, f.options.Patience)
-		return
-	}
-	f.record.noteLeaving(Leaving{Server: leaver.number, Known: time.Now()})
-}
-
-// longWork is how long servers work while a process stops.
-const longWork = 300 * time.Millisecond
-
-// checkStop tells a process to stop while callers use it until it is gone.
-func (f *fleet) checkStop(ctx context.Context) error {
-	n := f.nodes[0]
-	p := n.current()
-	// With longer work every caller has a request in hand when the stop comes.
-	for _, other := range f.nodes {
-		other.server.SetDelay(longWork)
-	}
-	time.Sleep(longWork)
-	f.stopping.Store(true)
-	p.signal(syscall.SIGTERM)
-	if !await(ctx, f.options.Patience, func() bool {
-		select {
-		case <-p.ended:
-			return true
-		default:
-			return false
-		}
-	}) {
-		return Error.New("node %d does not stop in %s", n.number, f.options.Patience)
-	}
-	return nil
-}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -15,7 +15,7 @@
 const (
 	// PromiseOnce: a single request runs at most once.
 	PromiseOnce Promise = "at most once"
-	// PromiseNotRun: a request that was refused as not run never ran.
+	// PromiseNotRun: a single request that was refused as not run never ran.
 	PromiseNotRun Promise = "true refusal"
 	// PromiseOwnAnswer: a success is the whole answer of a server to that very
 	// request.
@@ -49,9 +49,10 @@
 )
 
 // judgeRequest checks what one caller got against how often its request ran.
-func judgeRequest(s Sent, runs int) (breaches []Breach) {
+func judgeRequest(s sentRequest, runs int) (breaches []Breach) {
 	add := func(promise Promise) {
-		breaches = append(breaches, Breach{promise, fmt.Sprintf("%s request %s at node %d: status %d, ran %d times", s.Kind, s.ID, s.Node, s.Status, runs)})
+		what := fmt.Sprintf("%s request %s at node %d: status %d, ran %d times", s.Kind, s.ID, s.Node, s.Status, runs)
+		breaches = append(breaches, Breach{promise, what})
 	}
 	single := s.Kind == slatewind.KindSingle
 	if single && runs > 1 {
@@ -71,49 +72,64 @@
 }
 
 // judgeLeaving checks that servers got nothing once all had heard that they leave.
-func judgeLeaving(leaving []Leaving, arrivals []Arrival) (breaches []Breach) {
+func judgeLeaving(leaving []departure, arrivals []arrival) (breaches []Breach) {
 	for _, l := range leaving {
 		for _, a := range arrivals {
 			if a.Server == l.Server && a.At.After(l.Known) {
-				breaches = append(breaches, Breach{PromiseLeaving, fmt.Sprintf("server %d got request %s %s after all had heard", l.Server, a.ID, a.At.Sub(l.Known))})
+				what := fmt.Sprintf("server %d got request %s %s after all had heard", l.Server, a.ID, a.At.Sub(l.Known))
+				breaches = append(breaches, Breach{PromiseLeaving, what})
 			}
 		}
 	}
 	return breaches
 }
 
-// judgeBudget checks every window that ends with an arrival. The requests of a
-// window are those of it or of the one before, whichever are more, as the users
-// count them.
-func judgeBudget(sent map[string]Sent, arrivals []Arrival) []Breach {
+// judgeBudget checks every window that ends with an extra arrival; the first one
+// that breaks the bound is enough. The requests of a window are those of it or of
+// the one before, whichever are more, as the users count them.
+func judgeBudget(sent map[string]sentRequest, arrivals []arrival) []Breach {
+	extras := extraArrivals(arrivals)
+	for _, end := range extras {
+		start := end.Add(-budgetWindow)
+		requests := max(sentWithin(sent, start, end), sentWithin(sent, start.Add(-budgetWindow), start))
+		spent := countWithin(extras, start, end)
+		if allowed := budgetRatio*float64(requests) + budgetSlack; float64(spent) > allowed {
+			what := fmt.Sprintf("%d extra arrivals in %s, %.0f allowed for %d requests", spent, budgetWindow, allowed, requests)
+			return []Breach{{PromiseBudget, what}}
+		}
+	}
+	return nil
+}
+
+// extraArrivals returns the times of all arrivals beyond the first of each request.
+func extraArrivals(arrivals []arrival) (extras []time.Time) {
 	seen := map[string]bool{}
-	var extras []time.Time
 	for _, a := range arrivals {
 		if seen[a.ID] {
 			extras = append(extras, a.At)
 		}
 		seen[a.ID] = true
 	}
-	for _, end := range extras {
-		start := end.Add(-budgetWindow)
-		requests := max(sentWithin(sent, start, end), sentWithin(sent, start.Add(-budgetWindow), start))
-		spent := 0
-		for _, at := range extras {
-			if at.After(start) && !at.After(end) {
-				spent++
-			}
-		}
-		if allowed := budgetRatio*float64(requests) + budgetSlack; float64(spent) > allowed {
-			return []Breach{{PromiseBudget, fmt.Sprintf("%d extra arrivals in %s, %.0f allowed for %d requests", spent, budgetWindow, allowed, requests)}}
+	return extras
+}
+
+// within says whether a time is in a span, which holds its end and not its start.
+func within(at, start, end time.Time) bool { return at.After(start) && !at.After(end) }
+
+// countWithin counts the times in a span.
+func countWithin(times []time.Time, start, end time.Time) (n int) {
+	for _, at := range times {
+		if within(at, start, end) {
+			n++
 		}
 	}
-	return nil
+	return n
 }
 
 // sentWithin counts the requests that were sent in a span.
-func sentWithin(sent map[string]Sent, start, end time.Time) (n int) {
+func sentWithin(sent map[string]sentRequest, start, end time.Time) (n int) {
 	for _, s := range sent {
-		if s.At.After(start) && !s.At.After(end) {
+		if within(s.At, start, end) {
 			n++
 		}
 	}
--- /dev/null
+++ b/soak/node.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/platform"
+)
+
+const (
+	// serverWork is how long a server works on a request.
+	serverWork = 30 * time.Millisecond
+	// headerTime bounds how long a server waits for the head of a request.
+	headerTime = time.Second
+)
+
+// node is one process with its server and its links.
+type node struct {
+	number int
+	server *standin.Stamped
+	// serverWeb serves what comes to the server.
+	serverWeb *http.Server
+	// peerProxy is before the process's peer port, storeProxy before the store.
+	peerProxy, storeProxy *proxy
+	// life counts the starts of the process.
+	life atomic.Int64
+
+	mu      sync.Mutex
+	process *process
+}
+
+// current returns the process that runs now or ran last.
+func (n *node) current() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+// newNode starts the server and the proxies of a node.
+func (f *fleet) newNode(i int) (*node, error) {
+	n := &node{number: i, server: standin.NewStamped(serverName(i), platform.Servers())}
+	n.server.SetDelay(serverWork)
+	if err := f.serve(n); err != nil {
+		return nil, err
+	}
+	if err := f.startProxies(n); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// serve has a node's server listen.
+func (f *fleet) serve(n *node) error {
+	listener, err := net.Listen("tcp", f.address(linkBase, n.number, portServer))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	n.serverWeb = &http.Server{Handler: f.watched(n.number, n.server), ReadHeaderTimeout: headerTime}
+	// It ends with an error always, at close by that of a closed server.
+	go func() { _ = n.serverWeb.Serve(listener) }()
+	return nil
+}
+
+// startProxies starts the proxies before a node's peer port and the store.
+func (f *fleet) startProxies(n *node) (err error) {
+	peers, store := f.address(ownBase, n.number, portPeers), strings.TrimPrefix(f.storeWeb.URL, "http://")
+	if n.peerProxy, err = newProxy(f.address(linkBase, n.number, portPeers), peers); err != nil {
+		return err
+	}
+	n.storeProxy, err = newProxy(f.address(storeBase, n.number, portStore), store)
+	return err
+}
+
+// serverName returns the name under which a server stands in the store.
+func serverName(i int) string { return fmt.Sprint("server-", i) }
+
+// watched writes down what comes to a server before the server sees it.
+func (f *fleet) watched(i int, server http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.record.noteArrival(arrival{ID: r.Header.Get(platform.Servers().RequestID), Server: i, At: time.Now()})
+		server.ServeHTTP(w, r)
+	})
+}
+
+// relaunch starts a node's process again where it is still the one that ended:
+// faults overlap, and two may have ended the same one.
+func (f *fleet) relaunch(n *node, ended *process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != ended {
+		return
+	}
+	if err := f.launch(n); err != nil {
+		f.record.noteFailure(err)
+	}
+}
+
+// launch starts a node's process. The node's lock is held, or nobody else knows
+// the node yet.
+func (f *fleet) launch(n *node) error {
+	file := filepath.Join(f.dir, fmt.Sprintf("node-%d.yaml", n.number))
+	if err := os.WriteFile(file, []byte(f.processSettings(n.number)), 0o600); err != nil {
+		return Error.Wrap(err)
+	}
+	p, err := startProcess(f.options.Program, file, filepath.Join(f.dir, fmt.Sprintf("node-%d.log", n.number)))
+	if err != nil {
+		return err
+	}
+	n.process = p
+	n.life.Add(1)
+	return nil
+}
+
+// close ends a node's process, its server and its proxies.
+func (n *node) close() {
+	if p := n.current(); p != nil {
+		p.kill()
+	}
+	n.peerProxy.close()
+	n.storeProxy.close()
+	// What is still in progress there interests nobody any more.
+	_ = n.serverWeb.Close()
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -34,6 +34,7 @@
 	return p, nil
 }
 
+// wait notes the end of the process.
 func (p *process) wait() {
 	// How it ended does not matter here: it is stopped and killed on purpose.
 	_ = p.command.Wait()
@@ -49,10 +50,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.over {
+		// It may end right now; then nobody needs the signal any more.
 		_ = p.command.Process.Signal(s)
 	}
 }
 
+// hasEnded reports whether the process is gone.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -8,19 +8,20 @@
 	"time"
 )
 
-// Way is how a link behaves.
-type Way string
+// linkMode is how a link behaves.
+type linkMode string
 
-// Ways of a link.
+// Modes of a link.
 const (
-	WayOpen Way = "open"
-	// WayDelayed holds each piece back for linkDelay.
-	WayDelayed Way = "delayed"
-	// WaySilent loses everything and says nothing.
-	WaySilent Way = "silent"
-	// WayDeaf loses what goes towards the process, WayMute what comes from it.
-	WayDeaf Way = "deaf"
-	WayMute Way = "mute"
+	linkOpen linkMode = "open"
+	// linkDelayed holds each piece back for linkDelay.
+	linkDelayed linkMode = "delayed"
+	// linkDropsAll loses everything without a sign to either side.
+	linkDropsAll linkMode = "drops all"
+	// linkDropsInbound loses what the side that connected sends,
+	// linkDropsOutbound what it is sent.
+	linkDropsInbound  linkMode = "drops inbound"
+	linkDropsOutbound linkMode = "drops outbound"
 )
 
 const (
@@ -32,13 +33,14 @@
 	connectTime = time.Second
 )
 
-// proxy stands before one address and behaves as a bad link does.
+// proxy passes connections on to one address and behaves as a bad link does, so
+// that faults of the network need no rights on the machine.
 type proxy struct {
 	listener net.Listener
 	to       string
 
 	mu    sync.Mutex
-	way   Way
+	mode  linkMode
 	conns map[net.Conn]bool
 }
 
@@ -48,11 +50,12 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &proxy{listener: listener, to: to, way: WayOpen, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, to: to, mode: linkOpen, conns: map[net.Conn]bool{}}
 	go p.serve()
 	return p, nil
 }
 
+// serve accepts connections until the listener is closed.
 func (p *proxy) serve() {
 	for {
 		from, err := p.listener.Accept()
@@ -72,15 +75,15 @@
 	}
 	p.hold(from, to)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(to, from, WayDeaf) })
-	both.Go(func() { p.copy(from, to, WayMute) })
+	both.Go(func() { p.copy(to, from, linkDropsInbound) })
+	both.Go(func() { p.copy(from, to, linkDropsOutbound) })
 	both.Wait()
 	p.drop(from, to)
 }
 
 // copy carries what comes one way, unless the link loses it. A piece that was
 // lost breaks the stream, so that nothing after it may be carried.
-func (p *proxy) copy(to, from net.Conn, losing Way) {
+func (p *proxy) copy(to, from net.Conn, losing linkMode) {
 	piece := make([]byte, pieceBytes)
 	broken := false
 	for {
@@ -92,12 +95,12 @@
 			}
 			return
 		}
-		way := p.current()
-		broken = broken || way == WaySilent || way == losing
+		mode := p.current()
+		broken = broken || mode == linkDropsAll || mode == losing
 		if broken {
 			continue
 		}
-		if way == WayDelayed {
+		if mode == linkDelayed {
 			time.Sleep(linkDelay)
 		}
 		if _, err := to.Write(piece[:n]); err != nil {
@@ -124,18 +127,19 @@
 	_ = conn.Close()
 }
 
-func (p *proxy) current() Way {
+// current returns how the link behaves now.
+func (p *proxy) current() linkMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.way
+	return p.mode
 }
 
 // set changes how the link behaves. When it opens again, connections that lost
 // something are reset, as a real one is after a cut.
-func (p *proxy) set(way Way) {
+func (p *proxy) set(mode linkMode) {
 	p.mu.Lock()
-	lossy := p.way != WayOpen && p.way != WayDelayed
-	p.way = way
+	lossy := p.mode != linkOpen && p.mode != linkDelayed
+	p.mode = mode
 	p.mu.Unlock()
 	if lossy {
 		p.resetAll()
@@ -151,6 +155,7 @@
 	}
 }
 
+// hold notes connections that are open.
 func (p *proxy) hold(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -159,6 +164,7 @@
 	}
 }
 
+// drop closes connections and forgets them.
 func (p *proxy) drop(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -168,6 +174,7 @@
 	}
 }
 
+// close ends the proxy and all its connections.
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.resetAll()
--- a/soak/record.go
+++ b/soak/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"sync"
 	"time"
 
@@ -11,13 +10,13 @@
 	"slatewind.example/slatewind"
 )
 
-// Sent is one request as its caller saw it.
-type Sent struct {
+// sentRequest is one request as its caller saw it.
+type sentRequest struct {
 	ID   string
 	Kind slatewind.Kind
 	// Node is the number of the process that it was sent to.
-	Node     int
-	At, Done time.Time
+	Node int
+	At   time.Time
 	// Status is zero where no whole answer came.
 	Status int
 	// Own says that the answer is the server's to this very request.
@@ -27,53 +26,57 @@
 	Stopping bool
 }
 
-// Arrival is one request as a server saw it.
-type Arrival struct {
+// arrival is one request as a server saw it.
+type arrival struct {
 	ID     string
 	Server int
 	At     time.Time
 }
 
-// Leaving is a server that was taken out of the store in the calm.
-type Leaving struct {
+// departure is a server that was taken out of the store in the calm.
+type departure struct {
 	Server int
 	// Known is when every process had had time to hear of it.
 	Known time.Time
 }
 
-// Record is what callers, servers and the store saw. It is safe for use by
+// record is what callers, servers and the store saw. It is safe for use by
 // several goroutines.
-type Record struct {
+type record struct {
 	mu       sync.Mutex
-	sent     map[string]Sent
-	arrivals []Arrival
+	sent     map[string]sentRequest
+	arrivals []arrival
 	// runs counts how often servers began each request.
 	runs map[string]int
 	// leaving holds the servers that left in the calm.
-	leaving []Leaving
+	leaving []departure
 	// broken holds the promises that are checked while the run goes on.
 	broken []Breach
 	// failures are errors of the run itself.
 	failures errs.Group
 }
 
-func newRecord() *Record {
-	return &Record{sent: map[string]Sent{}, runs: map[string]int{}}
+// newRecord returns an empty record.
+func newRecord() *record {
+	return &record{sent: map[string]sentRequest{}, runs: map[string]int{}}
 }
 
-func (r *Record) noteSent(s Sent) {
+// noteSent notes a request that has ended for its caller.
+func (r *record) noteSent(s sentRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent[s.ID] = s
 }
 
-func (r *Record) noteArrival(a Arrival) {
+// noteArrival notes a request as it comes to a server.
+func (r *record) noteArrival(a arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, a)
 }
 
-func (r *Record) noteRuns(runs map[string]int) {
+// noteRuns adds how often a server ran each request.
+func (r *record) noteRuns(runs map[string]int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, n := range runs {
@@ -81,34 +84,36 @@
 	}
 }
 
-func (r *Record) noteLeaving(l Leaving) {
+// noteLeaving notes a server that left in the calm.
+func (r *record) noteLeaving(l departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = append(r.leaving, l)
 }
 
-func (r *Record) noteBreach(promise Promise, format string, arguments ...any) {
+// noteBreach notes a promise that was found broken while the run goes on.
+func (r *record) noteBreach(promise Promise, format string, arguments ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broken = append(r.broken, Breach{promise, fmt.Sprintf(format, arguments...)})
 }
 
 // noteFailure notes an error of the run itself.
-func (r *Record) noteFailure(err error) {
+func (r *record) noteFailure(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failures.Add(err)
 }
 
 // failed returns the errors of the run itself.
-func (r *Record) failed() error {
+func (r *record) failed() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.failures.Err()
 }
 
 // judge returns every broken promise.
-func (r *Record) judge() []Breach {
+func (r *record) judge() []Breach {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	breaches := append([]Breach{}, r.broken...)
@@ -116,5 +121,5 @@
 		breaches = append(breaches, judgeRequest(s, r.runs[s.ID])...)
 	}
 	breaches = append(breaches, judgeLeaving(r.leaving, r.arrivals)...)
-	return append(breaches, judgeBudget(maps.Clone(r.sent), r.arrivals)...)
+	return append(breaches, judgeBudget(r.sent, r.arrivals)...)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,12 +5,13 @@
 // and with a proxy before its peer port and one before the store; callers that
 // keep their connections; and two phases. In the storm, faults come in series
 // and overlap: links are delayed, reset, silenced or cut one way, processes are
-// paused, killed and told to stop, servers fail grayly, the store is away or
-// stale, settings change. In the calm after it, a server leaves, settings change
-// and a process is told to stop, each under load.
+// paused, killed and told to stop, servers fail in part, the store is away or
+// stale, settings change. In the calm after it, settings change, the store shows
+// older ones, all servers reject what comes, a server leaves and a process is
+// told to stop, one after the other and each under load.
 //
 // What callers and servers saw is written down as it happens, and judged in the
-// end (package file judge.go): what must hold always is judged over the whole
+// end (judge.go): what must hold always is judged over the whole
 // run, what has a time bound only in the calm. The system keeps nothing on disks,
 // so no fault concerns storage; clocks are those of one machine and do not
 // misbehave here.
--- /dev/null
+++ b/soak/wait.go
@@ -0,0 +1,49 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"slatewind.example/slatewind/platform"
+)
+
+const (
+	// pollInterval is how often await looks.
+	pollInterval = 20 * time.Millisecond
+	// readyTime bounds one question whether a process is ready.
+	readyTime = time.Second
+)
+
+// awaitReady waits until every process says that it is ready.
+func (f *fleet) awaitReady(ctx context.Context) error {
+	for i := range f.nodes {
+		url := "http://" + f.address(ownBase, i, portReady) + platform.ReadyPath
+		if !await(ctx, f.options.Patience, func() bool { return statusOf(url) == http.StatusOK }) {
+			return Error.New("node %d is not ready after %s; its log is in %s", i, f.options.Patience, f.dir)
+		}
+	}
+	return nil
+}
+
+// statusOf returns the status of an answer, and zero where none came.
+func statusOf(url string) int {
+	client := http.Client{Timeout: readyTime}
+	response, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// await waits until done reports true, for patience at most; it reports whether
+// that happened.
+func await(ctx context.Context, patience time.Duration, done func() bool) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(pollInterval) {
+		if done() {
+			return true
+		}
+	}
+	return false
+}
