--- a/outbound/waiting_test.go
+++ b/outbound/waiting_test.go
@@ -19,6 +19,9 @@
 // are dear for it.
 const bulk = 16 << 10
 
+// meshSlots is how many slots each server of a mesh has.
+const meshSlots = 2
+
 // publishBulk puts a route in force whose requests may be large and wait long.
 func (m *mesh) publishBulk() {
 	m.store.Adopt(time.Now(), "test", &slatewind.PublishedSettings{Version: 2, Fleet: &slatewindv1.Fleet{
@@ -35,7 +38,7 @@
 	m.mu.Lock()
 	address := m.places[name].View().Address
 	m.mu.Unlock()
-	m.Put(time.Now(), slatewind.ServerEntry{Name: name, Service: "svc", Address: address, DataCentre: "far", Slots: 2})
+	m.Put(time.Now(), slatewind.ServerEntry{Name: name, Service: "svc", Address: address, DataCentre: "far", Slots: meshSlots})
 }
 
 // TestWaitsNearThenAsksFar: a large request waits at the full servers of its own
@@ -46,11 +49,12 @@
 	m.setAll(standin.StampedHang)
 	body := strings.Repeat("x", bulk)
 	var held sync.WaitGroup
-	for i := range 6 {
+	const nearSlots = 3 * meshSlots
+	for i := range nearSlots {
 		held.Go(func() { m.send("POST", "/bulk/1", fmt.Sprint("held-", i), body, 20*time.Second) })
 	}
 	await(t, func() bool {
-		return m.places["a"].InUse()+m.places["b"].InUse()+m.places["c"].InUse() == 6
+		return m.places["a"].InUse()+m.places["b"].InUse()+m.places["c"].InUse() == nearSlots
 	})
 	m.add(t, "d", "svc")
 	m.moveFar("d")
