--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -16,22 +16,22 @@
 func TestJudgeRequest(t *testing.T) {
 	single, repeatable := slatewind.KindSingle, slatewind.KindRepeatable
 	tests := map[string]struct {
-		sent Sent
+		sent sentRequest
 		runs int
 		want []Promise
 	}{
-		"served":                    {sent: Sent{Kind: single, Status: http.StatusOK, Own: true}, runs: 1},
-		"served in silence":         {sent: Sent{Kind: single, Status: http.StatusOK, Own: true}, want: []Promise{PromiseOwnAnswer}},
-		"another's answer":          {sent: Sent{Kind: single, Status: http.StatusOK}, runs: 1, want: []Promise{PromiseOwnAnswer}},
-		"run twice":                 {sent: Sent{Kind: single, Status: http.StatusOK, Own: true}, runs: 2, want: []Promise{PromiseOnce}},
-		"repeated as it may be":     {sent: Sent{Kind: repeatable, Status: http.StatusOK, Own: true}, runs: 2},
-		"refused":                   {sent: Sent{Kind: single, Status: http.StatusServiceUnavailable}},
-		"refused and run":           {sent: Sent{Kind: single, Status: http.StatusServiceUnavailable}, runs: 1, want: []Promise{PromiseNotRun}},
-		"refused, run, repeatable":  {sent: Sent{Kind: repeatable, Status: http.StatusServiceUnavailable}, runs: 1},
-		"unknown and run":           {sent: Sent{Kind: single, Status: http.StatusBadGateway}, runs: 1},
-		"cut off in the storm":      {sent: Sent{Kind: single}, runs: 1},
-		"cut off by a planned stop": {sent: Sent{Kind: single, Stopping: true}, runs: 1, want: []Promise{PromiseNoCut}},
-		"closed before it was read": {sent: Sent{Kind: single, Stopping: true}},
+		"served":                    {sent: sentRequest{Kind: single, Status: http.StatusOK, Own: true}, runs: 1},
+		"served in silence":         {sent: sentRequest{Kind: single, Status: http.StatusOK, Own: true}, want: []Promise{PromiseOwnAnswer}},
+		"another's answer":          {sent: sentRequest{Kind: single, Status: http.StatusOK}, runs: 1, want: []Promise{PromiseOwnAnswer}},
+		"run twice":                 {sent: sentRequest{Kind: single, Status: http.StatusOK, Own: true}, runs: 2, want: []Promise{PromiseOnce}},
+		"repeated as it may be":     {sent: sentRequest{Kind: repeatable, Status: http.StatusOK, Own: true}, runs: 2},
+		"refused":                   {sent: sentRequest{Kind: single, Status: http.StatusServiceUnavailable}},
+		"refused and run":           {sent: sentRequest{Kind: single, Status: http.StatusServiceUnavailable}, runs: 1, want: []Promise{PromiseNotRun}},
+		"refused, run, repeatable":  {sent: sentRequest{Kind: repeatable, Status: http.StatusServiceUnavailable}, runs: 1},
+		"unknown and run":           {sent: sentRequest{Kind: single, Status: http.StatusBadGateway}, runs: 1},
+		"cut off in the storm":      {sent: sentRequest{Kind: single}, runs: 1},
+		"cut off by a planned stop": {sent: sentRequest{Kind: single, Stopping: true}, runs: 1, want: []Promise{PromiseNoCut}},
+		"closed before it was read": {sent: sentRequest{Kind: single, Stopping: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -47,10 +47,10 @@
 // TestJudgeLeaving: only what comes to a leaver after all have heard counts.
 func TestJudgeLeaving(t *testing.T) {
 	known := time.Unix(1000, 0)
-	leaving := []Leaving{{Server: 2, Known: known}}
+	leaving := []departure{{Server: 2, Known: known}}
 	before, after := known.Add(-time.Second), known.Add(time.Second)
-	assert.Equal(t, len(judgeLeaving(leaving, []Arrival{{Server: 2, At: before}, {Server: 1, At: after}})), 0)
-	assert.Equal(t, len(judgeLeaving(leaving, []Arrival{{Server: 2, At: before}, {Server: 2, At: after}})), 1)
+	assert.Equal(t, len(judgeLeaving(leaving, []arrival{{Server: 2, At: before}, {Server: 1, At: after}})), 0)
+	assert.Equal(t, len(judgeLeaving(leaving, []arrival{{Server: 2, At: before}, {Server: 2, At: after}})), 1)
 }
 
 // TestJudgeBudget states how many extra arrivals a fleet may have in a window.
@@ -70,14 +70,14 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
-			sent := map[string]Sent{}
+			sent := map[string]sentRequest{}
 			for i := range test.requests {
 				id := fmt.Sprint("id-", i)
-				sent[id] = Sent{ID: id, At: start}
+				sent[id] = sentRequest{ID: id, At: start}
 			}
-			arrivals := []Arrival{{ID: "again", At: start}}
+			arrivals := []arrival{{ID: "again", At: start}}
 			for i := range test.extras {
-				arrivals = append(arrivals, Arrival{ID: "again", At: start.Add(time.Duration(i+1) * test.apart)})
+				arrivals = append(arrivals, arrival{ID: "again", At: start.Add(time.Duration(i+1) * test.apart)})
 			}
 			assert.Equal(t, len(judgeBudget(sent, arrivals)) > 0, test.broken)
 		})
