--- a/soak/calm.go
+++ b/soak/calm.go
@@ -70,7 +70,7 @@
 	for _, n := range f.nodes {
 		known := func() bool {
 			status, _ := f.ask(client, n.number, versionPath(version), newID())
-			return status != 0 && status != http.StatusNotFound
+			return status == http.StatusOK
 		}
 		if !await(ctx, time.Until(end), known) {
 			f.record.noteBreach(PromiseSettings, "node %d does not know version %d after %s", n.number, version, f.options.Patience)
