End a waiting request when its caller leaves

Cause: a single request was detached from its caller before it looked for a slot, so one that waited was sent long after nobody wanted its answer. By reading outbound/dispatch.go, and by the new test, which failed for the single kind: a request whose caller had left while it waited was run when a slot came free. Ruled out: the repeatable kind, which ended before too.

Change: the search for a slot ends when the caller leaves, for every kind; its place in each queue is freed, and a slot that was granted at that moment is given back. What was sent goes on as before, since breaking it off does not undo it. No further attempt begins for a caller that has left.

--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -108,26 +108,38 @@
 	for wait := firstPause; ; wait = min(2*wait, maxPause) {
 		s.begin()
 		slot, over := s.round(patience.C)
-		if slot != nil {
+		if slot != nil && !rq.abandoned() {
 			return slot, nil
 		}
+		if slot != nil {
+			s.giveBack(slot)
+			over = true
+		}
 		s.aim.ask.LastResort = true
-		if over || !time.Now().Add(wait).Before(until) || !pause(ctx, wait) {
+		if over || !time.Now().Add(wait).Before(until) || !s.pause(wait) {
 			return nil, s.refusal()
 		}
 	}
 }
 
-// pause waits; it reports false if ctx ended meanwhile.
-func pause(ctx context.Context, d time.Duration) bool {
+// pause waits; it reports false if the request ended or its caller left meanwhile.
+func (s *search) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
-	case <-ctx.Done():
-		return false
+	case <-s.ctx.Done():
+	case <-s.rq.left:
 	}
+	return false
+}
+
+// giveBack returns a slot that was granted to a request whose caller has left.
+func (s *search) giveBack(slot *held) {
+	slot.cancel()
+	s.last = "the caller left"
+	s.rq.shard.update(func(c *choice.Service) { c.Ended(slot.server.Name) })
 }
 
 // reason says why the search found no slot: the newest refusal, and how many
@@ -181,6 +193,9 @@
 			s.widen()
 		case <-patience:
 			return nil, true
+		case <-s.rq.left:
+			s.last = "the caller left"
+			return nil, true
 		case <-s.ctx.Done():
 			return nil, true
 		}
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -32,9 +32,10 @@
 
 // dispatch decides about a request until its final answer.
 func (o *Outbound) dispatch(ctx context.Context, rq *request) final {
+	rq.left = ctx.Done()
 	if !rq.repeatable() {
-		// Its caller may leave; what it began goes on, since breaking it off
-		// does not undo it.
+		// Its caller may leave; what a server has seen goes on, since breaking it
+		// off does not undo it. A search for a slot ends by rq.left.
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := rq.context(ctx)
@@ -188,7 +189,7 @@
 // again starts another attempt after a failed one, if that is allowed. A refused
 // reservation was the end of a long search; only what was sent is tried again.
 func (d *dispatch) again(r result) bool {
-	if !r.arrived || d.ctx.Err() != nil {
+	if !r.arrived || d.ctx.Err() != nil || d.rq.abandoned() {
 		return false
 	}
 	if !d.mayRepeat() {
--- /dev/null
+++ b/outbound/leaving_test.go
@@ -0,0 +1,67 @@
+package outbound_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/platform"
+)
+
+// TestCallerLeavesTheQueue: a request that still waits for a slot when its caller
+// leaves is never sent, of whichever kind, and frees its place in the queue.
+func TestCallerLeavesTheQueue(t *testing.T) {
+	// A quarter of this time, for which a request may wait, is longer than await.
+	const timeout = time.Minute
+	for _, kind := range []slatewind.Kind{slatewind.KindRepeatable, slatewind.KindSingle} {
+		t.Run(string(kind), func(t *testing.T) {
+			m := newMesh(t, "a")
+			m.publish(2, &slatewindv1.Route{
+				Name: "long", Host: "h.example", PathPrefix: "/long/", Kind: string(kind), Service: "svc", Timeout: durationpb.New(timeout),
+			})
+			m.setAll(standin.StampedHang)
+			var held sync.WaitGroup
+			for _, id := range []string{"held-1", "held-2"} {
+				held.Go(func() { m.send("POST", "/pay/1", id, "", 2*time.Second) })
+			}
+			await(t, func() bool { return m.places["a"].InUse() == meshSlots })
+			leave := m.sendAndLeave(t, "/long/1", "waits")
+			await(t, func() bool { return m.places["a"].View().Queued == 1 })
+			leave()
+			await(t, func() bool { return m.places["a"].View().Queued == 0 })
+			m.setAll(standin.StampedOK)
+			held.Wait()
+			await(t, func() bool { return m.places["a"].InUse() == 0 })
+			assert.Equal(t, m.runs("waits"), 0)
+		})
+	}
+}
+
+// sendAndLeave sends a request in the background; leave closes its connection
+// and returns when the caller is gone.
+func (m *mesh) sendAndLeave(t *testing.T, path, id string) (leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, m.callers.URL+path, nil)
+	assert.NilError(t, err)
+	r.Host = "h.example"
+	r.Header.Set(platform.Callers().RequestID, id)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if response, err := http.DefaultClient.Do(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -46,6 +46,18 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time
+	// left is closed when the caller leaves or has its answer.
+	left <-chan struct{}
+}
+
+// abandoned reports whether the caller has left.
+func (rq *request) abandoned() bool {
+	select {
+	case <-rq.left:
+		return true
+	default:
+		return false
+	}
 }
 
 func (rq *request) kind() slatewind.Kind { return slatewind.Kind(rq.route.GetKind()) }
