Queue near before asking far servers

Hypothesis: more than half of all requests of the library mesh run far although each data centre is equally short, because the third place in a queue is always far where a data centre has two servers of a service, and because a far server costs only 0.3 of a full one more.

Change: a far server costs 1.0 more (and up to 4.0 with large requests), and a request that already waits does not ask a server that is dearer by more than 0.75 until it has waited 0.15 of its objective.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -93,25 +93,25 @@
 	Bytes float64
 }
 
+// Candidate is a server that may get a request.
+type Candidate struct {
+	slatewind.ServerEntry
+	// Cost is what it costs to send the request there; 1 is a server all of whose
+	// slots are in use.
+	Cost float64
+}
+
 // Order returns the servers that may get a request, cheapest first.
-func (s *Service) Order(now time.Time, want Want) []slatewind.ServerEntry {
-	type priced struct {
-		entry slatewind.ServerEntry
-		cost  float64
-	}
-	list := make([]priced, 0, len(s.servers))
+func (s *Service) Order(now time.Time, want Want) []Candidate {
+	list := make([]Candidate, 0, len(s.servers))
 	for _, server := range s.servers {
 		if !server.worthAsking(now, want.Ask) {
 			continue
 		}
-		list = append(list, priced{server.ServerEntry, s.cost(now, server, want) + jitter*s.random.Float64()})
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].cost < list[j].cost })
-	entries := make([]slatewind.ServerEntry, len(list))
-	for i, p := range list {
-		entries[i] = p.entry
+		list = append(list, Candidate{server.ServerEntry, s.cost(now, server, want) + jitter*s.random.Float64()})
 	}
-	return entries
+	sort.Slice(list, func(i, j int) bool { return list[i].Cost < list[j].Cost })
+	return list
 }
 
 // Reserved notes that a reservation goes to a server.
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -10,12 +10,13 @@
 const (
 	// remoteCost keeps requests in their own data centre until its servers are
 	// that much fuller than others, since bytes between data centres are paid
-	// for. remoteByteCost is added for each expected byte of the request and its
+	// for: a request leaves once it would wait for about one service time more.
+	// remoteByteCost is added for each expected byte of the request and its
 	// answer, up to mostRemoteCost, so that small requests leave the near slots
 	// to large ones.
-	remoteCost     = 0.3
+	remoteCost     = 1.0
 	remoteByteCost = 0.25 / 1024
-	mostRemoteCost = 2.5
+	mostRemoteCost = 4.0
 	// sickCost stands for a sickness that was told a moment ago.
 	sickCost = 3.0
 	// sickRelief is the share of sickCost that a sick server is spared if it
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -22,6 +22,10 @@
 	// maxQueued is at how many servers a request waits at once. It takes the
 	// first slot, and the others go to the next in their queues.
 	maxQueued = 3
+	// waitGap is how much dearer, in full servers, a further place in a queue may
+	// be than those that the request has: near places are tried before one that
+	// costs bytes between data centres.
+	waitGap = 0.75
 	// widenShare is the share of its objective that a request waits at these
 	// before it asks as many others. The first ones are mostly near: a short
 	// wait there is cheaper than bytes between data centres.
@@ -58,7 +62,7 @@
 
 // held is a granted slot.
 type held struct {
-	server slatewind.ServerEntry
+	server choice.Candidate
 	use    link.Use
 	cancel context.CancelFunc
 }
@@ -75,10 +79,12 @@
 	// them wait for a slot.
 	open   map[*pending]bool
 	queued int
-	// mayQueue is at how many servers the request may wait now.
+	// mayQueue is at how many servers the request may wait now, and waitCost the
+	// cost of the dearest one at which it waits.
 	mayQueue int
+	waitCost float64
 	// queue holds the servers that are still to be asked in this round.
-	queue []slatewind.ServerEntry
+	queue []choice.Candidate
 	// newest is the reservation that was made last.
 	newest *pending
 	// last says why the newest refused reservation was, and lastServer by which
@@ -167,7 +173,7 @@
 	}
 	// Each reservation brings at most one reply that it waits and a final one.
 	s.events = make(chan event, 2*len(s.queue))
-	s.queued, s.mayQueue = 0, maxQueued
+	s.queued, s.mayQueue, s.waitCost = 0, maxQueued, 0
 }
 
 // round asks one server after the other. over says that waiting longer is no use.
@@ -203,6 +209,12 @@
 	return nil, false
 }
 
+// worthTheCost reports whether the next server is not much dearer than those at
+// which the request waits.
+func (s *search) worthTheCost() bool {
+	return len(s.queue) > 0 && s.queue[0].Cost <= s.waitCost+waitGap
+}
+
 // widen lets the request wait at further servers, besides those that keep it
 // waiting.
 func (s *search) widen() {
@@ -228,7 +240,8 @@
 	case e.reply.GetQueued() != nil:
 		s.heard(e.of.server.Name, toldOf(e.reply.GetQueued()))
 		s.queued++
-		if s.queued < s.mayQueue {
+		s.waitCost = max(s.waitCost, e.of.server.Cost)
+		if s.queued < s.mayQueue && s.worthTheCost() {
 			s.ask()
 		}
 		return nil
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -15,7 +15,7 @@
 
 // pending is one reservation without a final reply.
 type pending struct {
-	server slatewind.ServerEntry
+	server choice.Candidate
 	cancel context.CancelFunc
 	since  time.Time
 	// heard says that some reply came.
@@ -42,13 +42,13 @@
 	s.open[a] = true
 	s.newest = a
 	s.rq.shard.update(func(c *choice.Service) { c.Reserved(server.Name) })
-	go s.o.reserve(ctx, s.rq.reservation(server, s.aim.ask, s.until), a, s.events)
+	go s.o.reserve(ctx, s.rq.reservation(server.ServerEntry, s.aim.ask, s.until), a, s.events)
 	return true
 }
 
 // reserve makes one reservation and passes its replies on up to the final one.
 func (o *Outbound) reserve(ctx context.Context, reservation *slatewindv1.Reservation, a *pending, events chan<- event) {
-	use, err := o.links.Open(ctx, a.server)
+	use, err := o.links.Open(ctx, a.server.ServerEntry)
 	if err == nil {
 		err = use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Reservation{Reservation: reservation}})
 	}
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -50,7 +50,7 @@
 }
 
 // order returns the servers that may get a request, cheapest first.
-func (sh *shard) order(now time.Time, rq *request, ask breaker.Ask) []slatewind.ServerEntry {
+func (sh *shard) order(now time.Time, rq *request, ask breaker.Ask) []choice.Candidate {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	// Before the first answer only the request's own size is known.
