Blame a failed call on the service called

Cause: a server whose call to another service fails answers 500 or 504.

Change: the process beside a server sees the calls go out. A call is known by its id, which begins with that of the request that the server runs. An error answer to a request whose call failed, or is still awaited, is no evidence; time in which a call is awaited is not counted as the server's own either, neither in a route's mean nor as overdue. Where ids are formed otherwise, no call is recognized, and all counts as before.

Ruled out: telling calls by their address; callers and the server of a VM come from the same one.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -105,9 +105,21 @@
 // running is a request that the server has.
 type running struct {
 	route   string
-	started time.Time
 	trial   bool
 	overdue bool
+	// own is how long the server worked on it until since, without the time in
+	// which it waited for calls of its own; paused says that it waits now.
+	own    time.Duration
+	since  time.Time
+	paused bool
+}
+
+// took returns how long the server has worked on the request.
+func (r *running) took(now time.Time) time.Duration {
+	if r.paused {
+		return r.own
+	}
+	return r.own + now.Sub(r.since)
 }
 
 // mean is the mean duration of a route's successes.
@@ -194,7 +206,7 @@
 
 // Start notes that the server gets a request.
 func (b *Breaker) Start(now time.Time, id, route string) {
-	r := &running{route: route, started: now, trial: b.state != StateClosed}
+	r := &running{route: route, since: now, trial: b.state != StateClosed}
 	if r.trial {
 		b.trials++
 		b.lastTrial = now
@@ -202,6 +214,21 @@
 	b.running[id] = r
 }
 
+// Pause notes that the server waits for a call that it made for a request, and
+// Resume that it goes on: that time is not its own.
+func (b *Breaker) Pause(now time.Time, id string) {
+	if r := b.running[id]; r != nil && !r.paused {
+		r.own, r.paused = r.took(now), true
+	}
+}
+
+// Resume ends a Pause.
+func (b *Breaker) Resume(now time.Time, id string) {
+	if r := b.running[id]; r != nil && r.paused {
+		r.since, r.paused = now, false
+	}
+}
+
 // End notes what became of a request. It reports whether the state changed.
 func (b *Breaker) End(now time.Time, id string, result Result) bool {
 	r := b.running[id]
@@ -212,7 +239,7 @@
 	if r.trial {
 		b.trials--
 	}
-	took := now.Sub(r.started)
+	took := r.took(now)
 	if result == ResultOK && (r.overdue || b.tooLong(r.route, took)) {
 		return !r.overdue && b.fail(now, slowWeight)
 	}
@@ -239,7 +266,7 @@
 func (b *Breaker) Tick(now time.Time) bool {
 	changed := false
 	for _, r := range b.running {
-		if r.overdue || !b.tooLong(r.route, now.Sub(r.started)) {
+		if r.overdue || !b.tooLong(r.route, r.took(now)) {
 			continue
 		}
 		r.overdue = true
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -16,6 +16,8 @@
 	start  string
 	end    string
 	result breaker.Result
+	// pause and resume name a request whose call begins or ends.
+	pause, resume string
 }
 
 const ms = time.Millisecond
@@ -31,6 +33,12 @@
 		if s.end != "" {
 			b.End(now, s.end, s.result)
 		}
+		if s.pause != "" {
+			b.Pause(now, s.pause)
+		}
+		if s.resume != "" {
+			b.Resume(now, s.resume)
+		}
 		b.Tick(now)
 	}
 	return b, now
@@ -86,6 +94,15 @@
 			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{after: 400 * ms}),
 			breaker.StateOpen, false, false, true,
 		},
+		"requests that wait for calls of theirs": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{pause: "a"}, step{pause: "b"}, step{after: 400 * ms}),
+			breaker.StateClosed, true, true, true,
+		},
+		"requests that hang after their calls": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{pause: "a"}, step{pause: "b"},
+				step{after: 400 * ms, resume: "a"}, step{resume: "b"}, step{after: 400 * ms}),
+			breaker.StateOpen, false, false, true,
+		},
 		"nearly all fail": {
 			append(broken,
 				step{after: 410 * ms, start: "t"}, step{after: ms, end: "t", result: breaker.ResultBroken},
--- /dev/null
+++ b/call.go
@@ -0,0 +1,16 @@
+package slatewind
+
+// Call is a request that the server of this VM makes while it runs another: part
+// of work that has begun.
+type Call struct {
+	// Repeat says that the run it belongs to is not the first of its request.
+	Repeat bool
+	// End notes what became of the call; it must be used once.
+	End func(served bool)
+}
+
+// Calls knows which requests are calls that the server of this VM makes.
+type Calls interface {
+	// Call reports whether the request with an id is such a call.
+	Call(id string) (Call, bool)
+}
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -50,7 +50,7 @@
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
 		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: process.GetBounds().GetRetrySlack()},
-		platform.Callers(), store, j, n, m,
+		platform.Callers(), store, j, n, n.inbound, m,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
 	n.share = discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -78,6 +78,8 @@
 	breaker *breaker.Breaker
 	// waiting holds, by the item's id, where its decision is awaited.
 	waiting map[string]chan admission.Decision
+	// parents holds, by their callers' ids, the requests that the server runs.
+	parents map[string]*parent
 	// away says why the server takes no work, stopping why the process takes none.
 	away     string
 	stopping string
@@ -92,6 +94,7 @@
 		slots:   admission.NewServer(defaultSlots),
 		breaker: breaker.New(),
 		waiting: map[string]chan admission.Decision{},
+		parents: map[string]*parent{},
 	}
 }
 
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -24,7 +24,11 @@
 	}
 	ctx, cancel := u.context(remaining)
 	defer cancel()
-	answer, sent, err := u.in.pool.Do(ctx, u.request(ctx, request, body, remaining))
+	toServer := u.request(ctx, request, body, remaining)
+	u.parent.item = u.item.ID
+	u.id = toServer.Header.Get(u.in.server.Dialect.RequestID)
+	u.in.begin(u.id, &u.parent)
+	answer, sent, err := u.in.pool.Do(ctx, toServer)
 	if err != nil {
 		return u.fail(ctx, sent, err)
 	}
@@ -94,6 +98,10 @@
 	now := time.Now()
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
+	delete(u.in.parents, u.id)
+	if result == breaker.ResultError && u.parent.blameless() {
+		result = breaker.ResultNone
+	}
 	if u.in.breaker.End(now, u.item.ID, result) {
 		u.in.noteBreaker(now, why)
 	}
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -22,6 +22,9 @@
 	// deadline is the end of the request's time, granted when its slot was.
 	deadline time.Time
 	granted  time.Time
+	// id is the caller's id of the request, parent what its calls came to.
+	id     string
+	parent parent
 }
 
 // serve takes the reservation through its steps. The error concerns the stream.
--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -28,6 +28,8 @@
 	StampedShed StampedMode = "shed"
 	// StampedHang answers nothing while it lasts.
 	StampedHang StampedMode = "hang"
+	// StampedHeldError answers with an error of its own once it is let go.
+	StampedHeldError StampedMode = "held-error"
 	// StampedCut breaks off in the middle of each answer.
 	StampedCut StampedMode = "cut"
 )
@@ -123,7 +125,7 @@
 		w.Header().Set(s.dialect.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case StampedHang:
+	case StampedHang, StampedHeldError:
 		select {
 		case <-release:
 		case <-r.Context().Done():
@@ -132,7 +134,7 @@
 	}
 	w.Header().Set(s.dialect.Stamp, s.name+"-stamp")
 	text := fmt.Sprintf("%s %s %s", s.name, r.RequestURI, body)
-	if mode == StampedError {
+	if mode == StampedError || mode == StampedHeldError {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
 	if mode == StampedCut {
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -65,6 +65,7 @@
 	store   *config.Store
 	journal slatewind.Journal
 	links   Opener
+	calls   slatewind.Calls
 	meter   Meter
 
 	mu     sync.RWMutex
@@ -84,9 +85,9 @@
 }
 
 // New returns an ingress that knows no servers yet. Its settings come from store.
-func New(self Self, bounds Bounds, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, meter Meter) *Outbound {
+func New(self Self, bounds Bounds, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter) *Outbound {
 	return &Outbound{
-		self: self, bounds: bounds, dialect: dialect, store: store, journal: journal, links: links, meter: meter,
+		self: self, bounds: bounds, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter,
 		shards: map[string]*shard{}, services: map[string]string{}, places: map[string]string{}, splits: map[string]*splitter{},
 	}
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -56,6 +56,9 @@
 func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
 func (m *mesh) Extra(string, string)                             {}
 
+// Call implements slatewind.Calls: no request of a mesh is a server's call.
+func (m *mesh) Call(string) (slatewind.Call, bool) { return slatewind.Call{}, false }
+
 // Open implements outbound.Opener.
 func (m *mesh) Open(ctx context.Context, server slatewind.ServerEntry) (link.Use, error) {
 	m.mu.Lock()
@@ -100,7 +103,7 @@
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
 		outbound.Self{DataCentre: "dc", Service: "caller"}, outbound.Bounds{RetryRatio: 0.2, RetrySlack: 60},
-		platform.Callers(), m.store, m.history, m, m,
+		platform.Callers(), m.store, m.history, m, m, m,
 	)
 	for _, name := range names {
 		m.add(t, name, "svc")
@@ -331,7 +334,7 @@
 func TestBeforeSettings(t *testing.T) {
 	m := newMesh(t, "a")
 	empty := config.NewStore(m.history)
-	o := outbound.New(outbound.Self{}, outbound.Bounds{}, platform.Callers(), empty, m.history, m, m)
+	o := outbound.New(outbound.Self{}, outbound.Bounds{}, platform.Callers(), empty, m.history, m, m, m)
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -62,6 +62,11 @@
 	answer *answer
 }
 
+// served reports whether the outcome is a server's answer and no error of its own.
+func (f *final) served() bool {
+	return f.answer != nil && f.answer.head.GetStatus() < slatewind.FirstServerError
+}
+
 // answer gives a caller the outcome of its request.
 func (o *Outbound) answer(w http.ResponseWriter, rq *request, f final) {
 	if f.outcome == slatewind.OutcomeAnswer {
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -94,7 +94,11 @@
 		o.reject(w, r, err)
 		return
 	}
+	call, isCall := o.calls.Call(rq.id)
 	final := o.dispatch(r.Context(), rq)
+	if isCall {
+		call.End(final.served())
+	}
 	o.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
 	o.answer(w, rq, final)
 }
