Give slots to work that has begun first

Change: a reservation says that it is a call of a request that a server already runs. A new item is passed by no more begun ones than there are slots, so it waits one service time longer at most.

Ruled out: calls within their parent's rank (measured before by others: the gain is gone).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,8 +4,9 @@
 // A request that cannot start in time is refused at once, with the time after
 // which a slot is likely: a quick refusal can still be served elsewhere, a late
 // one cannot. The queue is short for the same reason. Interactive requests go
-// before background ones, which get only spare slots; then the lower rank goes
-// first; and among customers the one with the fewest requests in slots, so that
+// before background ones, which get only spare slots; then what belongs to work
+// that has begun elsewhere goes first, but passes each other item no more than
+// once a slot; then the lower rank goes first; and among customers the one with the fewest requests in slots, so that
 // one customer's launch does not starve the rest.
 package admission
 
@@ -35,6 +36,9 @@
 	Deadline time.Time
 	// Rank orders requests of one priority; lower goes first.
 	Rank uint32
+	// Begun says that the item belongs to work that another server has begun and
+	// that would be lost if the item were refused.
+	Begun bool
 	// StartBy is when waiting for a slot is no longer worth it; zero is never.
 	StartBy time.Time
 }
@@ -69,7 +73,7 @@
 	inUse int
 	// running counts the slots of each customer that has any.
 	running map[string]int
-	queue   []Item
+	queue   []waiting
 	// service is the mean service time.
 	service time.Duration
 }
@@ -108,6 +112,7 @@
 // make room for it.
 func (s *Server) Offer(now time.Time, it Item) []Decision {
 	if s.fits(it) && !s.othersGoFirst(it) {
+		s.notePassed(it, len(s.queue))
 		s.start(it)
 		return []Decision{{Item: it, Action: ActionStart}}
 	}
@@ -115,16 +120,15 @@
 		return []Decision{s.refuse(it, "no slot will be free in time")}
 	}
 	if len(s.queue) < s.slots*queuePerSlot {
-		s.queue = append(s.queue, it)
+		s.queue = append(s.queue, waiting{Item: it})
 		return []Decision{{Item: it, Action: ActionQueue}}
 	}
 	victim := s.victim(it)
 	if victim < 0 {
 		return []Decision{s.refuse(it, "the queue is full")}
 	}
-	refused := s.refuse(s.queue[victim], "the queue is full and another customer or priority goes first")
-	s.queue = append(s.queue[:victim], s.queue[victim+1:]...)
-	s.queue = append(s.queue, it)
+	refused := s.refuse(s.take(victim), "the queue is full and another customer or priority goes first")
+	s.queue = append(s.queue, waiting{Item: it})
 	return []Decision{refused, {Item: it, Action: ActionQueue}}
 }
 
@@ -151,8 +155,8 @@
 		if i < 0 {
 			return decisions
 		}
-		it := s.queue[i]
-		s.queue = append(s.queue[:i], s.queue[i+1:]...)
+		it := s.take(i)
+		s.notePassed(it, i)
 		s.start(it)
 		decisions = append(decisions, Decision{Item: it, Action: ActionStart})
 	}
@@ -162,18 +166,25 @@
 func (s *Server) Remove(id string) bool {
 	for i, it := range s.queue {
 		if it.ID == id {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			s.take(i)
 			return true
 		}
 	}
 	return false
 }
 
+// take takes the item at an index out of the queue.
+func (s *Server) take(i int) Item {
+	it := s.queue[i].Item
+	s.queue = append(s.queue[:i], s.queue[i+1:]...)
+	return it
+}
+
 // RefuseAll empties the queue, for a server that leaves.
 func (s *Server) RefuseAll(reason string) []Decision {
 	decisions := make([]Decision, 0, len(s.queue))
 	for _, it := range s.queue {
-		decisions = append(decisions, s.refuse(it, reason))
+		decisions = append(decisions, s.refuse(it.Item, reason))
 	}
 	s.queue = nil
 	return decisions
@@ -192,108 +203,12 @@
 	return free > 0
 }
 
-// othersGoFirst reports whether an item waits that a newcomer must not pass: an
-// interactive one of the same rank or a lower.
-func (s *Server) othersGoFirst(it Item) bool {
-	for _, q := range s.queue {
-		if q.Priority != slatewind.PriorityBackground && q.Rank <= it.Rank {
-			return true
-		}
-	}
-	return false
-}
-
-// nextItem returns the index of the waiting item that gets the next slot.
-func (s *Server) nextItem() int {
-	best := -1
-	for i, it := range s.queue {
-		if !s.fits(it) {
-			continue
-		}
-		if best < 0 || s.before(it, s.queue[best]) {
-			best = i
-		}
-	}
-	return best
-}
-
-// before reports whether a goes before b, which came earlier.
-func (s *Server) before(a, b Item) bool {
-	aBack := a.Priority == slatewind.PriorityBackground
-	bBack := b.Priority == slatewind.PriorityBackground
-	if aBack != bBack {
-		return bBack
-	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	return s.running[a.Customer] < s.running[b.Customer]
-}
-
-// victim returns the index of the item that makes room for a newcomer, or -1:
-// a background item for an interactive one, else the latest of the items with the
-// highest rank if that is above the newcomer's, else the latest item of a customer
-// that has at least two more waiting than the newcomer's.
-func (s *Server) victim(it Item) int {
-	waiting := map[string]int{}
-	for i := len(s.queue) - 1; i >= 0; i-- {
-		q := s.queue[i]
-		if q.Priority == slatewind.PriorityBackground && it.Priority != slatewind.PriorityBackground {
-			return i
-		}
-		waiting[q.Customer]++
-	}
-	if it.Priority == slatewind.PriorityBackground {
-		return -1
-	}
-	if i := s.lowest(); s.queue[i].Rank > it.Rank {
-		return i
-	}
-	best := -1
-	for i, q := range s.queue {
-		if waiting[q.Customer] < waiting[it.Customer]+2 {
-			continue
-		}
-		if best < 0 || waiting[q.Customer] >= waiting[s.queue[best].Customer] {
-			best = i
-		}
-	}
-	return best
-}
-
-// lowest returns the index of the latest of the waiting items with the highest
-// rank, which go last. The queue is not empty.
-func (s *Server) lowest() int {
-	last := 0
-	for i, q := range s.queue {
-		if q.Rank >= s.queue[last].Rank {
-			last = i
-		}
-	}
-	return last
-}
-
-// wait estimates how long an item would wait for its slot.
-func (s *Server) wait(it Item) time.Duration {
-	ahead := len(s.queue) + 1
-	if it.Priority != slatewind.PriorityBackground {
-		ahead = 1
-		for _, q := range s.queue {
-			if q.Priority != slatewind.PriorityBackground && q.Rank <= it.Rank {
-				ahead++
-			}
-		}
-	}
-	rounds := float64(ahead) / float64(max(s.slots, 1))
-	return time.Duration(rounds * float64(s.service))
-}
-
 func (s *Server) expire(now time.Time) []Decision {
 	var decisions []Decision
 	kept := s.queue[:0]
 	for _, it := range s.queue {
 		if it.late(now, s.service) {
-			decisions = append(decisions, s.refuse(it, "no slot came free in time"))
+			decisions = append(decisions, s.refuse(it.Item, "no slot came free in time"))
 			continue
 		}
 		kept = append(kept, it)
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -72,6 +72,7 @@
 		ID:       fmt.Sprint(in.nextID),
 		Priority: slatewind.PriorityInteractive,
 		Rank:     r.GetRank(),
+		Begun:    r.GetBegun(),
 		Deadline: now.Add(time.Duration(r.GetRemainingNanos())),
 		StartBy:  now.Add(time.Duration(r.GetPatienceNanos())),
 	}
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -50,7 +50,7 @@
 // refusal would prove nothing any more.
 func (rq *request) patience(now time.Time, again bool) time.Time {
 	remaining := rq.remaining(now)
-	if again {
+	if again || rq.begun {
 		return now.Add(time.Duration(againShare * float64(remaining)))
 	}
 	wait := max(
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -48,6 +48,8 @@
 	deadline time.Time
 	// left is closed when the caller leaves or has its answer.
 	left <-chan struct{}
+	// begun says that the request is a call of one that a server already runs.
+	begun bool
 }
 
 // abandoned reports whether the caller has left.
@@ -95,6 +97,7 @@
 		return
 	}
 	call, isCall := o.calls.Call(rq.id)
+	rq.begun = isCall
 	final := o.dispatch(r.Context(), rq)
 	if isCall {
 		call.End(final.served())
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -70,7 +70,7 @@
 	return &slatewindv1.Reservation{
 		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
 		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(until.Sub(now)),
-		Careful: ask.Careful, LastResort: ask.LastResort,
+		Careful: ask.Careful, LastResort: ask.LastResort, Begun: rq.begun,
 	}
 }
 
