Keep the bound on extra attempts beside the servers

Change: the process beside a server pays for each extra arrival there; a reservation says that it is one and is refused where nothing is left, so the next server's process is asked. Each pays from what its first arrivals earned and from its share of the slack, which is free again a window after it was spent (retry.Window). The sum keeps the operators' bound in every window; a property test plays servers that know nothing of each other. Calls earn nothing, and calls of runs that were extra ones are charged.

A hedge now waits until a server has the request, for 2.5 times its route's mean at least, leaves out the server that has it, and is asked again when it was denied.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -5,8 +5,8 @@
 // which a slot is likely: a quick refusal can still be served elsewhere, a late
 // one cannot. The queue is short for the same reason. Interactive requests go
 // before background ones, which get only spare slots; then what belongs to work
-// that has begun elsewhere goes first, but passes each other item no more than
-// once a slot; then the lower rank goes first; and among customers the one with the fewest requests in slots, so that
+// that has begun elsewhere goes first, but passes each other item only a few
+// times; then the lower rank goes first; and among customers the one with the fewest requests in slots, so that
 // one customer's launch does not starve the rest.
 package admission
 
--- a/admission/order.go
+++ b/admission/order.go
@@ -25,16 +25,18 @@
 	levelBackground
 )
 
-// levelOf returns the level of a waiting item. Begun items may pass another one
-// as often as there are slots, so that they delay it by about one service time
-// and never starve it.
+// mostPassed is how often begun items may pass another one: they delay it by a
+// few service times of theirs and never starve it.
+const mostPassed = 2
+
+// levelOf returns the level of a waiting item.
 func (s *Server) levelOf(w waiting) level {
 	switch {
 	case w.Priority == slatewind.PriorityBackground:
 		return levelBackground
 	case w.Begun:
 		return levelBegun
-	case w.passed >= s.slots:
+	case w.passed >= mostPassed:
 		return levelPassed
 	}
 	return levelNew
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,8 @@
 	ShedShare float64
 	// Full says that a reservation was refused for want of a slot.
 	Full bool
+	// Spent says that the server may get no extra arrival just then.
+	Spent bool
 	// TrialIn is how long it is until a sick server may get its next trial.
 	TrialIn time.Duration
 }
@@ -89,6 +91,8 @@
 type Want struct {
 	// Ask says what it may do to servers that look sick.
 	breaker.Ask
+	// Extra says that a server has seen it before, or may see it.
+	Extra bool
 	// Bytes is how many bytes it and its answer are expected to have.
 	Bytes float64
 }
@@ -105,7 +109,7 @@
 func (s *Service) Order(now time.Time, want Want) []Candidate {
 	list := make([]Candidate, 0, len(s.servers))
 	for _, server := range s.servers {
-		if !server.worthAsking(now, want.Ask) {
+		if !server.worthAsking(now, want) {
 			continue
 		}
 		list = append(list, Candidate{server.ServerEntry, s.cost(now, server, want) + jitter*s.random.Float64()})
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -54,6 +54,8 @@
 	// them over and over would fill the network just when all are full.
 	sickPause = 300 * time.Millisecond
 	fullPause = 60 * time.Millisecond
+	// spentPause is that before an extra attempt asks a server that may get none.
+	spentPause = 250 * time.Millisecond
 	// lastResortPause is that before a request without a better choice makes
 	// itself the trial of a sick server.
 	lastResortPause = 100 * time.Millisecond
@@ -62,16 +64,16 @@
 )
 
 // worthAsking reports whether a reservation may be granted now.
-func (server *Server) worthAsking(now time.Time, ask breaker.Ask) bool {
+func (server *Server) worthAsking(now time.Time, want Want) bool {
 	age := now.Sub(server.toldAt)
 	switch {
 	case server.Leaving, server.told.Leaving && age < loadMemory:
 		return false
-	case server.told.Full && age < fullPause:
+	case server.told.Full && age < fullPause, want.Extra && server.told.Spent && age < spentPause:
 		return false
-	case server.told.Sick && ask.LastResort:
-		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !ask.Careful && age >= lastResortPause
-	case server.told.Sick && ask.Careful:
+	case server.told.Sick && want.LastResort:
+		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !want.Careful && age >= lastResortPause
+	case server.told.Sick && want.Careful:
 		return age >= max(server.told.TrialIn, sickPause)
 	case server.told.Sick:
 		return age >= server.told.TrialIn
--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -14,6 +14,7 @@
 // Server implements discovery.Sink.
 func (n *Node) Server(now time.Time, entry slatewind.ServerEntry) {
 	n.outbound.Put(now, entry)
+	n.shareBounds()
 	if entry.Address == n.settings.GetLocalServer().GetAddress() {
 		n.inbound.Published(now, &entry)
 	}
@@ -22,9 +23,15 @@
 // ServerGone implements discovery.Sink.
 func (n *Node) ServerGone(now time.Time, name string) {
 	n.outbound.Remove(name)
+	n.shareBounds()
 	n.inbound.Gone(now, name)
 }
 
+// shareBounds tells the sidecar how many servers share the bounds of its service.
+func (n *Node) shareBounds() {
+	n.inbound.SetServers(n.outbound.ServersOf(n.settings.GetLocalServer().GetService()))
+}
+
 // Finding implements discovery.Sink.
 func (n *Node) Finding(now time.Time, finding error) {
 	n.history.Add(slatewind.Decision{
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -46,10 +46,12 @@
 		Service: process.GetLocalServer().GetService(),
 		Address: process.GetLocalServer().GetAddress(),
 		Dialect: platform.Servers(),
+	}, inbound.Bounds{
+		RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: process.GetBounds().GetRetrySlack(),
+		RetryWindow: process.GetBounds().GetRetryWindow().AsDuration(),
 	}, j)
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		outbound.Bounds{RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: process.GetBounds().GetRetrySlack()},
 		platform.Callers(), store, j, n, n.inbound, m,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -23,6 +23,7 @@
 	"slatewind.example/slatewind/backend"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/retry"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -52,6 +53,8 @@
 	CauseLeaving Cause = "leaving"
 	// CauseMoved: the server here belongs to another service.
 	CauseMoved Cause = "moved"
+	// CauseBudget: an extra arrival that the bound on them does not allow here.
+	CauseBudget Cause = "budget"
 	// CauseLate: the request's time is over, or its granted slot ran out.
 	CauseLate Cause = "late"
 )
@@ -64,10 +67,24 @@
 	Dialect slatewind.ServerDialect
 }
 
+// Bounds holds the operators' bound on extra arrivals at the servers of a service:
+// in each window no more than slack and a ratio of the first ones.
+type Bounds struct {
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// extrasShare is the share of the bound that is given out. The rest is for calls
+// of runs that were extra ones, which are not denied, and for servers that are
+// not known of yet.
+const extrasShare = 0.85
+
 // Inbound gives out the slots of one server. It is safe for use by several
 // goroutines.
 type Inbound struct {
 	server  Server
+	bounds  Bounds
 	pool    *backend.Pool
 	journal slatewind.Journal
 
@@ -76,6 +93,8 @@
 	name    string
 	slots   *admission.Server
 	breaker *breaker.Breaker
+	// extras is the account of extra arrivals at the server.
+	extras *retry.Window
 	// waiting holds, by the item's id, where its decision is awaited.
 	waiting map[string]chan admission.Decision
 	// parents holds, by their callers' ids, the requests that the server runs.
@@ -87,12 +106,13 @@
 }
 
 // New returns the slots of a server.
-func New(server Server, journal slatewind.Journal) *Inbound {
+func New(server Server, bounds Bounds, journal slatewind.Journal) *Inbound {
 	return &Inbound{
-		server: server, journal: journal,
+		server: server, bounds: bounds, journal: journal,
 		pool:    backend.NewPool(server.Address, server.Dialect),
 		slots:   admission.NewServer(defaultSlots),
 		breaker: breaker.New(),
+		extras:  retry.NewWindow(time.Now(), extrasShare*bounds.RetryRatio, bounds.RetryWindow),
 		waiting: map[string]chan admission.Decision{},
 		parents: map[string]*parent{},
 	}
@@ -134,6 +154,14 @@
 	}
 }
 
+// SetServers states how many servers the service has; they share the bound on
+// extra arrivals.
+func (in *Inbound) SetServers(n int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.extras.SetSlack(extrasShare * in.bounds.RetrySlack / float64(max(n, 1)))
+}
+
 // rename notes which start of the server runs here; the breaker forgets what an
 // older one did.
 func (in *Inbound) rename(now time.Time, name string) {
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -25,10 +25,11 @@
 	ctx, cancel := u.context(remaining)
 	defer cancel()
 	toServer := u.request(ctx, request, body, remaining)
-	u.parent.item = u.item.ID
+	u.parent = parent{item: u.item.ID, repeat: u.reservation.GetExtra() || u.reservation.GetRepeat()}
 	u.id = toServer.Header.Get(u.in.server.Dialect.RequestID)
 	u.in.begin(u.id, &u.parent)
 	answer, sent, err := u.in.pool.Do(ctx, toServer)
+	u.account(sent)
 	if err != nil {
 		return u.fail(ctx, sent, err)
 	}
@@ -36,6 +37,22 @@
 	return u.pass(ctx, answer)
 }
 
+// account counts the arrival, if it came about. Calls do not earn extra arrivals,
+// since the operators' bound counts what callers sent.
+func (u *use) account(arrived bool) {
+	u.in.mu.Lock()
+	defer u.in.mu.Unlock()
+	switch r := u.reservation; {
+	case !arrived:
+		u.in.extras.Return(u.payment)
+	case r.GetExtra():
+	case r.GetRepeat():
+		u.in.extras.Charge()
+	case !r.GetBegun():
+		u.in.extras.First()
+	}
+}
+
 // serverSlack is how long after the request's own time a server may still
 // answer that the time is over.
 const serverSlack = 100 * time.Millisecond
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -106,6 +106,8 @@
 	case !in.breaker.Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort()}):
 		reason := fmt.Sprintf("the breaker is %s", in.breaker.State())
 		return in.refusal(CauseSick, reason, in.breaker.RetryAfter(now))
+	case r.GetExtra() && !in.extras.Left(now):
+		return in.refusal(CauseBudget, "the bound on extra attempts is reached", 0)
 	}
 	return nil
 }
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -8,6 +8,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/retry"
 )
 
 // maxBody bounds a request's body in bytes, whatever the sender says.
@@ -25,6 +26,8 @@
 	// id is the caller's id of the request, parent what its calls came to.
 	id     string
 	parent parent
+	// payment is what an extra arrival was paid from.
+	payment retry.Payment
 }
 
 // serve takes the reservation through its steps. The error concerns the stream.
@@ -83,6 +86,9 @@
 	if refusal != nil {
 		u.in.release(u.granted, u.item)
 	} else {
+		if u.reservation.GetExtra() {
+			u.payment = u.in.extras.Take(u.granted)
+		}
 		u.in.breaker.Start(u.granted, u.item.ID, u.reservation.GetRoute())
 	}
 	u.in.mu.Unlock()
@@ -102,6 +108,7 @@
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
 	u.in.breaker.End(now, u.item.ID, breaker.ResultNone)
+	u.in.extras.Return(u.payment)
 	u.in.release(now, u.item)
 }
 
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -50,7 +50,7 @@
 // refusal would prove nothing any more.
 func (rq *request) patience(now time.Time, again bool) time.Time {
 	remaining := rq.remaining(now)
-	if again || rq.begun {
+	if again || rq.call != nil {
 		return now.Add(time.Duration(againShare * float64(remaining)))
 	}
 	wait := max(
@@ -102,6 +102,12 @@
 	tried map[string]bool
 	// ask says what the attempt may do to servers that look sick.
 	ask breaker.Ask
+	// extra says that a server has seen the request before, or may see it.
+	extra bool
+	// again says that a server has seen the request and gave no final answer.
+	again bool
+	// sent is called with the name of the server before the request goes there.
+	sent func(server string)
 }
 
 // acquire looks for a slot for a request until a time. Where there is none, the
@@ -122,12 +128,18 @@
 			over = true
 		}
 		s.aim.ask.LastResort = true
-		if over || !time.Now().Add(wait).Before(until) || !s.pause(wait) {
+		if s.denied() || over || !time.Now().Add(wait).Before(until) || !s.pause(wait) {
 			return nil, s.refusal()
 		}
 	}
 }
 
+// denied reports whether the search is for an extra attempt that no server may
+// get now. Waiting for the bound to allow more would only hold its caller.
+func (s *search) denied() bool {
+	return s.aim.extra && s.refusals[inbound.CauseBudget] > 0
+}
+
 // pause waits; it reports false if the request ended or its caller left meanwhile.
 func (s *search) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -154,8 +166,8 @@
 	if len(s.refusals) == 0 {
 		return s.last
 	}
-	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d moved)", s.last,
-		s.refusals[inbound.CauseFull], s.refusals[inbound.CauseSick], s.refusals[inbound.CauseLeaving], s.refusals[inbound.CauseMoved])
+	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d moved, %d budget)", s.last,
+		s.refusals[inbound.CauseFull], s.refusals[inbound.CauseSick], s.refusals[inbound.CauseLeaving], s.refusals[inbound.CauseMoved], s.refusals[inbound.CauseBudget])
 }
 
 // refusal is the outcome of a search without a slot.
@@ -166,7 +178,7 @@
 // begin starts a round: all servers are asked in the order of their cost.
 func (s *search) begin() {
 	s.queue = s.queue[:0]
-	for _, server := range s.rq.shard.order(time.Now(), s.rq, s.aim.ask) {
+	for _, server := range s.rq.shard.order(time.Now(), s.rq, s.aim) {
 		if !s.aim.tried[server.Name] {
 			s.queue = append(s.queue, server)
 		}
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -18,9 +18,15 @@
 	// defaultAttempts is the number of attempts where a route states none, the
 	// first included.
 	defaultAttempts = 2
-	// hedgeShare is the share of its objective after which a repeatable request
-	// without an answer is sent to a second server as well.
-	hedgeShare = 0.75
+	// hedgeShare is the share of its objective, and hedgeFactor the multiple of its
+	// route's mean, after which a repeatable request that a server has and does not
+	// answer is sent to a second one as well. While it waits for its slot it is
+	// not: a second place in the queues would only add to the load.
+	hedgeShare  = 0.75
+	hedgeFactor = 2.5
+	// hedgeAgainShare is the share of its objective after which a second server
+	// is looked for again where none could take the request.
+	hedgeAgainShare = 0.25
 )
 
 // result is what became of one attempt.
@@ -39,7 +45,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := rq.context(ctx)
-	d := &dispatch{o: o, rq: rq, ctx: ctx, results: make(chan result, maxTries), tried: map[string]bool{}}
+	d := &dispatch{o: o, rq: rq, ctx: ctx, results: make(chan result, maxTries), sent: make(chan string, maxTries), tried: map[string]bool{}}
 	f := d.run()
 	if f.answer == nil {
 		cancel()
@@ -59,7 +65,9 @@
 	rq      *request
 	ctx     context.Context
 	results chan result
-	tried   map[string]bool
+	// sent brings the name of each server that the request is sent to.
+	sent  chan string
+	tried map[string]bool
 	// active counts attempts without a result, tries all attempts, arrivals
 	// those that a server has seen.
 	active, tries, arrivals int
@@ -72,11 +80,8 @@
 // run starts the first attempt, and others after failures or a long wait, until
 // one result is final.
 func (d *dispatch) run() final {
-	d.rq.shard.mu.Lock()
-	d.rq.shard.budget.First()
-	d.rq.shard.mu.Unlock()
 	d.start()
-	hedge := time.NewTimer(time.Duration(hedgeShare * float64(d.rq.objective())))
+	hedge := time.NewTimer(d.rq.remaining(time.Now()))
 	defer hedge.Stop()
 	for {
 		select {
@@ -85,17 +90,33 @@
 			if f, done := d.take(r); done {
 				return f
 			}
+		case server := <-d.sent:
+			d.tried[server] = true
+			hedge.Reset(d.rq.hedgeAfter())
 		case <-hedge.C:
-			if d.rq.repeatable() && d.active == 1 && d.mayRepeat() {
-				d.note(slatewind.DecisionHedge, "", "no answer after most of its objective")
-				d.start()
-			}
+			d.hedge()
+			hedge.Reset(time.Duration(hedgeAgainShare * float64(d.rq.objective())))
 		case <-d.ctx.Done():
 			return d.ended()
 		}
 	}
 }
 
+// hedgeAfter returns how long a request that was just sent waits for its answer
+// before it is sent to a second server.
+func (rq *request) hedgeAfter() time.Duration {
+	left := time.Duration(hedgeShare*float64(rq.objective())) - time.Since(rq.began)
+	return max(left, time.Duration(hedgeFactor*float64(rq.shard.meanOf(rq.route.GetName()))))
+}
+
+// hedge sends a repeatable request that has no answer yet to a second server.
+func (d *dispatch) hedge() {
+	if d.rq.repeatable() && d.active == 1 && d.mayRepeat() {
+		d.note(slatewind.DecisionHedge, "", "no answer after most of its objective")
+		d.start()
+	}
+}
+
 // ended is the outcome of a request whose time is over or whose caller left.
 // The attempts end with it, so that their results come at once.
 func (d *dispatch) ended() final {
@@ -133,29 +154,23 @@
 func (d *dispatch) start() {
 	d.active++
 	d.tries++
-	to := aim{tried: maps.Clone(d.tried), ask: breaker.Ask{Careful: !d.mayTry()}}
+	to := aim{
+		tried: maps.Clone(d.tried), ask: breaker.Ask{Careful: !d.mayTry()}, extra: d.tries > 1, again: d.arrivals > 0,
+		sent: func(server string) { d.sent <- server },
+	}
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, to) }()
 }
 
 // mayTry reports whether the attempt that begins may be a trial of a server that
 // looks sick: it must be the first, and another attempt must be left after it.
 func (d *dispatch) mayTry() bool {
-	if !d.rq.repeatable() || d.tries > 1 || d.rq.attempts() < 2 {
-		return false
-	}
-	d.rq.shard.mu.Lock()
-	defer d.rq.shard.mu.Unlock()
-	return d.rq.shard.budget.Left()
+	return d.rq.repeatable() && d.tries <= 1 && d.rq.attempts() >= 2 && !d.rq.shard.deniedLately(time.Now())
 }
 
-// mayRepeat takes one extra arrival at a server out of the budgets.
+// mayRepeat reports whether the request may be sent to one more server, if that
+// one's process has an extra arrival left.
 func (d *dispatch) mayRepeat() bool {
-	if d.arrivals+d.active >= d.rq.attempts() || d.tries >= maxTries || d.rq.remaining(time.Now()) <= 0 {
-		return false
-	}
-	d.rq.shard.mu.Lock()
-	defer d.rq.shard.mu.Unlock()
-	return d.rq.shard.budget.Take()
+	return d.arrivals+d.active < d.rq.attempts() && d.tries < maxTries && d.rq.remaining(time.Now()) > 0
 }
 
 // take handles the result of one attempt; done says that f is final.
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -41,14 +41,6 @@
 	Extra(service, why string)
 }
 
-// Bounds holds the operators' bounds that an ingress keeps.
-type Bounds struct {
-	// RetryRatio is how many extra attempts the fleet may make for each first.
-	RetryRatio float64
-	// RetrySlack is how many more the fleet may make in a window.
-	RetrySlack float64
-}
-
 // Self says where an ingress stands.
 type Self struct {
 	DataCentre string
@@ -60,7 +52,6 @@
 // for use by several goroutines.
 type Outbound struct {
 	self    Self
-	bounds  Bounds
 	dialect slatewind.CallerDialect
 	store   *config.Store
 	journal slatewind.Journal
@@ -85,9 +76,9 @@
 }
 
 // New returns an ingress that knows no servers yet. Its settings come from store.
-func New(self Self, bounds Bounds, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter) *Outbound {
+func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter) *Outbound {
 	return &Outbound{
-		self: self, bounds: bounds, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter,
+		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter,
 		shards: map[string]*shard{}, services: map[string]string{}, places: map[string]string{}, splits: map[string]*splitter{},
 	}
 }
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -48,8 +48,8 @@
 	deadline time.Time
 	// left is closed when the caller leaves or has its answer.
 	left <-chan struct{}
-	// begun says that the request is a call of one that a server already runs.
-	begun bool
+	// call is set where the request is a call of one that a server already runs.
+	call *slatewind.Call
 }
 
 // abandoned reports whether the caller has left.
@@ -96,11 +96,12 @@
 		o.reject(w, r, err)
 		return
 	}
-	call, isCall := o.calls.Call(rq.id)
-	rq.begun = isCall
+	if call, ok := o.calls.Call(rq.id); ok {
+		rq.call = &call
+	}
 	final := o.dispatch(r.Context(), rq)
-	if isCall {
-		call.End(final.served())
+	if rq.call != nil {
+		rq.call.End(final.served())
 	}
 	o.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
 	o.answer(w, rq, final)
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -7,7 +7,6 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
-	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
@@ -42,7 +41,7 @@
 	s.open[a] = true
 	s.newest = a
 	s.rq.shard.update(func(c *choice.Service) { c.Reserved(server.Name) })
-	go s.o.reserve(ctx, s.rq.reservation(server.ServerEntry, s.aim.ask, s.until), a, s.events)
+	go s.o.reserve(ctx, s.rq.reservation(server.ServerEntry, s.aim, s.until), a, s.events)
 	return true
 }
 
@@ -65,12 +64,12 @@
 }
 
 // reservation is the message that asks for a slot at a server.
-func (rq *request) reservation(server slatewind.ServerEntry, ask breaker.Ask, until time.Time) *slatewindv1.Reservation {
+func (rq *request) reservation(server slatewind.ServerEntry, to aim, until time.Time) *slatewindv1.Reservation {
 	now := time.Now()
 	return &slatewindv1.Reservation{
 		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
 		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(until.Sub(now)),
-		Careful: ask.Careful, LastResort: ask.LastResort, Begun: rq.begun,
+		Careful: to.ask.Careful, LastResort: to.ask.LastResort, Begun: rq.call != nil, Extra: to.extra, Repeat: rq.call != nil && rq.call.Repeat,
 	}
 }
 
@@ -103,6 +102,8 @@
 		told.Full = true
 	case inbound.CauseSick:
 		told.TrialIn = time.Duration(refusal.GetRetryAfterNanos())
+	case inbound.CauseBudget:
+		told.Spent = true
 	}
 	return told
 }
@@ -125,6 +126,9 @@
 		s.retryAfter = after
 	}
 	s.heard(name, toldByRefusal(refusal))
+	if inbound.Cause(refusal.GetCause()) == inbound.CauseBudget {
+		s.rq.shard.deny(time.Now())
+	}
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseMoved {
 		s.rq.shard.update(func(c *choice.Service) { c.Moved(time.Now(), name) })
 	}
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -27,16 +27,18 @@
 
 // attempt looks for a slot and runs the request in it.
 func (o *Outbound) attempt(ctx context.Context, rq *request, to aim) result {
-	slot, refused := o.acquire(ctx, rq, to, rq.patience(time.Now(), len(to.tried) > 0))
+	slot, refused := o.acquire(ctx, rq, to, rq.patience(time.Now(), to.again))
 	if slot == nil {
 		return result{final: *refused}
 	}
+	to.sent(slot.server.Name)
+	began := time.Now()
 	r := o.run(rq, slot)
 	rq.shard.update(func(c *choice.Service) {
 		c.Ended(slot.server.Name)
-		if r.answer != nil && r.answer.head.GetStatus() < slatewind.FirstServerError {
+		if r.served() {
 			c.Succeeded(time.Now(), slot.server.Name)
-			rq.shard.learnSize(rq.route.GetName(), len(rq.body)+len(r.answer.body))
+			rq.shard.learn(rq.route.GetName(), len(rq.body)+len(r.answer.body), time.Since(began))
 		}
 	})
 	return r
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,111 @@
+package retry
+
+import "time"
+
+// Window bounds the extra arrivals at one server by the operators' rule: in any
+// span of its length no more than a slack and a ratio of the first arrivals.
+// Windows of the servers of a service that divide the slack among them keep the
+// rule for the service, whoever sends the extra attempts.
+//
+// The ratio is earned with each first arrival and saved up to a few attempts. The
+// rest of the slack is free again a span after it was spent. So what a span
+// holds is at most what was saved before it, what was earned in it and the rest
+// of the slack: the sum keeps the rule with no knowledge of other servers. It is not safe
+// for use by several goroutines; its host guards it.
+type Window struct {
+	ratio float64
+	span  time.Duration
+	// slack is the share of this server; saved is what of the ratio is saved up.
+	slack float64
+	saved float64
+	// spent holds when the newest attempts were paid from the slack, oldest first.
+	spent []time.Time
+	// since is when the slack may first be used.
+	since time.Time
+}
+
+// mostSaved bounds how much of the ratio is saved up, in attempts. More would
+// have to be taken off what the slack allows at any time.
+const mostSaved = 2.0
+
+// Payment says what an extra arrival was paid from.
+type Payment string
+
+// Payments of extra arrivals.
+const (
+	// PaidNothing: it was denied.
+	PaidNothing Payment = ""
+	PaidRatio   Payment = "ratio"
+	PaidSlack   Payment = "slack"
+)
+
+// NewWindow returns the account of a server whose process begins now. Its slack
+// can be used a span later, since the process before it may have spent it.
+func NewWindow(now time.Time, ratio float64, span time.Duration) *Window {
+	return &Window{ratio: ratio, span: span, since: now.Add(span)}
+}
+
+// SetSlack states how many extra arrivals of each span are this server's.
+func (w *Window) SetSlack(slack float64) {
+	w.slack = slack
+	w.saved = min(w.saved, w.mostSaved())
+}
+
+// mostSaved returns how much of the ratio may be saved: one attempt at least,
+// else a service with more servers than slack could make none.
+func (w *Window) mostSaved() float64 { return max(min(w.slack, mostSaved), 1) }
+
+// First notes a first arrival.
+func (w *Window) First() {
+	w.saved = min(w.saved+w.ratio, w.mostSaved())
+}
+
+// Left reports whether an extra arrival would be paid for.
+func (w *Window) Left(now time.Time) bool {
+	return w.saved >= 1 || w.slackLeft(now)
+}
+
+// slackLeft reports whether the slack allows one more.
+func (w *Window) slackLeft(now time.Time) bool {
+	w.forget(now)
+	return !now.Before(w.since) && float64(len(w.spent)+1) <= w.slack-w.mostSaved()
+}
+
+// Take pays for an extra arrival, or denies it.
+func (w *Window) Take(now time.Time) Payment {
+	if w.saved >= 1 {
+		w.saved--
+		return PaidRatio
+	}
+	if !w.slackLeft(now) {
+		return PaidNothing
+	}
+	w.spent = append(w.spent, now)
+	return PaidSlack
+}
+
+// Charge counts an extra arrival that cannot be denied any more: later ones are
+// until it is earned.
+func (w *Window) Charge() { w.saved-- }
+
+// Return takes back the payment of an arrival that did not come about.
+func (w *Window) Return(p Payment) {
+	switch p {
+	case PaidRatio:
+		w.saved = min(w.saved+1, w.mostSaved())
+	case PaidSlack:
+		if n := len(w.spent); n > 0 {
+			w.spent = w.spent[:n-1]
+		}
+	case PaidNothing:
+	}
+}
+
+// forget drops what was spent a span ago.
+func (w *Window) forget(now time.Time) {
+	n := 0
+	for n < len(w.spent) && now.Sub(w.spent[n]) > w.span {
+		n++
+	}
+	w.spent = w.spent[n:]
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,121 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "slatewind.example/slatewind/internal/seeded"
+	"slatewind.example/slatewind/retry"
+)
+
+// span is that of all windows here.
+const span = 10 * time.Second
+
+// arrival is one at some server of a service.
+type arrival struct {
+	at    time.Time
+	extra bool
+}
+
+// most returns the largest excess of extra arrivals over what the rule allows, in
+// any span that ends with an arrival.
+func most(arrivals []arrival, ratio, slack float64) float64 {
+	worst := 0.0
+	for _, last := range arrivals {
+		firsts, extras := 0.0, 0.0
+		for _, a := range arrivals {
+			switch {
+			case a.at.After(last.at) || last.at.Sub(a.at) > span:
+			case a.extra:
+				extras++
+			default:
+				firsts++
+			}
+		}
+		worst = max(worst, extras-ratio*firsts-slack)
+	}
+	return worst
+}
+
+// TestRuleHolds: servers of one service that know nothing of each other get
+// arrivals at the worst moments; together they keep the rule in each span.
+func TestRuleHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, slack = 0.2, 20.0
+		now := time.Unix(1000, 0)
+		servers := make([]*retry.Window, rapid.IntRange(1, 12).Draw(t, "servers"))
+		for i := range servers {
+			servers[i] = retry.NewWindow(now, ratio, span)
+			servers[i].SetSlack(slack / float64(len(servers)))
+		}
+		var arrivals []arrival
+		for range rapid.IntRange(1, 60).Draw(t, "bursts") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "pause")) * time.Millisecond)
+			w := servers[rapid.IntRange(0, len(servers)-1).Draw(t, "server")]
+			for range rapid.IntRange(0, 30).Draw(t, "firsts") {
+				w.First()
+				arrivals = append(arrivals, arrival{now, false})
+			}
+			for range rapid.IntRange(0, 10).Draw(t, "extras") {
+				payment := w.Take(now)
+				if payment == retry.PaidNothing {
+					break
+				}
+				if rapid.IntRange(0, 4).Draw(t, "unused") == 0 {
+					w.Return(payment)
+					continue
+				}
+				arrivals = append(arrivals, arrival{now, true})
+			}
+		}
+		assert.Assert(t, most(arrivals, ratio, slack) <= 0, "%.1f over the bound", most(arrivals, ratio, slack))
+	})
+}
+
+// TestWindow plays one server's arrivals and states how many extra ones go then.
+func TestWindow(t *testing.T) {
+	tests := map[string]struct {
+		play  func(w *retry.Window, now time.Time)
+		after time.Duration
+		extra int
+	}{
+		"a process that has just begun":        {func(*retry.Window, time.Time) {}, 0, 0},
+		"its slack later":                      {func(*retry.Window, time.Time) {}, span, 6 - 2},
+		"what was earned":                      {func(w *retry.Window, _ time.Time) { firsts(w, 5) }, 0, 1},
+		"what was earned, up to a bound":       {func(w *retry.Window, _ time.Time) { firsts(w, 500) }, 0, 2},
+		"both":                                 {func(w *retry.Window, _ time.Time) { firsts(w, 500) }, span, 6},
+		"slack that was spent":                 {func(w *retry.Window, now time.Time) { takeAll(w, now.Add(span)) }, 2*span - time.Second, 0},
+		"slack that was spent long ago":        {func(w *retry.Window, now time.Time) { takeAll(w, now.Add(span)) }, 2*span + time.Second, 4},
+		"a charge is earned first":             {func(w *retry.Window, _ time.Time) { w.Charge(); firsts(w, 10) }, 0, 1},
+		"a payment that was returned":          {func(w *retry.Window, now time.Time) { firsts(w, 5); w.Return(w.Take(now)) }, 0, 1},
+		"a smaller share takes away":           {func(w *retry.Window, _ time.Time) { firsts(w, 500); w.SetSlack(1) }, 0, 1},
+		"a larger share gives nothing at once": {func(w *retry.Window, _ time.Time) { w.SetSlack(60) }, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			w := retry.NewWindow(now, 0.2, span)
+			w.SetSlack(6)
+			test.play(w, now)
+			assert.Equal(t, takeAll(w, now.Add(test.after)), test.extra)
+		})
+	}
+}
+
+func firsts(w *retry.Window, n int) {
+	for range n {
+		w.First()
+	}
+}
+
+// takeAll takes extra arrivals until one is denied and returns how many went.
+func takeAll(w *retry.Window, now time.Time) int {
+	n := 0
+	for w.Take(now) != retry.PaidNothing {
+		n++
+	}
+	return n
+}
