Judge silence at once, and say less in each reservation

Cause: servers here fail by hanging; some five requests were sent to one before two had run for three times their mean, and single ones among them were lost.

Change 1: the breaker judges all running requests together by how unlikely their silence since the last success is (exponential about their routes' means), and opens at e^-7. Before, a careful request is refused where it does not bear that much suspicion; how much it bears follows from what its next choice costs, so that a near server which is perhaps silent is borne before bytes between data centres. Change 2: reservations and replies name nothing that the other end knows, carry shares in percent and times in milliseconds, and leave out sentences that follow from cause and state; the ingress writes those.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -94,6 +94,12 @@
 	leastSamples = 4
 )
 
+const (
+	// hangSuspicion opens the breaker: a healthy server would show it once in
+	// e^7, about a thousand, times.
+	hangSuspicion = 7.0
+)
+
 // shareWeight is the weight of the newest outcome in the shares of successes and
 // of rejections.
 const shareWeight = 0.2
@@ -112,6 +118,8 @@
 	own    time.Duration
 	since  time.Time
 	paused bool
+	// answered is how long it had been worked on at the server's last success.
+	answered time.Duration
 }
 
 // took returns how long the server has worked on the request.
@@ -172,13 +180,16 @@
 	Careful bool
 	// LastResort requests have no healthy server to go to.
 	LastResort bool
+	// Bears is how much suspicion a careful request bears: a hanging server would
+	// take it for good.
+	Bears float64
 }
 
 // Allow reports whether a request may go to the server now.
 func (b *Breaker) Allow(now time.Time, ask Ask) bool {
 	switch {
 	case b.state == StateClosed:
-		return true
+		return !ask.Careful || ask.LastResort || b.Suspicion(now) <= ask.Bears
 	case ask.LastResort && b.share >= UsefulShare:
 		return true
 	case ask.Careful:
@@ -261,8 +272,22 @@
 	return false
 }
 
-// Tick counts requests that run for too long. It reports whether the state
-// changed.
+// Suspicion returns how unlikely it is that a healthy server has answered none of
+// its running requests since its last success: minus the natural logarithm of that
+// chance, where durations have an exponential distribution about their routes'
+// means.
+func (b *Breaker) Suspicion(now time.Time) float64 {
+	sum := 0.0
+	for _, r := range b.running {
+		if m := b.means[r.route]; m.samples >= leastSamples {
+			sum += float64(r.took(now)-r.answered) / float64(m.value)
+		}
+	}
+	return sum
+}
+
+// Tick counts requests that run for too long, each and all together. It reports
+// whether the state changed.
 func (b *Breaker) Tick(now time.Time) bool {
 	changed := false
 	for _, r := range b.running {
@@ -272,6 +297,9 @@
 		r.overdue = true
 		changed = b.fail(now, slowWeight) || changed
 	}
+	if b.state == StateClosed && b.Suspicion(now) >= hangSuspicion {
+		changed = b.fail(now, threshold) || changed
+	}
 	return changed
 }
 
@@ -301,6 +329,9 @@
 func (b *Breaker) succeed(now time.Time) bool {
 	b.share += shareWeight * (1 - b.share)
 	b.shed -= shareWeight * b.shed
+	for _, r := range b.running {
+		r.answered = r.took(now)
+	}
 	if b.state == StateClosed {
 		b.score = max(b.score-successWeight, 0)
 		return false
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -98,6 +98,18 @@
 			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{pause: "a"}, step{pause: "b"}, step{after: 400 * ms}),
 			breaker.StateClosed, true, true, true,
 		},
+		"one that hangs, as long as others are answered": {
+			append(append(served(5, 100*ms), step{start: "a"}), served(5, 50*ms)...),
+			breaker.StateClosed, true, true, true,
+		},
+		"one that has not answered for the mean": {
+			append(served(5, 100*ms), step{start: "a"}, step{after: 120 * ms}),
+			breaker.StateClosed, true, false, true,
+		},
+		"many that have not answered for the mean": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{start: "c"}, step{start: "d"}, step{after: 180 * ms}),
+			breaker.StateOpen, false, false, true,
+		},
 		"requests that hang after their calls": {
 			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{pause: "a"}, step{pause: "b"},
 				step{after: 400 * ms, resume: "a"}, step{resume: "b"}, step{after: 400 * ms}),
@@ -116,7 +128,7 @@
 			b, now := run(test.steps)
 			assert.Equal(t, b.State(), test.state)
 			assert.Equal(t, b.Allow(now, breaker.Ask{}), test.trial, "trial")
-			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true}), test.careful, "careful")
+			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true, Bears: 1}), test.careful, "careful")
 			assert.Equal(t, b.Allow(now, breaker.Ask{Careful: true, LastResort: true}), test.lastResort, "last resort")
 			assert.Equal(t, b.Allow(now, breaker.Ask{LastResort: true}), true, "repeatable last resort")
 		})
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,8 @@
 	SuccessShare float64
 	// ShedShare is the share of its newest requests that it rejected, from 0 to 1.
 	ShedShare float64
+	// Suspicion says how long the server has not answered for (package breaker).
+	Suspicion float64
 	// Full says that a reservation was refused for want of a slot.
 	Full bool
 	// Spent says that the server may get no extra arrival just then.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -120,6 +120,13 @@
 			ask:   careful,
 			first: "near-2",
 		},
+		"a server that has not answered for long is dearer": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Slots: 4, Suspicion: 4})
+				s.Heard(start, "near-2", choice.Told{Slots: 4})
+			},
+			first: "near-2",
+		},
 		"a server that rejects is dearer": {
 			hear: func(s *choice.Service) {
 				s.Heard(start, "near-1", choice.Told{Slots: 4, ShedShare: 0.5})
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -22,6 +22,10 @@
 	// sickRelief is the share of sickCost that a sick server is spared if it
 	// still answers every request well; it shrinks with the share of successes.
 	sickRelief = 0.5
+	// suspectCost is added for each unit of suspicion up to mostSuspicion. What was
+	// told is mostly old; the process beside the server knows better (Ask.Bears).
+	suspectCost   = 0.1
+	mostSuspicion = 5.0
 	// shedCost stands for a server that rejects every request.
 	shedCost = 1.5
 	// silentCost stands for a process that did not reply.
@@ -103,6 +107,9 @@
 	if server.told.Sick && now.Sub(server.toldAt) < memory {
 		cost += sickCost * (1 - sickRelief*server.told.SuccessShare)
 	}
+	if now.Sub(server.toldAt) < loadMemory {
+		cost += suspectCost * min(server.told.Suspicion, mostSuspicion)
+	}
 	if want.Careful && now.Sub(server.success) > recentSuccess {
 		cost += quietCost
 	}
--- a/inbound/calls_test.go
+++ b/inbound/calls_test.go
@@ -38,7 +38,7 @@
 			p.server.SetMode(standin.StampedHeldError)
 			words := make(chan string, slots)
 			for _, id := range []string{"a", "b"} {
-				go func() { words <- p.run(reservation(id)) }()
+				go func() { words <- p.run(reservation(), id) }()
 			}
 			for p.server.Arrivals() < slots {
 				time.Sleep(time.Millisecond)
@@ -61,10 +61,10 @@
 // TestCallsOfEndedRequests: a request that is over has no calls.
 func TestCallsOfEndedRequests(t *testing.T) {
 	p := newPlace(t)
-	assert.Equal(t, p.run(reservation("a")), "200 s-1 /x b")
+	assert.Equal(t, p.run(reservation(), "a"), "200 s-1 /x b")
 	_, known := p.Call("a.1")
 	assert.Assert(t, !known)
-	_, reply := p.reserve(context.Background(), reservation("b"))
+	_, reply := p.reserve(context.Background(), reservation())
 	assert.Assert(t, reply.GetGranted() != nil)
 	_, known = p.Call("b.1")
 	assert.Assert(t, !known, "a request that was not sent makes no calls")
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -56,11 +56,8 @@
 }
 
 // reservation is one for a request that may be a trial.
-func reservation(id string) *slatewindv1.Reservation {
-	return &slatewindv1.Reservation{
-		RequestId: id, Service: "svc", Server: "s-1", Route: "r", Kind: string(slatewind.KindRepeatable),
-		RemainingNanos: int64(2 * time.Second), PatienceNanos: int64(time.Second),
-	}
+func reservation() *slatewindv1.Reservation {
+	return &slatewindv1.Reservation{Service: "svc", Route: "r", Repeatable: true, RemainingMs: 2000, PatienceMs: 1000}
 }
 
 // reserve begins a use and returns its first word.
@@ -79,7 +76,7 @@
 // request sends the request that takes a granted slot and returns the reply.
 func request(use link.Use, id, body string) (*slatewindv1.UseReply, error) {
 	err := use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-		RemainingNanos: int64(2 * time.Second), Method: "POST", Target: "/x", Host: "h",
+		RemainingNanos: int64(2 * time.Second), Server: "s-1", Method: "POST", Target: "/x", Host: "h",
 		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: id}}, Body: []byte(body), BodyLength: int64(len(body)),
 	}}})
 	if err != nil {
@@ -89,12 +86,12 @@
 }
 
 // run takes one request through both steps; word says what came of it.
-func (p *place) run(r *slatewindv1.Reservation) (word string) {
+func (p *place) run(r *slatewindv1.Reservation, id string) (word string) {
 	use, reply := p.reserve(context.Background(), r)
 	if refusal := reply.GetRefusal(); refusal != nil {
 		return refusal.GetCause()
 	}
-	reply, err := request(use, r.GetRequestId(), "b")
+	reply, err := request(use, id, "b")
 	switch {
 	case err != nil:
 		return err.Error()
@@ -132,7 +129,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := newPlace(t)
 			p.server.SetMode(test.mode)
-			assert.Equal(t, p.run(reservation("id")), test.word)
+			assert.Equal(t, p.run(reservation(), "id"), test.word)
 			assert.Equal(t, p.server.Runs()["id"], test.runs)
 			assert.Equal(t, p.server.Arrivals(), 1, "nothing is sent twice")
 			assert.Equal(t, p.InUse(), 0)
@@ -142,9 +139,9 @@
 
 // TestRefusals: refused reservations touch no server.
 func TestRefusals(t *testing.T) {
-	careful := reservation("id")
+	careful := reservation()
 	careful.Careful = true
-	other := reservation("id")
+	other := reservation()
 	other.Service = "another"
 	tests := map[string]struct {
 		before func(p *place)
@@ -152,12 +149,12 @@
 		cause  inbound.Cause
 	}{
 		"another service":       {func(*place) {}, other, inbound.CauseMoved},
-		"a leaving server":      {func(p *place) { p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Leaving: true}) }, reservation("id"), inbound.CauseLeaving},
-		"a server that is gone": {func(p *place) { p.Gone(time.Now(), "s-1") }, reservation("id"), inbound.CauseLeaving},
-		"a stopping process":    {func(p *place) { p.Stop(time.Now()) }, reservation("id"), inbound.CauseLeaving},
+		"a leaving server":      {func(p *place) { p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Leaving: true}) }, reservation(), inbound.CauseLeaving},
+		"a server that is gone": {func(p *place) { p.Gone(time.Now(), "s-1") }, reservation(), inbound.CauseLeaving},
+		"a stopping process":    {func(p *place) { p.Stop(time.Now()) }, reservation(), inbound.CauseLeaving},
 		"a sick server": {func(p *place) {
 			p.server.SetMode(standin.StampedReset)
-			p.run(reservation("victim"))
+			p.run(reservation(), "victim")
 			p.server.SetMode(standin.StampedOK)
 		}, careful, inbound.CauseSick},
 	}
@@ -166,7 +163,7 @@
 			p := newPlace(t)
 			test.before(p)
 			before := p.server.Arrivals()
-			assert.Equal(t, p.run(test.r), string(test.cause))
+			assert.Equal(t, p.run(test.r, "id"), string(test.cause))
 			assert.Equal(t, p.server.Arrivals(), before)
 		})
 	}
@@ -177,10 +174,10 @@
 func TestServerReturns(t *testing.T) {
 	p := newPlace(t)
 	p.Gone(time.Now(), "an older start")
-	assert.Equal(t, p.run(reservation("a")), "200 s-1 /x b")
+	assert.Equal(t, p.run(reservation(), "a"), "200 s-1 /x b")
 	p.Gone(time.Now(), "s-1")
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
-	assert.Equal(t, p.run(reservation("b")), "200 s-1 /x b")
+	assert.Equal(t, p.run(reservation(), "b"), "200 s-1 /x b")
 }
 
 // TestOtherStart: a request that is meant for another start is not run, and the
@@ -188,9 +185,9 @@
 func TestOtherStart(t *testing.T) {
 	p := newPlace(t)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-0", Service: "svc", Slots: slots})
-	assert.Equal(t, p.run(reservation("a")), "not-run")
+	assert.Equal(t, p.run(reservation(), "a"), "not-run")
 	assert.Equal(t, p.server.Runs()["a"], 0)
-	assert.Equal(t, p.run(reservation("b")), "200 s-1 /x b")
+	assert.Equal(t, p.run(reservation(), "b"), "200 s-1 /x b")
 }
 
 // TestQueue: a reservation beyond the slots waits, takes the next free one, and
@@ -202,16 +199,16 @@
 		p.Start(ctx, timer.New())
 		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 		var cancels []context.CancelFunc
-		for i := range slots {
+		for range slots {
 			holding, cancel := context.WithCancel(ctx)
 			cancels = append(cancels, cancel)
-			_, reply := p.reserve(holding, reservation(fmt.Sprint("held-", i)))
+			_, reply := p.reserve(holding, reservation())
 			assert.Assert(t, reply.GetGranted() != nil)
 		}
 		leaving, cancelLeaving := context.WithCancel(ctx)
-		_, reply := p.reserve(leaving, reservation("leaves"))
+		_, reply := p.reserve(leaving, reservation())
 		assert.Assert(t, reply.GetQueued() != nil)
-		use, reply := p.reserve(ctx, reservation("waits"))
+		use, reply := p.reserve(ctx, reservation())
 		assert.Equal(t, reply.GetQueued().GetQueued(), uint32(2))
 		cancelLeaving()
 		synctest.Wait()
@@ -233,7 +230,7 @@
 		p := newUnreached()
 		ctx, stop := context.WithCancel(t.Context())
 		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
-		use, reply := p.reserve(ctx, reservation("late"))
+		use, reply := p.reserve(ctx, reservation())
 		assert.Assert(t, reply.GetGranted() != nil)
 		assert.Equal(t, p.InUse(), 1)
 		time.Sleep(1100 * time.Millisecond)
@@ -255,17 +252,17 @@
 		ctx, stop := context.WithCancel(t.Context())
 		p.Start(ctx, timer.New())
 		p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: 1})
-		_, reply := p.reserve(ctx, reservation("held"))
+		_, reply := p.reserve(ctx, reservation())
 		assert.Assert(t, reply.GetGranted() != nil)
-		waits := reservation("waits")
-		waits.PatienceNanos = int64(300 * time.Millisecond)
+		waits := reservation()
+		waits.PatienceMs = 300
 		began := time.Now()
 		use, reply := p.reserve(ctx, waits)
 		assert.Assert(t, reply.GetQueued() != nil)
 		reply, err := use.Recv()
 		assert.NilError(t, err)
 		assert.Equal(t, reply.GetRefusal().GetCause(), string(inbound.CauseFull))
-		assert.Assert(t, reply.GetRefusal().GetRetryAfterNanos() > 0)
+		assert.Assert(t, reply.GetRefusal().GetRetryAfterMs() > 0)
 		assert.Assert(t, time.Since(began) < 400*time.Millisecond)
 		stop()
 		synctest.Wait()
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -61,7 +61,7 @@
 // may not is left to run: breaking it off gains nothing, it counts as run.
 func (u *use) context(remaining time.Duration) (context.Context, context.CancelFunc) {
 	ctx := u.stream.Context()
-	if slatewind.Kind(u.reservation.GetKind()) != slatewind.KindRepeatable {
+	if !u.reservation.GetRepeatable() {
 		ctx = context.WithoutCancel(ctx)
 	}
 	return context.WithTimeout(ctx, remaining+serverSlack)
@@ -75,7 +75,7 @@
 		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
 	}
 	header.Set(dialect.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	if expected := u.in.expected(u.reservation); expected != "" {
+	if expected := u.in.expected(from); expected != "" {
 		header.Set(dialect.Expect, expected)
 	}
 	r := &http.Request{
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -10,18 +11,28 @@
 	"slatewind.example/slatewind/breaker"
 )
 
+// Units in which states travel.
+const (
+	percent = 100
+	tenths  = 10
+)
+
 // state returns what replies tell of the server. The lock is held.
 func (in *Inbound) state() *slatewindv1.SlotState {
 	return &slatewindv1.SlotState{
-		Server: in.name,
-		InUse:  uint32(in.slots.InUse()), Queued: uint32(in.slots.Queued()), Slots: uint32(in.slots.Slots()),
-		Health:    string(healthOf(in.breaker.State())),
-		Leaving:   in.away != "" || in.stopping != "",
-		HoldNanos: int64(in.slots.Mean()), SuccessShare: in.breaker.Share(), ShedShare: in.breaker.Shed(),
+		InUse: uint32(in.slots.InUse()), Queued: uint32(in.slots.Queued()), Slots: uint32(in.slots.Slots()),
+		Health:         string(healthOf(in.breaker.State())),
+		Leaving:        in.away != "" || in.stopping != "",
+		FailurePercent: uint32(math.Round(percent * (1 - in.breaker.Share()))), ShedPercent: uint32(math.Round(percent * in.breaker.Shed())),
+		SuspicionTenths: uint32(min(in.breaker.Suspicion(time.Now()), mostTold) * tenths),
 	}
 }
 
-// healthOf translates a breaker's state into the words of the messages.
+// mostTold bounds the suspicion that is told; more says nothing more.
+const mostTold = 100
+
+// healthOf translates a breaker's state into the words of the messages, of which
+// the most frequent is empty.
 func healthOf(state breaker.State) slatewind.ServerState {
 	switch state {
 	case breaker.StateOpen:
@@ -29,7 +40,7 @@
 	case breaker.StateHalfOpen:
 		return slatewind.ServerTrial
 	}
-	return slatewind.ServerHealthy
+	return ""
 }
 
 // noteBreaker writes down that the judgement changed; why is for a breaker that
@@ -73,8 +84,8 @@
 		Priority: slatewind.PriorityInteractive,
 		Rank:     r.GetRank(),
 		Begun:    r.GetBegun(),
-		Deadline: now.Add(time.Duration(r.GetRemainingNanos())),
-		StartBy:  now.Add(time.Duration(r.GetPatienceNanos())),
+		Deadline: now.Add(time.Duration(r.GetRemainingMs()) * time.Millisecond),
+		StartBy:  now.Add(time.Duration(r.GetPatienceMs()) * time.Millisecond),
 	}
 	decision := make(chan admission.Decision, 1)
 	in.waiting[item.ID] = decision
@@ -84,7 +95,7 @@
 
 // expected returns the identity that a request is sent for: the server's as it is
 // known here, since that is newer than the sender's, or else the sender's.
-func (in *Inbound) expected(r *slatewindv1.Reservation) string {
+func (in *Inbound) expected(r *slatewindv1.SlotRequest) string {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.name != "" {
@@ -103,18 +114,17 @@
 		return in.refusal(CauseLeaving, in.stopping, 0)
 	case in.away != "":
 		return in.refusal(CauseLeaving, "the server is leaving: "+in.away, 0)
-	case !in.breaker.Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort()}):
-		reason := fmt.Sprintf("the breaker is %s", in.breaker.State())
-		return in.refusal(CauseSick, reason, in.breaker.RetryAfter(now))
+	case !in.breaker.Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort(), Bears: float64(r.GetBearableTenths()) / tenths}):
+		return in.refusal(CauseSick, "", in.breaker.RetryAfter(now))
 	case r.GetExtra() && !in.extras.Left(now):
-		return in.refusal(CauseBudget, "the bound on extra attempts is reached", 0)
+		return in.refusal(CauseBudget, "", 0)
 	}
 	return nil
 }
 
 // refusal returns a refusal with the server's state. The lock is held.
 func (in *Inbound) refusal(cause Cause, reason string, after time.Duration) *slatewindv1.Refusal {
-	return &slatewindv1.Refusal{Cause: string(cause), Reason: reason, RetryAfterNanos: int64(after), State: in.state()}
+	return &slatewindv1.Refusal{Cause: string(cause), Reason: reason, RetryAfterMs: uint32(after.Milliseconds()), State: in.state()}
 }
 
 // abandon takes a waiting reservation back, or its slot if it got one meanwhile.
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -50,7 +50,7 @@
 // reserve waits for a slot. granted says that one is held.
 func (u *use) reserve() (granted bool, err error) {
 	now := time.Now()
-	u.deadline = now.Add(time.Duration(u.reservation.GetRemainingNanos()))
+	u.deadline = now.Add(time.Duration(u.reservation.GetRemainingMs()) * time.Millisecond)
 	item, refusal, decision := u.in.offer(now, u.reservation)
 	if refusal != nil {
 		return false, u.sendRefusal(refusal)
@@ -141,7 +141,7 @@
 	if u.in.away != "" || u.in.stopping != "" {
 		cause = CauseLeaving
 	}
-	refusal := u.in.refusal(cause, d.Reason, d.RetryAfter)
+	refusal := u.in.refusal(cause, "", d.RetryAfter)
 	u.in.mu.Unlock()
 	return u.sendRefusal(refusal)
 }
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -36,15 +37,36 @@
 	}
 	server := s.queue[0]
 	s.queue = s.queue[1:]
+	to := s.aim
+	to.ask.Bears = s.bears(server)
 	ctx, cancel := context.WithCancel(s.ctx)
 	a := &pending{server: server, cancel: cancel, since: time.Now()}
 	s.open[a] = true
 	s.newest = a
 	s.rq.shard.update(func(c *choice.Service) { c.Reserved(server.Name) })
-	go s.o.reserve(ctx, s.rq.reservation(server.ServerEntry, s.aim, s.until), a, s.events)
+	go s.o.reserve(ctx, s.rq.reservation(to, s.until), a, s.events)
 	return true
 }
 
+const (
+	// leastBears is how much suspicion of a server a request bears although others
+	// cost the same. A busy healthy server shows as much in every other moment.
+	leastBears = 0.7
+	// bearsPerCost is how much more it bears for each full server that the next
+	// choice is dearer by: a near server that is perhaps silent is borne before the
+	// bytes of a far one are paid for. At 0.8 those cost more than was gained.
+	bearsPerCost = 3.0
+)
+
+// bears returns how much suspicion of a server the request bears, by what the
+// next choice costs.
+func (s *search) bears(server choice.Candidate) float64 {
+	if len(s.queue) == 0 {
+		return math.Inf(1)
+	}
+	return leastBears + bearsPerCost*max(s.queue[0].Cost-server.Cost, 0)
+}
+
 // reserve makes one reservation and passes its replies on up to the final one.
 func (o *Outbound) reserve(ctx context.Context, reservation *slatewindv1.Reservation, a *pending, events chan<- event) {
 	use, err := o.links.Open(ctx, a.server.ServerEntry)
@@ -63,13 +85,20 @@
 	}
 }
 
+// tenths is the unit in which suspicion travels.
+const tenths = 10
+
+// mostBears bounds the suspicion that a message says is borne.
+const mostBears = 1000
+
 // reservation is the message that asks for a slot at a server.
-func (rq *request) reservation(server slatewind.ServerEntry, to aim, until time.Time) *slatewindv1.Reservation {
+func (rq *request) reservation(to aim, until time.Time) *slatewindv1.Reservation {
 	now := time.Now()
 	return &slatewindv1.Reservation{
-		RequestId: rq.id, Service: rq.service, Server: server.Name, Route: rq.route.GetName(), Kind: string(rq.kind()),
-		Rank: rq.route.GetRank(), RemainingNanos: int64(rq.remaining(now)), PatienceNanos: int64(until.Sub(now)),
-		Careful: to.ask.Careful, LastResort: to.ask.LastResort, Begun: rq.call != nil, Extra: to.extra, Repeat: rq.call != nil && rq.call.Repeat,
+		Service: rq.service, Route: rq.route.GetName(), Repeatable: rq.repeatable(), Rank: rq.route.GetRank(),
+		RemainingMs: uint32(max(rq.remaining(now), 0).Milliseconds()), PatienceMs: uint32(max(until.Sub(now), 0).Milliseconds()),
+		Careful: to.ask.Careful, LastResort: to.ask.LastResort, BearableTenths: uint32(min(to.ask.Bears, mostBears) * tenths),
+		Begun: rq.call != nil, Extra: to.extra, Repeat: rq.call != nil && rq.call.Repeat,
 	}
 }
 
@@ -85,13 +114,41 @@
 	s.rq.shard.update(func(c *choice.Service) { c.Heard(time.Now(), server, told) })
 }
 
+// percent is the unit in which shares travel.
+const percent = 100.0
+
 // toldOf translates the state that a reply carries.
 func toldOf(state *slatewindv1.SlotState) choice.Told {
 	return choice.Told{
 		Load: float64(state.GetInUse() + state.GetQueued()), Slots: float64(state.GetSlots()),
-		Sick:    slatewind.ServerState(state.GetHealth()) != slatewind.ServerHealthy,
-		Leaving: state.GetLeaving(), SuccessShare: state.GetSuccessShare(), ShedShare: state.GetShedShare(),
+		Sick: healthWord(state) != string(slatewind.ServerHealthy), Leaving: state.GetLeaving(),
+		SuccessShare: 1 - float64(state.GetFailurePercent())/percent, ShedShare: float64(state.GetShedPercent()) / percent,
+		Suspicion: float64(state.GetSuspicionTenths()) / tenths,
+	}
+}
+
+// reasonOf says why a reservation was refused, in words for operators.
+func reasonOf(refusal *slatewindv1.Refusal) string {
+	state := refusal.GetState()
+	reason := refusal.GetReason()
+	switch inbound.Cause(refusal.GetCause()) {
+	case inbound.CauseFull:
+		reason = fmt.Sprintf("no slot in time, %d of %d in use, %d wait", state.GetInUse(), state.GetSlots(), state.GetQueued())
+	case inbound.CauseSick:
+		reason = fmt.Sprintf("the server is %s, %d%% of the newest requests failed, suspicion %.1f",
+			healthWord(state), state.GetFailurePercent(), float64(state.GetSuspicionTenths())/tenths)
+	case inbound.CauseBudget:
+		reason = "the bound on extra attempts is reached"
+	}
+	return fmt.Sprintf("%s: %s", refusal.GetCause(), reason)
+}
+
+// healthWord is a state's word for the server's health; an empty one says healthy.
+func healthWord(state *slatewindv1.SlotState) string {
+	if state.GetHealth() == "" {
+		return string(slatewind.ServerHealthy)
 	}
+	return state.GetHealth()
 }
 
 // toldByRefusal adds to the state what the refusal's cause says.
@@ -101,7 +158,7 @@
 	case inbound.CauseFull:
 		told.Full = true
 	case inbound.CauseSick:
-		told.TrialIn = time.Duration(refusal.GetRetryAfterNanos())
+		told.TrialIn = time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
 	case inbound.CauseBudget:
 		told.Spent = true
 	}
@@ -121,8 +178,8 @@
 	refusal := e.reply.GetRefusal()
 	name := e.of.server.Name
 	s.refusals[inbound.Cause(refusal.GetCause())]++
-	s.last, s.lastServer = fmt.Sprintf("%s: %s", refusal.GetCause(), refusal.GetReason()), name
-	if after := time.Duration(refusal.GetRetryAfterNanos()); after > 0 && (s.retryAfter == 0 || after < s.retryAfter) {
+	s.last, s.lastServer = reasonOf(refusal), name
+	if after := time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond; after > 0 && (s.retryAfter == 0 || after < s.retryAfter) {
 		s.retryAfter = after
 	}
 	s.heard(name, toldByRefusal(refusal))
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -74,7 +74,7 @@
 		r.timedOut = time.Now().After(rq.deadline)
 		o.hear(rq, slot, failure.GetState())
 	case reply.GetRefusal() != nil:
-		r.outcome, r.reason = slatewind.OutcomeNotRun, reply.GetRefusal().GetReason()
+		r.outcome, r.reason = slatewind.OutcomeNotRun, reasonOf(reply.GetRefusal())
 		o.hear(rq, slot, reply.GetRefusal().GetState())
 	default:
 		r.reason = "a reply that is none"
@@ -86,7 +86,7 @@
 func (rq *request) send(slot *held) error {
 	first := rq.body[:min(len(rq.body), link.ChunkBytes)]
 	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-		RemainingNanos: int64(rq.remaining(time.Now())), Method: rq.method, Target: rq.target, Host: rq.host,
+		RemainingNanos: int64(rq.remaining(time.Now())), Server: slot.server.Name, Method: rq.method, Target: rq.target, Host: rq.host,
 		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
 	}}})
 	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
