Ask a full server again when it is likely to have a slot

A full server was asked again after 60 ms, though the refusal tells when a slot is likely. And many waited in vain by the estimate only: a request waits at three servers or more, so most places are given up, and the queue was counted as if all of it would run.

Change: a full server is asked again after half of the time that its refusal told, 60 to 300 ms. The estimate of a wait counts what is ahead by the learned share of places that are not given up.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -76,11 +76,14 @@
 	queue   []waiting
 	// service is the mean service time.
 	service time.Duration
+	// startShare is the share of the queued items that waited for their slot; the
+	// others got one elsewhere first.
+	startShare float64
 }
 
 // NewServer returns the door of a server with so many slots.
 func NewServer(slots int) *Server {
-	return &Server{slots: slots, running: map[string]int{}}
+	return &Server{slots: slots, running: map[string]int{}, startShare: 1}
 }
 
 // SetSlots changes the number of slots; what runs goes on.
@@ -157,6 +160,7 @@
 		}
 		it := s.take(i)
 		s.notePassed(it, i)
+		s.startShare += serviceWeight * (1 - s.startShare)
 		s.start(it)
 		decisions = append(decisions, Decision{Item: it, Action: ActionStart})
 	}
@@ -167,6 +171,7 @@
 	for i, it := range s.queue {
 		if it.ID == id {
 			s.take(i)
+			s.startShare -= serviceWeight * s.startShare
 			return true
 		}
 	}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -115,3 +115,31 @@
 	assert.Equal(t, decisions[0].Action, admission.ActionRefuse)
 	assert.Equal(t, decisions[0].RetryAfter, 300*time.Millisecond)
 }
+
+// TestPlacesThatAreGivenUp: where most of what waits gets its slot elsewhere, a
+// newcomer is not refused for a queue that will not be there.
+func TestPlacesThatAreGivenUp(t *testing.T) {
+	const service = 100 * time.Millisecond
+	for name, test := range map[string]struct {
+		givenUp int
+		action  admission.Action
+	}{
+		"none is given up":  {0, admission.ActionRefuse},
+		"most are given up": {30, admission.ActionQueue},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, held := full(1)
+			s.Done(begin, held[0], service)
+			s.Offer(begin, held[0])
+			for i := range test.givenUp {
+				id := fmt.Sprint("given-up-", i)
+				s.Offer(begin, admission.Item{ID: id, Deadline: begin.Add(time.Hour)})
+				assert.Assert(t, s.Remove(id))
+			}
+			s.Offer(begin, admission.Item{ID: "waits", Deadline: begin.Add(time.Hour)})
+			// Two service times of waiting and its own are more than it has.
+			decisions := s.Offer(begin, admission.Item{ID: "id", Deadline: begin.Add(5 * service / 2)})
+			assert.Equal(t, decisions[0].Action, test.action)
+		})
+	}
+}
--- a/admission/order.go
+++ b/admission/order.go
@@ -156,6 +156,6 @@
 			}
 		}
 	}
-	rounds := float64(ahead) / float64(max(s.slots, 1))
+	rounds := (1 + s.startShare*float64(ahead-1)) / float64(max(s.slots, 1))
 	return time.Duration(rounds * float64(s.service))
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,8 @@
 	Suspicion float64
 	// Full says that a reservation was refused for want of a slot.
 	Full bool
+	// SlotIn is when a full server is likely to have a slot.
+	SlotIn time.Duration
 	// Spent says that the server may get no extra arrival just then.
 	Spent bool
 	// TrialIn is how long it is until a sick server may get its next trial.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -99,6 +99,21 @@
 			first:   "near-2",
 			without: []string{"near-1"},
 		},
+		"a full server is not asked before half of its queue has run": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Load: 4, Slots: 4, Full: true, SlotIn: 400 * ms})
+			},
+			after:   190 * ms,
+			first:   "near-2",
+			without: []string{"near-1"},
+		},
+		"a full server is asked again then": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Load: 4, Slots: 4, Full: true, SlotIn: 400 * ms})
+			},
+			after: 210 * ms,
+			first: "near-2",
+		},
 		"a silent process is asked last": {
 			hear:  func(s *choice.Service) { s.Silent(start, "near-1") },
 			after: 100 * ms,
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -54,10 +54,12 @@
 	firstSilence = 500 * time.Millisecond
 	maxSilence   = 3 * time.Second
 	// sickPause is the least time before a careful request asks a sick server
-	// again, and fullPause that for any request and a full one. Asking all of
-	// them over and over would fill the network just when all are full.
-	sickPause = 300 * time.Millisecond
-	fullPause = 60 * time.Millisecond
+	// again. fullPause and mostFullPause bound that for any request and a full
+	// one: half of the time after which it is likely to have a slot. Asking all of
+	// them over and over fills the network just when all are full.
+	sickPause     = 300 * time.Millisecond
+	fullPause     = 60 * time.Millisecond
+	mostFullPause = 300 * time.Millisecond
 	// spentPause is that before an extra attempt asks a server that may get none.
 	spentPause = 250 * time.Millisecond
 	// lastResortPause is that before a request without a better choice makes
@@ -73,7 +75,7 @@
 	switch {
 	case server.Leaving, server.told.Leaving && age < loadMemory:
 		return false
-	case server.told.Full && age < fullPause, want.Extra && server.told.Spent && age < spentPause:
+	case server.told.Full && age < server.told.pause(), want.Extra && server.told.Spent && age < spentPause:
 		return false
 	case server.told.Sick && want.LastResort:
 		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !want.Careful && age >= lastResortPause
@@ -85,6 +87,11 @@
 	return true
 }
 
+// pause returns how long a server that was full is not asked again.
+func (t *Told) pause() time.Duration {
+	return min(max(t.SlotIn/2, fullPause), mostFullPause)
+}
+
 // cost returns a server's cost without the random part.
 func (s *Service) cost(now time.Time, server *Server, want Want) float64 {
 	cost := server.occupancy(now)
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -157,6 +157,7 @@
 	switch inbound.Cause(refusal.GetCause()) {
 	case inbound.CauseFull:
 		told.Full = true
+		told.SlotIn = time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
 	case inbound.CauseSick:
 		told.TrialIn = time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
 	case inbound.CauseBudget:
