--- a/inbound/calls.go
+++ b/inbound/calls.go
@@ -35,7 +35,7 @@
 
 // Call implements slatewind.Calls. A call is known by its id, which is that of the
 // request that the server runs, a separator and something more. Where servers
-// form the ids of their calls in another way, none is recognized: then calls are
+// form the ids of their calls in another way, none is recognised: then calls are
 // requests like any other, and each error answer counts against its server.
 func (in *Inbound) Call(id string) (slatewind.Call, bool) {
 	in.mu.Lock()
