Count bytes between processes by purpose, and extra attempts not made

Operators pay for bytes between data centres and could not see what they are for: the daemon counts messages' bytes by purpose (reservation, reply, request, answer, other) and distance, at the process that begins an exchange, and extra attempts that were not made by cause (bound, attempts, time). Headers of streams are not counted, so the sum is below what the links carry.

Comments of the breaker and of the search give purposes in place of a history. No change of behaviour.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -49,9 +49,9 @@
 	ResultNone Result = "none"
 )
 
-// Weights of evidence, as shares of the threshold. Measured in fleet days: a
-// healthy server resets nothing and answers about one request in eighty with an
-// error of its own.
+// Weights of evidence, as shares of the threshold. A healthy server resets
+// nothing and answers about one request in eighty with an error of its own, as
+// the servers of this project's users do: two in a row are a sign of more.
 const (
 	threshold    = 1.0
 	brokenWeight = 1.0
@@ -65,9 +65,8 @@
 
 const (
 	// firstTrialAfter is the pause before the first trial; it grows by
-	// trialGrowth with each failed one up to maxTrialAfter. Tried on played days
-	// against 250 to 500 ms: sick spells last some nine seconds, and each failed
-	// trial costs its request an attempt.
+	// trialGrowth with each failed one up to maxTrialAfter: each failed trial
+	// costs its request an attempt, and sick spells last seconds.
 	firstTrialAfter = 400 * time.Millisecond
 	trialGrowth     = 1.5
 	maxTrialAfter   = time.Second
@@ -84,8 +83,8 @@
 
 const (
 	// A request takes too long when it takes more than overdueFactor times the
-	// mean of its route, and at least overdueLeast more than the mean. At four
-	// times the mean, slow servers were noticed late on played days.
+	// mean of its route, and at least overdueLeast more than the mean. Work
+	// that is spread exponentially exceeds three times its mean once in twenty.
 	overdueFactor = 3
 	overdueLeast  = 150 * time.Millisecond
 	// meanWeight is the weight of the newest duration in a route's mean, and
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -419,7 +419,7 @@
 func BenchmarkMemoryPerConnection(b *testing.B) {
 	const peers = 200
 	bytesPer(b, "idle-peer", peers, func() any {
-		pool := link.NewPool()
+		pool := link.NewPool(nil)
 		for i := range peers {
 			pool.Prepare(fmt.Sprintf("127.0.0.1:%d", 10000+i))
 		}
--- a/capacity/connection_test.go
+++ b/capacity/connection_test.go
@@ -39,7 +39,7 @@
 		go func() { _ = server.Serve(listener) }()
 	}
 	before := inUse()
-	pool := link.NewPool()
+	pool := link.NewPool(nil)
 	for range 3 {
 		for _, address := range addresses {
 			if _, err := pool.Sync(b.Context(), address, exchange()); err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,7 @@
 			metrics.New,
 			func(j *history.Journal) *config.Store { return config.NewStore(j) },
 			timer.New,
-			link.NewPool,
+			newPool,
 		),
 	)
 }
--- a/daemon/links.go
+++ b/daemon/links.go
@@ -8,9 +8,13 @@
 
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/sidecar"
 )
 
+// newPool returns the connections to peers, whose bytes are counted.
+func newPool(m *metrics.Metrics) *link.Pool { return link.NewPool(m.Traffic) }
+
 // links sends what is for the own VM straight to the own sidecar.
 type links struct {
 	pool    *link.Pool
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -59,7 +59,7 @@
 	if peer == n.settings.GetPeerAddress() {
 		return link.LocalUse(ctx, n.inbound.Serve), nil
 	}
-	return n.pool.Use(ctx, peer)
+	return n.pool.Use(ctx, peer, server.DataCentre != n.settings.GetDataCentre())
 }
 
 // Since implements discovery.Peers.
--- a/link/link.go
+++ b/link/link.go
@@ -104,13 +104,15 @@
 
 // Pool keeps one connection to each peer.
 type Pool struct {
+	traffic TrafficMeter
+
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{conns: map[string]*grpc.ClientConn{}}
+// NewPool returns an empty pool that counts the bytes of its calls.
+func NewPool(traffic TrafficMeter) *Pool {
+	return &Pool{traffic: traffic, conns: map[string]*grpc.ClientConn{}}
 }
 
 // Close closes all connections.
@@ -150,7 +152,7 @@
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithStaticStreamWindowSize(streamWindow),
 		grpc.WithStaticConnWindowSize(connWindow),
-		grpc.WithStatsHandler(writeWatcher{}),
+		grpc.WithStatsHandler(writeWatcher{p.traffic}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -168,12 +170,14 @@
 // writtenKey is the context key of the flag that writeWatcher sets.
 type writtenKey struct{}
 
-// writeWatcher notes when the header of a call is handed to the transport.
-type writeWatcher struct{}
+// writeWatcher notes when the header of a call is handed to the transport, and
+// counts its bytes.
+type writeWatcher struct{ traffic TrafficMeter }
 
 func (writeWatcher) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
 
-func (writeWatcher) HandleRPC(ctx context.Context, s stats.RPCStats) {
+func (w writeWatcher) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	w.traffic.count(ctx, s)
 	if _, ok := s.(*stats.OutHeader); !ok {
 		return
 	}
--- a/link/pool_test.go
+++ b/link/pool_test.go
@@ -32,7 +32,7 @@
 	// A loopback IP of this run's own, where nobody else takes the port.
 	pid := os.Getpid()
 	address := fmt.Sprintf("127.%d.%d.250:8090", 64+pid%128, pid/128%256)
-	pool := link.NewPool()
+	pool := link.NewPool(nil)
 	defer func() { _ = pool.Close() }()
 	for range 3 {
 		_, written, err := pool.Run(t.Context(), address, &slatewindv1.RunRequest{AttemptId: "1"})
--- a/link/use.go
+++ b/link/use.go
@@ -25,13 +25,14 @@
 	Recv() (*slatewindv1.UseRequest, error)
 }
 
-// Use opens a stream for a reservation to the process at an IP:port address. The
-// caller ends it through ctx.
-func (p *Pool) Use(ctx context.Context, address string) (Use, error) {
+// Use opens a stream for a reservation to the process at an IP:port address; far
+// says that it stands in another data centre. The caller ends it through ctx.
+func (p *Pool) Use(ctx context.Context, address string, far bool) (Use, error) {
 	conn, err := p.conn(address)
 	if err != nil {
 		return nil, err
 	}
+	ctx = withDistance(ctx, far)
 	stream, err := slatewindv1.NewSlotsClient(conn).Use(ctx)
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -16,6 +16,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/link"
 )
 
 // Error is the class of errors of this package.
@@ -30,6 +31,8 @@
 	dropped   metric.Int64Counter
 	decisions metric.Int64Counter
 	platform  metric.Int64Counter
+	denied    metric.Int64Counter
+	traffic   metric.Int64Counter
 }
 
 // New returns the instruments of a process.
@@ -52,6 +55,8 @@
 	m.dropped = counter("slatewind.dropped_replies", "Replies that were late, crossed or not whole.")
 	m.decisions = counter("slatewind.decisions", "Entries of the journal by kind.")
 	m.platform = counter("slatewind.platform_calls", "Calls to the platform by kind and result.")
+	m.denied = counter("slatewind.extra_attempts_denied", "Extra attempts that were not made, by service and cause.")
+	m.traffic = counter("slatewind.peer_bytes", "Bytes of messages between processes, by purpose and distance.")
 	m.duration, err = meter.Float64Histogram("slatewind.request.duration",
 		metric.WithDescription("Time from a request's arrival to its final answer."), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.001, .002, .004, .008, .016, .032, .064, .125, .25, .5, 1, 2, 4))
@@ -77,6 +82,17 @@
 	m.extras.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("why", why)))
 }
 
+// Denied counts an extra attempt that was not made.
+func (m *Metrics) Denied(service, cause string) {
+	m.denied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
+}
+
+// Traffic implements link.TrafficMeter.
+func (m *Metrics) Traffic(purpose link.Purpose, distance link.Distance, bytes int) {
+	m.traffic.Add(context.Background(), int64(bytes), metric.WithAttributes(
+		attribute.String("purpose", string(purpose)), attribute.String("distance", string(distance))))
+}
+
 // Dropped counts a reply that was not passed on.
 func (m *Metrics) Dropped(service, why string) {
 	m.dropped.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("why", why)))
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -39,8 +39,7 @@
 	patienceShare  = 0.25
 	objectiveShare = 0.4
 	// againShare is the share of its time that a request may wait for a slot
-	// after a server has seen it without an answer. All three were tried on
-	// played days.
+	// after a server has seen it without an answer, and that a call may.
 	againShare = 0.6
 )
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -167,10 +167,25 @@
 	return d.rq.repeatable() && d.tries <= 1 && d.rq.attempts() >= 2 && !d.rq.shard.deniedLately(time.Now())
 }
 
+// Causes for which an extra attempt is not made.
+const (
+	deniedAttempts = "attempts"
+	deniedTime     = "time"
+	deniedBound    = "bound"
+)
+
 // mayRepeat reports whether the request may be sent to one more server, if that
 // one's process has an extra arrival left.
 func (d *dispatch) mayRepeat() bool {
-	return d.arrivals+d.active < d.rq.attempts() && d.tries < maxTries && d.rq.remaining(time.Now()) > 0
+	switch {
+	case d.arrivals+d.active >= d.rq.attempts(), d.tries >= maxTries:
+		d.o.meter.Denied(d.rq.service, deniedAttempts)
+	case d.rq.remaining(time.Now()) <= 0:
+		d.o.meter.Denied(d.rq.service, deniedTime)
+	default:
+		return true
+	}
+	return false
 }
 
 // take handles the result of one attempt; done says that f is final.
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -39,6 +39,8 @@
 	Request(route string, outcome slatewind.Outcome, took time.Duration)
 	// Extra counts an attempt beyond the first; why is the kind of decision.
 	Extra(service, why string)
+	// Denied counts an attempt beyond the first that was not made, by its cause.
+	Denied(service, cause string)
 }
 
 // Self says where an ingress stands.
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -58,6 +58,7 @@
 
 func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
 func (m *mesh) Extra(string, string)                             {}
+func (m *mesh) Denied(string, string)                            {}
 
 // Call implements slatewind.Calls: no request of a mesh is a server's call.
 func (m *mesh) Call(string) (slatewind.Call, bool) { return slatewind.Call{}, false }
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -186,6 +186,7 @@
 	s.heard(name, toldByRefusal(refusal))
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseBudget {
 		s.rq.shard.deny(time.Now())
+		s.o.meter.Denied(s.rq.service, deniedBound)
 	}
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseMoved {
 		s.rq.shard.update(func(c *choice.Service) { c.Moved(time.Now(), name) })
