Bear no server that nearly surely hangs

A careful request bore any suspicion as a last resort, and 3 units for each full server that the next choice was dearer by.

Ruled out: that hanging requests hold no slot at the server; its load reports agreed with the process's count in 3,825 of 3,963 answers.

Change: a careful request bears 2.5 at most, and 3.5 as a last resort.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -97,6 +97,8 @@
 	// hangSuspicion opens the breaker: a healthy server would show it once in
 	// e^7, about a thousand, times.
 	hangSuspicion = 7.0
+	// lastResortBears is how much suspicion a careful request bears at most.
+	lastResortBears = 3.5
 )
 
 // shareWeight is the weight of the newest outcome in the shares of successes and
@@ -184,11 +186,21 @@
 	Bears float64
 }
 
+// bears returns how much suspicion the request bears. Also as a last resort it
+// keeps off a server that nearly surely hangs: it would be lost, and hold a slot
+// until its time is over.
+func (a Ask) bears() float64 {
+	if a.LastResort {
+		return lastResortBears
+	}
+	return min(a.Bears, lastResortBears)
+}
+
 // Allow reports whether a request may go to the server now.
 func (b *Breaker) Allow(now time.Time, ask Ask) bool {
 	switch {
 	case b.state == StateClosed:
-		return !ask.Careful || ask.LastResort || b.Suspicion(now) <= ask.Bears
+		return !ask.Careful || b.Suspicion(now) <= ask.bears()
 	case ask.LastResort && b.share >= UsefulShare:
 		return true
 	case ask.Careful:
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -106,6 +106,10 @@
 			append(served(5, 100*ms), step{start: "a"}, step{after: 120 * ms}),
 			breaker.StateClosed, true, false, true,
 		},
+		"one that has not answered for nearly four times the mean": {
+			append(served(5, 100*ms), step{start: "a"}, step{after: 380 * ms}),
+			breaker.StateClosed, true, false, false,
+		},
 		"many that have not answered for the mean": {
 			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{start: "c"}, step{start: "d"}, step{after: 180 * ms}),
 			breaker.StateOpen, false, false, true,
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -56,6 +56,9 @@
 	// choice is dearer by: a near server that is perhaps silent is borne before the
 	// bytes of a far one are paid for. At 0.8 those cost more than was gained.
 	bearsPerCost = 3.0
+	// mostBears bounds it: beyond, most servers that are so silent hang, and each
+	// request that they take holds one of their slots until its time is over.
+	mostBears = 2.5
 )
 
 // bears returns how much suspicion of a server the request bears, by what the
@@ -64,7 +67,7 @@
 	if len(s.queue) == 0 {
 		return math.Inf(1)
 	}
-	return leastBears + bearsPerCost*max(s.queue[0].Cost-server.Cost, 0)
+	return min(leastBears+bearsPerCost*max(s.queue[0].Cost-server.Cost, 0), mostBears)
 }
 
 // reserve makes one reservation and passes its replies on up to the final one.
@@ -88,8 +91,8 @@
 // tenths is the unit in which suspicion travels.
 const tenths = 10
 
-// mostBears bounds the suspicion that a message says is borne.
-const mostBears = 1000
+// bearsAll is the suspicion that a message names where any is borne.
+const bearsAll = 1000
 
 // reservation is the message that asks for a slot at a server.
 func (rq *request) reservation(to aim, until time.Time) *slatewindv1.Reservation {
@@ -97,7 +100,7 @@
 	return &slatewindv1.Reservation{
 		Service: rq.service, Route: rq.route.GetName(), Repeatable: rq.repeatable(), Rank: rq.route.GetRank(),
 		RemainingMs: uint32(max(rq.remaining(now), 0).Milliseconds()), PatienceMs: uint32(max(until.Sub(now), 0).Milliseconds()),
-		Careful: to.ask.Careful, LastResort: to.ask.LastResort, BearableTenths: uint32(min(to.ask.Bears, mostBears) * tenths),
+		Careful: to.ask.Careful, LastResort: to.ask.LastResort, BearableTenths: uint32(min(to.ask.Bears, bearsAll) * tenths),
 		Begun: rq.call != nil, Extra: to.extra, Repeat: rq.call != nil && rq.call.Repeat,
 	}
 }
