--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -11,6 +11,10 @@
 // in a row the breaker closes. Until then, requests that must not repeat come
 // only where they have no healthy server and this one still answers most.
 //
+// A server that hangs shows nothing at all, so that silence is judged too: each
+// request that runs far too long, and all running ones together (Suspicion). Time
+// in which the server waits for calls of its own does not count.
+//
 // Health probes are not used: servers that fail only part of their requests
 // answer them well.
 package breaker
@@ -81,26 +85,6 @@
 	relapseTime      = 5 * time.Second
 )
 
-const (
-	// A request takes too long when it takes more than overdueFactor times the
-	// mean of its route, and at least overdueLeast more than the mean. Work
-	// that is spread exponentially exceeds three times its mean once in twenty.
-	overdueFactor = 3
-	overdueLeast  = 150 * time.Millisecond
-	// meanWeight is the weight of the newest duration in a route's mean, and
-	// leastSamples how many it takes before the mean is used.
-	meanWeight   = 0.1
-	leastSamples = 4
-)
-
-const (
-	// hangSuspicion opens the breaker: a healthy server would show it once in
-	// e^7, about a thousand, times.
-	hangSuspicion = 7.0
-	// lastResortBears is how much suspicion a careful request bears at most.
-	lastResortBears = 3.5
-)
-
 // shareWeight is the weight of the newest outcome in the shares of successes and
 // of rejections.
 const shareWeight = 0.2
@@ -109,34 +93,6 @@
 // is better than none.
 const UsefulShare = 0.5
 
-// running is a request that the server has.
-type running struct {
-	route   string
-	trial   bool
-	overdue bool
-	// own is how long the server worked on it until since, without the time in
-	// which it waited for calls of its own; paused says that it waits now.
-	own    time.Duration
-	since  time.Time
-	paused bool
-	// answered is how long it had been worked on at the server's last success.
-	answered time.Duration
-}
-
-// took returns how long the server has worked on the request.
-func (r *running) took(now time.Time) time.Duration {
-	if r.paused {
-		return r.own
-	}
-	return r.own + now.Sub(r.since)
-}
-
-// mean is the mean duration of a route's successes.
-type mean struct {
-	value   time.Duration
-	samples int
-}
-
 // Breaker is the judgement of one server. It is not safe for use by several
 // goroutines; its host guards it.
 type Breaker struct {
@@ -236,21 +192,6 @@
 	b.running[id] = r
 }
 
-// Pause notes that the server waits for a call that it made for a request, and
-// Resume that it goes on: that time is not its own.
-func (b *Breaker) Pause(now time.Time, id string) {
-	if r := b.running[id]; r != nil && !r.paused {
-		r.own, r.paused = r.took(now), true
-	}
-}
-
-// Resume ends a Pause.
-func (b *Breaker) Resume(now time.Time, id string) {
-	if r := b.running[id]; r != nil && r.paused {
-		r.since, r.paused = now, false
-	}
-}
-
 // End notes what became of a request. It reports whether the state changed.
 func (b *Breaker) End(now time.Time, id string, result Result) bool {
 	r := b.running[id]
@@ -283,20 +224,6 @@
 	return false
 }
 
-// Suspicion returns how unlikely it is that a healthy server has answered none of
-// its running requests since its last success: minus the natural logarithm of that
-// chance, where durations have an exponential distribution about their routes'
-// means.
-func (b *Breaker) Suspicion(now time.Time) float64 {
-	sum := 0.0
-	for _, r := range b.running {
-		if m := b.means[r.route]; m.samples >= leastSamples {
-			sum += float64(r.took(now)-r.answered) / float64(m.value)
-		}
-	}
-	return sum
-}
-
 // Tick counts requests that run for too long, each and all together. It reports
 // whether the state changed.
 func (b *Breaker) Tick(now time.Time) bool {
@@ -319,23 +246,6 @@
 	*b = *New()
 }
 
-// tooLong reports whether a request takes far longer than its route's mean.
-func (b *Breaker) tooLong(route string, took time.Duration) bool {
-	m := b.means[route]
-	return m.samples >= leastSamples && took > max(overdueFactor*m.value, m.value+overdueLeast)
-}
-
-// learn adds the duration of a success to its route's mean.
-func (b *Breaker) learn(route string, took time.Duration) {
-	m := b.means[route]
-	if m.samples == 0 {
-		m.value = took
-	}
-	m.value += time.Duration(meanWeight * float64(took-m.value))
-	m.samples++
-	b.means[route] = m
-}
-
 // succeed counts a success. It reports whether the breaker closed.
 func (b *Breaker) succeed(now time.Time) bool {
 	b.share += shareWeight * (1 - b.share)
--- /dev/null
+++ b/breaker/running.go
@@ -0,0 +1,97 @@
+package breaker
+
+import "time"
+
+const (
+	// A request takes too long when it takes more than overdueFactor times the
+	// mean of its route, and at least overdueLeast more than the mean. Work
+	// that is spread exponentially exceeds three times its mean once in twenty.
+	overdueFactor = 3
+	overdueLeast  = 150 * time.Millisecond
+	// meanWeight is the weight of the newest duration in a route's mean, and
+	// leastSamples how many it takes before the mean is used.
+	meanWeight   = 0.1
+	leastSamples = 4
+)
+
+const (
+	// hangSuspicion opens the breaker: a healthy server would show it once in
+	// e^7, about a thousand, times.
+	hangSuspicion = 7.0
+	// lastResortBears is how much suspicion a careful request bears at most.
+	lastResortBears = 3.5
+)
+
+// running is a request that the server has.
+type running struct {
+	route   string
+	trial   bool
+	overdue bool
+	// own is how long the server worked on it until since, without the time in
+	// which it waited for calls of its own; paused says that it waits now.
+	own    time.Duration
+	since  time.Time
+	paused bool
+	// answered is how long it had been worked on at the server's last success.
+	answered time.Duration
+}
+
+// took returns how long the server has worked on the request.
+func (r *running) took(now time.Time) time.Duration {
+	if r.paused {
+		return r.own
+	}
+	return r.own + now.Sub(r.since)
+}
+
+// mean is the mean duration of a route's successes.
+type mean struct {
+	value   time.Duration
+	samples int
+}
+
+// Pause notes that the server waits for a call that it made for a request, and
+// Resume that it goes on: that time is not its own.
+func (b *Breaker) Pause(now time.Time, id string) {
+	if r := b.running[id]; r != nil && !r.paused {
+		r.own, r.paused = r.took(now), true
+	}
+}
+
+// Resume ends a Pause.
+func (b *Breaker) Resume(now time.Time, id string) {
+	if r := b.running[id]; r != nil && r.paused {
+		r.since, r.paused = now, false
+	}
+}
+
+// Suspicion returns how unlikely it is that a healthy server has answered none of
+// its running requests since its last success: minus the natural logarithm of that
+// chance, where durations have an exponential distribution about their routes'
+// means.
+func (b *Breaker) Suspicion(now time.Time) float64 {
+	sum := 0.0
+	for _, r := range b.running {
+		if m := b.means[r.route]; m.samples >= leastSamples {
+			sum += float64(r.took(now)-r.answered) / float64(m.value)
+		}
+	}
+	return sum
+}
+
+// tooLong reports whether a request takes far longer than its route's mean.
+func (b *Breaker) tooLong(route string, took time.Duration) bool {
+	m := b.means[route]
+	return m.samples >= leastSamples && took > max(overdueFactor*m.value, m.value+overdueLeast)
+}
+
+// learn adds the duration of a success to its route's mean.
+func (b *Breaker) learn(route string, took time.Duration) {
+	m := b.means[route]
+	if m.samples == 0 {
+		m.value = took
+	}
+	m.value += time.Duration(meanWeight * float64(took-m.value))
+	m.samples++
+	b.means[route] = m
+}
