--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -243,8 +243,7 @@
 const storeTimeout = 900 * time.Millisecond
 
 // TestSilence: a process hears of settings within 2.5 s after a silent store is
-// back. A played day broke a rule when the last silent call and the pause after
-// it took 3.2 s.
+// back: the last silent call and the pause after it must not add up to more.
 func TestSilence(t *testing.T) {
 	for i := range 50 {
 		synctest.Test(t, func(t *testing.T) {
