Log calls for news that take long

Cause: when a leaving server is heard of late, no line tells a slow store from a long transfer, whom the news came from, or how old the view was meanwhile.

Change: a call that lasts over 0.6 s writes "news took long" with its source, its time, the view's age and what it brought. None is written while calls are as usual.

--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/discovery"
 )
 
 // Settings implements discovery.Sink.
@@ -39,6 +40,16 @@
 	})
 }
 
+// Slow implements discovery.Sink.
+func (n *Node) Slow(news discovery.SlowNews) {
+	from := news.From
+	if from == "" {
+		from = "store"
+	}
+	n.logger.Warn("news took long", "from", from, "took", news.Took.Round(time.Millisecond), "age", news.Age.Round(time.Millisecond),
+		"servers", news.Servers, "removed", news.Removed, "settings", news.Version)
+}
+
 // Reach implements discovery.Sink.
 func (n *Node) Reach(_ time.Time, reached bool, cause error) {
 	if reached {
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -192,7 +192,7 @@
 		s.failed[address] = time.Now().Add(failedTime)
 		return p, false
 	}
-	p.Relayed = true
+	p.Relayed, p.From = true, address
 	p.Cut = s.cut
 	return p, true
 }
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -26,6 +26,9 @@
 	// lapseTime is how long after an outage servers may write their entries
 	// anew before they count as gone: a heartbeat of theirs.
 	lapseTime = 1500 * time.Millisecond
+	// slowCall is how long a call for news may last before it is told of. One to a
+	// peer takes some milliseconds, one to the store may wait for watchWait.
+	slowCall = watchWait + 100*time.Millisecond
 	// maxRemoved bounds how many removed servers are remembered for peers; one
 	// that asks for changes from before them gets everything.
 	maxRemoved = 1024
@@ -43,6 +46,23 @@
 	Finding(now time.Time, finding error)
 	// Reach says that the source was lost or regained.
 	Reach(now time.Time, reached bool, cause error)
+	// Slow says that news took long to come.
+	Slow(news SlowNews)
+}
+
+// SlowNews is a call for news that took long. It tells a slow source from a long
+// transfer and from an old view.
+type SlowNews struct {
+	// From is who was asked in the end: a peer's address, or empty for the store.
+	From string
+	// Took is how long the call lasted.
+	Took time.Duration
+	// Age is how old the view was when the call ended.
+	Age time.Duration
+	// Servers and Removed count the entries that came and went; Version is that of
+	// the settings that came, or 0.
+	Servers, Removed int
+	Version          uint64
 }
 
 // Watcher follows a publisher. It keeps what was published, to tell changes and
@@ -135,6 +155,7 @@
 // a peer.
 func (w *Watcher) step(ctx context.Context) (relayed bool, err error) {
 	after := w.Revision()
+	began := time.Now()
 	var p slatewind.Publication
 	if after == 0 {
 		p, err = w.source.Read(ctx)
@@ -151,6 +172,9 @@
 		}
 		return false, err
 	}
+	if took := now.Sub(began); took >= slowCall && after > 0 {
+		w.sink.Slow(slowNews(p, took, now.Sub(w.seen)))
+	}
 	if p.Cut {
 		w.failed(now, errCut)
 	} else {
@@ -160,6 +184,15 @@
 	return p.Relayed, nil
 }
 
+// slowNews describes a call that took long, and the age that the view had.
+func slowNews(p slatewind.Publication, took, age time.Duration) SlowNews {
+	news := SlowNews{From: p.From, Took: took, Age: age, Servers: len(p.Servers), Removed: len(p.Removed)}
+	if p.Settings != nil {
+		news.Version = p.Settings.Version
+	}
+	return news
+}
+
 // Revision returns the store's revision up to which everything is known.
 func (w *Watcher) Revision() uint64 {
 	w.mu.Lock()
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -20,6 +20,7 @@
 	servers  map[string]bool
 	findings int
 	reach    []bool
+	slow     []SlowNews
 }
 
 func (h *heardBy) Settings(_ time.Time, s *slatewind.PublishedSettings) {
@@ -30,6 +31,8 @@
 func (h *heardBy) Finding(time.Time, error)                    { h.findings++ }
 func (h *heardBy) Reach(_ time.Time, reached bool, _ error)    { h.reach = append(h.reach, reached) }
 
+func (h *heardBy) Slow(news SlowNews) { h.slow = append(h.slow, news) }
+
 func (h *heardBy) names() []string {
 	var names []string
 	for name := range h.servers {
--- a/publish.go
+++ b/publish.go
@@ -50,8 +50,9 @@
 	Removed []string
 	// Whole says that Servers are all that there are.
 	Whole bool
-	// Relayed publications came from another process.
+	// Relayed publications came from another process, From its server's address.
 	Relayed bool
+	From    string
 	// Cut says that the receiver itself cannot reach the platform: it was told by
 	// other processes, and servers near it may be missing for that reason alone.
 	Cut bool
