State how late a leaving server may be heard of, failing

The test plays 30 processes on links of 10 Mbit/s and states that every one that reaches the store hears within 2 s, the least bound of all deployments, that a server leaves.

--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -22,11 +22,20 @@
 	watchers map[string]*Watcher
 	sinks    map[string]*heardBy
 	shares   map[string]*Share
-	// cut processes do not reach the store, frozen ones do not answer.
+	// cut processes do not reach the store, frozen ones do not answer. Answers of
+	// the store stay with a process for the time that held names.
 	cut, frozen map[string]bool
-	calls       map[string]int
-	pings       int
-	published   slatewind.Publication
+	held        map[string]time.Duration
+	// busy is how long every process takes to answer another.
+	busy time.Duration
+	// lines carry what each process receives and sends; without any, bytes take no
+	// time.
+	incoming, outgoing map[string]*line
+	// settingsAt is the revision at which the settings were published.
+	settingsAt uint64
+	calls      map[string]int
+	pings      int
+	published  slatewind.Publication
 }
 
 // storeOf is the store as one process reaches it.
@@ -39,17 +48,21 @@
 	return s.Changes(ctx, 0, 0)
 }
 
-func (s storeOf) Changes(ctx context.Context, _ uint64, _ time.Duration) (slatewind.Publication, error) {
+func (s storeOf) Changes(ctx context.Context, after uint64, _ time.Duration) (slatewind.Publication, error) {
 	s.f.mu.Lock()
 	s.f.calls[s.self]++
-	cut, p := s.f.cut[s.self], s.f.published
+	cut, p, held := s.f.cut[s.self], s.f.published, s.f.held[s.self]
+	if after >= s.f.settingsAt {
+		p.Settings = nil
+	}
 	s.f.mu.Unlock()
 	if cut {
 		sleep(ctx, time.Second)
 		return slatewind.Publication{}, errors.New("cut off")
 	}
 	p.Whole = true
-	return p, nil
+	sleep(ctx, held)
+	return p, s.f.incoming[s.self].carry(ctx, storeBytes(p))
 }
 
 func (s storeOf) Ping(context.Context) error {
@@ -65,18 +78,21 @@
 // Since implements Peers.
 func (f *fleet) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
 	f.mu.Lock()
-	watcher, frozen := f.watchers[address], f.frozen[address]
+	watcher, frozen, busy := f.watchers[address], f.frozen[address], f.busy
 	f.mu.Unlock()
+	sleep(ctx, busy)
 	if frozen || watcher == nil {
 		<-ctx.Done()
 		return slatewind.Publication{}, ctx.Err()
 	}
-	return watcher.Since(after, version), nil
+	p := watcher.Since(after, version)
+	return p, f.outgoing[address].carry(ctx, peerBytes(p))
 }
 
 func newFleet(ctx context.Context, n int) *fleet {
 	f := &fleet{
 		watchers: map[string]*Watcher{}, sinks: map[string]*heardBy{}, shares: map[string]*Share{}, cut: map[string]bool{}, frozen: map[string]bool{},
+		held: map[string]time.Duration{}, incoming: map[string]*line{}, outgoing: map[string]*line{},
 		calls: map[string]int{}, published: slatewind.Publication{Revision: 1},
 	}
 	for i := range n {
@@ -84,6 +100,8 @@
 	}
 	for _, entry := range f.published.Servers {
 		f.start(ctx, entry.Address, nil)
+		// Processes start at different moments, so that their rounds do too.
+		sleep(ctx, 29*time.Millisecond)
 	}
 	return f
 }
@@ -93,7 +111,7 @@
 	defer f.mu.Unlock()
 	share := NewShare(storeOf{f, self}, f, self, seeds)
 	f.shares[self] = share
-	f.sinks[self] = &heardBy{servers: map[string]bool{}}
+	f.sinks[self] = newHeardBy()
 	f.watchers[self] = NewWatcher(share, f.sinks[self])
 	share.Follow(f.watchers[self], "")
 	f.watchers[self].Start(ctx)
@@ -123,6 +141,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.Revision = f.published.Revision + 1
+	if p.Settings != f.published.Settings {
+		f.settingsAt = p.Revision
+	}
 	f.published = p
 }
 
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -21,15 +21,26 @@
 	findings int
 	reach    []bool
 	slow     []SlowNews
+	// left holds when each leaving server was first heard of.
+	left map[string]time.Time
+}
+
+func newHeardBy() *heardBy {
+	return &heardBy{servers: map[string]bool{}, left: map[string]time.Time{}}
 }
 
 func (h *heardBy) Settings(_ time.Time, s *slatewind.PublishedSettings) {
 	h.versions = append(h.versions, s.Version)
 }
-func (h *heardBy) Server(_ time.Time, e slatewind.ServerEntry) { h.servers[e.Name] = true }
-func (h *heardBy) ServerGone(_ time.Time, name string)         { delete(h.servers, name) }
-func (h *heardBy) Finding(time.Time, error)                    { h.findings++ }
-func (h *heardBy) Reach(_ time.Time, reached bool, _ error)    { h.reach = append(h.reach, reached) }
+func (h *heardBy) Server(now time.Time, e slatewind.ServerEntry) {
+	h.servers[e.Name] = true
+	if _, known := h.left[e.Name]; e.Leaving && !known {
+		h.left[e.Name] = now
+	}
+}
+func (h *heardBy) ServerGone(_ time.Time, name string)      { delete(h.servers, name) }
+func (h *heardBy) Finding(time.Time, error)                 { h.findings++ }
+func (h *heardBy) Reach(_ time.Time, reached bool, _ error) { h.reach = append(h.reach, reached) }
 
 func (h *heardBy) Slow(news SlowNews) { h.slow = append(h.slow, news) }
 
@@ -142,7 +153,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				source := &scripted{answers: test.answers}
-				heard := &heardBy{servers: map[string]bool{}}
+				heard := newHeardBy()
 				ctx, cancel := context.WithCancel(t.Context())
 				NewWatcher(source, heard).Start(ctx)
 				time.Sleep(test.wait)
@@ -164,7 +175,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := &counted{}
 		ctx, cancel := context.WithCancel(t.Context())
-		NewWatcher(source, &heardBy{servers: map[string]bool{}}).Start(ctx)
+		NewWatcher(source, newHeardBy()).Start(ctx)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		assert.Assert(t, source.calls <= int(10*time.Second/storePace)+2, source.calls)
@@ -191,8 +202,8 @@
 // TestSince: what one watcher passes on brings another to the same view.
 func TestSince(t *testing.T) {
 	now := time.Unix(1000, 0)
-	first := NewWatcher(nil, &heardBy{servers: map[string]bool{}})
-	heard := &heardBy{servers: map[string]bool{}}
+	first := NewWatcher(nil, newHeardBy())
+	heard := newHeardBy()
 	second := NewWatcher(nil, heard)
 	pass := func() { second.take(now, first.Since(second.Revision(), second.Version())) }
 	first.take(now, all(1, "a", "b").Publication)
@@ -251,7 +262,7 @@
 	for i := range 50 {
 		synctest.Test(t, func(t *testing.T) {
 			source := &silentStore{revision: 1}
-			heard := &heardBy{servers: map[string]bool{}}
+			heard := newHeardBy()
 			ctx, cancel := context.WithCancel(t.Context())
 			NewWatcher(source, heard).Start(ctx)
 			time.Sleep(time.Second)
