--- a/daemon/node.go
+++ b/daemon/node.go
@@ -41,6 +41,7 @@
 	outbound *outbound.Outbound
 	share    *discovery.Share
 	watcher  *discovery.Watcher
+	feed     *discovery.Feed
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -62,15 +63,6 @@
 	return n.pool.Use(ctx, peer, server.DataCentre != n.settings.GetDataCentre())
 }
 
-// Since implements discovery.Peers.
-func (n *Node) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
-	peer, err := n.peerOf(address)
-	if err != nil {
-		return slatewind.Publication{}, err
-	}
-	return n.pool.Since(ctx, peer, after, version)
-}
-
 // peerOf returns the peer address of the process on the VM of an address: every
 // VM of a fleet uses the same ports.
 func (n *Node) peerOf(address string) (string, error) {
@@ -91,6 +83,7 @@
 	}
 	n.inbound.Start(ctx, n.timers)
 	n.watcher.Start(ctx)
+	n.feed.Start(ctx)
 	n.hearReloads(ctx)
 	n.logger.Info("started", "vm", n.settings.GetVm(), "data_centre", n.settings.GetDataCentre(),
 		"service", n.settings.GetLocalServer().GetService(), "callers", n.settings.GetIngressAddress(),
@@ -123,7 +116,7 @@
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	n.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSlotsServer(n.peers, link.SlotsServer{Serve: n.inbound.Serve})
-	slatewindv1.RegisterNewsServer(n.peers, link.NewsServer{Known: n.watcher.Since})
+	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{Known: n.since, Newest: n.feed.Newest})
 	return serveAll(n.logger, []service{
 		{"callers", n.settings.GetIngressAddress(), n.callers.Serve},
 		{"ready", n.settings.GetReadyAddress(), n.ready.Serve},
--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -1,15 +1,24 @@
 package daemon
 
 import (
+	"fmt"
 	"time"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/discovery"
 )
 
-// Settings implements discovery.Sink.
-func (n *Node) Settings(now time.Time, settings *slatewind.PublishedSettings) {
-	n.store.Adopt(now, "store", settings)
+// Settings implements discovery.SettingsSink.
+func (n *Node) Settings(now time.Time, settings *slatewind.PublishedSettings, from string, took time.Duration) {
+	n.store.Adopt(now, fmt.Sprintf("%s took=%s", nameOf(from), took.Round(time.Millisecond)), settings)
+}
+
+// nameOf names who told news by an address, which is empty for the store.
+func nameOf(from string) string {
+	if from == "" {
+		return "store"
+	}
+	return from
 }
 
 // Server implements discovery.Sink.
@@ -33,7 +42,7 @@
 	n.inbound.SetServers(n.outbound.ServersOf(n.settings.GetLocalServer().GetService()))
 }
 
-// Finding implements discovery.Sink.
+// Finding implements discovery.Sink and discovery.SettingsSink.
 func (n *Node) Finding(now time.Time, finding error) {
 	n.history.Add(slatewind.Decision{
 		Time: now, Kind: slatewind.DecisionStale, Reason: "an entry cannot be read; what was in force stays", Evidence: finding.Error(),
@@ -42,12 +51,8 @@
 
 // Slow implements discovery.Sink.
 func (n *Node) Slow(news discovery.SlowNews) {
-	from := news.From
-	if from == "" {
-		from = "store"
-	}
-	n.logger.Warn("news took long", "from", from, "took", news.Took.Round(time.Millisecond), "age", news.Age.Round(time.Millisecond),
-		"servers", news.Servers, "removed", news.Removed, "settings", news.Version)
+	n.logger.Warn("news took long", "from", nameOf(news.From), "took", news.Took.Round(time.Millisecond),
+		"age", news.Age.Round(time.Millisecond), "servers", news.Servers, "removed", news.Removed)
 }
 
 // Reach implements discovery.Sink.
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -55,8 +55,9 @@
 		platform.Callers(), store, j, n, n.inbound, m,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
-	n.share = discovery.NewShare(client, n, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
+	n.share = discovery.NewShare(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
 	n.watcher = discovery.NewWatcher(n.share, n)
-	n.share.Follow(n.watcher, process.GetDataCentre())
+	n.feed = discovery.NewFeed(client, nodePeers{n}, n.share, n)
+	n.share.Follow(n.watcher, n.feed, process.GetDataCentre())
 	return n
 }
--- /dev/null
+++ b/discovery/feed_test.go
@@ -0,0 +1,146 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+)
+
+// silentStore is a store that answers nothing until it is back: each call ends
+// with its own time.
+type silentStore struct {
+	mu       sync.Mutex
+	back     time.Time
+	revision uint64
+}
+
+// silence has the store answer nothing for a while, and then a newer version.
+func (s *silentStore) silence(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.back = time.Now().Add(d)
+	s.revision++
+}
+
+// answered waits as a call does and returns the store's revision.
+func (s *silentStore) answered(ctx context.Context, wait time.Duration) (uint64, error) {
+	s.mu.Lock()
+	silent, revision := time.Now().Before(s.back), s.revision
+	s.mu.Unlock()
+	if silent {
+		sleep(ctx, wait+storeTimeout)
+		return 0, errors.New("silent")
+	}
+	return revision, nil
+}
+
+func (s *silentStore) Read(ctx context.Context) (slatewind.Publication, error) {
+	return s.Changes(ctx, 0)
+}
+
+func (s *silentStore) Changes(ctx context.Context, _ uint64) (slatewind.Publication, error) {
+	revision, err := s.answered(ctx, 0)
+	return slatewind.Publication{Revision: revision, Servers: servers("own")}, err
+}
+
+func (s *silentStore) Ping(ctx context.Context) error {
+	_, err := s.answered(ctx, 0)
+	return err
+}
+
+func (s *silentStore) Settings(ctx context.Context, after uint64, wait time.Duration) (*slatewind.PublishedSettings, error) {
+	revision, err := s.answered(ctx, wait)
+	if err != nil || revision <= after {
+		sleep(ctx, wait)
+		return nil, err
+	}
+	return &slatewind.PublishedSettings{Version: revision, Revision: revision}, nil
+}
+
+// storeTimeout is that of package platform's calls.
+const storeTimeout = 900 * time.Millisecond
+
+// TestSilence: a process hears of settings within 2.5 s after a silent store is
+// back: the last silent call and the pause after it must not add up to more.
+func TestSilence(t *testing.T) {
+	for i := range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			source := &silentStore{revision: 1}
+			heard := newHeardBy()
+			ctx, cancel := context.WithCancel(t.Context())
+			share := NewShare(source, nil, "own:1", nil)
+			watcher := NewWatcher(share, heard)
+			feed := NewFeed(source, nil, share, heard)
+			share.Follow(watcher, feed, "")
+			watcher.Start(ctx)
+			feed.Start(ctx)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			outage := 5*time.Second + time.Duration(i)*50*time.Millisecond
+			source.silence(outage)
+			time.Sleep(outage + 2500*time.Millisecond)
+			synctest.Wait()
+			assert.DeepEqual(t, heard.versions, []uint64{1, 2})
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// settingsOf is a store that answers settings in order and then nothing new.
+type settingsOf struct {
+	answers []*slatewind.PublishedSettings
+}
+
+func (s *settingsOf) Settings(ctx context.Context, _ uint64, wait time.Duration) (*slatewind.PublishedSettings, error) {
+	if len(s.answers) == 0 {
+		sleep(ctx, wait)
+		return nil, ctx.Err()
+	}
+	settings := s.answers[0]
+	s.answers = s.answers[1:]
+	if settings.Version == 0 {
+		return nil, &slatewind.UnreadableError{Revision: settings.Revision, Cause: errors.New("bad value")}
+	}
+	return settings, nil
+}
+
+// TestFeed plays the answers of a store and states what a sink has heard.
+func TestFeed(t *testing.T) {
+	v := func(version, revision uint64) *slatewind.PublishedSettings {
+		return &slatewind.PublishedSettings{Version: version, Revision: revision}
+	}
+	tests := map[string]struct {
+		answers  []*slatewind.PublishedSettings
+		versions []uint64
+		findings int
+	}{
+		"older settings change nothing": {[]*slatewind.PublishedSettings{v(7, 2), v(6, 3), v(8, 4)}, []uint64{7, 8}, 0},
+		"what cannot be read is told":   {[]*slatewind.PublishedSettings{v(7, 2), v(0, 3), v(8, 4)}, []uint64{7, 8}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				heard := newHeardBy()
+				ctx, cancel := context.WithCancel(t.Context())
+				share := NewShare(nil, nil, "own:1", nil)
+				share.reads.Store(true)
+				feed := NewFeed(&settingsOf{test.answers}, nil, share, heard)
+				feed.Start(ctx)
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				assert.DeepEqual(t, heard.versions, test.versions)
+				assert.Equal(t, heard.findings, test.findings)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/discovery/known.go
+++ b/discovery/known.go
@@ -18,10 +18,6 @@
 	for _, finding := range p.Findings {
 		w.sink.Finding(now, finding)
 	}
-	if p.Settings != nil && (w.settings == nil || p.Settings.Version > w.settings.Version) {
-		w.settings = p.Settings
-		w.sink.Settings(now, p.Settings)
-	}
 	if p.Whole {
 		w.removeOthers(now, p)
 	}
@@ -96,18 +92,15 @@
 	}
 }
 
-// Since returns what changed after a revision, for another process. version is
-// that of its settings. The publication is empty where nothing is known yet.
-func (w *Watcher) Since(after, version uint64) slatewind.Publication {
+// Since returns what changed after a revision, for another process. The publication
+// is empty where nothing is known yet.
+func (w *Watcher) Since(after uint64) slatewind.Publication {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.revision == 0 {
 		return slatewind.Publication{}
 	}
 	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten}
-	if w.settings != nil && w.settings.Version > version {
-		p.Settings = w.settings
-	}
 	for _, server := range w.servers {
 		if p.Whole || server.revision > after {
 			p.Servers = append(p.Servers, server.ServerEntry)
@@ -121,16 +114,6 @@
 	return p
 }
 
-// Version returns the version of the newest settings, or 0.
-func (w *Watcher) Version() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.settings == nil {
-		return 0
-	}
-	return w.settings.Version
-}
-
 // Peers returns the addresses of the servers in a data centre, or everywhere
 // where it is empty.
 func (w *Watcher) Peers(dataCentre string) []string {
--- a/discovery/leaving_test.go
+++ b/discovery/leaving_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
@@ -23,8 +22,12 @@
 	linePart = 16 << 10
 	// entryBytes is the size of a server's entry in a message.
 	entryBytes = 300
-	// routeBytes is that of a route as the store answers it: JSON in base64.
-	routeBytes = 200
+	// changedBytes is that of an answer of the store, with some heartbeats.
+	changedBytes = 10 * entryBytes
+	// routeBytes is that of a route as the store answers it, JSON in base64, and
+	// packedRouteBytes as processes hand it over.
+	routeBytes       = 200
+	packedRouteBytes = 30
 )
 
 // line is one direction of a link. Transfers take turns on it.
@@ -44,26 +47,6 @@
 	return ctx.Err()
 }
 
-// storeBytes is the size of an answer of the store. It holds what changed only, a
-// heartbeat of a few servers.
-func storeBytes(p slatewind.Publication) int {
-	const changed = 10
-	bytes := changed * entryBytes
-	if p.Settings != nil {
-		bytes += routeBytes * len(p.Settings.Fleet.GetRoutes())
-	}
-	return bytes
-}
-
-// peerBytes is the size of a peer's answer.
-func peerBytes(p slatewind.Publication) int {
-	bytes := entryBytes
-	if p.Settings != nil {
-		bytes += proto.Size(p.Settings.Fleet)
-	}
-	return bytes
-}
-
 // narrow gives every process a narrow link.
 func (f *fleet) narrow() {
 	f.mu.Lock()
@@ -83,9 +66,7 @@
 			Kind: "repeatable", Service: "svc", Attempts: 2,
 		})
 	}
-	next := f.published
-	next.Settings = &slatewind.PublishedSettings{Version: version, Fleet: fleet}
-	f.publish(next)
+	f.publishSettings(&slatewind.PublishedSettings{Version: version, Fleet: fleet})
 }
 
 // leave publishes that a server leaves.
@@ -165,6 +146,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					latest := leaveDuring(t, time.Duration(phase)*100*time.Millisecond, trouble)
 					assert.Check(t, latest <= leavingTime, "a server was heard of %s after its word", latest)
+					assert.Check(t, latest <= NewsAge, "the sum of the hops is no bound: %s", latest)
 				})
 			}
 		})
@@ -180,7 +162,7 @@
 	f := newFleet(ctx, 30)
 	settle(3 * time.Second)
 	f.narrow()
-	clear(f.calls)
+	f.forgetCalls()
 	settle(2*time.Second + phase)
 	outOfTouch := trouble(f, f.called())
 	said := map[string]time.Time{}
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -22,11 +22,12 @@
 	// Readers is how many processes of a data centre follow the store. The
 	// others ask these, so that calls to the store do not grow with the fleet.
 	Readers = 2
-	// freshAge is how old a peer's answer may be before the store is asked.
-	freshAge = 1500 * time.Millisecond
+	// freshAge is how old a peer's answer may be before the store is asked: as old
+	// as a reader's view becomes from one call to the end of the next.
+	freshAge = storePace + 2*storeTime
 	// askTimeout bounds a question to a peer. In a data centre an answer takes
 	// a millisecond, from a busy process some tens.
-	askTimeout = 250 * time.Millisecond
+	askTimeout = 200 * time.Millisecond
 	// failedTime is how long a peer that did not answer is passed over.
 	failedTime = 3 * time.Second
 	// pingEvery is how often a process that asks its peers checks whether it could
@@ -37,15 +38,17 @@
 	pingTimeout = 700 * time.Millisecond
 	// cutPingEvery is how often it checks while it cannot reach the store.
 	cutPingEvery = 500 * time.Millisecond
-	// directPause is the least time between two direct calls of a process that
-	// need not be a reader. While the store is away its readers try for all.
-	directPause = time.Second
+	// directPause is the time from a direct call that failed or took long to the
+	// next of a process that need not be a reader; it doubles up to maxDirectPause.
+	// While the store is away or slow its readers try for all.
+	directPause    = time.Second
+	maxDirectPause = 4 * time.Second
 )
 
 // Peers asks other processes what they know.
 type Peers interface {
-	// Since asks the process beside the server at an address what changed after a
-	// revision of the store; version is that of the settings that are known here.
+	// Since asks the process beside the server at an address which servers changed
+	// after a revision of the store; version is that of the settings known here.
 	Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error)
 }
 
@@ -74,15 +77,17 @@
 	local func() []string
 	// all returns those of every data centre.
 	all func() []string
-	// version returns that of the newest settings.
-	version func() uint64
+	// feed keeps the settings, of which peers tell and are told the version.
+	feed *Feed
 	// seeds are asked where no server is known yet.
 	seeds []string
 
 	// failed holds until when a peer that did not answer is passed over.
 	failed map[string]time.Time
-	// lastDirect is when the store was last asked for changes.
-	lastDirect time.Time
+	// directAfter is before when the store is not asked for changes unless this
+	// process is a reader; pause is the last pause.
+	directAfter time.Time
+	pause       time.Duration
 	// cut says that the store could not be reached at lastContact.
 	cut         bool
 	lastContact time.Time
@@ -94,17 +99,19 @@
 	return &Share{store: store, peers: peers, self: self, seeds: seeds, failed: map[string]time.Time{}}
 }
 
-// Follow names the watcher whose servers are the peers.
-func (s *Share) Follow(w *Watcher, dataCentre string) {
+// Follow names the watcher whose servers are the peers, and the feed of settings.
+func (s *Share) Follow(w *Watcher, feed *Feed, dataCentre string) {
 	s.local = func() []string { return w.Peers(dataCentre) }
 	s.all = func() []string { return w.Peers("") }
-	s.version = w.Version
+	s.feed = feed
 }
 
 // Read implements slatewind.Publisher. A process that begins reads the store,
 // so that it starts with the newest; where the store is away, it asks others.
 func (s *Share) Read(ctx context.Context) (slatewind.Publication, error) {
+	began := time.Now()
 	p, err := s.store.Read(ctx)
+	p.Age = time.Since(began)
 	if err == nil {
 		return p, nil
 	}
@@ -115,13 +122,11 @@
 }
 
 // Changes implements slatewind.Publisher.
-func (s *Share) Changes(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
+func (s *Share) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
 	now := time.Now()
 	readers := s.readers(now)
-	reads := slices.Contains(readers, s.self) || len(readers) == 0
-	s.reads.Store(reads)
-	if reads {
-		return s.direct(ctx, after, wait)
+	if s.reading(slices.Contains(readers, s.self) || len(readers) == 0) {
+		return s.direct(ctx, after)
 	}
 	reader := readers[rand.IntN(len(readers))]
 	s.ping(ctx, now)
@@ -129,13 +134,26 @@
 	if ok && p.Age <= freshAge {
 		return p, nil
 	}
-	if now.Sub(s.lastDirect) < directPause {
+	if time.Now().Before(s.directAfter) {
 		if ok {
 			return p, nil
 		}
 		return slatewind.Publication{}, Error.New("the process beside %s did not answer", reader)
 	}
-	return s.direct(ctx, after, wait)
+	p, err := s.direct(ctx, after)
+	if err == nil && !p.Relayed {
+		// The store is well and the reader's news are old: another one reads.
+		s.failed[reader] = time.Now().Add(failedTime)
+	}
+	return p, err
+}
+
+// reading notes whether this process reads for its data centre, and returns it.
+func (s *Share) reading(reads bool) bool {
+	if s.reads.Swap(reads) != reads {
+		s.feed.Wake()
+	}
+	return reads
 }
 
 // ping finds out now and then whether this process could reach the store.
@@ -154,15 +172,21 @@
 
 // heard notes whether the store answered.
 func (s *Share) heard(err error) {
+	before := s.cut
 	s.lastContact = time.Now()
 	s.cut = err != nil && !errors.Is(err, slatewind.ErrHistoryGone)
+	if before && !s.cut {
+		s.feed.Restart()
+	}
 }
 
 // direct asks the store. Where that fails, a peer may know more.
-func (s *Share) direct(ctx context.Context, after uint64, wait time.Duration) (slatewind.Publication, error) {
-	s.lastDirect = time.Now()
-	p, err := s.store.Changes(ctx, after, wait)
+func (s *Share) direct(ctx context.Context, after uint64) (slatewind.Publication, error) {
+	began := time.Now()
+	p, err := s.store.Changes(ctx, after)
 	s.heard(err)
+	p.Age = time.Since(began)
+	s.pauseAfter(!s.cut && p.Age <= storeTime)
 	if err == nil {
 		return p, nil
 	}
@@ -172,6 +196,18 @@
 	return p, err
 }
 
+// pauseAfter notes how soon a process that is no reader may ask the store again
+// after a call that went well or not. There is no pause after one that did: the
+// store can bear it, and the view must not grow old.
+func (s *Share) pauseAfter(well bool) {
+	if well {
+		s.pause, s.directAfter = 0, time.Time{}
+		return
+	}
+	s.pause = min(max(2*s.pause, directPause), maxDirectPause)
+	s.directAfter = time.Now().Add(s.pause)
+}
+
 // readers returns the processes that read the store for the own data centre.
 func (s *Share) readers(now time.Time) []string {
 	candidates := slices.DeleteFunc(s.local(), func(address string) bool {
@@ -187,28 +223,49 @@
 func (s *Share) ask(ctx context.Context, address string, after uint64) (p slatewind.Publication, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	p, err := s.peers.Since(ctx, address, after, s.version())
+	began := time.Now()
+	p, err := s.peers.Since(ctx, address, after, s.feed.Version())
 	if err != nil || p.Revision == 0 {
 		s.failed[address] = time.Now().Add(failedTime)
 		return p, false
 	}
+	s.feed.Heard(p.Version, address)
 	p.Relayed, p.From = true, address
+	// The peer may have been paused after it told its news' age.
+	p.Age += time.Since(began)
 	p.Cut = s.cut
 	return p, true
 }
 
-// askAnybody asks a random process, of those that are known or else of the seeds.
+// askAnybody asks a random process.
 func (s *Share) askAnybody(ctx context.Context, after uint64) (p slatewind.Publication, ok bool) {
-	others := slices.DeleteFunc(s.all(), func(address string) bool { return address == s.self })
-	if len(others) == 0 {
-		others = s.seeds
-	}
+	others := s.without(s.all())
 	if len(others) == 0 {
 		return p, false
 	}
 	return s.ask(ctx, others[rand.IntN(len(others))], after)
 }
 
+// others returns the addresses of the other processes near by, or else of all that
+// are known.
+func (s *Share) others() []string {
+	if near := slices.DeleteFunc(s.local(), s.isSelf); len(near) > 0 {
+		return near
+	}
+	return s.without(s.all())
+}
+
+// without leaves this process out of all that are known; the seeds are all while
+// none are.
+func (s *Share) without(all []string) []string {
+	if others := slices.DeleteFunc(all, s.isSelf); len(others) > 0 {
+		return others
+	}
+	return s.seeds
+}
+
+func (s *Share) isSelf(address string) bool { return address == s.self }
+
 // Reads reports whether this process reads the store for its data centre.
 func (s *Share) Reads() bool {
 	return s.reads.Load()
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -22,6 +22,7 @@
 	watchers map[string]*Watcher
 	sinks    map[string]*heardBy
 	shares   map[string]*Share
+	feeds    map[string]*Feed
 	// cut processes do not reach the store, frozen ones do not answer. Answers of
 	// the store stay with a process for the time that held names.
 	cut, frozen map[string]bool
@@ -31,11 +32,12 @@
 	// lines carry what each process receives and sends; without any, bytes take no
 	// time.
 	incoming, outgoing map[string]*line
-	// settingsAt is the revision at which the settings were published.
-	settingsAt uint64
-	calls      map[string]int
-	pings      int
-	published  slatewind.Publication
+	settings           *slatewind.PublishedSettings
+	// handOvers counts the settings that each process is handing over.
+	handOvers map[string]int
+	calls     map[string]int
+	pings     int
+	published slatewind.Publication
 }
 
 // storeOf is the store as one process reaches it.
@@ -45,16 +47,14 @@
 }
 
 func (s storeOf) Read(ctx context.Context) (slatewind.Publication, error) {
-	return s.Changes(ctx, 0, 0)
+	return s.Changes(ctx, 0)
 }
 
-func (s storeOf) Changes(ctx context.Context, after uint64, _ time.Duration) (slatewind.Publication, error) {
+func (s storeOf) Changes(ctx context.Context, _ uint64) (slatewind.Publication, error) {
 	s.f.mu.Lock()
 	s.f.calls[s.self]++
 	cut, p, held := s.f.cut[s.self], s.f.published, s.f.held[s.self]
-	if after >= s.f.settingsAt {
-		p.Settings = nil
-	}
+	incoming := s.f.incoming[s.self]
 	s.f.mu.Unlock()
 	if cut {
 		sleep(ctx, time.Second)
@@ -62,7 +62,25 @@
 	}
 	p.Whole = true
 	sleep(ctx, held)
-	return p, s.f.incoming[s.self].carry(ctx, storeBytes(p))
+	return p, incoming.carry(ctx, changedBytes)
+}
+
+func (s storeOf) Settings(ctx context.Context, after uint64, wait time.Duration) (*slatewind.PublishedSettings, error) {
+	const look = 10 * time.Millisecond
+	for end := time.Now().Add(wait); ; sleep(ctx, look) {
+		s.f.mu.Lock()
+		cut, settings, incoming := s.f.cut[s.self], s.f.settings, s.f.incoming[s.self]
+		s.f.mu.Unlock()
+		switch {
+		case cut:
+			sleep(ctx, time.Second)
+			return nil, errors.New("cut off")
+		case settings != nil && settings.Revision > after:
+			return settings, incoming.carry(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
+		case ctx.Err() != nil || !time.Now().Before(end):
+			return nil, ctx.Err()
+		}
+	}
 }
 
 func (s storeOf) Ping(context.Context) error {
@@ -78,21 +96,53 @@
 // Since implements Peers.
 func (f *fleet) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
 	f.mu.Lock()
-	watcher, frozen, busy := f.watchers[address], f.frozen[address], f.busy
+	watcher, feed, outgoing := f.watchers[address], f.feeds[address], f.outgoing[address]
+	frozen, busy := f.frozen[address], f.busy
 	f.mu.Unlock()
 	sleep(ctx, busy)
 	if frozen || watcher == nil {
 		<-ctx.Done()
 		return slatewind.Publication{}, ctx.Err()
 	}
-	p := watcher.Since(after, version)
-	return p, f.outgoing[address].carry(ctx, peerBytes(p))
+	feed.Heard(version, "")
+	p := watcher.Since(after)
+	p.Version = feed.Version()
+	return p, outgoing.carry(ctx, entryBytes)
+}
+
+// Settings implements SettingsPeers.
+func (f *fleet) Settings(ctx context.Context, address string, version uint64) (*slatewind.PublishedSettings, error) {
+	f.mu.Lock()
+	feed, outgoing, frozen := f.feeds[address], f.outgoing[address], f.frozen[address]
+	f.mu.Unlock()
+	if frozen || feed == nil {
+		sleep(ctx, time.Second)
+		return nil, errors.New("silent")
+	}
+	settings := feed.Newest()
+	if settings == nil || settings.Version <= version || !f.handOver(address, 1) {
+		return nil, nil
+	}
+	defer f.handOver(address, -1)
+	return settings, outgoing.carry(ctx, packedRouteBytes*len(settings.Fleet.GetRoutes()))
+}
+
+// handOver counts settings on their way; it reports false where there are enough.
+func (f *fleet) handOver(address string, n int) bool {
+	const enough = 3
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.handOvers[address]+n > enough {
+		return false
+	}
+	f.handOvers[address] += n
+	return true
 }
 
 func newFleet(ctx context.Context, n int) *fleet {
 	f := &fleet{
 		watchers: map[string]*Watcher{}, sinks: map[string]*heardBy{}, shares: map[string]*Share{}, cut: map[string]bool{}, frozen: map[string]bool{},
-		held: map[string]time.Duration{}, incoming: map[string]*line{}, outgoing: map[string]*line{},
+		held: map[string]time.Duration{}, feeds: map[string]*Feed{}, handOvers: map[string]int{}, incoming: map[string]*line{}, outgoing: map[string]*line{},
 		calls: map[string]int{}, published: slatewind.Publication{Revision: 1},
 	}
 	for i := range n {
@@ -113,8 +163,10 @@
 	f.shares[self] = share
 	f.sinks[self] = newHeardBy()
 	f.watchers[self] = NewWatcher(share, f.sinks[self])
-	share.Follow(f.watchers[self], "")
+	f.feeds[self] = NewFeed(storeOf{f, self}, f, share, f.sinks[self])
+	share.Follow(f.watchers[self], f.feeds[self], "")
 	f.watchers[self].Start(ctx)
+	f.feeds[self].Start(ctx)
 }
 
 // settle lets time pass until all is quiet.
@@ -130,6 +182,13 @@
 	f.cut[name] = cut
 }
 
+// forgetCalls begins the counts of calls anew.
+func (f *fleet) forgetCalls() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.calls)
+}
+
 // called returns the processes that called the store since the counts began.
 func (f *fleet) called() []string {
 	f.mu.Lock()
@@ -141,17 +200,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p.Revision = f.published.Revision + 1
-	if p.Settings != f.published.Settings {
-		f.settingsAt = p.Revision
-	}
 	f.published = p
 }
 
 // publishVersion publishes a version of the settings.
 func (f *fleet) publishVersion(version uint64) {
-	next := f.published
-	next.Settings = &slatewind.PublishedSettings{Version: version}
-	f.publish(next)
+	f.publishSettings(&slatewind.PublishedSettings{Version: version})
+}
+
+func (f *fleet) publishSettings(settings *slatewind.PublishedSettings) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.published.Revision++
+	settings.Revision = f.published.Revision
+	f.settings = settings
 }
 
 // allHeard checks that every process has heard of just one version.
@@ -230,9 +292,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newFleet(ctx, 12)
 				settle(3 * time.Second)
-				f.mu.Lock()
-				clear(f.calls)
-				f.mu.Unlock()
+				f.forgetCalls()
 				settle(5 * time.Second)
 				test(t, ctx, f)
 				cancel()
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -10,25 +10,35 @@
 )
 
 const (
-	// storePace is the least time between two calls to the store. Servers write
-	// their entries all the time, so an eager watch would return many times a
-	// second, and each call is paid for. peerPace is that between two questions
-	// to a peer. A leaving server must be heard of within two seconds, which
-	// both together leave time for.
-	storePace = 800 * time.Millisecond
+	// storePace is the time between two calls to the store. Servers write their
+	// entries all the time, so a watch would return many times a second, and each
+	// call is paid for. peerPace is that between two questions to a peer.
+	storePace = 900 * time.Millisecond
 	peerPace  = 450 * time.Millisecond
-	// watchWait is how long the store may hold a watch. A connection that has
-	// gone silent is noticed after that and the call's own timeout.
-	watchWait = 500 * time.Millisecond
+	// emptyPace is the time between two calls to the store while no server is known:
+	// none can leave then, and everybody asks.
+	emptyPace = 1500 * time.Millisecond
+	// readPace follows a call that read everything: only what it told shows whom to
+	// ask from then on.
+	readPace = 100 * time.Millisecond
+	// storeTime is how long a call to a store that is well may last, on a busy
+	// process too; it answers in milliseconds.
+	storeTime = 75 * time.Millisecond
+	// NewsAge is the greatest age of a view in a process that reaches the store,
+	// whatever befalls the others: news are accepted up to freshAge, the next
+	// question follows after peerPace, it may be in vain, and then the store is
+	// asked. A leaving server gets no new work once its process knows, so this has
+	// to lie below the time that operators allow, two seconds at the least.
+	NewsAge = freshAge + peerPace + askTimeout + storeTime
 	// firstRetry and maxRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 400 * time.Millisecond
 	// lapseTime is how long after an outage servers may write their entries
 	// anew before they count as gone: a heartbeat of theirs.
 	lapseTime = 1500 * time.Millisecond
-	// slowCall is how long a call for news may last before it is told of. One to a
-	// peer takes some milliseconds, one to the store may wait for watchWait.
-	slowCall = watchWait + 100*time.Millisecond
+	// slowCall is how long a call for news may last before it is told of. It takes
+	// some milliseconds.
+	slowCall = 300 * time.Millisecond
 	// maxRemoved bounds how many removed servers are remembered for peers; one
 	// that asks for changes from before them gets everything.
 	maxRemoved = 1024
@@ -36,8 +46,6 @@
 
 // Sink takes what a watcher learns. Its methods are called one after the other.
 type Sink interface {
-	// Settings offers settings; older ones are ignored.
-	Settings(now time.Time, settings *slatewind.PublishedSettings)
 	// Server brings a new or changed entry.
 	Server(now time.Time, entry slatewind.ServerEntry)
 	// ServerGone says that an entry is gone.
@@ -59,14 +67,12 @@
 	Took time.Duration
 	// Age is how old the view was when the call ended.
 	Age time.Duration
-	// Servers and Removed count the entries that came and went; Version is that of
-	// the settings that came, or 0.
+	// Servers and Removed count the entries that came and went.
 	Servers, Removed int
-	Version          uint64
 }
 
-// Watcher follows a publisher. It keeps what was published, to tell changes and
-// to pass the news on.
+// Watcher follows the servers that a publisher tells of. It keeps what was
+// published, to tell changes and to pass the news on.
 type Watcher struct {
 	source slatewind.Publisher
 	sink   Sink
@@ -76,7 +82,6 @@
 	// last said so, be it to a peer.
 	revision uint64
 	seen     time.Time
-	settings *slatewind.PublishedSettings
 	servers  map[string]known
 	// removed holds the revisions at which servers went; forgotten is the
 	// revision up to which it may lack some.
@@ -105,14 +110,14 @@
 func (w *Watcher) loop(ctx context.Context) {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		relayed, err := w.step(ctx)
+		pace, err := w.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		switch {
 		case err == nil:
 			retry = firstRetry
-			w.rest(ctx, paceOf(relayed))
+			w.rest(ctx, pace)
 		case errors.Is(err, slatewind.ErrHistoryGone):
 			w.readAnew()
 		default:
@@ -122,14 +127,6 @@
 	}
 }
 
-// paceOf returns the least time between two calls.
-func paceOf(relayed bool) time.Duration {
-	if relayed {
-		return peerPace
-	}
-	return storePace
-}
-
 // rest pauses between two calls, and meanwhile lets servers go whose time for a
 // new entry after an outage ends.
 func (w *Watcher) rest(ctx context.Context, pause time.Duration) {
@@ -151,16 +148,15 @@
 	return time.Until(w.regained.Add(lapseTime)), !w.lost && len(w.lapsed) > 0
 }
 
-// step makes one call and tells what it brought. relayed says that it came from
-// a peer.
-func (w *Watcher) step(ctx context.Context) (relayed bool, err error) {
+// step makes one call and tells what it brought. pace is the time until the next.
+func (w *Watcher) step(ctx context.Context) (pace time.Duration, err error) {
 	after := w.Revision()
 	began := time.Now()
 	var p slatewind.Publication
 	if after == 0 {
 		p, err = w.source.Read(ctx)
 	} else {
-		p, err = w.source.Changes(ctx, after, watchWait)
+		p, err = w.source.Changes(ctx, after)
 	}
 	now := time.Now()
 	w.mu.Lock()
@@ -170,10 +166,10 @@
 		if ctx.Err() == nil && !errors.Is(err, slatewind.ErrHistoryGone) {
 			w.failed(now, err)
 		}
-		return false, err
+		return 0, err
 	}
 	if took := now.Sub(began); took >= slowCall && after > 0 {
-		w.sink.Slow(slowNews(p, took, now.Sub(w.seen)))
+		w.sink.Slow(SlowNews{From: p.From, Took: took, Age: now.Sub(w.seen), Servers: len(p.Servers), Removed: len(p.Removed)})
 	}
 	if p.Cut {
 		w.failed(now, errCut)
@@ -181,16 +177,15 @@
 		w.reached(now)
 	}
 	w.take(now, p)
-	return p.Relayed, nil
-}
-
-// slowNews describes a call that took long, and the age that the view had.
-func slowNews(p slatewind.Publication, took, age time.Duration) SlowNews {
-	news := SlowNews{From: p.From, Took: took, Age: age, Servers: len(p.Servers), Removed: len(p.Removed)}
-	if p.Settings != nil {
-		news.Version = p.Settings.Version
+	switch {
+	case len(w.servers) == 0:
+		return emptyPace, nil
+	case after == 0:
+		return readPace, nil
+	case p.Relayed:
+		return peerPace, nil
 	}
-	return news
+	return storePace, nil
 }
 
 // Revision returns the store's revision up to which everything is known.
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,9 +28,10 @@
 	return &heardBy{servers: map[string]bool{}, left: map[string]time.Time{}}
 }
 
-func (h *heardBy) Settings(_ time.Time, s *slatewind.PublishedSettings) {
+func (h *heardBy) Settings(_ time.Time, s *slatewind.PublishedSettings, _ string, _ time.Duration) {
 	h.versions = append(h.versions, s.Version)
 }
+
 func (h *heardBy) Server(now time.Time, e slatewind.ServerEntry) {
 	h.servers[e.Name] = true
 	if _, known := h.left[e.Name]; e.Leaving && !known {
@@ -70,7 +70,7 @@
 	return s.next(ctx)
 }
 
-func (s *scripted) Changes(ctx context.Context, after uint64, _ time.Duration) (slatewind.Publication, error) {
+func (s *scripted) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
 	if len(s.answers) == 0 {
 		return slatewind.Publication{Revision: after}, nil
 	}
@@ -99,10 +99,6 @@
 	return answer{Publication: slatewind.Publication{Revision: revision, Removed: names}}
 }
 
-func version(revision, v uint64) answer {
-	return answer{Publication: slatewind.Publication{Revision: revision, Settings: &slatewind.PublishedSettings{Version: v}}}
-}
-
 func cut(a answer) answer {
 	a.Cut = true
 	return a
@@ -120,33 +116,31 @@
 // while later.
 func TestWatcher(t *testing.T) {
 	tests := map[string]struct {
-		answers  []answer
-		wait     time.Duration
-		servers  []string
-		versions []uint64
-		reads    int
-		lost     bool
+		answers []answer
+		wait    time.Duration
+		servers []string
+		reads   int
+		lost    bool
 	}{
-		"servers come and go":                    {[]answer{all(1, "a", "b"), gone(2, "a")}, time.Second, []string{"b"}, nil, 1, false},
-		"older settings change nothing":          {[]answer{all(1, "a"), version(2, 7), version(3, 6), version(4, 8)}, 3 * time.Second, []string{"a"}, []uint64{7, 8}, 1, false},
-		"after lost history all is read anew":    {[]answer{all(1, "a", "b"), compact, fullDrop}, 2 * time.Second, []string{"a"}, nil, 2, false},
-		"an entry that cannot be read":           {[]answer{all(1, "a"), unread}, time.Second, []string{"a"}, nil, 1, false},
-		"while the store is away nothing goes":   {append([]answer{all(1, "a")}, slices.Repeat([]answer{down}, 100)...), 10 * time.Second, []string{"a"}, nil, 1, true},
-		"after an outage an entry may come back": {[]answer{all(1, "a", "b"), down, gone(3, "a"), {Publication: slatewind.Publication{Revision: 4, Servers: servers("a")}}}, 4 * time.Second, []string{"a", "b"}, nil, 1, false},
-		"after an outage it goes if it does not": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, 4 * time.Second, []string{"b"}, nil, 1, false},
+		"servers come and go":                    {[]answer{all(1, "a", "b"), gone(2, "a")}, time.Second, []string{"b"}, 1, false},
+		"after lost history all is read anew":    {[]answer{all(1, "a", "b"), compact, fullDrop}, 2 * time.Second, []string{"a"}, 2, false},
+		"an entry that cannot be read":           {[]answer{all(1, "a"), unread}, time.Second, []string{"a"}, 1, false},
+		"while the store is away nothing goes":   {append([]answer{all(1, "a")}, slices.Repeat([]answer{down}, 100)...), 10 * time.Second, []string{"a"}, 1, true},
+		"after an outage an entry may come back": {[]answer{all(1, "a", "b"), down, gone(3, "a"), {Publication: slatewind.Publication{Revision: 4, Servers: servers("a")}}}, 4 * time.Second, []string{"a", "b"}, 1, false},
+		"after an outage it goes if it does not": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, 4 * time.Second, []string{"b"}, 1, false},
 		"what vanishes soon after an outage goes a lapse time after it": {
 			[]answer{all(1, "a", "b"), down, nothing, gone(3, "a")},
 			// The outage ends at some 1.0 s, the entry vanishes at some 1.8 s.
 			2600 * time.Millisecond,
 			[]string{"b"},
-			nil, 1, false,
+			1, false,
 		},
-		"it goes not at once": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, time.Second, []string{"a", "b"}, nil, 1, false},
+		"it goes not at once": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, time.Second, []string{"a", "b"}, 1, false},
 		"a process that is cut off keeps what others lost": {
 			[]answer{all(1, "a", "b"), cut(nothing), cut(gone(3, "a")), cut(nothing), cut(nothing), cut(nothing), cut(nothing), cut(nothing), cut(nothing)},
 			3 * time.Second,
 			[]string{"a", "b"},
-			nil, 1, true,
+			1, true,
 		},
 	}
 	for name, test := range tests {
@@ -159,7 +153,6 @@
 				time.Sleep(test.wait)
 				synctest.Wait()
 				assert.DeepEqual(t, heard.names(), test.servers)
-				assert.DeepEqual(t, heard.versions, test.versions)
 				assert.Equal(t, source.reads, test.reads)
 				lost := len(heard.reach) > 0 && !heard.reach[len(heard.reach)-1]
 				assert.Equal(t, lost, test.lost)
@@ -191,10 +184,10 @@
 
 func (c *counted) Read(context.Context) (slatewind.Publication, error) {
 	c.calls++
-	return slatewind.Publication{Revision: 1, Whole: true}, nil
+	return slatewind.Publication{Revision: 1, Whole: true, Servers: servers("a")}, nil
 }
 
-func (c *counted) Changes(_ context.Context, after uint64, _ time.Duration) (slatewind.Publication, error) {
+func (c *counted) Changes(_ context.Context, after uint64) (slatewind.Publication, error) {
 	c.calls++
 	return slatewind.Publication{Revision: after + 1}, nil
 }
@@ -205,75 +198,17 @@
 	first := NewWatcher(nil, newHeardBy())
 	heard := newHeardBy()
 	second := NewWatcher(nil, heard)
-	pass := func() { second.take(now, first.Since(second.Revision(), second.Version())) }
+	pass := func() { second.take(now, first.Since(second.Revision())) }
 	first.take(now, all(1, "a", "b").Publication)
-	first.take(now, version(2, 5).Publication)
 	pass()
 	assert.DeepEqual(t, heard.names(), []string{"a", "b"})
-	assert.DeepEqual(t, heard.versions, []uint64{5})
 	first.take(now, gone(3, "a").Publication)
 	first.take(now, slatewind.Publication{Revision: 4, Servers: servers("c")})
-	news := first.Since(second.Revision(), second.Version())
-	assert.Assert(t, !news.Whole && news.Settings == nil)
+	news := first.Since(second.Revision())
+	assert.Assert(t, !news.Whole)
 	assert.Equal(t, len(news.Servers)+len(news.Removed), 2, "only what changed travels")
 	pass()
 	assert.DeepEqual(t, heard.names(), []string{"b", "c"})
-	empty := NewWatcher(nil, heard).Since(0, 0)
+	empty := NewWatcher(nil, heard).Since(0)
 	assert.Equal(t, empty.Revision, uint64(0), "who knows nothing says so")
 }
-
-// silentStore is a store that answers nothing until it is back: each call ends
-// with its own time.
-type silentStore struct {
-	mu       sync.Mutex
-	back     time.Time
-	revision uint64
-}
-
-// silence has the store answer nothing for a while, and then a newer version.
-func (s *silentStore) silence(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.back = time.Now().Add(d)
-	s.revision++
-}
-
-func (s *silentStore) Read(ctx context.Context) (slatewind.Publication, error) {
-	return s.Changes(ctx, 0, 0)
-}
-
-func (s *silentStore) Changes(ctx context.Context, _ uint64, wait time.Duration) (slatewind.Publication, error) {
-	s.mu.Lock()
-	silent, revision := time.Now().Before(s.back), s.revision
-	s.mu.Unlock()
-	if silent {
-		sleep(ctx, wait+storeTimeout)
-		return slatewind.Publication{}, errors.New("silent")
-	}
-	return version(revision, revision).Publication, nil
-}
-
-// storeTimeout is that of package platform's calls.
-const storeTimeout = 900 * time.Millisecond
-
-// TestSilence: a process hears of settings within 2.5 s after a silent store is
-// back: the last silent call and the pause after it must not add up to more.
-func TestSilence(t *testing.T) {
-	for i := range 50 {
-		synctest.Test(t, func(t *testing.T) {
-			source := &silentStore{revision: 1}
-			heard := newHeardBy()
-			ctx, cancel := context.WithCancel(t.Context())
-			NewWatcher(source, heard).Start(ctx)
-			time.Sleep(time.Second)
-			synctest.Wait()
-			outage := 5*time.Second + time.Duration(i)*50*time.Millisecond
-			source.silence(outage)
-			time.Sleep(outage + 2500*time.Millisecond)
-			synctest.Wait()
-			assert.DeepEqual(t, heard.versions, []uint64{1, 2})
-			cancel()
-			synctest.Wait()
-		})
-	}
-}
--- a/link/news.go
+++ b/link/news.go
@@ -8,8 +8,8 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 )
 
-// Since asks the process at an IP:port address what changed after a revision of
-// the store. version is that of the settings that the caller has.
+// Since asks the process at an IP:port address which servers changed after a
+// revision of the store. version is that of the settings that the caller has.
 func (p *Pool) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
 	reply, err := call(ctx, p, address, &slatewindv1.SinceRequest{Revision: after, Version: version}, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Since)
 	if err != nil {
@@ -17,9 +17,7 @@
 	}
 	news := slatewind.Publication{
 		Revision: reply.GetRevision(), Age: time.Duration(reply.GetAgeNanos()), Whole: reply.GetWhole(), Removed: reply.GetRemoved(),
-	}
-	if reply.GetSettings() != nil {
-		news.Settings = &slatewind.PublishedSettings{Version: reply.GetVersion(), Fleet: reply.GetSettings()}
+		Version: reply.GetVersion(),
 	}
 	for _, s := range reply.GetServers() {
 		news.Servers = append(news.Servers, slatewind.ServerEntry{
@@ -33,19 +31,20 @@
 // NewsServer passes on what a process knows of the store.
 type NewsServer struct {
 	slatewindv1.UnimplementedNewsServer
-	// Known returns what changed after a revision of the store, for a process
-	// that has the given version of the settings.
+	// Known returns which servers changed after a revision of the store, for a
+	// process that has the given version of the settings.
 	Known func(after, version uint64) slatewind.Publication
+	// Newest returns the settings that the process has, or nil.
+	Newest func() *slatewind.PublishedSettings
+
+	packer packer
 }
 
 // Since implements the generated interface.
-func (s NewsServer) Since(_ context.Context, request *slatewindv1.SinceRequest) (*slatewindv1.SinceReply, error) {
+func (s *NewsServer) Since(_ context.Context, request *slatewindv1.SinceRequest) (*slatewindv1.SinceReply, error) {
 	news := s.Known(request.GetRevision(), request.GetVersion())
 	reply := &slatewindv1.SinceReply{
-		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed,
-	}
-	if news.Settings != nil {
-		reply.Version, reply.Settings = news.Settings.Version, news.Settings.Fleet
+		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed, Version: news.Version,
 	}
 	for _, e := range news.Servers {
 		reply.Servers = append(reply.Servers, &slatewindv1.PublishedServer{
--- /dev/null
+++ b/link/settings.go
@@ -0,0 +1,161 @@
+package link
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+)
+
+const (
+	// partBytes is the size of the parts in which packed settings travel.
+	partBytes = 16 << 10
+	// partTimeout is how long the next part may take: the bytes of some other
+	// callers go first.
+	partTimeout = time.Second
+	// maxHandOvers is how many callers are given settings at once. On a narrow link
+	// more would all have them late; these few soon give them to others.
+	maxHandOvers = 3
+	// maxSettings bounds unpacked settings in bytes.
+	maxSettings = 64 << 20
+)
+
+// Settings fetches the settings of the process at an IP:port address, if they are
+// newer than a version. They are nil where they are not, or where that process
+// serves enough others already.
+func (p *Pool) Settings(ctx context.Context, address string, version uint64) (*slatewind.PublishedSettings, error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(partTimeout, cancel)
+	defer silence.Stop()
+	stream, err := slatewindv1.NewNewsClient(conn).Settings(ctx, &slatewindv1.SettingsRequest{Version: version})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var first *slatewindv1.SettingsPart
+	var all []byte
+	for {
+		part, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		silence.Reset(partTimeout)
+		if first == nil {
+			first = part
+		}
+		all = append(all, part.GetPacked()...)
+	}
+	if first == nil {
+		return nil, nil
+	}
+	return unpack(first, all)
+}
+
+// unpack checks and reads packed settings.
+func unpack(first *slatewindv1.SettingsPart, all []byte) (*slatewind.PublishedSettings, error) {
+	if xxhash.Sum64(all) != first.GetChecksum() {
+		return nil, ErrBroken
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(all))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, maxSettings))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	fleet := &slatewindv1.Fleet{}
+	if err := proto.Unmarshal(text, fleet); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &slatewind.PublishedSettings{Version: first.GetVersion(), Revision: first.GetRevision(), Fleet: fleet}, nil
+}
+
+// pack returns the settings as they travel: a Fleet, compressed by gzip.
+func pack(settings *slatewind.PublishedSettings) ([]byte, error) {
+	text, err := proto.Marshal(settings.Fleet)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var packed bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if _, err := writer.Write(text); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return packed.Bytes(), nil
+}
+
+// packer keeps the newest settings as they travel, so that each version is packed
+// once and not for each caller.
+type packer struct {
+	mu      sync.Mutex
+	version uint64
+	bytes   []byte
+	// handOvers counts the callers that are being served.
+	handOvers atomic.Int32
+}
+
+// pack returns the packed form of settings.
+func (p *packer) pack(settings *slatewind.PublishedSettings) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == settings.Version {
+		return p.bytes, nil
+	}
+	packed, err := pack(settings)
+	if err != nil {
+		return nil, err
+	}
+	p.version, p.bytes = settings.Version, packed
+	return packed, nil
+}
+
+// Settings implements the generated interface.
+func (s *NewsServer) Settings(request *slatewindv1.SettingsRequest, stream grpc.ServerStreamingServer[slatewindv1.SettingsPart]) error {
+	settings := s.Newest()
+	if settings == nil || settings.Version <= request.GetVersion() {
+		return nil
+	}
+	defer s.packer.handOvers.Add(-1)
+	if s.packer.handOvers.Add(1) > maxHandOvers {
+		return nil
+	}
+	packed, err := s.packer.pack(settings)
+	if err != nil {
+		return err
+	}
+	first := &slatewindv1.SettingsPart{Version: settings.Version, Revision: settings.Revision, Checksum: xxhash.Sum64(packed)}
+	for part := range slices.Chunk(packed, partBytes) {
+		first.Packed = part
+		if err := stream.Send(first); err != nil {
+			return err
+		}
+		first = &slatewindv1.SettingsPart{}
+	}
+	return nil
+}
--- /dev/null
+++ b/link/settings_test.go
@@ -0,0 +1,93 @@
+package link_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
+)
+
+// bigFleet returns settings with many routes, whose names do not repeat.
+func bigFleet(routes int) *slatewindv1.Fleet {
+	fleet := &slatewindv1.Fleet{}
+	for i := range routes {
+		fleet.Routes = append(fleet.Routes, &slatewindv1.Route{
+			Name: fmt.Sprintf("r-%07x", i*7919%(1<<28)), Host: "a.example", PathPrefix: fmt.Sprintf("/p%06x/", i*104729%(1<<24)),
+			Kind: "repeatable", Service: "svc", Attempts: 2,
+		})
+	}
+	return fleet
+}
+
+// serveNews starts a process that hands over settings.
+func serveNews(t *testing.T, server slatewindv1.NewsServer) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	peers := grpc.NewServer(link.ServerOptions()...)
+	slatewindv1.RegisterNewsServer(peers, server)
+	go func() { _ = peers.Serve(listener) }()
+	t.Cleanup(peers.Stop)
+	return listener.Addr().String()
+}
+
+// TestSettings: settings come over whole, and only if they are newer.
+func TestSettings(t *testing.T) {
+	fleet := bigFleet(4000)
+	newest := &slatewind.PublishedSettings{Version: 7, Revision: 70, Fleet: fleet}
+	address := serveNews(t, &link.NewsServer{Newest: func() *slatewind.PublishedSettings { return newest }})
+	pool := link.NewPool(nil)
+	defer func() { _ = pool.Close() }()
+	for known, newer := range map[uint64]bool{0: true, 6: true, 7: false, 8: false} {
+		settings, err := pool.Settings(t.Context(), address, known)
+		assert.NilError(t, err)
+		assert.Equal(t, settings != nil, newer, "known: %d", known)
+		if newer {
+			assert.Equal(t, settings.Version, uint64(7))
+			assert.Equal(t, settings.Revision, uint64(70))
+			assert.Assert(t, proto.Equal(settings.Fleet, fleet))
+		}
+	}
+	newest = nil
+	settings, err := pool.Settings(t.Context(), address, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, settings == nil)
+}
+
+// spoiledNews hands over settings with a part changed on the way.
+type spoiledNews struct {
+	slatewindv1.UnimplementedNewsServer
+	hang chan struct{}
+}
+
+func (s *spoiledNews) Settings(request *slatewindv1.SettingsRequest, stream grpc.ServerStreamingServer[slatewindv1.SettingsPart]) error {
+	if request.GetVersion() > 0 {
+		<-s.hang
+	}
+	return stream.Send(&slatewindv1.SettingsPart{Version: 9, Checksum: 1, Packed: []byte("spoiled")})
+}
+
+// TestSettingsSpoiled: settings that are not what was sent are an error, and so is
+// a process that goes silent, a second later.
+func TestSettingsSpoiled(t *testing.T) {
+	news := &spoiledNews{hang: make(chan struct{})}
+	address := serveNews(t, news)
+	defer close(news.hang)
+	pool := link.NewPool(nil)
+	defer func() { _ = pool.Close() }()
+	_, err := pool.Settings(t.Context(), address, 0)
+	assert.ErrorIs(t, err, link.ErrBroken)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err = pool.Settings(ctx, address, 1)
+	assert.ErrorContains(t, err, "canceled")
+	assert.NilError(t, ctx.Err())
+}
--- a/publish.go
+++ b/publish.go
@@ -12,6 +12,20 @@
 // revision; everything has to be read anew.
 var ErrHistoryGone = errors.New("the history since the revision is gone")
 
+// UnreadableError says that settings were published that cannot be read.
+type UnreadableError struct {
+	// Revision is the source's count of changes at which they were written.
+	Revision uint64
+	// Cause names the place.
+	Cause error
+}
+
+// Error implements error.
+func (e *UnreadableError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+
 // ServerEntry is one backend server as it is published.
 type ServerEntry struct {
 	// Name is the identity of one start of a server.
@@ -34,16 +48,20 @@
 type PublishedSettings struct {
 	// Version rises with each change; the highest is in force.
 	Version uint64
-	Fleet   *slatewindv1.Fleet
+	// Revision is the source's count of changes at which they were written.
+	Revision uint64
+	Fleet    *slatewindv1.Fleet
 }
 
-// Publication is what a source tells at one moment: everything, or what
-// changed since a revision.
+// Publication is what a source tells of servers at one moment: everything, or
+// what changed since a revision. It is small and urgent. Settings may be large,
+// so they come by themselves, and no server's word waits for them.
 type Publication struct {
 	// Revision is the source's count of changes up to which this tells.
 	Revision uint64
-	// Settings is nil where they did not change.
-	Settings *PublishedSettings
+	// Version is that of the newest settings that the source has, where it is
+	// another process.
+	Version uint64
 	// Servers are new or changed entries.
 	Servers []ServerEntry
 	// Removed names servers whose entries are gone.
@@ -62,13 +80,22 @@
 	Findings []error
 }
 
-// Publisher reads what the platform publishes about settings and servers.
+// Publisher reads what the platform publishes about servers.
 type Publisher interface {
-	// Read returns everything that is published now, as a whole publication.
+	// Read returns all servers that are published now, as a whole publication.
 	Read(ctx context.Context) (Publication, error)
-	// Changes returns what changed after a revision, as soon as something did
-	// or when wait is over. The error is ErrHistoryGone where a new Read is due.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (Publication, error)
+	// Changes returns at once what changed after a revision. The error is
+	// ErrHistoryGone where a new Read is due.
+	Changes(ctx context.Context, after uint64) (Publication, error)
+}
+
+// SettingsPublisher reads the settings that the platform publishes.
+type SettingsPublisher interface {
+	// Settings returns the settings as soon as they are written at a revision
+	// above after; nil where wait ends first. A large answer may take longer, as
+	// long as it goes on coming. The error is an UnreadableError where they were
+	// written and cannot be read.
+	Settings(ctx context.Context, after uint64, wait time.Duration) (*PublishedSettings, error)
 }
 
 // CallerDialect names the header fields between callers and the fleet.
