--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// TestLeavesAfterGrant: a request whose slot was granted before its server began
+// to leave does not go there any more. It may come up to a second after its grant,
+// which no bound on how soon a leaving server is heard of counts.
+func TestLeavesAfterGrant(t *testing.T) {
+	p := newPlace(t)
+	use, reply := p.reserve(context.Background(), reservation())
+	assert.Assert(t, reply.GetGranted() != nil)
+	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Leaving: true})
+	reply, err := request(use, "id", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetRefusal().GetCause(), string(inbound.CauseLeaving))
+	assert.Equal(t, p.server.Arrivals(), 0)
+	assert.Equal(t, p.InUse(), 0)
+}
+
 // TestServerReturns: a server whose entry is back, or that another start took
 // the place of, is served again.
 func TestServerReturns(t *testing.T) {
--- a/outbound/leaving_test.go
+++ b/outbound/leaving_test.go
@@ -45,6 +45,27 @@
 	}
 }
 
+// TestServerLeavesTheChoice: a slot that is granted by the process beside a server
+// which, as this process knows, leaves, is not used. The other process may be cut
+// off and not know.
+func TestServerLeavesTheChoice(t *testing.T) {
+	m := newMesh(t, "a")
+	m.setAll(standin.StampedHang)
+	var held sync.WaitGroup
+	for _, id := range []string{"held-1", "held-2"} {
+		held.Go(func() { m.send("POST", "/pay/1", id, "", time.Second) })
+	}
+	await(t, func() bool { return m.places["a"].InUse() == meshSlots })
+	var waiting sync.WaitGroup
+	waiting.Go(func() { m.send("POST", "/pay/1", "waits", "", 5*time.Second) })
+	await(t, func() bool { return m.places["a"].View().Queued == 1 })
+	m.Put(time.Now(), slatewind.ServerEntry{Name: "a", Service: "svc", DataCentre: "dc", Slots: meshSlots, Leaving: true})
+	m.setAll(standin.StampedOK)
+	held.Wait()
+	waiting.Wait()
+	assert.Equal(t, m.runs("waits"), 0)
+}
+
 // sendAndLeave sends a request in the background; leave closes its connection
 // and returns when the caller is gone.
 func (m *mesh) sendAndLeave(t *testing.T, path, id string) (leave func()) {
