Ask for settings from where the last answer ended, and ping beside a question

Causes, found by reading the change before: a reader asked for settings from the revision at which they were written. A store forgets old changes, so some time later each question would have been answered with "gone", and the whole settings read ten times a second. A ping of the store before a question to a peer was missing in the sum of the hops (0.075 s). And a slow call to the store, followed by a peer that did not answer, counted as a loss of the store, after which an entry that goes is kept for 1.5 s.

Change: an answer tells up to which revision it holds; pings run beside the question; a process whose last call was slow only goes without asking the store again while a peer answers. A call counts as slow from 0.15 s on, since a busy process takes as long.

--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -127,18 +126,16 @@
 	f.restart = cancel
 	f.mu.Unlock()
 	began := time.Now()
-	settings, err := f.store.Settings(ctx, after, wait)
+	news, err := f.store.Settings(ctx, after, wait)
 	f.mu.Lock()
 	f.restart = nil
+	f.revision = max(f.revision, news.Revision)
 	f.mu.Unlock()
-	var unreadable *slatewind.UnreadableError
-	if errors.As(err, &unreadable) {
-		f.sink.Finding(time.Now(), err)
-		f.pass(unreadable.Revision)
-		return nil
+	if news.Finding != nil {
+		f.sink.Finding(time.Now(), news.Finding)
 	}
-	if err == nil && settings != nil {
-		f.take(settings, "", time.Since(began))
+	if news.Settings != nil {
+		f.take(news.Settings, "", time.Since(began))
 	}
 	return err
 }
@@ -179,8 +176,8 @@
 
 // take takes settings that are newer than those that are known.
 func (f *Feed) take(settings *slatewind.PublishedSettings, from string, took time.Duration) {
-	f.pass(settings.Revision)
 	f.mu.Lock()
+	f.revision = max(f.revision, settings.Revision)
 	newer := f.settings == nil || settings.Version > f.settings.Version
 	if newer {
 		f.settings = settings
@@ -192,13 +189,6 @@
 	}
 }
 
-// pass notes up to which revision of the store the settings are known.
-func (f *Feed) pass(revision uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision = max(f.revision, revision)
-}
-
 // Heard notes that settings of a version exist; holder is the address of a process
 // that has them, or empty.
 func (f *Feed) Heard(version uint64, holder string) {
--- a/discovery/feed_test.go
+++ b/discovery/feed_test.go
@@ -55,13 +55,13 @@
 	return err
 }
 
-func (s *silentStore) Settings(ctx context.Context, after uint64, wait time.Duration) (*slatewind.PublishedSettings, error) {
+func (s *silentStore) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
 	revision, err := s.answered(ctx, wait)
 	if err != nil || revision <= after {
 		sleep(ctx, wait)
-		return nil, err
+		return slatewind.SettingsNews{}, err
 	}
-	return &slatewind.PublishedSettings{Version: revision, Revision: revision}, nil
+	return slatewind.SettingsNews{Revision: revision, Settings: &slatewind.PublishedSettings{Version: revision, Revision: revision}}, nil
 }
 
 // storeTimeout is that of package platform's calls.
@@ -94,36 +94,40 @@
 	}
 }
 
-// settingsOf is a store that answers settings in order and then nothing new.
+// settingsOf is a store that answers in order and then nothing new. It takes
+// questions only from where the last answer ended, as a store that forgets does.
 type settingsOf struct {
-	answers []*slatewind.PublishedSettings
+	t       *testing.T
+	answers []slatewind.SettingsNews
+	asOf    uint64
 }
 
-func (s *settingsOf) Settings(ctx context.Context, _ uint64, wait time.Duration) (*slatewind.PublishedSettings, error) {
+func (s *settingsOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
+	assert.Check(s.t, after == s.asOf, "asked from %d, not from %d on", after, s.asOf)
 	if len(s.answers) == 0 {
 		sleep(ctx, wait)
-		return nil, ctx.Err()
+		s.asOf += 10
+		return slatewind.SettingsNews{Revision: s.asOf}, ctx.Err()
 	}
-	settings := s.answers[0]
+	news := s.answers[0]
 	s.answers = s.answers[1:]
-	if settings.Version == 0 {
-		return nil, &slatewind.UnreadableError{Revision: settings.Revision, Cause: errors.New("bad value")}
-	}
-	return settings, nil
+	s.asOf = news.Revision
+	return news, nil
 }
 
 // TestFeed plays the answers of a store and states what a sink has heard.
 func TestFeed(t *testing.T) {
-	v := func(version, revision uint64) *slatewind.PublishedSettings {
-		return &slatewind.PublishedSettings{Version: version, Revision: revision}
+	v := func(version, revision uint64) slatewind.SettingsNews {
+		return slatewind.SettingsNews{Revision: revision, Settings: &slatewind.PublishedSettings{Version: version, Revision: revision - 1}}
 	}
+	bad := slatewind.SettingsNews{Revision: 30, Finding: errors.New("bad value")}
 	tests := map[string]struct {
-		answers  []*slatewind.PublishedSettings
+		answers  []slatewind.SettingsNews
 		versions []uint64
 		findings int
 	}{
-		"older settings change nothing": {[]*slatewind.PublishedSettings{v(7, 2), v(6, 3), v(8, 4)}, []uint64{7, 8}, 0},
-		"what cannot be read is told":   {[]*slatewind.PublishedSettings{v(7, 2), v(0, 3), v(8, 4)}, []uint64{7, 8}, 1},
+		"older settings change nothing": {[]slatewind.SettingsNews{v(7, 20), v(6, 30), v(8, 40)}, []uint64{7, 8}, 0},
+		"what cannot be read is told":   {[]slatewind.SettingsNews{v(7, 20), bad, v(8, 40)}, []uint64{7, 8}, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -132,9 +136,9 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				share := NewShare(nil, nil, "own:1", nil)
 				share.reads.Store(true)
-				feed := NewFeed(&settingsOf{test.answers}, nil, share, heard)
+				feed := NewFeed(&settingsOf{t: t, answers: test.answers}, nil, share, heard)
 				feed.Start(ctx)
-				time.Sleep(3 * time.Second)
+				time.Sleep(10 * time.Second)
 				synctest.Wait()
 				assert.DeepEqual(t, heard.versions, test.versions)
 				assert.Equal(t, heard.findings, test.findings)
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -38,9 +38,10 @@
 	pingTimeout = 700 * time.Millisecond
 	// cutPingEvery is how often it checks while it cannot reach the store.
 	cutPingEvery = 500 * time.Millisecond
-	// directPause is the time from a direct call that failed or took long to the
-	// next of a process that need not be a reader; it doubles up to maxDirectPause.
-	// While the store is away or slow its readers try for all.
+	// directPause is the time from a direct call that failed or took wellTime or
+	// longer to the next of a process that need not be a reader; it doubles up to
+	// maxDirectPause. While the store is away or slow its readers try for all.
+	wellTime       = 2 * storeTime
 	directPause    = time.Second
 	maxDirectPause = 4 * time.Second
 )
@@ -129,16 +130,20 @@
 		return s.direct(ctx, after)
 	}
 	reader := readers[rand.IntN(len(readers))]
-	s.ping(ctx, now)
+	pinged := s.ping(ctx, now)
 	p, ok := s.ask(ctx, reader, after)
+	s.endPing(pinged)
+	p.Cut = s.cut
 	if ok && p.Age <= freshAge {
 		return p, nil
 	}
 	if time.Now().Before(s.directAfter) {
-		if ok {
+		switch {
+		case ok:
 			return p, nil
+		case s.cut:
+			return slatewind.Publication{}, Error.New("neither the store nor the process beside %s answers", reader)
 		}
-		return slatewind.Publication{}, Error.New("the process beside %s did not answer", reader)
 	}
 	p, err := s.direct(ctx, after)
 	if err == nil && !p.Relayed {
@@ -156,18 +161,30 @@
 	return reads
 }
 
-// ping finds out now and then whether this process could reach the store.
-func (s *Share) ping(ctx context.Context, now time.Time) {
+// ping finds out now and then whether this process could reach the store, beside a
+// question to a peer. The channel brings the result; it is nil where none is due.
+func (s *Share) ping(ctx context.Context, now time.Time) <-chan error {
 	every := pingEvery
 	if s.cut {
 		every = cutPingEvery
 	}
 	if now.Sub(s.lastContact) < every {
-		return
+		return nil
+	}
+	result := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		defer cancel()
+		result <- s.store.Ping(ctx)
+	}()
+	return result
+}
+
+// endPing waits for the result of a ping, if one is due.
+func (s *Share) endPing(result <-chan error) {
+	if result != nil {
+		s.heard(<-result)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	s.heard(s.store.Ping(ctx))
 }
 
 // heard notes whether the store answered.
@@ -186,7 +203,7 @@
 	p, err := s.store.Changes(ctx, after)
 	s.heard(err)
 	p.Age = time.Since(began)
-	s.pauseAfter(!s.cut && p.Age <= storeTime)
+	s.pauseAfter(!s.cut && p.Age < wellTime)
 	if err == nil {
 		return p, nil
 	}
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -65,7 +65,7 @@
 	return p, incoming.carry(ctx, changedBytes)
 }
 
-func (s storeOf) Settings(ctx context.Context, after uint64, wait time.Duration) (*slatewind.PublishedSettings, error) {
+func (s storeOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
 	const look = 10 * time.Millisecond
 	for end := time.Now().Add(wait); ; sleep(ctx, look) {
 		s.f.mu.Lock()
@@ -74,11 +74,12 @@
 		switch {
 		case cut:
 			sleep(ctx, time.Second)
-			return nil, errors.New("cut off")
+			return slatewind.SettingsNews{}, errors.New("cut off")
 		case settings != nil && settings.Revision > after:
-			return settings, incoming.carry(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
+			err := incoming.carry(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
+			return slatewind.SettingsNews{Settings: settings, Revision: settings.Revision}, err
 		case ctx.Err() != nil || !time.Now().Before(end):
-			return nil, ctx.Err()
+			return slatewind.SettingsNews{}, ctx.Err()
 		}
 	}
 }
--- a/publish.go
+++ b/publish.go
@@ -12,20 +12,6 @@
 // revision; everything has to be read anew.
 var ErrHistoryGone = errors.New("the history since the revision is gone")
 
-// UnreadableError says that settings were published that cannot be read.
-type UnreadableError struct {
-	// Revision is the source's count of changes at which they were written.
-	Revision uint64
-	// Cause names the place.
-	Cause error
-}
-
-// Error implements error.
-func (e *UnreadableError) Error() string { return e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *UnreadableError) Unwrap() error { return e.Cause }
-
 // ServerEntry is one backend server as it is published.
 type ServerEntry struct {
 	// Name is the identity of one start of a server.
@@ -89,13 +75,24 @@
 	Changes(ctx context.Context, after uint64) (Publication, error)
 }
 
+// SettingsNews is what a source tells of settings.
+type SettingsNews struct {
+	// Settings is nil where they did not change.
+	Settings *PublishedSettings
+	// Revision is the source's count of changes up to which this tells. Those to
+	// other things count too, and a source forgets old ones, so that the next
+	// question begins here even where settings did not change.
+	Revision uint64
+	// Finding says, with its place, that settings were written and cannot be read.
+	Finding error
+}
+
 // SettingsPublisher reads the settings that the platform publishes.
 type SettingsPublisher interface {
-	// Settings returns the settings as soon as they are written at a revision
-	// above after; nil where wait ends first. A large answer may take longer, as
-	// long as it goes on coming. The error is an UnreadableError where they were
-	// written and cannot be read.
-	Settings(ctx context.Context, after uint64, wait time.Duration) (*PublishedSettings, error)
+	// Settings returns what is new as soon as settings are written at a revision
+	// above after, or when wait is over. A large answer may take longer, as long as
+	// it goes on coming.
+	Settings(ctx context.Context, after uint64, wait time.Duration) (SettingsNews, error)
 }
 
 // CallerDialect names the header fields between callers and the fleet.
