--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -212,3 +212,28 @@
 	empty := NewWatcher(nil, heard).Since(0)
 	assert.Equal(t, empty.Revision, uint64(0), "who knows nothing says so")
 }
+
+// TestSinceOfABeginner: a process that has just read everything tells one that
+// knows less also what went before.
+//
+// A server got new work 2.37 s after its entry was gone, since the process beside
+// it never heard of that. It had asked a process that had started 0.5 s after the
+// removal: that one knew the newest revision and had never known the server, so it
+// named no removal, and whoever asked it passed that revision for good. What
+// settled it: prints of what each view took in; the only process without the
+// removal had its revision from the one that had just started.
+func TestSinceOfABeginner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	beginner := NewWatcher(nil, newHeardBy())
+	beginner.take(now, all(5, "a", "c").Publication)
+	heard := newHeardBy()
+	other := NewWatcher(nil, heard)
+	other.take(now, all(3, "a", "b").Publication)
+	other.take(now, beginner.Since(other.Revision()))
+	assert.DeepEqual(t, heard.names(), []string{"a", "c"})
+	assert.Equal(t, other.Revision(), uint64(5))
+	beginner.take(now, gone(6, "a").Publication)
+	news := beginner.Since(other.Revision())
+	assert.Assert(t, !news.Whole, "from then on only what changed travels")
+	assert.DeepEqual(t, news.Removed, []string{"a"})
+}
