Tell others everything that a process cannot know the changes of

Cause: a process that begins reads all servers at the newest revision. Asked what changed after an older one, it named the removals since its start only, since it never knew the servers that went before; whoever asked it passed that revision and never heard of them.

Change: after reading everything a process counts what went before as forgotten, so that one that knows less is given everything.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -20,6 +20,8 @@
 	}
 	if p.Whole {
 		w.removeOthers(now, p)
+		// What went before is not known here, so whoever knows less gets everything.
+		w.forgotten = max(w.forgotten, max(p.Revision, 1)-1)
 	}
 	for _, name := range p.Removed {
 		w.vanished(now, name, p.Revision)
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// storePace is the time between two calls to the store. Servers write their
-	// entries all the time, so a watch would return many times a second, and each
-	// call is paid for. peerPace is that between two questions to a peer.
+	// storePace is the time between two calls to the store, which are paid for. A
+	// call does not wait for changes: how old the answer to a call that waits is
+	// cannot be told where the process was paused. peerPace is the time between two
+	// questions to a peer.
 	storePace = 900 * time.Millisecond
 	peerPace  = 450 * time.Millisecond
 	// emptyPace is the time between two calls to the store while no server is known:
