--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -237,3 +237,26 @@
 	assert.Assert(t, !news.Whole, "from then on only what changed travels")
 	assert.DeepEqual(t, news.Removed, []string{"a"})
 }
+
+// TestSinceWhileKeeping: what a process keeps for a while after an outage, though
+// its entry is gone, it tells others as gone. They decide by themselves, and one
+// that would pass the revision of the removal unknowing never hears of it.
+func TestSinceWhileKeeping(t *testing.T) {
+	now := time.Unix(1000, 0)
+	keeping := NewWatcher(nil, newHeardBy())
+	keeping.take(now, all(1, "a", "b").Publication)
+	keeping.failed(now, errCut)
+	heard := newHeardBy()
+	other := NewWatcher(nil, heard)
+	other.take(now, keeping.Since(0))
+	keeping.take(now, gone(2, "b").Publication)
+	assert.Equal(t, len(keeping.servers), 2)
+	other.take(now, keeping.Since(other.Revision()))
+	assert.DeepEqual(t, heard.names(), []string{"a"})
+	beginner := newHeardBy()
+	NewWatcher(nil, beginner).take(now, keeping.Since(0))
+	assert.DeepEqual(t, beginner.names(), []string{"a"})
+	keeping.take(now, slatewind.Publication{Revision: 3, Servers: servers("b")})
+	other.take(now, keeping.Since(other.Revision()))
+	assert.DeepEqual(t, heard.names(), []string{"a", "b"})
+}
