Tell others of entries that went, also where they are kept

Cause: a process that had lost the store keeps a server whose entry went for 1.5 s, since it may come back. Meanwhile it told others the newest revision without the removal. One that asked it once and then others passed that revision and kept the server for good.

Change: what is only kept is told as gone, and as new when it is back. Each process decides for itself whether to keep it, by whether it had lost the store too.

Measured: TestSinceWhileKeeping failed before and passes; the cases of TestWatcher and TestShare about outages and cuts pass unchanged.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -27,7 +27,11 @@
 		w.vanished(now, name, p.Revision)
 	}
 	for _, entry := range p.Servers {
-		delete(w.lapsed, entry.Name)
+		if _, lapsed := w.lapsed[entry.Name]; lapsed {
+			// Others were told that it had gone, so that it is news to them.
+			delete(w.lapsed, entry.Name)
+			delete(w.servers, entry.Name)
+		}
 		if before, ok := w.servers[entry.Name]; ok && before.ServerEntry == entry {
 			continue
 		}
@@ -62,7 +66,7 @@
 		return
 	}
 	if w.lost || now.Before(w.regained.Add(lapseTime)) {
-		w.lapsed[name] = true
+		w.lapsed[name] = revision
 		return
 	}
 	w.gone(now, name, revision)
@@ -74,7 +78,7 @@
 	delete(w.lapsed, name)
 	if len(w.removed) >= maxRemoved {
 		clear(w.removed)
-		w.forgotten = revision
+		w.forgotten = max(w.revision, revision)
 	}
 	w.removed[name] = revision
 	w.sink.ServerGone(now, name)
@@ -86,11 +90,8 @@
 	if w.lost || now.Before(w.regained.Add(lapseTime)) {
 		return
 	}
-	for name := range w.lapsed {
-		// Others may know the revision already, so that they hear of this only
-		// as part of everything.
-		w.forgotten = w.revision
-		w.gone(now, name, w.revision)
+	for name, revision := range w.lapsed {
+		w.gone(now, name, revision)
 	}
 }
 
@@ -103,14 +104,20 @@
 		return slatewind.Publication{}
 	}
 	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten}
-	for _, server := range w.servers {
-		if p.Whole || server.revision > after {
+	for name, server := range w.servers {
+		if _, lapsed := w.lapsed[name]; !lapsed && (p.Whole || server.revision > after) {
 			p.Servers = append(p.Servers, server.ServerEntry)
 		}
 	}
-	for name, revision := range w.removed {
-		if !p.Whole && revision > after {
-			p.Removed = append(p.Removed, name)
+	if p.Whole {
+		return p
+	}
+	// What is only kept here has gone for others: each decides for itself.
+	for _, removed := range []map[string]uint64{w.removed, w.lapsed} {
+		for name, revision := range removed {
+			if revision > after {
+				p.Removed = append(p.Removed, name)
+			}
 		}
 	}
 	return p
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -88,8 +88,9 @@
 	// revision up to which it may lack some.
 	removed   map[string]uint64
 	forgotten uint64
-	// lapsed holds servers whose entries vanished during an outage.
-	lapsed map[string]bool
+	// lapsed holds, of the servers, those whose entries vanished during an outage, at
+	// which revision.
+	lapsed map[string]uint64
 	// lost says that the last call failed, regained when the last outage ended.
 	lost     bool
 	regained time.Time
@@ -99,7 +100,7 @@
 func NewWatcher(source slatewind.Publisher, sink Sink) *Watcher {
 	return &Watcher{
 		source: source, sink: sink,
-		servers: map[string]known{}, removed: map[string]uint64{}, lapsed: map[string]bool{},
+		servers: map[string]known{}, removed: map[string]uint64{}, lapsed: map[string]uint64{},
 	}
 }
 
