Ask the store for settings only where something changed

Cause: a reader kept a call for settings waiting at the store, 0.5 calls a second each, paid for although settings hardly ever change; and what such a call was lost with was noticed 2.9 s later.

Change: the answer about servers names the store's revision. Where more changes lie before it than events of servers came, something else changed, and the reader asks for settings. A lost answer is asked for again with the next question. No call waits at the store any more, nothing has to be ended when it is back, and a process that begins before there are settings asks once. Where a store counts writes that change nothing, each question brings a second one.

Ruled out: waiting for servers instead of asking each 0.9 s. An answer to a call that waits does not tell how old it is where its process was paused, and the sum of the hops needs that.

--- a/discovery/share.go
+++ b/discovery/share.go
@@ -155,8 +155,8 @@
 
 // reading notes whether this process reads for its data centre, and returns it.
 func (s *Share) reading(reads bool) bool {
-	if s.reads.Swap(reads) != reads {
-		s.feed.Wake()
+	if s.reads.Swap(reads) != reads && reads {
+		s.feed.Look()
 	}
 	return reads
 }
@@ -193,7 +193,7 @@
 	s.lastContact = time.Now()
 	s.cut = err != nil && !errors.Is(err, slatewind.ErrHistoryGone)
 	if before && !s.cut {
-		s.feed.Restart()
+		s.feed.Look()
 	}
 }
 
@@ -205,6 +205,9 @@
 	p.Age = time.Since(began)
 	s.pauseAfter(!s.cut && p.Age < wellTime)
 	if err == nil {
+		if p.Others {
+			s.feed.Look()
+		}
 		return p, nil
 	}
 	if other, ok := s.askAnybody(ctx, after); ok && other.Revision > after {
