--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -29,6 +29,8 @@
 	held        map[string]time.Duration
 	// busy is how long every process takes to answer another.
 	busy time.Duration
+	// forgets names processes whose next question finds the history gone.
+	forgets map[string]bool
 	// lines carry what each process receives and sends; without any, bytes take no
 	// time.
 	incoming, outgoing map[string]*line
@@ -56,7 +58,14 @@
 	s.f.calls[s.self]++
 	cut, p, held := s.f.cut[s.self], s.f.published, s.f.held[s.self]
 	incoming, settings := s.f.incoming[s.self], s.f.settings
+	forgets := s.f.forgets[s.self] && after > 0
+	if forgets {
+		delete(s.f.forgets, s.self)
+	}
 	s.f.mu.Unlock()
+	if forgets {
+		return slatewind.Publication{}, slatewind.ErrHistoryGone
+	}
 	if cut {
 		sleep(ctx, time.Second)
 		return slatewind.Publication{}, errors.New("cut off")
@@ -142,7 +151,7 @@
 func newFleet(ctx context.Context, n int) *fleet {
 	f := &fleet{
 		watchers: map[string]*Watcher{}, sinks: map[string]*heardBy{}, shares: map[string]*Share{}, cut: map[string]bool{}, frozen: map[string]bool{},
-		held: map[string]time.Duration{}, feeds: map[string]*Feed{}, handOvers: map[string]int{}, incoming: map[string]*line{}, outgoing: map[string]*line{},
+		held: map[string]time.Duration{}, feeds: map[string]*Feed{}, handOvers: map[string]int{}, forgets: map[string]bool{}, incoming: map[string]*line{}, outgoing: map[string]*line{},
 		calls: map[string]int{}, published: slatewind.Publication{Revision: 1},
 	}
 	for i := range n {
@@ -245,6 +254,16 @@
 			settle(1500 * time.Millisecond)
 			f.allHeard(t, 3)
 		},
+		"all hear of settings that came with a loss of the history": func(t *testing.T, _ context.Context, f *fleet) {
+			for _, name := range f.called() {
+				f.mu.Lock()
+				f.forgets[name] = true
+				f.mu.Unlock()
+			}
+			f.publishVersion(5)
+			settle(3 * time.Second)
+			f.allHeard(t, 5)
+		},
 		"settings are asked for only where something changed": func(t *testing.T, _ context.Context, f *fleet) {
 			before := f.askedForSettings()
 			settle(10 * time.Second)
