Look for settings after everything was read anew

Cause: where the store has lost its history, the word that settings changed is lost with it, and a reader that read all servers anew went on from the newest revision.

Measured: the case of TestShare failed before and passes.

--- a/discovery/share.go
+++ b/discovery/share.go
@@ -114,6 +114,8 @@
 	p, err := s.store.Read(ctx)
 	p.Age = time.Since(began)
 	if err == nil {
+		// Where the history was lost, so was the word that settings changed.
+		s.feed.Look()
 		return p, nil
 	}
 	if p, ok := s.askAnybody(ctx, 0); ok {
