Break the taking of settings in its new place

The soak's broken builds replace a text of the source; the condition under which settings are taken moved to the feed.

--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -73,12 +73,12 @@
 	},
 	"only the first settings are taken": {
 		promise: soak.PromiseSettings,
-		edits:   []edit{{file: "discovery/known.go", from: newerInDiscovery, to: "w.settings == nil"}},
+		edits:   []edit{{file: "discovery/feed.go", from: newerInDiscovery, to: "f.settings == nil"}},
 	},
 	"older settings are taken": {
 		promise: soak.PromiseForward,
 		edits: []edit{
-			{file: "discovery/known.go", from: newerInDiscovery, to: "true"},
+			{file: "discovery/feed.go", from: newerInDiscovery, to: "true"},
 			{
 				file: "config/store.go",
 				from: `version := Version{Revision: settings.Version}
@@ -103,7 +103,7 @@
 }
 
 // newerInDiscovery is the condition under which published settings are taken.
-const newerInDiscovery = "(w.settings == nil || p.Settings.Version > w.settings.Version)"
+const newerInDiscovery = "f.settings == nil || settings.Version > f.settings.Version"
 
 // brokenSeeds is how many seeds a broken build may take to be noticed: the order of
 // events is drawn, and the system's own moves in real time are not.
