--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -190,6 +191,40 @@
 	}
 }
 
+// lateEnd is a request's body whose end shows a little after its last byte, as the
+// goroutine that sends it may run a little late.
+type lateEnd struct{ io.Reader }
+
+func (l lateEnd) Read(b []byte) (int, error) {
+	n, err := l.Reader.Read(b)
+	if errors.Is(err, io.EOF) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return n, err
+}
+
+func (lateEnd) Close() error { return nil }
+
+// TestKeepsAfterQuickAnswer: a connection is kept though the answer comes before
+// the sending of the request is seen to have ended.
+//
+// TestConnections opened a second connection once in a run beside played days: the
+// goroutine that had sent the request had not run on when its answer was read.
+func TestKeepsAfterQuickAnswer(t *testing.T) {
+	server := newFakeServer(t, script{good, good}, script{good})
+	pool := backend.NewPool(server.address, dialect)
+	request := newRequest("id-1")
+	request.Method, request.Body, request.ContentLength = http.MethodPost, lateEnd{strings.NewReader("body")}, 4
+	answer, _, err := pool.Do(t.Context(), request)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	answer.Close()
+	_, _, err = do(pool, "id-2")
+	assert.NilError(t, err)
+	assert.Equal(t, pool.Opened(), uint64(1))
+}
+
 func await(t *testing.T, what func() bool) {
 	t.Helper()
 	for range 5000 {
