--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -10,11 +10,18 @@
 )
 
 const (
+	// settingsWait is how long the store may hold a call for settings. One whose
+	// answer is lost is noticed after that and the call's own timeout, which is
+	// before the three seconds after trouble in which settings may be late.
+	settingsWait = 2 * time.Second
+	// settingsPace is the least time between two calls for settings: of those
+	// that come in quick succession only the newest matter.
+	settingsPace = 100 * time.Millisecond
 	// fetchPause is the time between two rounds of asking other processes for
 	// settings, and fetchPatience that after which the store is asked.
 	fetchPause    = 50 * time.Millisecond
 	fetchPatience = time.Second
-	// maxFeedRetry bounds the pause after a failed call. The store's return ends it.
+	// maxFeedRetry bounds the pause after a failed call; Restart ends it.
 	maxFeedRetry = 2 * time.Second
 )
 
@@ -36,10 +43,9 @@
 }
 
 // Feed keeps the operators' settings fresh. They may be large, a megabyte on a
-// link of 10 Mbit/s, so they travel apart from the news of servers. These say to
-// the readers of a data centre that the store may have others, and to everybody
-// else which version the readers have: who lacks it fetches it from whichever
-// process has it.
+// link of 10 Mbit/s, so they travel apart from the news of servers, which name
+// only their version. The readers of a data centre wait for them at the store;
+// the others fetch them from whichever process has them.
 type Feed struct {
 	store slatewind.SettingsPublisher
 	peers SettingsPeers
@@ -52,17 +58,17 @@
 	settings *slatewind.PublishedSettings
 	// revision is the store's up to which the settings are known.
 	revision uint64
-	// look says that the store may have newer ones. A process that begins looks.
-	look bool
 	// newest is the highest version heard of, holder the address of a process
 	// that has it, or empty.
 	newest uint64
 	holder string
+	// restart ends a call to the store that waits, nil while there is none.
+	restart context.CancelFunc
 }
 
 // NewFeed returns a feed that has heard nothing yet. The share says who reads.
 func NewFeed(store slatewind.SettingsPublisher, peers SettingsPeers, share *Share, sink SettingsSink) *Feed {
-	return &Feed{store: store, peers: peers, share: share, sink: sink, wake: make(chan struct{}, 1), look: true}
+	return &Feed{store: store, peers: peers, share: share, sink: sink, wake: make(chan struct{}, 1)}
 }
 
 // Start follows the settings until ctx ends.
@@ -94,9 +100,13 @@
 // step makes one attempt at newer settings, or rests where there are none. A process
 // that begins asks the store, which is sooner than to find out who else has them.
 func (f *Feed) step(ctx context.Context) error {
-	if f.mayLook() {
-		err := f.read(ctx)
-		if err == nil || !f.behind() {
+	if f.share.Reads() || f.Version() == 0 {
+		err := f.read(ctx, settingsWait)
+		if err == nil {
+			sleep(ctx, settingsPace)
+			return nil
+		}
+		if !f.behind() {
 			return err
 		}
 	}
@@ -107,24 +117,19 @@
 	return nil
 }
 
-// mayLook reports whether it is for this process to ask the store.
-func (f *Feed) mayLook() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.look && (f.share.Reads() || f.settings == nil)
-}
-
 // read asks the store.
-func (f *Feed) read(ctx context.Context) error {
+func (f *Feed) read(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	f.mu.Lock()
 	after := f.revision
-	f.look = false
+	f.restart = cancel
 	f.mu.Unlock()
 	began := time.Now()
-	news, err := f.store.Settings(ctx, after)
+	news, err := f.store.Settings(ctx, after, wait)
 	f.mu.Lock()
+	f.restart = nil
 	f.revision = max(f.revision, news.Revision)
-	f.look = f.look || err != nil
 	f.mu.Unlock()
 	if news.Finding != nil {
 		f.sink.Finding(time.Now(), news.Finding)
@@ -149,7 +154,7 @@
 			}
 		}
 	}
-	return f.read(ctx)
+	return f.read(ctx, 0)
 }
 
 // askable returns whom to ask for settings: a process near by, and one that is said
@@ -198,16 +203,7 @@
 	}
 }
 
-// Look has the feed ask the store, if that is for this process to do: it may have
-// newer settings.
-func (f *Feed) Look() {
-	f.mu.Lock()
-	f.look = true
-	f.mu.Unlock()
-	f.Wake()
-}
-
-// Wake ends the feed's rest.
+// Wake has the feed look at once whether there is something to do.
 func (f *Feed) Wake() {
 	select {
 	case f.wake <- struct{}{}:
@@ -215,12 +211,23 @@
 	}
 }
 
-// behind reports whether newer settings have been heard of than those that are
-// known.
+// Restart has the store asked anew at once: it is back, and an answer to what it
+// was asked before may never come.
+func (f *Feed) Restart() {
+	defer f.Wake()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.restart != nil {
+		f.restart()
+	}
+}
+
+// behind reports whether there are newer settings than those that are known, as
+// there are for a process that begins.
 func (f *Feed) behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newest > 0 && (f.settings == nil || f.settings.Version < f.newest)
+	return f.settings == nil || f.settings.Version < f.newest
 }
 
 // Newest returns the settings that are known, or nil.
--- a/discovery/feed_test.go
+++ b/discovery/feed_test.go
@@ -30,12 +30,12 @@
 }
 
 // answered waits as a call does and returns the store's revision.
-func (s *silentStore) answered(ctx context.Context) (uint64, error) {
+func (s *silentStore) answered(ctx context.Context, wait time.Duration) (uint64, error) {
 	s.mu.Lock()
 	silent, revision := time.Now().Before(s.back), s.revision
 	s.mu.Unlock()
 	if silent {
-		sleep(ctx, storeTimeout)
+		sleep(ctx, wait+storeTimeout)
 		return 0, errors.New("silent")
 	}
 	return revision, nil
@@ -45,19 +45,20 @@
 	return s.Changes(ctx, 0)
 }
 
-func (s *silentStore) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
-	revision, err := s.answered(ctx)
-	return slatewind.Publication{Revision: revision, Servers: servers("own"), Others: revision > after}, err
+func (s *silentStore) Changes(ctx context.Context, _ uint64) (slatewind.Publication, error) {
+	revision, err := s.answered(ctx, 0)
+	return slatewind.Publication{Revision: revision, Servers: servers("own")}, err
 }
 
 func (s *silentStore) Ping(ctx context.Context) error {
-	_, err := s.answered(ctx)
+	_, err := s.answered(ctx, 0)
 	return err
 }
 
-func (s *silentStore) Settings(ctx context.Context, after uint64) (slatewind.SettingsNews, error) {
-	revision, err := s.answered(ctx)
+func (s *silentStore) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
+	revision, err := s.answered(ctx, wait)
 	if err != nil || revision <= after {
+		sleep(ctx, wait)
 		return slatewind.SettingsNews{}, err
 	}
 	return slatewind.SettingsNews{Revision: revision, Settings: &slatewind.PublishedSettings{Version: revision, Revision: revision}}, nil
@@ -101,11 +102,12 @@
 	asOf    uint64
 }
 
-func (s *settingsOf) Settings(_ context.Context, after uint64) (slatewind.SettingsNews, error) {
+func (s *settingsOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
 	assert.Check(s.t, after == s.asOf, "asked from %d, not from %d on", after, s.asOf)
-	s.asOf += 10
 	if len(s.answers) == 0 {
-		return slatewind.SettingsNews{Revision: s.asOf}, nil
+		sleep(ctx, wait)
+		s.asOf += 10
+		return slatewind.SettingsNews{Revision: s.asOf}, ctx.Err()
 	}
 	news := s.answers[0]
 	s.answers = s.answers[1:]
@@ -136,10 +138,7 @@
 				share.reads.Store(true)
 				feed := NewFeed(&settingsOf{t: t, answers: test.answers}, nil, share, heard)
 				feed.Start(ctx)
-				for range 10 {
-					synctest.Wait()
-					feed.Look()
-				}
+				time.Sleep(10 * time.Second)
 				synctest.Wait()
 				assert.DeepEqual(t, heard.versions, test.versions)
 				assert.Equal(t, heard.findings, test.findings)
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -114,8 +114,6 @@
 	p, err := s.store.Read(ctx)
 	p.Age = time.Since(began)
 	if err == nil {
-		// Where the history was lost, so was the word that settings changed.
-		s.feed.Look()
 		return p, nil
 	}
 	if p, ok := s.askAnybody(ctx, 0); ok {
@@ -157,8 +155,8 @@
 
 // reading notes whether this process reads for its data centre, and returns it.
 func (s *Share) reading(reads bool) bool {
-	if s.reads.Swap(reads) != reads && reads {
-		s.feed.Look()
+	if s.reads.Swap(reads) != reads {
+		s.feed.Wake()
 	}
 	return reads
 }
@@ -195,7 +193,7 @@
 	s.lastContact = time.Now()
 	s.cut = err != nil && !errors.Is(err, slatewind.ErrHistoryGone)
 	if before && !s.cut {
-		s.feed.Look()
+		s.feed.Restart()
 	}
 }
 
@@ -207,9 +205,6 @@
 	p.Age = time.Since(began)
 	s.pauseAfter(!s.cut && p.Age < wellTime)
 	if err == nil {
-		if p.Others {
-			s.feed.Look()
-		}
 		return p, nil
 	}
 	if other, ok := s.askAnybody(ctx, after); ok && other.Revision > after {
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -35,7 +35,6 @@
 	// time.
 	incoming, outgoing map[string]*line
 	settings           *slatewind.PublishedSettings
-	settingsCalls      int
 	// handOvers counts the settings that each process is handing over.
 	handOvers map[string]int
 	calls     map[string]int
@@ -57,7 +56,7 @@
 	s.f.mu.Lock()
 	s.f.calls[s.self]++
 	cut, p, held := s.f.cut[s.self], s.f.published, s.f.held[s.self]
-	incoming, settings := s.f.incoming[s.self], s.f.settings
+	incoming := s.f.incoming[s.self]
 	forgets := s.f.forgets[s.self] && after > 0
 	if forgets {
 		delete(s.f.forgets, s.self)
@@ -71,25 +70,27 @@
 		return slatewind.Publication{}, errors.New("cut off")
 	}
 	p.Whole = true
-	p.Others = settings != nil && settings.Revision > after
 	sleep(ctx, held)
 	return p, incoming.carry(ctx, changedBytes)
 }
 
-func (s storeOf) Settings(ctx context.Context, after uint64) (slatewind.SettingsNews, error) {
-	s.f.mu.Lock()
-	cut, settings, incoming := s.f.cut[s.self], s.f.settings, s.f.incoming[s.self]
-	s.f.settingsCalls++
-	s.f.mu.Unlock()
-	if cut {
-		sleep(ctx, time.Second)
-		return slatewind.SettingsNews{}, errors.New("cut off")
-	}
-	if settings == nil || settings.Revision <= after {
-		return slatewind.SettingsNews{}, nil
+func (s storeOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
+	const look = 10 * time.Millisecond
+	for end := time.Now().Add(wait); ; sleep(ctx, look) {
+		s.f.mu.Lock()
+		cut, settings, incoming := s.f.cut[s.self], s.f.settings, s.f.incoming[s.self]
+		s.f.mu.Unlock()
+		switch {
+		case cut:
+			sleep(ctx, time.Second)
+			return slatewind.SettingsNews{}, errors.New("cut off")
+		case settings != nil && settings.Revision > after:
+			err := incoming.carry(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
+			return slatewind.SettingsNews{Settings: settings, Revision: settings.Revision}, err
+		case ctx.Err() != nil || !time.Now().Before(end):
+			return slatewind.SettingsNews{}, ctx.Err()
+		}
 	}
-	err := incoming.carry(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
-	return slatewind.SettingsNews{Settings: settings, Revision: settings.Revision}, err
 }
 
 func (s storeOf) Ping(context.Context) error {
@@ -191,13 +192,6 @@
 	f.cut[name] = cut
 }
 
-// askedForSettings returns how often the store was asked for settings.
-func (f *fleet) askedForSettings() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.settingsCalls
-}
-
 // forgetCalls begins the counts of calls anew.
 func (f *fleet) forgetCalls() {
 	f.mu.Lock()
@@ -264,14 +258,6 @@
 			settle(3 * time.Second)
 			f.allHeard(t, 5)
 		},
-		"settings are asked for only where something changed": func(t *testing.T, _ context.Context, f *fleet) {
-			before := f.askedForSettings()
-			settle(10 * time.Second)
-			assert.Equal(t, f.askedForSettings(), before)
-			f.publishVersion(4)
-			settle(3 * time.Second)
-			assert.Equal(t, f.askedForSettings(), before+Readers)
-		},
 		"all hear of a server that goes": func(t *testing.T, _ context.Context, f *fleet) {
 			next := f.published
 			next.Servers = next.Servers[1:]
--- a/publish.go
+++ b/publish.go
@@ -52,9 +52,6 @@
 	Servers []ServerEntry
 	// Removed names servers whose entries are gone.
 	Removed []string
-	// Others says that something other than servers changed as well, perhaps the
-	// settings.
-	Others bool
 	// Whole says that Servers are all that there are.
 	Whole bool
 	// Relayed publications came from another process, From its server's address.
@@ -92,9 +89,10 @@
 
 // SettingsPublisher reads the settings that the platform publishes.
 type SettingsPublisher interface {
-	// Settings returns at once what was written at a revision above after. A large
-	// answer may take long, as long as it goes on coming.
-	Settings(ctx context.Context, after uint64) (SettingsNews, error)
+	// Settings returns what is new as soon as settings are written at a revision
+	// above after, or when wait is over. A large answer may take longer, as long as
+	// it goes on coming.
+	Settings(ctx context.Context, after uint64, wait time.Duration) (SettingsNews, error)
 }
 
 // CallerDialect names the header fields between callers and the fleet.
