--- a/discovery/leaving_test.go
+++ b/discovery/leaving_test.go
@@ -186,3 +186,49 @@
 	synctest.Wait()
 	return latest
 }
+
+// TestSettingsInTime: every process that reaches the store has new settings within
+// the least time that deployments allow, though the readers fail in the moment in
+// which they are published.
+func TestSettingsInTime(t *testing.T) {
+	tests := map[string]func(f *fleet, reader string){
+		"the readers work":        func(*fleet, string) {},
+		"the readers are cut off": func(f *fleet, reader string) { f.cutOff(reader, true) },
+		"the readers freeze": func(f *fleet, reader string) {
+			f.cutOff(reader, true)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.frozen[reader] = true
+		},
+	}
+	for name, trouble := range tests {
+		t.Run(name, func(t *testing.T) {
+			for phase := range 8 {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					f := newFleet(ctx, 12)
+					f.publishVersion(1)
+					settle(3 * time.Second)
+					f.forgetCalls()
+					settle(2*time.Second + time.Duration(phase)*100*time.Millisecond)
+					readers := f.called()
+					for _, reader := range readers {
+						trouble(f, reader)
+					}
+					f.publishVersion(2)
+					settle(leastConfigTime)
+					for process, feed := range f.feeds {
+						late := feed.Version() != 2 && !slices.Contains(readers, process)
+						assert.Check(t, !late, "%s has no newer settings", process)
+					}
+					cancel()
+					synctest.Wait()
+				})
+			}
+		})
+	}
+}
+
+// leastConfigTime is the least time, of all deployments, in which settings must be
+// in force everywhere.
+const leastConfigTime = 2 * time.Second
