Let a process say with its news that it cannot reach the store

Cause: a reader that is cut off takes the news of a process that asked the store, and passes them on as fresh, with the settings version that it had from before. Whoever asks it then neither hears of newer settings nor asks the store.

Change: the reply to a question for news says whether the process reaches the store. A reader that does not counts as one whose news are old: the store is asked, and for settings once too.

Weighed: to tell the highest version heard of in place of the one that is there. It leaves the readers' relayed news as fresh as before, and sends everybody to fetch what nobody near has.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -103,7 +103,7 @@
 	if w.revision == 0 {
 		return slatewind.Publication{}
 	}
-	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten}
+	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten, Cut: w.lost}
 	for name, server := range w.servers {
 		if _, lapsed := w.lapsed[name]; !lapsed && (p.Whole || server.revision > after) {
 			p.Servers = append(p.Servers, server.ServerEntry)
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -135,8 +135,11 @@
 	pinged := s.ping(ctx, now)
 	p, ok := s.ask(ctx, reader, after)
 	s.endPing(pinged)
+	// What a reader without the store tells may be new, since it asks others in turn;
+	// but then its settings may be older than its news of servers.
+	fresh := ok && !p.Cut && p.Age <= freshAge
 	p.Cut = s.cut
-	if ok && p.Age <= freshAge {
+	if fresh {
 		return p, nil
 	}
 	if time.Now().Before(s.directAfter) {
@@ -253,7 +256,6 @@
 	p.Relayed, p.From = true, address
 	// The peer may have been paused after it told its news' age.
 	p.Age += time.Since(began)
-	p.Cut = s.cut
 	return p, true
 }
 
@@ -263,7 +265,9 @@
 	if len(others) == 0 {
 		return p, false
 	}
-	return s.ask(ctx, others[rand.IntN(len(others))], after)
+	p, ok = s.ask(ctx, others[s.draw(len(others))], after)
+	p.Cut = s.cut
+	return p, ok
 }
 
 // others returns the addresses of the other processes near by, or else of all that
--- a/link/news.go
+++ b/link/news.go
@@ -17,7 +17,7 @@
 	}
 	news := slatewind.Publication{
 		Revision: reply.GetRevision(), Age: time.Duration(reply.GetAgeNanos()), Whole: reply.GetWhole(), Removed: reply.GetRemoved(),
-		Version: reply.GetVersion(),
+		Version: reply.GetVersion(), Cut: reply.GetCut(),
 	}
 	for _, s := range reply.GetServers() {
 		news.Servers = append(news.Servers, slatewind.ServerEntry{
@@ -44,7 +44,7 @@
 func (s *NewsServer) Since(_ context.Context, request *slatewindv1.SinceRequest) (*slatewindv1.SinceReply, error) {
 	news := s.Known(request.GetRevision(), request.GetVersion())
 	reply := &slatewindv1.SinceReply{
-		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed, Version: news.Version,
+		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed, Version: news.Version, Cut: news.Cut,
 	}
 	for _, e := range news.Servers {
 		reply.Servers = append(reply.Servers, &slatewindv1.PublishedServer{
--- a/publish.go
+++ b/publish.go
@@ -57,8 +57,8 @@
 	// Relayed publications came from another process, From its server's address.
 	Relayed bool
 	From    string
-	// Cut says that the receiver itself cannot reach the platform: it was told by
-	// other processes, and servers near it may be missing for that reason alone.
+	// Cut says that the process which has this news cannot reach the platform itself:
+	// it was told by others, and servers near it may be missing for that reason alone.
 	Cut bool
 	// Age is how long ago this was the platform's state; zero is just now.
 	Age time.Duration
