Log settings that could not be asked for or were not handed over

Cause: errors of the store asked for settings, and of processes asked for them, were retried and never told.

Change: one line when settings can no longer be asked for, one when they can again, and one for each process that failed to hand them over. A call that is ended since the store is back is no failure.

--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -57,9 +57,23 @@
 
 // Reach implements discovery.Sink.
 func (n *Node) Reach(_ time.Time, reached bool, cause error) {
+	n.logReach("store", reached, cause)
+}
+
+// SettingsReach implements discovery.SettingsSink.
+func (n *Node) SettingsReach(_ time.Time, reached bool, cause error) {
+	n.logReach("settings", reached, cause)
+}
+
+// NotHanded implements discovery.SettingsSink.
+func (n *Node) NotHanded(_ time.Time, from string, cause error) {
+	n.logger.Info("settings not handed over", "from", from, "cause", cause)
+}
+
+func (n *Node) logReach(dependency string, reached bool, cause error) {
 	if reached {
-		n.logger.Info("dependency regained", "dependency", "store")
+		n.logger.Info("dependency regained", "dependency", dependency)
 		return
 	}
-	n.logger.Warn("dependency lost", "dependency", "store", "cause", cause)
+	n.logger.Warn("dependency lost", "dependency", dependency, "cause", cause)
 }
--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -40,6 +40,10 @@
 	Settings(now time.Time, settings *slatewind.PublishedSettings, from string, took time.Duration)
 	// Finding brings settings that could not be read.
 	Finding(now time.Time, finding error)
+	// SettingsReach says that settings could not be asked for, or can be again.
+	SettingsReach(now time.Time, reached bool, cause error)
+	// NotHanded says that a process did not hand settings over.
+	NotHanded(now time.Time, from string, cause error)
 }
 
 // Feed keeps the operators' settings fresh. They may be large, a megabyte on a
@@ -79,9 +83,17 @@
 }
 
 func (f *Feed) loop(ctx context.Context) {
-	retry := firstRetry
+	retry, lost := firstRetry, false
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if lost != (err != nil) {
+			lost = err != nil
+			f.sink.SettingsReach(time.Now(), !lost, err)
+		}
+		if lost {
 			f.rest(ctx, time.After(spread(retry)))
 			retry = min(2*retry, maxFeedRetry)
 			continue
@@ -144,9 +156,9 @@
 	f.Wake()
 }
 
-// read asks the store.
-func (f *Feed) read(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithCancel(ctx)
+// read asks the store. A call that Restart ended is no failure.
+func (f *Feed) read(process context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithCancel(process)
 	defer cancel()
 	f.mu.Lock()
 	after := f.revision
@@ -164,6 +176,9 @@
 	if news.Settings != nil {
 		f.take(news.Settings, "", time.Since(began))
 	}
+	if restarted := ctx.Err() != nil && process.Err() == nil; restarted {
+		return nil
+	}
 	return err
 }
 
@@ -175,7 +190,11 @@
 		for _, address := range f.askable() {
 			asked := time.Now()
 			settings, err := f.peers.Settings(ctx, address, f.Version())
-			if err == nil && settings != nil {
+			if err != nil {
+				f.sink.NotHanded(time.Now(), address, err)
+				continue
+			}
+			if settings != nil {
 				f.take(settings, address, time.Since(asked))
 				return nil
 			}
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -304,6 +304,15 @@
 			settle(6 * time.Second)
 			assert.Equal(t, len(f.sinks[victim].servers), len(next.Servers), "and lets go when it is back")
 		},
+		"a reader tells once that it cannot ask for settings, and once that it can": func(t *testing.T, _ context.Context, f *fleet) {
+			reader := f.called()[0]
+			f.cutOff(reader, true)
+			settle(6 * time.Second)
+			assert.DeepEqual(t, f.sinks[reader].settingsReach, []bool{false})
+			f.cutOff(reader, false)
+			settle(6 * time.Second)
+			assert.DeepEqual(t, f.sinks[reader].settingsReach, []bool{false, true})
+		},
 		"one that starts while the store is away asks a seed": func(t *testing.T, ctx context.Context, f *fleet) {
 			seed := f.follower()
 			f.cutOff("new:1", true)
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -19,7 +19,9 @@
 	servers  map[string]bool
 	findings int
 	reach    []bool
-	slow     []SlowNews
+	// settingsReach holds whether settings could be asked for, as it changed.
+	settingsReach []bool
+	slow          []SlowNews
 	// left holds when each leaving server was first heard of.
 	left map[string]time.Time
 }
@@ -42,6 +44,12 @@
 func (h *heardBy) Finding(time.Time, error)                 { h.findings++ }
 func (h *heardBy) Reach(_ time.Time, reached bool, _ error) { h.reach = append(h.reach, reached) }
 
+func (h *heardBy) SettingsReach(_ time.Time, reached bool, _ error) {
+	h.settingsReach = append(h.settingsReach, reached)
+}
+
+func (h *heardBy) NotHanded(time.Time, string, error) {}
+
 func (h *heardBy) Slow(news SlowNews) { h.slow = append(h.slow, news) }
 
 func (h *heardBy) names() []string {
