Count at an unserved search which servers were not asked, and why

Cause: a refusal told its newest reply and how many replies there were of each cause, not how many servers of the service are known and which of them were never asked; and it said that no server is known where servers are known and none may be asked.

Change: the line of a request that found no slot counts the servers known, asked, tried, and not asked by cause (leaving, full, sick, spent, silent, left over). Its reason tells no known server from none that may be asked.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,7 +122,7 @@
 func (s *Service) Order(now time.Time, want Want) []Candidate {
 	list := make([]Candidate, 0, len(s.servers))
 	for _, server := range s.servers {
-		if !server.worthAsking(now, want) {
+		if server.passedOver(now, want) != PassNone {
 			continue
 		}
 		list = append(list, Candidate{server.ServerEntry, s.cost(now, server, want) + jitter*s.random.Float64()})
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -69,22 +69,31 @@
 	goneMemory = 3 * time.Second
 )
 
-// worthAsking reports whether a reservation may be granted now.
-func (server *Server) worthAsking(now time.Time, want Want) bool {
+// passedOver returns why a server is not asked for a slot now.
+func (server *Server) passedOver(now time.Time, want Want) Pass {
 	age := now.Sub(server.toldAt)
 	switch {
 	case server.Leaving, server.told.Leaving && age < loadMemory:
-		return false
-	case server.told.Full && age < server.told.pause(), want.Extra && server.told.Spent && age < spentPause:
-		return false
-	case server.told.Sick && want.LastResort:
+		return PassLeaving
+	case server.told.Full && age < server.told.pause():
+		return PassFull
+	case want.Extra && server.told.Spent && age < spentPause:
+		return PassSpent
+	case server.told.Sick && !server.trialDue(age, want):
+		return PassSick
+	}
+	return PassNone
+}
+
+// trialDue reports whether a sick server may be asked that long after it said so.
+func (server *Server) trialDue(age time.Duration, want Want) bool {
+	switch {
+	case want.LastResort:
 		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !want.Careful && age >= lastResortPause
-	case server.told.Sick && want.Careful:
+	case want.Careful:
 		return age >= max(server.told.TrialIn, sickPause)
-	case server.told.Sick:
-		return age >= server.told.TrialIn
 	}
-	return true
+	return age >= server.told.TrialIn
 }
 
 // pause returns how long a server that was full is not asked again.
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -84,6 +84,8 @@
 	waitCost float64
 	// queue holds the servers that are still to be asked in this round.
 	queue []choice.Candidate
+	// asked holds the servers that were asked.
+	asked map[string]bool
 	// newest is the reservation that was made last.
 	newest *pending
 	// last says why the newest refused reservation was, and lastServer by which
@@ -112,7 +114,10 @@
 // acquire looks for a slot for a request until a time. Where there is none, the
 // outcome says why.
 func (o *Outbound) acquire(ctx context.Context, rq *request, aim aim, until time.Time) (*held, *final) {
-	s := &search{o: o, rq: rq, aim: aim, until: until, ctx: ctx, open: map[*pending]bool{}, refusals: map[inbound.Cause]int{}, last: "no server of the service is known"}
+	s := &search{
+		o: o, rq: rq, aim: aim, until: until, ctx: ctx, open: map[*pending]bool{}, asked: map[string]bool{},
+		refusals: map[inbound.Cause]int{},
+	}
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
 	defer patience.Stop()
@@ -171,7 +176,22 @@
 
 // refusal is the outcome of a search without a slot.
 func (s *search) refusal() *final {
-	return &final{outcome: slatewind.OutcomeNotRun, reason: s.reason(), server: s.lastServer, retryAfter: s.retryAfter}
+	survey := s.rq.shard.survey(time.Now(), s.rq, s.aim, s.asked)
+	if s.last == "" {
+		s.last = noReply(survey)
+	}
+	return &final{outcome: slatewind.OutcomeNotRun, reason: s.reason(), server: s.lastServer, retryAfter: s.retryAfter, survey: survey}
+}
+
+// noReply says why a search that no reply came to found no slot.
+func noReply(survey choice.Survey) string {
+	switch {
+	case survey.Known == 0:
+		return "no server of the service is known"
+	case survey.Asked == 0:
+		return "no known server of the service may be asked now"
+	}
+	return "no server that was asked replied in time"
 }
 
 // begin starts a round: all servers are asked in the order of their cost.
--- a/outbound/leaving_test.go
+++ b/outbound/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/platform"
 )
@@ -86,3 +88,29 @@
 		<-ended
 	}
 }
+
+// TestRefusalSaysWhy: a refusal tells servers that are not known from servers that
+// may not be asked, and its line counts them.
+func TestRefusalSaysWhy(t *testing.T) {
+	tests := map[string]struct {
+		servers  []string
+		reason   string
+		evidence string
+	}{
+		"no server is known":          {nil, "no server of the service is known", "status=503"},
+		"the only known one is going": {[]string{"a"}, "no known server of the service may be asked now", "known=1 asked=0 not_asked: leaving=1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t, test.servers...)
+			for _, server := range test.servers {
+				m.Put(time.Now(), slatewind.ServerEntry{Name: server, Service: "svc", Address: "a:1", DataCentre: "dc", Slots: 2, Leaving: true})
+			}
+			g := m.send("GET", "/look/1", "id", "", time.Second)
+			assert.Equal(t, strings.TrimSpace(g.body), test.reason)
+			decisions := m.history.Find(history.Filter{Request: "id"})
+			assert.Equal(t, len(decisions), 1)
+			assert.Assert(t, strings.Contains(decisions[0].Evidence, test.evidence), decisions[0].Evidence)
+		})
+	}
+}
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/link"
 )
 
@@ -56,6 +57,8 @@
 	reason     string
 	retryAfter time.Duration
 	server     string
+	// survey counts the servers that the last search asked, where it found no slot.
+	survey choice.Survey
 	// timedOut says that the request's time ended while a server had it.
 	timedOut bool
 	// answer is set for OutcomeAnswer.
@@ -67,6 +70,14 @@
 	return f.answer != nil && f.answer.head.GetStatus() < slatewind.FirstServerError
 }
 
+// surveyed returns the counts of the last search, where it found no slot.
+func (f *final) surveyed() string {
+	if f.survey.Known == 0 {
+		return ""
+	}
+	return " " + f.survey.String()
+}
+
 // answer gives a caller the outcome of its request.
 func (o *Outbound) answer(w http.ResponseWriter, rq *request, f final) {
 	if f.outcome == slatewind.OutcomeAnswer {
@@ -82,8 +93,8 @@
 	}
 	o.journal.Add(slatewind.Decision{
 		Time: time.Now(), Kind: kind, Service: rq.service, Server: f.server, Request: rq.id, Reason: f.reason,
-		Evidence: fmt.Sprintf("route=%s kind=%s status=%d took=%s version=%d",
-			rq.route.GetName(), rq.kind(), status, time.Since(rq.began).Round(time.Millisecond), rq.snapshot.Version.Revision),
+		Evidence: fmt.Sprintf("route=%s kind=%s status=%d took=%s version=%d%s",
+			rq.route.GetName(), rq.kind(), status, time.Since(rq.began).Round(time.Millisecond), rq.snapshot.Version.Revision, f.surveyed()),
 	})
 	o.writeOwn(w, rq.id, status, f.reason, f.retryAfter)
 }
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -43,6 +43,7 @@
 	a := &pending{server: server, cancel: cancel, since: time.Now()}
 	s.open[a] = true
 	s.newest = a
+	s.asked[server.Name] = true
 	s.rq.shard.update(func(c *choice.Service) { c.Reserved(server.Name) })
 	go s.o.reserve(ctx, s.rq.reservation(to, s.until), a, s.events)
 	return true
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -55,9 +55,21 @@
 func (sh *shard) order(now time.Time, rq *request, to aim) []choice.Candidate {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	return sh.choice.Order(now, sh.want(rq, to))
+}
+
+// survey counts the servers that a search asked and those that it did not.
+func (sh *shard) survey(now time.Time, rq *request, to aim, asked map[string]bool) choice.Survey {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.choice.Survey(now, sh.want(rq, to), asked, to.tried)
+}
+
+// want says what the request is like. The lock is held.
+func (sh *shard) want(rq *request, to aim) choice.Want {
 	// Before the first answer only the request's own size is known.
 	bytes := max(sh.samples[rq.route.GetName()].bytes, float64(len(rq.body)))
-	return sh.choice.Order(now, choice.Want{Ask: to.ask, Extra: to.extra, Bytes: bytes})
+	return choice.Want{Ask: to.ask, Extra: to.extra, Bytes: bytes}
 }
 
 // shard returns the state of a service, made where it does not exist yet.
