End a stop inside the grace time, and answer what is still in hand

Change: work in hand is waited for during 0.86 of the grace time, just over the five sixths after which operators count no server's work as cut off. Then every request that is left is answered as it stands (refused if no server has seen it, unknown otherwise), and by 0.93 all connections are closed, whoever hangs.

--- a/daemon/nodestop.go
+++ b/daemon/nodestop.go
@@ -14,46 +14,58 @@
 	noticeTime = 2200 * time.Millisecond
 	// quietTime without a new request says that callers have gone elsewhere.
 	quietTime = 400 * time.Millisecond
-	// graceMargin is how long before the platform ends the process by force a
-	// stop ends its wait for work in hand.
-	graceMargin = 500 * time.Millisecond
+	// workShare is the share of the grace time for which a stop waits for work in
+	// hand. Servers that are still at work after five sixths of it are waited for no
+	// longer by the operators' rules. Then those who wait get their answer, and by
+	// endShare all connections are closed: the rest is for a busy machine, since the
+	// platform ends the process by force when the grace time is over.
+	workShare = 0.86
+	endShare  = 0.93
 	// defaultGrace is the time from the request to stop until the end by force
 	// where the bounds do not state it.
 	defaultGrace = 6 * time.Second
 )
 
 // Stop drains the node: it is unready at once, gives out no more slots, serves
-// callers until they have gone elsewhere, and finishes what is in hand.
+// callers until they have gone elsewhere, and finishes what is in hand. What is not
+// finished in time is answered as it stands.
 func (n *Node) Stop(ctx context.Context) error {
+	began := time.Now()
 	n.stopping.Store(true)
 	n.outbound.Leave()
-	n.inbound.Stop(time.Now())
-	n.waitUntilQuiet(ctx)
-	ending, cancel := context.WithTimeout(ctx, drainNotice)
-	defer cancel()
+	n.inbound.Stop(began)
+	n.waitUntilQuiet(ctx, began)
+	n.outbound.End()
 	n.callers.SetKeepAlivesEnabled(false)
-	err := n.callers.Shutdown(ending)
+	ending, cancel := context.WithDeadline(ctx, began.Add(n.graceShare(endShare)))
+	defer cancel()
+	if err := n.callers.Shutdown(ending); err != nil {
+		n.logger.Warn("callers cut off by the stop", "callers", n.outbound.InFlight(), "cause", err)
+	}
 	n.peers.Stop()
 	n.cancel()
 	n.inbound.Close()
-	n.logger.Info("stopped", "vm", n.settings.GetVm())
-	return errs.Combine(err, n.ready.Close(), n.admin.Close(), n.pool.Close())
+	n.logger.Info("stopped", "vm", n.settings.GetVm(), "took", time.Since(began).Round(time.Millisecond))
+	return errs.Combine(n.callers.Close(), n.ready.Close(), n.admin.Close(), n.pool.Close())
 }
 
-// waitUntilQuiet waits until nothing is in hand and no caller comes any more.
-func (n *Node) waitUntilQuiet(ctx context.Context) {
+// graceShare returns a share of the time that the platform gives a stop.
+func (n *Node) graceShare(share float64) time.Duration {
 	grace := n.settings.GetBounds().GetGrace().AsDuration()
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	began := time.Now()
-	for time.Since(began) < grace-graceMargin && ctx.Err() == nil {
+	return time.Duration(share * float64(grace))
+}
+
+// waitUntilQuiet waits until nothing is in hand and no caller comes any more.
+func (n *Node) waitUntilQuiet(ctx context.Context, began time.Time) {
+	for wait := n.graceShare(workShare); time.Since(began) < wait && ctx.Err() == nil; time.Sleep(drainPoll) {
 		now := time.Now()
 		idle := n.outbound.InFlight() == 0 && n.inbound.InUse() == 0
 		if idle && now.Sub(began) >= noticeTime && n.outbound.QuietFor(now) >= quietTime {
 			return
 		}
-		time.Sleep(drainPoll)
 	}
 	n.logger.Warn("stopping with work in hand", "running", n.inbound.InUse(), "callers", n.outbound.InFlight())
 }
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -45,6 +45,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := rq.context(ctx)
+	defer context.AfterFunc(o.ended, cancel)()
 	d := &dispatch{o: o, rq: rq, ctx: ctx, results: make(chan result, maxTries), sent: make(chan string, maxTries), tried: map[string]bool{}}
 	f := d.run()
 	if f.answer == nil {
@@ -131,7 +132,10 @@
 		return *d.best
 	}
 	f := final{outcome: slatewind.OutcomeNotRun, reason: "no answer in the request's time", timedOut: true}
-	if errors.Is(d.ctx.Err(), context.Canceled) {
+	switch {
+	case d.o.ended.Err() != nil:
+		f.reason, f.timedOut = "the process stops", false
+	case errors.Is(d.ctx.Err(), context.Canceled):
 		f.reason = "the caller left"
 	}
 	if d.mayHaveRun {
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -71,6 +71,10 @@
 	splitMu sync.Mutex
 	splits  map[string]*splitter
 
+	// ended is over once requests are answered as they stand.
+	ended context.Context
+	end   context.CancelFunc
+
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	// lastArrival is when the newest request came, in nanoseconds since 1970.
@@ -79,8 +83,9 @@
 
 // New returns an ingress that knows no servers yet. Its settings come from store.
 func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter) *Outbound {
+	ended, end := context.WithCancel(context.Background())
 	return &Outbound{
-		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter,
+		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, ended: ended, end: end,
 		shards: map[string]*shard{}, services: map[string]string{}, places: map[string]string{}, splits: map[string]*splitter{},
 	}
 }
@@ -91,6 +96,13 @@
 	o.leaving.Store(true)
 }
 
+// End answers all requests that are in hand, and those that still come, as they stand:
+// those that no server has seen are refused, of the others it is unknown whether they
+// ran. The process is about to end.
+func (o *Outbound) End() {
+	o.end()
+}
+
 // InFlight returns how many callers wait for an answer.
 func (o *Outbound) InFlight() int {
 	return int(o.inFlight.Load())
