Read a changed settings file again, with a signal and without one

Cause: SIGHUP was logged and ignored, and a file that changed without a signal was not seen, though both happen.

Change: package reload reads the file on SIGHUP and when its size or time changed, takes it whole or not at all once it rests, and tells each key with whether it is in force or needs a start. What was spent of the old bound counts on; where the window grows the slack rests for a new one.

Weighed: a watch by inotify (not there on the users' machines); reading all each second (one stat is enough).

--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -62,7 +62,7 @@
 	lines := daemon.NewLogWriter(ctx, os.Stdout)
 	defer lines.Wait()
 	defer cancel()
-	if err := serve(fx.New(daemon.Options(process, daemon.NewLogger(lines, o.Verbose)))); err != nil {
+	if err := serve(fx.New(daemon.Options(o.Settings, process, daemon.NewLogger(lines, o.Verbose)))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
--- a/config/check.go
+++ b/config/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,7 @@
 	{"SW1012", "Path prefixes begin with a slash", "Request paths do, so nothing would ever match.", "0.1"},
 	{"SW1013", "A route's largest body fits into a message between processes", "A larger one would be accepted from the caller and could not be passed on.", "0.1"},
 	{"SW1014", "Extra attempts are bounded by a ratio from 0 to 1 and a slack from 0", "A ratio above 1 would let retries more than double the load of sick servers.", "0.2"},
+	{"SW1015", "A log level is debug, info, warn or error", "Another word would leave a level in force that nobody chose.", "0.3"},
 }
 
 // MaxBodyBytes is the largest request body that fits into a message between
@@ -198,6 +200,9 @@
 	}
 }
 
+// logLevels are the levels that settings may name.
+var logLevels = []slatewind.LogLevel{slatewind.LogDebug, slatewind.LogInfo, slatewind.LogWarn, slatewind.LogError}
+
 func checkProcess(file string, document *yaml.Node, process *slatewindv1.Process) Findings {
 	c := &checker{file: file, document: document}
 	if process.GetVm() == "" {
@@ -212,6 +217,9 @@
 	for i, address := range process.GetSeedPeers() {
 		c.checkAddress(address, "seed_peers", i)
 	}
+	if level := process.GetLogLevel(); level != "" && !slices.Contains(logLevels, slatewind.LogLevel(level)) {
+		c.add("SW1015", fmt.Sprintf("log level %q is not debug, info, warn or error", level), "log_level")
+	}
 	if process.GetStore() != nil {
 		c.checkNode(process)
 		return c.findings
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -26,6 +26,8 @@
 		"a slack with a fraction":    {"retry_slack: 56", "retry_slack: 56.25", ""},
 		"reads with a fraction":      {"reads_per_second: 2000", "reads_per_second: 133.3", ""},
 		"a slack below zero":         {"retry_slack: 56", "retry_slack: -1", "retry_slack -1 is below 0 (SW1014)"},
+		"a level of logs":            {"seed_peers: []", "log_level: warn", ""},
+		"no level of logs":           {"seed_peers: []", "log_level: loud", `:25:12: log level "loud" is not debug, info, warn or error (SW1015)`},
 		"a misspelt field":           {"retry_slack", "retry_slak", "(SW1002)"},
 	}
 	for name, test := range tests {
--- a/config/parse.go
+++ b/config/parse.go
@@ -57,6 +57,12 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	return ParseProcess(file, text)
+}
+
+// ParseProcess decodes and checks the text of a process's settings; file names it in
+// the findings.
+func ParseProcess(file string, text []byte) (*slatewindv1.Process, error) {
 	process := &slatewindv1.Process{}
 	document, findings := decode(file, text, process)
 	if document != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/replay"
 	"slatewind.example/slatewind/sidecar"
 	"slatewind.example/slatewind/timer"
@@ -55,14 +56,15 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// Options returns the wiring of a process with the given settings: of a Node
-// where they name the platform's store, otherwise of a Process.
-func Options(process *slatewindv1.Process, logger *log.Logger) fx.Option {
+// Options returns the wiring of a process with the settings that were read from a
+// file: of a Node where they name the platform's store, otherwise of a Process.
+func Options(file string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
+	setLevel(logger, process)
 	if process.GetStore() != nil {
-		return nodeOptions(process, logger)
+		return nodeOptions(file, process, logger)
 	}
 	return fx.Options(
-		commonOptions(process, logger),
+		commonOptions(file, process, logger),
 		fx.Provide(newJournal, newProcess),
 		fx.Invoke(func(lc fx.Lifecycle, p *Process) {
 			lc.Append(fx.Hook{OnStart: p.Start, OnStop: p.Stop})
@@ -71,11 +73,11 @@
 }
 
 // commonOptions returns the wiring that a process and a node share.
-func commonOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
+func commonOptions(file string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
 		fx.NopLogger,
 		fx.StopTimeout(StopTimeout+stopMargin),
-		fx.Supply(process, logger),
+		fx.Supply(settingsFile(file), process, logger),
 		fx.Provide(
 			metrics.New,
 			func(j *history.Journal) *config.Store { return config.NewStore(j) },
@@ -106,6 +108,7 @@
 // Process is a running slatewindd.
 type Process struct {
 	settings *slatewindv1.Process
+	file     *reload.File
 	logger   *log.Logger
 	metrics  *metrics.Metrics
 	journal  *history.Journal
@@ -125,10 +128,11 @@
 	peers   *grpc.Server
 }
 
-func newProcess(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
+func newProcess(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
 	incarnation := attempt.NewIncarnation(time.Now())
 	limits := process.GetLimits()
 	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
+	p.file = reload.New(string(file), process, livingOfProcess, reloaded{logger, p.reload})
 	p.servers = sidecar.NewHTTPCaller()
 	p.recorder = replay.NewRecorder(process.GetVm(), int(limits.GetRecordedEvents()))
 	p.gossip = gossip.New(member.Entry{
@@ -158,6 +162,7 @@
 	p.sidecar.Start(ctx, p.timers)
 	p.ingress.Start(ctx, p.timers)
 	p.reader.Start(ctx)
+	p.file.Start(ctx, p.timers)
 	p.logger.Info("started", "vm", p.settings.GetVm(), "data_centre", p.settings.GetDataCentre(),
 		"ingress", p.settings.GetIngressAddress(), "peer", p.settings.GetPeerAddress(), "admin", p.settings.GetAdminAddress(), "version", Version)
 	return nil
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -4,10 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,13 +21,18 @@
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/timer"
 )
 
 // Node is a running slatewindd beside one server that the platform's store lists:
 // an ingress for the callers of its VM and the sidecar of the server.
 type Node struct {
+	// settings are those of the start, living those that are in force now, as far as
+	// livingOfNode names them.
 	settings *slatewindv1.Process
+	living   atomic.Pointer[slatewindv1.Process]
+	file     *reload.File
 	logger   *log.Logger
 	metrics  *metrics.Metrics
 	history  *history.Journal
@@ -84,31 +86,13 @@
 	n.inbound.Start(ctx, n.timers)
 	n.watcher.Start(ctx)
 	n.feed.Start(ctx)
-	n.hearReloads(ctx)
+	n.file.Start(ctx, n.timers)
 	n.logger.Info("started", "vm", n.settings.GetVm(), "data_centre", n.settings.GetDataCentre(),
 		"service", n.settings.GetLocalServer().GetService(), "callers", n.settings.GetIngressAddress(),
 		"peer", n.settings.GetPeerAddress(), "admin", n.settings.GetAdminAddress(), "version", Version)
 	return nil
 }
 
-// hearReloads keeps SIGHUP from ending the process. What can change while a
-// process lives is published in the store, so nothing is read anew.
-func (n *Node) hearReloads(ctx context.Context) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(reloads)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-reloads:
-				n.logger.Info("reload", "effect", "none: settings of a process count from its start")
-			}
-		}
-	}()
-}
-
 // listen opens the four listeners.
 func (n *Node) listen() error {
 	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -46,6 +47,8 @@
 	servers []*standin.Stamped
 	nodes   []*Node
 	base    string
+	// files are the settings files of the nodes, empty until a test writes one.
+	files []string
 }
 
 // nextNet gives each test addresses of its own on loopback.
@@ -94,8 +97,9 @@
 	f.store.Put(platform.ServersPrefix+name, value)
 }
 
-func (f *nodes) start(i int) *Node {
-	process := &slatewindv1.Process{
+// settings returns those of a node, with which it starts.
+func (f *nodes) settings(i int) *slatewindv1.Process {
+	return &slatewindv1.Process{
 		Vm: fmt.Sprint("vm-", i), DataCentre: "dc",
 		IngressAddress: f.address(i, 8000), PeerAddress: f.address(i, 8001), AdminAddress: f.address(i, 8002), ReadyAddress: f.address(i, 8003),
 		LocalServer: &slatewindv1.LocalServer{Service: "svc", Address: f.address(i, 9000)},
@@ -103,10 +107,17 @@
 		Bounds:      &slatewindv1.Bounds{Grace: durationpb.New(20 * time.Second), RetryRatio: 0.2, RetrySlack: 50},
 		SeedPeers:   []string{f.address(0, 8001), f.address(1, 8001)},
 	}
+}
+
+func (f *nodes) start(i int) *Node {
+	process := f.settings(i)
+	for len(f.files) <= i {
+		f.files = append(f.files, filepath.Join(f.t.TempDir(), "node.yaml"))
+	}
 	m, err := metrics.New()
 	assert.NilError(f.t, err)
 	j := history.New(0, nil)
-	n := newNode(process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool(nil))
+	n := newNode(settingsFile(f.files[i]), process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool(nil))
 	assert.NilError(f.t, n.Start(context.Background()))
 	stopped := false
 	f.t.Cleanup(func() {
--- a/daemon/nodestop.go
+++ b/daemon/nodestop.go
@@ -30,14 +30,14 @@
 // callers until they have gone elsewhere, and finishes what is in hand. What is not
 // finished in time is answered as it stands.
 func (n *Node) Stop(ctx context.Context) error {
-	began := time.Now()
+	began, grace := time.Now(), n.grace()
 	n.stopping.Store(true)
 	n.outbound.Leave()
 	n.inbound.Stop(began)
-	n.waitUntilQuiet(ctx, began)
+	n.waitUntilQuiet(ctx, began, share(workShare, grace))
 	n.outbound.End()
 	n.callers.SetKeepAlivesEnabled(false)
-	ending, cancel := context.WithDeadline(ctx, began.Add(n.graceShare(endShare)))
+	ending, cancel := context.WithDeadline(ctx, began.Add(share(endShare, grace)))
 	defer cancel()
 	if err := n.callers.Shutdown(ending); err != nil {
 		n.logger.Warn("callers cut off by the stop", "callers", n.outbound.InFlight(), "cause", err)
@@ -49,23 +49,29 @@
 	return errs.Combine(n.callers.Close(), n.ready.Close(), n.admin.Close(), n.pool.Close())
 }
 
-// graceShare returns a share of the time that the platform gives a stop.
-func (n *Node) graceShare(share float64) time.Duration {
-	grace := n.settings.GetBounds().GetGrace().AsDuration()
-	if grace <= 0 {
-		grace = defaultGrace
+// grace returns the time that the platform gives a stop.
+func (n *Node) grace() time.Duration {
+	if grace := n.living.Load().GetBounds().GetGrace().AsDuration(); grace > 0 {
+		return grace
 	}
-	return time.Duration(share * float64(grace))
+	return defaultGrace
 }
 
-// waitUntilQuiet waits until nothing is in hand and no caller comes any more.
-func (n *Node) waitUntilQuiet(ctx context.Context, began time.Time) {
-	for wait := n.graceShare(workShare); time.Since(began) < wait && ctx.Err() == nil; time.Sleep(drainPoll) {
+// share returns a share of a time.
+func share(part float64, whole time.Duration) time.Duration {
+	return time.Duration(part * float64(whole))
+}
+
+// waitUntilQuiet waits until nothing is in hand and no caller comes any more, or until
+// the wait is over.
+func (n *Node) waitUntilQuiet(ctx context.Context, began time.Time, wait time.Duration) {
+	for time.Since(began) < wait && ctx.Err() == nil {
 		now := time.Now()
 		idle := n.outbound.InFlight() == 0 && n.inbound.InUse() == 0
 		if idle && now.Sub(began) >= noticeTime && n.outbound.QuietFor(now) >= quietTime {
 			return
 		}
+		time.Sleep(drainPoll)
 	}
 	n.logger.Warn("stopping with work in hand", "running", n.inbound.InUse(), "callers", n.outbound.InFlight())
 }
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -14,14 +14,15 @@
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/timer"
 )
 
 // nodeOptions returns the wiring of a process whose servers are listed in the
 // platform's store.
-func nodeOptions(process *slatewindv1.Process, logger *log.Logger) fx.Option {
+func nodeOptions(file string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
-		commonOptions(process, logger),
+		commonOptions(file, process, logger),
 		fx.Provide(newNodeHistory, newNode),
 		fx.Invoke(func(lc fx.Lifecycle, n *Node) {
 			lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
@@ -40,16 +41,15 @@
 }
 
 // newNode puts the parts of a node together.
-func newNode(process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
+func newNode(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
 	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool}
+	n.living.Store(process)
+	n.file = reload.New(string(file), process, livingOfNode, reloaded{logger, n.reload})
 	n.inbound = inbound.New(inbound.Server{
 		Service: process.GetLocalServer().GetService(),
 		Address: process.GetLocalServer().GetAddress(),
 		Dialect: platform.Servers(),
-	}, inbound.Bounds{
-		RetryRatio: process.GetBounds().GetRetryRatio(), RetrySlack: process.GetBounds().GetRetrySlack(),
-		RetryWindow: process.GetBounds().GetRetryWindow().AsDuration(),
-	}, j)
+	}, boundsOf(process), j)
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
 		platform.Callers(), store, j, n, n.inbound, m,
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -81,7 +81,7 @@
 	// feed keeps the settings, of which peers tell and are told the version.
 	feed *Feed
 	// seeds are asked where no server is known yet.
-	seeds []string
+	seeds atomic.Pointer[[]string]
 
 	// failed holds until when a peer that did not answer is passed over.
 	failed map[string]time.Time
@@ -99,7 +99,9 @@
 // NewShare returns a publisher for the process beside the server at self. Follow
 // must be called before its use.
 func NewShare(store Store, peers Peers, self string, seeds []string) *Share {
-	return &Share{store: store, peers: peers, self: self, seeds: seeds, failed: map[string]time.Time{}, draw: rand.IntN}
+	s := &Share{store: store, peers: peers, self: self, failed: map[string]time.Time{}, draw: rand.IntN}
+	s.SetSeeds(seeds)
+	return s
 }
 
 // Follow names the watcher whose servers are the peers, and the feed of settings.
@@ -285,9 +287,12 @@
 	if others := slices.DeleteFunc(all, s.isSelf); len(others) > 0 {
 		return others
 	}
-	return s.seeds
+	return *s.seeds.Load()
 }
 
+// SetSeeds changes whom to ask where no server is known. It may be called at any time.
+func (s *Share) SetSeeds(seeds []string) { s.seeds.Store(&seeds) }
+
 func (s *Share) isSelf(address string) bool { return address == s.self }
 
 // Reads reports whether this process reads the store for its data centre.
--- a/history/history.go
+++ b/history/history.go
@@ -4,6 +4,7 @@
 package history
 
 import (
+	"slices"
 	"sync"
 
 	"slatewind.example/slatewind"
@@ -31,6 +32,31 @@
 	return &Journal{entries: make([]slatewind.Decision, entries), onAdd: onAdd}
 }
 
+// Resize changes for how many entries there is room, and keeps the newest.
+func (j *Journal) Resize(entries int) {
+	if entries <= 0 {
+		entries = DefaultEntries
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if entries == len(j.entries) {
+		return
+	}
+	kept := j.ordered()
+	kept = kept[max(len(kept)-entries, 0):]
+	j.entries = make([]slatewind.Decision, entries)
+	j.next = copy(j.entries, kept) % entries
+	j.full = len(kept) == entries
+}
+
+// ordered returns all entries, oldest first. The lock is held.
+func (j *Journal) ordered() []slatewind.Decision {
+	if !j.full {
+		return j.entries[:j.next]
+	}
+	return slices.Concat(j.entries[j.next:], j.entries[:j.next])
+}
+
 // Add keeps a decision.
 func (j *Journal) Add(d slatewind.Decision) {
 	j.mu.Lock()
@@ -68,14 +94,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var found []slatewind.Decision
-	if j.full {
-		found = appendMatching(found, j.entries[j.next:], f)
-	}
-	return appendMatching(found, j.entries[:j.next], f)
-}
-
-func appendMatching(found, entries []slatewind.Decision, f Filter) []slatewind.Decision {
-	for _, d := range entries {
+	for _, d := range j.ordered() {
 		if f.matches(d) {
 			found = append(found, d)
 		}
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -39,3 +39,40 @@
 		})
 	}
 }
+
+// TestResize: a journal of another size keeps the newest decisions, in their order.
+func TestResize(t *testing.T) {
+	tests := map[string]struct {
+		added, size int
+		want        string
+	}{
+		"smaller, not full":  {2, 2, "[0 1]"},
+		"smaller, full":      {6, 2, "[4 5]"},
+		"smaller, one more":  {6, 3, "[3 4 5]"},
+		"larger, not full":   {3, 8, "[0 1 2]"},
+		"larger, full":       {6, 8, "[2 3 4 5]"},
+		"as large as before": {5, 4, "[1 2 3 4]"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			j := history.New(4, nil)
+			add := func(i int) { j.Add(slatewind.Decision{Request: fmt.Sprint(i)}) }
+			found := func() string {
+				var requests []string
+				for _, d := range j.Find(history.Filter{}) {
+					requests = append(requests, d.Request)
+				}
+				return fmt.Sprint(requests)
+			}
+			for i := range test.added {
+				add(i)
+			}
+			j.Resize(test.size)
+			assert.Equal(t, found(), test.want)
+			for i := range test.size {
+				add(10 + i)
+			}
+			assert.Equal(t, len(j.Find(history.Filter{})), test.size, "it takes so many and no more")
+		})
+	}
+}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -84,7 +84,6 @@
 // goroutines.
 type Inbound struct {
 	server  Server
-	bounds  Bounds
 	pool    *backend.Pool
 	journal slatewind.Journal
 
@@ -95,6 +94,9 @@
 	breaker *breaker.Breaker
 	// extras is the account of extra arrivals at the server.
 	extras *retry.Window
+	// bounds are the operators', shared by so many servers of the service.
+	bounds  Bounds
+	sharers int
 	// waiting holds, by the item's id, where its decision is awaited.
 	waiting map[string]chan admission.Decision
 	// parents holds, by their callers' ids, the requests that the server runs.
@@ -159,7 +161,22 @@
 func (in *Inbound) SetServers(n int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.extras.SetSlack(extrasShare * in.bounds.RetrySlack / float64(max(n, 1)))
+	in.sharers = n
+	in.shareSlack()
+}
+
+// SetBounds changes the operators' bound. What was spent counts on.
+func (in *Inbound) SetBounds(bounds Bounds) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.bounds = bounds
+	in.extras.SetBounds(time.Now(), extrasShare*bounds.RetryRatio, bounds.RetryWindow)
+	in.shareSlack()
+}
+
+// shareSlack takes the server's share of the slack. The lock is held.
+func (in *Inbound) shareSlack() {
+	in.extras.SetSlack(extrasShare * in.bounds.RetrySlack / float64(max(in.sharers, 1)))
 }
 
 // rename notes which start of the server runs here; the breaker forgets what an
--- a/retry/window.go
+++ b/retry/window.go
@@ -45,6 +45,15 @@
 	return &Window{ratio: ratio, span: span, since: now.Add(span)}
 }
 
+// SetBounds changes the ratio and the span. Where the span grows, what was spent within
+// it may be forgotten already, so that the slack can be used a new span later.
+func (w *Window) SetBounds(now time.Time, ratio float64, span time.Duration) {
+	if span > w.span {
+		w.since = now.Add(span)
+	}
+	w.ratio, w.span = ratio, span
+}
+
 // SetSlack states how many extra arrivals of each span are this server's.
 func (w *Window) SetSlack(slack float64) {
 	w.slack = slack
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -125,3 +125,32 @@
 	}
 	return n
 }
+
+// TestBoundsChange: what was spent before the bounds changed counts on, also where the
+// new span is longer and some of it was forgotten.
+func TestBoundsChange(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		span  time.Duration
+		after time.Duration
+		left  bool
+	}{
+		"the same span, what was spent is within it": {span, span + span/2, false},
+		"the same span, what was spent lies before":  {span, span + span + time.Second, true},
+		"a shorter span ends sooner":                 {span / 4, span + span/2, true},
+		"a longer span begins anew":                  {4 * span, span + 3*span, false},
+		"a longer span is over":                      {4 * span, span + 5*span + time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := retry.NewWindow(start, 0, span)
+			w.SetSlack(4)
+			spent := start.Add(span + time.Second/2)
+			for w.Left(spent) {
+				w.Take(spent)
+			}
+			w.SetBounds(spent.Add(time.Second/2), 0, test.span)
+			assert.Equal(t, w.Left(start.Add(test.after)), test.left)
+		})
+	}
+}
--- a/slatewind.go
+++ b/slatewind.go
@@ -41,6 +41,17 @@
 	PriorityBackground Priority = "background"
 )
 
+// LogLevel is the least level of the lines that a process logs.
+type LogLevel string
+
+// Levels of logs.
+const (
+	LogDebug LogLevel = "debug"
+	LogInfo  LogLevel = "info"
+	LogWarn  LogLevel = "warn"
+	LogError LogLevel = "error"
+)
+
 // Outcome is what became of a request or of one attempt.
 type Outcome string
 
