--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -56,13 +56,21 @@
 
 // SetMode changes how the server behaves; requests that hang are let go.
 func (s *Stamped) SetMode(mode StampedMode) {
+	s.Turn(mode)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mode = mode
 	close(s.release)
 	s.release = make(chan struct{})
 }
 
+// Turn changes how the server behaves towards requests that come from now on;
+// those that hang go on hanging.
+func (s *Stamped) Turn(mode StampedMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = mode
+}
+
 // SetDelay sets how long a request takes.
 func (s *Stamped) SetDelay(delay time.Duration) {
 	s.mu.Lock()
