Try a server whose slots are held by requests that hang

Cause: a breaker that opened since requests hang lets repeatable requests through as trials, but these need a slot, and the hanging ones hold all of them until their time is over. A server that is well again gets nothing for as long.

Change: where most slots are held by requests that take too long, one trial may start beyond the slots. It costs its request at most a rejection by the server, which proves that it did not run; single requests never start so.

Weighed: a slot that single requests may not take where the server is suspected (a hang fills all slots before it shows: ten slots within 0.8 s at 20 requests a second), and ending the hanging requests (a single one counts as run).

Before: the two tests of inbound/hung_test.go failed; after: they pass.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -39,6 +39,9 @@
 	// Begun says that the item belongs to work that another server has begun and
 	// that would be lost if the item were refused.
 	Begun bool
+	// Beyond says that the item may start although no slot is free, if it is the only
+	// one to do so: it tries a server whose slots are held by requests that hang.
+	Beyond bool
 	// StartBy is when waiting for a slot is no longer worth it; zero is never.
 	StartBy time.Time
 }
@@ -114,7 +117,7 @@
 // Offer decides about a new item. Further decisions concern items that had to
 // make room for it.
 func (s *Server) Offer(now time.Time, it Item) []Decision {
-	if s.fits(it) && !s.othersGoFirst(it) {
+	if s.fits(it) && (it.Beyond || !s.othersGoFirst(it)) {
 		s.notePassed(it, len(s.queue))
 		s.start(it)
 		return []Decision{{Item: it, Action: ActionStart}}
@@ -205,6 +208,9 @@
 	if it.Priority == slatewind.PriorityBackground {
 		free -= s.spare()
 	}
+	if it.Beyond {
+		free++
+	}
 	return free > 0
 }
 
--- a/breaker/running.go
+++ b/breaker/running.go
@@ -85,6 +85,18 @@
 	return m.samples >= leastSamples && took > max(overdueFactor*m.value, m.value+overdueLeast)
 }
 
+// Stuck reports whether most of n slots are held by requests that take too long: they
+// are likely to hold them until their time is over, whether the server is well or not.
+func (b *Breaker) Stuck(n int) bool {
+	overdue := 0
+	for _, r := range b.running {
+		if r.overdue {
+			overdue++
+		}
+	}
+	return b.state != StateClosed && 2*overdue > n
+}
+
 // learn adds the duration of a success to its route's mean.
 func (b *Breaker) learn(route string, took time.Duration) {
 	m := b.means[route]
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -84,6 +84,9 @@
 		Priority: slatewind.PriorityInteractive,
 		Rank:     r.GetRank(),
 		Begun:    r.GetBegun(),
+		// Its slots are held until the requests in them have no time left, up to ten
+		// seconds, although the server may be well again.
+		Beyond:   !r.GetCareful() && in.breaker.Stuck(in.slots.Slots()),
 		Deadline: now.Add(time.Duration(r.GetRemainingMs()) * time.Millisecond),
 		StartBy:  now.Add(time.Duration(r.GetPatienceMs()) * time.Millisecond),
 	}
