Expect of a server that has not answered yet what its senders know

Cause: whether a request takes too long is judged by its route's mean at that server, from four answers on. A server that hangs from the start of its process, or whose process is new, was not suspected at all while all its slots and its queue filled.

Change: a reservation says how long its sender expects the request to take: 1.5 times the mean of the servers that it uses, or the objective before the first answer. The breaker uses it until it has four answers of the route.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -182,9 +182,10 @@
 	return max(b.trialAfter-now.Sub(b.lastTrial), 0)
 }
 
-// Start notes that the server gets a request.
-func (b *Breaker) Start(now time.Time, id, route string) {
-	r := &running{route: route, since: now, trial: b.state != StateClosed}
+// Start notes that the server gets a request, which its sender expects to take so
+// long; zero is unknown.
+func (b *Breaker) Start(now time.Time, id, route string, expected time.Duration) {
+	r := &running{route: route, expected: expected, since: now, trial: b.state != StateClosed}
 	if r.trial {
 		b.trials++
 		b.lastTrial = now
@@ -203,7 +204,7 @@
 		b.trials--
 	}
 	took := r.took(now)
-	if result == ResultOK && (r.overdue || b.tooLong(r.route, took)) {
+	if result == ResultOK && (r.overdue || b.tooLong(r, took)) {
 		return !r.overdue && b.fail(now, slowWeight)
 	}
 	switch result {
@@ -229,7 +230,7 @@
 func (b *Breaker) Tick(now time.Time) bool {
 	changed := false
 	for _, r := range b.running {
-		if r.overdue || !b.tooLong(r.route, r.took(now)) {
+		if r.overdue || !b.tooLong(r, r.took(now)) {
 			continue
 		}
 		r.overdue = true
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -12,10 +12,12 @@
 
 // step is one event at a server: a request begins, ends, or time passes.
 type step struct {
-	after  time.Duration
-	start  string
-	end    string
-	result breaker.Result
+	after time.Duration
+	start string
+	// expected is how long the sender expects the request to take.
+	expected time.Duration
+	end      string
+	result   breaker.Result
 	// pause and resume name a request whose call begins or ends.
 	pause, resume string
 }
@@ -28,7 +30,7 @@
 	for _, s := range steps {
 		now = now.Add(s.after)
 		if s.start != "" {
-			b.Start(now, s.start, "route")
+			b.Start(now, s.start, "route", s.expected)
 		}
 		if s.end != "" {
 			b.End(now, s.end, s.result)
@@ -94,6 +96,17 @@
 			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{after: 400 * ms}),
 			breaker.StateOpen, false, false, true,
 		},
+		"requests that hang before any answer, their time unknown": {
+			[]step{{start: "a"}, {start: "b"}, {after: 400 * ms}}, breaker.StateClosed, true, true, true,
+		},
+		"requests that hang before any answer": {
+			[]step{{start: "a", expected: 100 * ms}, {start: "b", expected: 100 * ms}, {after: 400 * ms}},
+			breaker.StateOpen, false, false, true,
+		},
+		"requests that take longer than their sender expects, as they did before": {
+			append(served(5, 100*ms), step{start: "a", expected: 20 * ms}, step{start: "b", expected: 20 * ms}, step{after: 90 * ms}),
+			breaker.StateClosed, true, false, true,
+		},
 		"requests that wait for calls of theirs": {
 			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{pause: "a"}, step{pause: "b"}, step{after: 400 * ms}),
 			breaker.StateClosed, true, true, true,
--- a/breaker/running.go
+++ b/breaker/running.go
@@ -24,9 +24,11 @@
 
 // running is a request that the server has.
 type running struct {
-	route   string
-	trial   bool
-	overdue bool
+	route string
+	// expected is how long its sender expects it to take, or zero.
+	expected time.Duration
+	trial    bool
+	overdue  bool
 	// own is how long the server worked on it until since, without the time in
 	// which it waited for calls of its own; paused says that it waits now.
 	own    time.Duration
@@ -72,17 +74,28 @@
 func (b *Breaker) Suspicion(now time.Time) float64 {
 	sum := 0.0
 	for _, r := range b.running {
-		if m := b.means[r.route]; m.samples >= leastSamples {
-			sum += float64(r.took(now)-r.answered) / float64(m.value)
+		if mean := b.meanFor(r); mean > 0 {
+			sum += float64(r.took(now)-r.answered) / float64(mean)
 		}
 	}
 	return sum
 }
 
-// tooLong reports whether a request takes far longer than its route's mean.
-func (b *Breaker) tooLong(route string, took time.Duration) bool {
-	m := b.means[route]
-	return m.samples >= leastSamples && took > max(overdueFactor*m.value, m.value+overdueLeast)
+// meanFor returns how long a healthy server takes for a request on average, or zero
+// where nobody knows: the mean of the route here, or until there are enough answers for
+// one what the sender expects. Without the latter a server that hangs from the start of
+// its process is not suspected at all.
+func (b *Breaker) meanFor(r *running) time.Duration {
+	if m := b.means[r.route]; m.samples >= leastSamples {
+		return m.value
+	}
+	return r.expected
+}
+
+// tooLong reports whether a request takes far longer than it does on average.
+func (b *Breaker) tooLong(r *running, took time.Duration) bool {
+	mean := b.meanFor(r)
+	return mean > 0 && took > max(overdueFactor*mean, mean+overdueLeast)
 }
 
 // Stuck reports whether most of n slots are held by requests that take too long: they
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -89,7 +89,8 @@
 		if u.reservation.GetExtra() {
 			u.payment = u.in.extras.Take(u.granted)
 		}
-		u.in.breaker.Start(u.granted, u.item.ID, u.reservation.GetRoute())
+		expected := time.Duration(u.reservation.GetExpectedMs()) * time.Millisecond
+		u.in.breaker.Start(u.granted, u.item.ID, u.reservation.GetRoute(), expected)
 	}
 	u.in.mu.Unlock()
 	if refusal != nil {
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -103,9 +103,23 @@
 		RemainingMs: uint32(max(rq.remaining(now), 0).Milliseconds()), PatienceMs: uint32(max(until.Sub(now), 0).Milliseconds()),
 		Careful: to.ask.Careful, LastResort: to.ask.LastResort, BearableTenths: uint32(min(to.ask.Bears, bearsAll) * tenths),
 		Begun: rq.call != nil, Extra: to.extra, Repeat: rq.call != nil && rq.call.Repeat,
+		ExpectedMs: uint32(rq.expected().Milliseconds()),
 	}
 }
 
+// expectedFactor is how much longer than the mean of all servers one may take on
+// average: their speeds differ, and a new one is slow.
+const expectedFactor = 1.5
+
+// expected returns how long a server may be expected to work on the request: by what
+// other servers took, or as long as its objective where none has answered yet.
+func (rq *request) expected() time.Duration {
+	if mean := rq.shard.meanOf(rq.route.GetName()); mean > 0 {
+		return time.Duration(expectedFactor * float64(mean))
+	}
+	return rq.objective()
+}
+
 // end closes a reservation that brought no slot.
 func (s *search) end(a *pending) {
 	delete(s.open, a)
