--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -54,7 +54,7 @@
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
 		platform.Callers(), store, j, n, n.inbound, m,
 	)
-	client := platform.NewClient("http://"+process.GetStore().GetAddress(), m.PlatformCall)
+	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
 	n.share = discovery.NewShare(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
 	n.watcher = discovery.NewWatcher(n.share, n)
 	n.feed = discovery.NewFeed(client, nodePeers{n}, n.share, n)
