Ask the store less: fewer readers, no pings while all is well

Cause: ten processes read the store for five data centres whatever the fleet's size, and every other one pinged it each 2 s.

Change: two processes read for the fleet and one more for each 50, spread over the data centres; others ask those of their own data centre, or else any. A process pings the store only while it could not reach it, and before it believes that a server went which did not say that it leaves: only then does it matter whether it is cut off itself. While it cannot reach the store it does not ask for changes, only pings.

The sum of how old a view can be stays 1.775 s: the ping takes the place of the call to the store that follows a question in vain.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"slices"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -47,10 +48,7 @@
 
 // removeOthers handles the servers that a whole publication lacks.
 func (w *Watcher) removeOthers(now time.Time, all slatewind.Publication) {
-	listed := make(map[string]bool, len(all.Servers))
-	for _, entry := range all.Servers {
-		listed[entry.Name] = true
-	}
+	listed := listedIn(all)
 	for name := range w.servers {
 		if !listed[name] {
 			w.vanished(now, name, all.Revision)
@@ -123,16 +121,54 @@
 	return p
 }
 
-// Peers returns the addresses of the servers in a data centre, or everywhere
-// where it is empty.
-func (w *Watcher) Peers(dataCentre string) []string {
+// Place is where a server is, and so the process beside it.
+type Place struct{ Address, DataCentre string }
+
+// Places returns where all known servers are.
+func (w *Watcher) Places() []Place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	addresses := make([]string, 0, len(w.servers))
+	places := make([]Place, 0, len(w.servers))
 	for _, server := range w.servers {
-		if dataCentre == "" || server.DataCentre == dataCentre {
-			addresses = append(addresses, server.Address)
+		places = append(places, Place{server.Address, server.DataCentre})
+	}
+	return places
+}
+
+// Startles reports whether a publication takes away servers that did not say that they
+// leave.
+func (w *Watcher) Startles(p slatewind.Publication) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p.Whole {
+		return w.lacks(p)
+	}
+	return slices.ContainsFunc(p.Removed, func(name string) bool { return w.stays(name) })
+}
+
+// lacks reports whether a whole publication lacks a server that did not say that it
+// leaves. The lock is held.
+func (w *Watcher) lacks(all slatewind.Publication) bool {
+	listed := listedIn(all)
+	for name := range w.servers {
+		if !listed[name] && w.stays(name) {
+			return true
 		}
 	}
-	return addresses
+	return false
+}
+
+// stays reports whether a server is known and did not say that it leaves. The lock is
+// held.
+func (w *Watcher) stays(name string) bool {
+	server, known := w.servers[name]
+	return known && !server.Leaving
+}
+
+func listedIn(all slatewind.Publication) map[string]bool {
+	listed := make(map[string]bool, len(all.Servers))
+	for _, entry := range all.Servers {
+		listed[entry.Name] = true
+	}
+	return listed
 }
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -19,9 +19,11 @@
 var Error = errs.Class("discovery")
 
 const (
-	// Readers is how many processes of a data centre follow the store. The
-	// others ask these, so that calls to the store do not grow with the fleet.
-	Readers = 2
+	// leastReaders is how many processes follow the store at least, and perReader how
+	// many share one in a larger fleet. The others ask these, so that calls to the store
+	// grow slowly with the fleet, and not with its data centres.
+	leastReaders = 2
+	perReader    = 50
 	// freshAge is how old a peer's answer may be before the store is asked: as old
 	// as a reader's view becomes from one call to the end of the next.
 	freshAge = storePace + 2*storeTime
@@ -30,13 +32,9 @@
 	askTimeout = 200 * time.Millisecond
 	// failedTime is how long a peer that did not answer is passed over.
 	failedTime = 3 * time.Second
-	// pingEvery is how often a process that asks its peers checks whether it could
-	// reach the store itself, and pingTimeout how long it waits. Both are over
-	// before a server that is cut off has missed the three heartbeats after which
-	// its entry runs out.
-	pingEvery   = 2 * time.Second
-	pingTimeout = 700 * time.Millisecond
-	// cutPingEvery is how often it checks while it cannot reach the store.
+	// pingTimeout is how long a process waits that checks whether it could reach the
+	// store itself, and cutPingEvery how often it checks while it could not.
+	pingTimeout  = 700 * time.Millisecond
 	cutPingEvery = 500 * time.Millisecond
 	// directPause is the time from a direct call that failed or took wellTime or
 	// longer to the next of a process that need not be a reader; it doubles up to
@@ -60,10 +58,11 @@
 	Ping(ctx context.Context) error
 }
 
-// Share is a publisher that spares the store: few processes of each data centre
-// read it, the others ask them. Who reads follows from the list of servers, so
-// that no messages are needed to agree: the first by the hash of their addresses
-// that answer. Where the readers' answer is old, a process asks the store itself.
+// Share is a publisher that spares the store: few processes read it, the others ask
+// them, if they can in their own data centre. Who reads follows from the list of
+// servers, so that no messages are needed to agree: of each data centre the first by
+// the hash of their addresses that answer, as many as the fleet needs. Where the
+// readers' answer is old, a process asks the store itself.
 // A Share serves one watcher and is not safe for use by several goroutines.
 type Share struct {
 	// reads says that this process reads the store for its data centre.
@@ -73,11 +72,13 @@
 	peers Peers
 	// self is the address of the server beside this process. Processes are known
 	// by their servers' addresses here.
-	self string
-	// local returns the addresses of the servers in the own data centre.
-	local func() []string
-	// all returns those of every data centre.
-	all func() []string
+	self       string
+	dataCentre string
+	// places returns where the servers are that are known.
+	places func() []Place
+	// startles reports whether a publication takes away servers that did not say before
+	// that they leave: their entries may be missing since the store was away.
+	startles func(slatewind.Publication) bool
 	// feed keeps the settings, of which peers tell and are told the version.
 	feed *Feed
 	// seeds are asked where no server is known yet.
@@ -106,8 +107,9 @@
 
 // Follow names the watcher whose servers are the peers, and the feed of settings.
 func (s *Share) Follow(w *Watcher, feed *Feed, dataCentre string) {
-	s.local = func() []string { return w.Peers(dataCentre) }
-	s.all = func() []string { return w.Peers("") }
+	s.dataCentre = dataCentre
+	s.places = w.Places
+	s.startles = w.Startles
 	s.feed = feed
 }
 
@@ -134,17 +136,20 @@
 		return s.direct(ctx, after)
 	}
 	reader := readers[s.draw(len(readers))]
-	pinged := s.ping(ctx, now)
+	pinged := s.pingWhileCut(ctx, now)
 	p, ok := s.ask(ctx, reader, after)
 	s.endPing(pinged)
 	// What a reader without the store tells may be new, since it asks others in turn;
 	// but then its settings may be older than its news of servers.
 	fresh := ok && !p.Cut && p.Age <= freshAge
+	if fresh && !s.cut && s.startles(p) {
+		s.endPing(s.ping(ctx))
+	}
 	p.Cut = s.cut
 	if fresh {
 		return p, nil
 	}
-	if time.Now().Before(s.directAfter) {
+	if s.cut || time.Now().Before(s.directAfter) {
 		switch {
 		case ok:
 			return p, nil
@@ -169,16 +174,17 @@
 	return reads
 }
 
-// ping finds out now and then whether this process could reach the store, beside a
-// question to a peer. The channel brings the result; it is nil where none is due.
-func (s *Share) ping(ctx context.Context, now time.Time) <-chan error {
-	every := pingEvery
-	if s.cut {
-		every = cutPingEvery
-	}
-	if now.Sub(s.lastContact) < every {
+// pingWhileCut finds out now and then whether a process that could not reach the
+// store can again, beside a question to a peer. The channel is nil where nothing is due.
+func (s *Share) pingWhileCut(ctx context.Context, now time.Time) <-chan error {
+	if !s.cut || now.Sub(s.lastContact) < cutPingEvery {
 		return nil
 	}
+	return s.ping(ctx)
+}
+
+// ping asks whether this process can reach the store. The channel brings the result.
+func (s *Share) ping(ctx context.Context) <-chan error {
 	result := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -233,15 +239,50 @@
 	s.directAfter = time.Now().Add(s.pause)
 }
 
-// readers returns the processes that read the store for the own data centre.
+// readers returns the processes that read the store for this one: those of the own data
+// centre, or else all.
 func (s *Share) readers(now time.Time) []string {
-	candidates := slices.DeleteFunc(s.local(), func(address string) bool {
-		return now.Before(s.failed[address])
+	candidates := slices.DeleteFunc(s.places(), func(place Place) bool {
+		return now.Before(s.failed[place.Address])
 	})
+	elected := elect(candidates)
+	near := addresses(elected, s.dataCentre)
+	if len(near) > 0 {
+		return near
+	}
+	return addresses(elected, "")
+}
+
+// elect returns which processes read the store: of each data centre the first, then of
+// each the second and so on, until there are enough for all.
+func elect(candidates []Place) []Place {
 	sort.Slice(candidates, func(i, j int) bool {
-		return xxhash.Sum64String(candidates[i]) < xxhash.Sum64String(candidates[j])
+		return xxhash.Sum64String(candidates[i].Address) < xxhash.Sum64String(candidates[j].Address)
+	})
+	// A server and the one that takes its place may both be listed for a moment.
+	candidates = slices.Compact(candidates)
+	ranks, before := make(map[string]int, len(candidates)), map[string]int{}
+	for _, place := range candidates {
+		ranks[place.Address] = before[place.DataCentre]
+		before[place.DataCentre]++
+	}
+	sort.SliceStable(candidates, func(i, j int) bool {
+		return ranks[candidates[i].Address] < ranks[candidates[j].Address]
 	})
-	return candidates[:min(len(candidates), Readers)]
+	enough := max(leastReaders, (len(candidates)+perReader-1)/perReader)
+	return candidates[:min(len(candidates), enough)]
+}
+
+// addresses returns those of the places in a data centre, or everywhere where it is
+// empty.
+func addresses(places []Place, dataCentre string) []string {
+	var list []string
+	for _, place := range places {
+		if dataCentre == "" || place.DataCentre == dataCentre {
+			list = append(list, place.Address)
+		}
+	}
+	return list
 }
 
 // ask asks one process; ok says that it answered and knows something.
@@ -263,7 +304,7 @@
 
 // askAnybody asks a random process.
 func (s *Share) askAnybody(ctx context.Context, after uint64) (p slatewind.Publication, ok bool) {
-	others := s.without(s.all())
+	others := s.without(addresses(s.places(), ""))
 	if len(others) == 0 {
 		return p, false
 	}
@@ -275,10 +316,11 @@
 // others returns the addresses of the other processes near by, or else of all that
 // are known.
 func (s *Share) others() []string {
-	if near := slices.DeleteFunc(s.local(), s.isSelf); len(near) > 0 {
+	places := s.places()
+	if near := slices.DeleteFunc(addresses(places, s.dataCentre), s.isSelf); len(near) > 0 {
 		return near
 	}
-	return s.without(s.all())
+	return s.without(addresses(places, ""))
 }
 
 // without leaves this process out of all that are known; the seeds are all while
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -244,7 +244,7 @@
 func TestShare(t *testing.T) {
 	tests := map[string]func(t *testing.T, ctx context.Context, f *fleet){
 		"two read for all": func(t *testing.T, _ context.Context, f *fleet) {
-			assert.Equal(t, len(f.called()), Readers)
+			assert.Equal(t, len(f.called()), leastReaders)
 			for name, share := range f.shares {
 				assert.Equal(t, share.Reads(), slices.Contains(f.called(), name), name)
 			}
@@ -349,3 +349,107 @@
 	}
 	return ""
 }
+
+// TestElect states how many processes read the store, and in which data centres, by the
+// sizes of these.
+func TestElect(t *testing.T) {
+	tests := map[string]struct {
+		sizes []int
+		// readers are those of the data centres together, far says that some data centre
+		// has none of its own.
+		readers int
+		far     bool
+	}{
+		"one small":                  {[]int{12}, 2, false},
+		"three small":                {[]int{7, 7, 7}, 2, true},
+		"five very small":            {[]int{5, 4, 4, 4, 4}, 2, true},
+		"three of an ordinary size":  {[]int{27, 27, 25}, 2, true},
+		"five large":                 {[]int{47, 47, 47, 47, 47}, 5, false},
+		"six at the target size":     {[]int{400, 400, 400, 400, 300, 300}, 44, false},
+		"fewer than there should be": {[]int{1}, 1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var places []Place
+			for dc, size := range test.sizes {
+				for i := range size {
+					places = append(places, Place{fmt.Sprintf("10.%d.%d.%d:1", dc, i/250, i%250), fmt.Sprint("dc-", dc)})
+				}
+			}
+			elected := elect(slices.Clone(places))
+			assert.Equal(t, len(elected), test.readers)
+			with := map[string]int{}
+			for _, place := range elected {
+				with[place.DataCentre]++
+			}
+			assert.Equal(t, len(with) < len(test.sizes), test.far)
+			slices.Reverse(places)
+			assert.DeepEqual(t, elect(places), elected)
+		})
+	}
+}
+
+// TestCallsWhileStoreIsAway: processes that cannot reach the store ask it little, and
+// all of them hear of it again soon after it is back.
+func TestCallsWhileStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 30)
+		settle(5 * time.Second)
+		f.allCutOff(true)
+		settle(4 * time.Second)
+		f.countAnew()
+		const away = 10
+		settle(away * time.Second)
+		calls, pings := f.counts()
+		assert.Assert(t, calls <= leastReaders*3*away, "%d calls in %d s", calls, away)
+		assert.Assert(t, pings <= 30*2*away, "%d pings in %d s", pings, away)
+		f.allCutOff(false)
+		f.publishVersion(3)
+		settle(3 * time.Second)
+		f.allHeard(t, 3)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestQuietFleetPingsNothing: while nothing happens only readers ask the store.
+func TestQuietFleetPingsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 30)
+		settle(5 * time.Second)
+		f.countAnew()
+		settle(10 * time.Second)
+		calls, pings := f.counts()
+		assert.Equal(t, pings, 0)
+		assert.Assert(t, calls <= leastReaders*12, "%d calls in 10 s", calls)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// allCutOff takes every process's way to the store away, or gives it back.
+func (f *fleet) allCutOff(cut bool) {
+	for name := range f.watchers {
+		f.cutOff(name, cut)
+	}
+}
+
+// countAnew begins the counts of calls and pings anew.
+func (f *fleet) countAnew() {
+	f.forgetCalls()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pings = 0
+}
+
+// counts returns how many calls and pings the store got.
+func (f *fleet) counts() (calls, pings int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.calls {
+		calls += n
+	}
+	return calls, f.pings
+}
