--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -413,6 +413,37 @@
 	})
 }
 
+// TestShortOutage: entries that ran out in an outage of the store stay for a heartbeat
+// after it, also at processes that did not notice the outage but were told by one that
+// did.
+func TestShortOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 12)
+		settle(5 * time.Second)
+		all := f.published
+		f.allCutOff(true)
+		settle(950 * time.Millisecond)
+		without := all
+		without.Servers = all.Servers[1:]
+		f.publish(without)
+		f.allCutOff(false)
+		for range 13 {
+			settle(100 * time.Millisecond)
+			for name, sink := range f.sinks {
+				assert.Check(t, len(sink.servers) == len(all.Servers), "%s let a server go", name)
+			}
+		}
+		f.publish(all)
+		settle(4 * time.Second)
+		for name, sink := range f.sinks {
+			assert.Check(t, len(sink.servers) == len(all.Servers), "%s let a server go", name)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestQuietFleetPingsNothing: while nothing happens only readers ask the store.
 func TestQuietFleetPingsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
