Wait longer for the first settings, and ping less while the store is away for all

Change: a process that begins waits 8 s for settings and asks anew once it hears from others that there are some. Where the reader cannot reach the store either, a process pings each 2 s and, once its reader can again, at once.

Tests: TestProcessesThatBeginWaitForSettings; TestCallsWhileStoreIsAway now allows half a ping a second (two before).

--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -14,6 +14,9 @@
 	// answer is lost is noticed after that and the call's own timeout, which is
 	// before the three seconds after trouble in which settings may be late.
 	settingsWait = 2 * time.Second
+	// firstWait is that for a process that begins, while there are no settings yet: it
+	// hears from others when there are, should its answer be lost.
+	firstWait = 8 * time.Second
 	// settingsPace is the least time between two calls for settings: of those
 	// that come in quick succession only the newest matter.
 	settingsPace = 100 * time.Millisecond
@@ -139,8 +142,10 @@
 	look := f.look
 	f.look = false
 	switch {
-	case f.share.Reads() || f.settings == nil:
+	case f.share.Reads():
 		return settingsWait, true
+	case f.settings == nil:
+		return firstWait, true
 	case look:
 		return 0, true
 	}
@@ -243,6 +248,9 @@
 	if newer || version == f.newest && holder != "" {
 		f.newest, f.holder = version, holder
 	}
+	if newer && f.settings == nil && f.restart != nil {
+		f.restart()
+	}
 	f.mu.Unlock()
 	if newer {
 		f.Wake()
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -33,9 +33,12 @@
 	// failedTime is how long a peer that did not answer is passed over.
 	failedTime = 3 * time.Second
 	// pingTimeout is how long a process waits that checks whether it could reach the
-	// store itself, and cutPingEvery how often it checks while it could not.
-	pingTimeout  = 700 * time.Millisecond
-	cutPingEvery = 500 * time.Millisecond
+	// store itself. cutPingEvery is how often it checks while it could not, and
+	// awayPingEvery that where its reader cannot either: then the store is away for all,
+	// and that it is back is heard from the reader. Calls that fail are paid for in full.
+	pingTimeout   = 700 * time.Millisecond
+	cutPingEvery  = 500 * time.Millisecond
+	awayPingEvery = 2 * time.Second
 	// directPause is the time from a direct call that failed or took wellTime or
 	// longer to the next of a process that need not be a reader; it doubles up to
 	// maxDirectPause. While the store is away or slow its readers try for all.
@@ -93,6 +96,8 @@
 	// cut says that the store could not be reached at lastContact.
 	cut         bool
 	lastContact time.Time
+	// away says that the reader which was asked last could not reach it either.
+	away bool
 	// draw returns a number from 0 up to n, by which one of n processes is chosen.
 	draw func(n int) int
 }
@@ -139,6 +144,7 @@
 	pinged := s.pingWhileCut(ctx, now)
 	p, ok := s.ask(ctx, reader, after)
 	s.endPing(pinged)
+	s.away = ok && p.Cut
 	// What a reader without the store tells may be new, since it asks others in turn;
 	// but then its settings may be older than its news of servers.
 	fresh := ok && !p.Cut && p.Age <= freshAge
@@ -177,7 +183,11 @@
 // pingWhileCut finds out now and then whether a process that could not reach the
 // store can again, beside a question to a peer. The channel is nil where nothing is due.
 func (s *Share) pingWhileCut(ctx context.Context, now time.Time) <-chan error {
-	if !s.cut || now.Sub(s.lastContact) < cutPingEvery {
+	every := cutPingEvery
+	if s.away {
+		every = awayPingEvery
+	}
+	if !s.cut || now.Sub(s.lastContact) < every {
 		return nil
 	}
 	return s.ping(ctx)
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -44,7 +44,9 @@
 	handOvers map[string]int
 	calls     map[string]int
 	pings     int
-	published slatewind.Publication
+	// settingsCalls counts the calls for settings.
+	settingsCalls int
+	published     slatewind.Publication
 }
 
 // storeOf is the store as one process reaches it.
@@ -81,6 +83,9 @@
 
 func (s storeOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
 	const look = 10 * time.Millisecond
+	s.f.mu.Lock()
+	s.f.settingsCalls++
+	s.f.mu.Unlock()
 	for end := time.Now().Add(wait); ; sleep(ctx, look) {
 		s.f.mu.Lock()
 		cut, settings, incoming := s.f.cut[s.self], s.f.settings, s.f.incoming[s.self]
@@ -403,7 +408,7 @@
 		settle(away * time.Second)
 		calls, pings := f.counts()
 		assert.Assert(t, calls <= leastReaders*3*away, "%d calls in %d s", calls, away)
-		assert.Assert(t, pings <= 30*2*away, "%d pings in %d s", pings, away)
+		assert.Assert(t, pings <= 30*away/2, "%d pings in %d s", pings, away)
 		f.allCutOff(false)
 		f.publishVersion(3)
 		settle(3 * time.Second)
@@ -413,6 +418,28 @@
 	})
 }
 
+// TestProcessesThatBeginWaitForSettings: processes that begin before there are settings wait for
+// them with few calls, and all have them soon once they are published, also those whose
+// call is lost.
+func TestProcessesThatBeginWaitForSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 30)
+		settle(6 * time.Second)
+		f.mu.Lock()
+		asked := f.settingsCalls
+		f.mu.Unlock()
+		assert.Assert(t, asked <= 30+leastReaders*4, "%d calls for settings", asked)
+		victim := "server-7:1"
+		f.cutOff(victim, true)
+		f.publishVersion(1)
+		settle(2 * time.Second)
+		f.allHeard(t, 1)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestShortOutage: entries that ran out in an outage of the store stay for a heartbeat
 // after it, also at processes that did not notice the outage but were told by one that
 // did.
