--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -58,13 +58,11 @@
 		promise: soak.PromiseNoCut,
 		edits: []edit{{
 			file: "daemon/nodestop.go",
-			from: `	n.waitUntilQuiet(ctx)
-	ending, cancel := context.WithTimeout(ctx, drainNotice)
-	defer cancel()
-	n.callers.SetKeepAlivesEnabled(false)
-	err := n.callers.Shutdown(ending)`,
+			from: `	n.waitUntilQuiet(ctx, began, share(workShare, grace))
+	n.outbound.End()
+	n.callers.SetKeepAlivesEnabled(false)`,
 			to: `	n.callers.SetKeepAlivesEnabled(false)
-	err := n.callers.Close()`,
+	_ = n.callers.Close()`,
 		}},
 	},
 	"the store's word that a server leaves is not heard": {
@@ -96,7 +94,7 @@
 		promise: soak.PromiseBudget,
 		edits: []edit{{
 			file: "inbound/slots.go",
-			from: "r.GetExtra() && !in.extras.Left(now)",
+			from: "r.GetExtra() && !in.mayBeExtra(now, r)",
 			to:   "false",
 		}},
 	},
