--- a/discovery/share.go
+++ b/discovery/share.go
@@ -141,27 +141,12 @@
 		return s.direct(ctx, after)
 	}
 	reader := readers[s.draw(len(readers))]
-	pinged := s.pingWhileCut(ctx, now)
-	p, ok := s.ask(ctx, reader, after)
-	s.endPing(pinged)
-	s.away = ok && p.Cut
-	// What a reader without the store tells may be new, since it asks others in turn;
-	// but then its settings may be older than its news of servers.
-	fresh := ok && !p.Cut && p.Age <= freshAge
-	if fresh && !s.cut && s.startles(p) {
-		s.endPing(s.ping(ctx))
-	}
-	p.Cut = s.cut
-	if fresh {
+	p, answered, fresh := s.follow(ctx, reader, after)
+	switch {
+	case fresh, answered && (s.cut || time.Now().Before(s.directAfter)):
 		return p, nil
-	}
-	if s.cut || time.Now().Before(s.directAfter) {
-		switch {
-		case ok:
-			return p, nil
-		case s.cut:
-			return slatewind.Publication{}, Error.New("neither the store nor the process beside %s answers", reader)
-		}
+	case s.cut:
+		return slatewind.Publication{}, Error.New("neither the store nor the process beside %s answers", reader)
 	}
 	p, err := s.direct(ctx, after)
 	if err == nil && !p.Relayed {
@@ -172,6 +157,23 @@
 	return p, err
 }
 
+// follow asks a reader. It reports whether that one answered, and whether its news are
+// as good as the store's own.
+func (s *Share) follow(ctx context.Context, reader string, after uint64) (p slatewind.Publication, answered, fresh bool) {
+	pinged := s.pingWhileCut(ctx, time.Now())
+	p, answered = s.ask(ctx, reader, after)
+	s.endPing(pinged)
+	s.away = answered && p.Cut
+	// What a reader without the store tells may be new, since it asks others in turn;
+	// but then its settings may be older than its news of servers.
+	fresh = answered && !p.Cut && p.Age <= freshAge
+	if fresh && !s.cut && s.startles(p) {
+		s.endPing(s.ping(ctx))
+	}
+	p.Cut = s.cut
+	return p, answered, fresh
+}
+
 // reading notes whether this process reads for its data centre, and returns it.
 func (s *Share) reading(reads bool) bool {
 	if s.reads.Swap(reads) != reads {
--- a/inbound/hung_test.go
+++ b/inbound/hung_test.go
@@ -27,7 +27,7 @@
 		single.Repeatable, single.Careful, single.RemainingMs, single.BearableTenths = false, true, 60_000, 1000
 		use, reply := p.reserve(context.Background(), single)
 		assert.Assert(t, reply.GetGranted() != nil, "%v", reply)
-		go func() { _, _ = request(use, fmt.Sprint("hung-", i), "b") }()
+		go func() { _, _ = request(use, fmt.Sprint("hung-", i)) }()
 	}
 	for p.View().Breaker == "closed" {
 		time.Sleep(5 * time.Millisecond)
@@ -79,7 +79,7 @@
 		r.PatienceMs = 20
 		use, reply := p.reserve(ctx, r)
 		if reply.GetGranted() != nil {
-			go func() { _, _ = request(use, "trial", "b") }()
+			go func() { _, _ = request(use, "trial") }()
 		}
 		assert.Assert(t, p.InUse() <= slots+1)
 		time.Sleep(10 * time.Millisecond)
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -74,10 +74,10 @@
 }
 
 // request sends the request that takes a granted slot and returns the reply.
-func request(use link.Use, id, body string) (*slatewindv1.UseReply, error) {
+func request(use link.Use, id string) (*slatewindv1.UseReply, error) {
 	err := use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
 		RemainingNanos: int64(2 * time.Second), Server: "s-1", Method: "POST", Target: "/x", Host: "h",
-		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: id}}, Body: []byte(body), BodyLength: int64(len(body)),
+		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: id}}, Body: []byte("b"), BodyLength: 1,
 	}}})
 	if err != nil {
 		return nil, err
@@ -91,7 +91,7 @@
 	if refusal := reply.GetRefusal(); refusal != nil {
 		return refusal.GetCause()
 	}
-	reply, err := request(use, id, "b")
+	reply, err := request(use, id)
 	switch {
 	case err != nil:
 		return err.Error()
@@ -177,7 +177,7 @@
 	use, reply := p.reserve(context.Background(), reservation())
 	assert.Assert(t, reply.GetGranted() != nil)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Leaving: true})
-	reply, err := request(use, "id", "b")
+	reply, err := request(use, "id")
 	assert.NilError(t, err)
 	assert.Equal(t, reply.GetRefusal().GetCause(), string(inbound.CauseLeaving))
 	assert.Equal(t, p.server.Arrivals(), 0)
