--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -38,6 +38,8 @@
 	waySilent way = "silent"
 	// wayLost loses what comes back after a request was sent.
 	wayLost way = "lost"
+	// waySick has each reservation refused, after a while.
+	waySick way = "sick"
 )
 
 // mesh is one ingress with some servers and the processes beside them.
@@ -73,12 +75,25 @@
 		return nil, errors.New("connection refused")
 	case waySilent:
 		return link.LocalUse(ctx, func(s link.UseStream) error { <-s.Context().Done(); return nil }), nil
+	case waySick:
+		return link.LocalUse(ctx, refuseSick), nil
 	case wayLost:
 		return &lossy{Use: link.LocalUse(ctx, place.Serve), ctx: ctx}, nil
 	}
 	return link.LocalUse(ctx, place.Serve), nil
 }
 
+// refuseSick is the process beside a server that is sick and will be for a while.
+func refuseSick(s link.UseStream) error {
+	if _, err := s.Recv(); err != nil {
+		return err
+	}
+	time.Sleep(20 * time.Millisecond)
+	return s.Send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Refusal{Refusal: &slatewindv1.Refusal{
+		Cause: string(inbound.CauseSick), RetryAfterMs: 2000, State: &slatewindv1.SlotState{Slots: 2, Health: string(slatewind.ServerEjected), FailurePercent: 100},
+	}}})
+}
+
 // lossy is a reservation whose replies get lost once the request was sent.
 type lossy struct {
 	link.Use
--- a/outbound/waiting_test.go
+++ b/outbound/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -92,3 +93,27 @@
 	assert.Equal(t, m.runs("id"), 1)
 	assert.Equal(t, m.servers["far"].Arrivals(), 0)
 }
+
+// TestSearchPastManySickServers: a request finds the one server that is well among
+// many that are sick, though each refusal takes a while: the more there were, the more
+// servers are asked side by side.
+//
+// While four servers in ten were slow and others lost answers, 1,086 requests in eight
+// seconds ended with "the server is ejected". What settled it: lines such as "sick:
+// 88, known=178 asked=92 left=72 took=976ms": one server after the other was asked, about
+// ten milliseconds each, and the patience was over before those that were well had their
+// turn.
+func TestSearchPastManySickServers(t *testing.T) {
+	const sick = 40
+	m := newMesh(t)
+	for i := range sick {
+		name := fmt.Sprint("sick-", i)
+		m.ways[name] = waySick
+		m.Put(time.Now(), slatewind.ServerEntry{Name: name, Service: "svc", Address: fmt.Sprint("10.0.0.1:", i), DataCentre: "dc", Slots: 2})
+	}
+	m.add(t, "well", "svc")
+	m.Put(time.Now(), slatewind.ServerEntry{Name: "well", Service: "svc", Address: "10.0.0.2:1", DataCentre: "far", Slots: 2})
+	g := m.send("POST", "/pay/1", "id", "b", 2*time.Second)
+	assert.Equal(t, g.status, http.StatusOK, g.body)
+	assert.Equal(t, m.runs("id"), 1)
+}
