Take back extra attempts by rank

While attempts are scarce the lower rank's were denied and the higher rank did not make them instead: its searches end at the first server that has none left.

--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -94,8 +94,6 @@
 	breaker *breaker.Breaker
 	// extras is the account of extra arrivals at the server.
 	extras *retry.Window
-	// turns say whose extra arrivals go first while there are too few.
-	turns *retry.Turns
 	// bounds are the operators', shared by so many servers of the service.
 	bounds  Bounds
 	sharers int
@@ -117,7 +115,6 @@
 		slots:   admission.NewServer(defaultSlots),
 		breaker: breaker.New(),
 		extras:  retry.NewWindow(time.Now(), extrasShare*bounds.RetryRatio, bounds.RetryWindow),
-		turns:   retry.NewTurns(),
 		waiting: map[string]chan admission.Decision{},
 		parents: map[string]*parent{},
 	}
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -119,20 +119,12 @@
 		return in.refusal(CauseLeaving, whyLeaving(in.away), 0)
 	case !in.breaker.Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort(), Bears: float64(r.GetBearableTenths()) / tenths}):
 		return in.refusal(CauseSick, "", in.breaker.RetryAfter(now))
-	case r.GetExtra() && !in.mayBeExtra(now, r):
+	case r.GetExtra() && !in.extras.Left(now):
 		return in.refusal(CauseBudget, "", 0)
 	}
 	return nil
 }
 
-// mayBeExtra reports whether the server may get an extra arrival for a request. What has
-// begun elsewhere is not put behind a higher rank: its refusal would waste that work. The
-// lock is held.
-func (in *Inbound) mayBeExtra(now time.Time, r *slatewindv1.Reservation) bool {
-	left := in.extras.Left(now)
-	return in.turns.Allow(now, r.GetRank(), left) || left && r.GetBegun()
-}
-
 // leaving returns why the server takes no new work, or nothing while it does.
 func (in *Inbound) leaving() string {
 	in.mu.Lock()
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -94,7 +94,7 @@
 		promise: soak.PromiseBudget,
 		edits: []edit{{
 			file: "inbound/slots.go",
-			from: "r.GetExtra() && !in.mayBeExtra(now, r)",
+			from: "r.GetExtra() && !in.extras.Left(now)",
 			to:   "false",
 		}},
 	},
