Return to the command line's level of logs where a file names none

Cause: a changed file that no longer names a level left the one before in force, though the line said that the change is in force.

Test: TestLogLevel.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,8 +58,9 @@
 
 // Options returns the wiring of a process with the settings that were read from a
 // file: of a Node where they name the platform's store, otherwise of a Process.
-func Options(file string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
-	setLevel(logger, process)
+func Options(path string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
+	file := settingsFile{path, logger.GetLevel()}
+	file.setLevel(logger, process)
 	if process.GetStore() != nil {
 		return nodeOptions(file, process, logger)
 	}
@@ -73,11 +74,11 @@
 }
 
 // commonOptions returns the wiring that a process and a node share.
-func commonOptions(file string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
+func commonOptions(file settingsFile, process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
 		fx.NopLogger,
 		fx.StopTimeout(StopTimeout+stopMargin),
-		fx.Supply(settingsFile(file), process, logger),
+		fx.Supply(file, process, logger),
 		fx.Provide(
 			metrics.New,
 			func(j *history.Journal) *config.Store { return config.NewStore(j) },
@@ -132,7 +133,7 @@
 	incarnation := attempt.NewIncarnation(time.Now())
 	limits := process.GetLimits()
 	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
-	p.file = reload.New(string(file), process, livingOfProcess, reloaded{logger, p.reload})
+	p.file = reload.New(file.path, process, livingOfProcess, reloaded{file, logger, p.reload})
 	p.servers = sidecar.NewHTTPCaller()
 	p.recorder = replay.NewRecorder(process.GetVm(), int(limits.GetRecordedEvents()))
 	p.gossip = gossip.New(member.Entry{
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -117,7 +117,7 @@
 	m, err := metrics.New()
 	assert.NilError(f.t, err)
 	j := history.New(0, nil)
-	n := newNode(settingsFile(f.files[i]), process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool(nil))
+	n := newNode(settingsFile{path: f.files[i]}, process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool(nil))
 	assert.NilError(f.t, n.Start(context.Background()))
 	stopped := false
 	f.t.Cleanup(func() {
--- a/daemon/nodestop.go
+++ b/daemon/nodestop.go
@@ -34,10 +34,10 @@
 	n.stopping.Store(true)
 	n.outbound.Leave()
 	n.inbound.Stop(began)
-	n.waitUntilQuiet(ctx, began, share(workShare, grace))
+	n.waitUntilQuiet(ctx, began, partOf(grace, workShare))
 	n.outbound.End()
 	n.callers.SetKeepAlivesEnabled(false)
-	ending, cancel := context.WithDeadline(ctx, began.Add(share(endShare, grace)))
+	ending, cancel := context.WithDeadline(ctx, began.Add(partOf(grace, endShare)))
 	defer cancel()
 	if err := n.callers.Shutdown(ending); err != nil {
 		n.logger.Warn("callers cut off by the stop", "callers", n.outbound.InFlight(), "cause", err)
@@ -57,9 +57,9 @@
 	return defaultGrace
 }
 
-// share returns a share of a time.
-func share(part float64, whole time.Duration) time.Duration {
-	return time.Duration(part * float64(whole))
+// partOf returns a share of a time.
+func partOf(whole time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(whole))
 }
 
 // waitUntilQuiet waits until nothing is in hand and no caller comes any more, or until
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -20,7 +20,7 @@
 
 // nodeOptions returns the wiring of a process whose servers are listed in the
 // platform's store.
-func nodeOptions(file string, process *slatewindv1.Process, logger *log.Logger) fx.Option {
+func nodeOptions(file settingsFile, process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
 		commonOptions(file, process, logger),
 		fx.Provide(newNodeHistory, newNode),
@@ -44,7 +44,7 @@
 func newNode(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
 	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool}
 	n.living.Store(process)
-	n.file = reload.New(string(file), process, livingOfNode, reloaded{logger, n.reload})
+	n.file = reload.New(file.path, process, livingOfNode, reloaded{file, logger, n.reload})
 	n.inbound = inbound.New(inbound.Server{
 		Service: process.GetLocalServer().GetService(),
 		Address: process.GetLocalServer().GetAddress(),
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -8,8 +8,12 @@
 	"slatewind.example/slatewind/reload"
 )
 
-// settingsFile is the path of the file with a process's settings.
-type settingsFile string
+// settingsFile is the file with a process's settings.
+type settingsFile struct {
+	path string
+	// level is the command line's level of logs, for a file that names none.
+	level log.Level
+}
 
 // Keys of the settings that a living process takes; all others count from its start.
 var (
@@ -22,12 +26,14 @@
 
 // reloaded logs what became of a changed settings file and puts it into force.
 type reloaded struct {
+	file   settingsFile
 	logger *log.Logger
 	apply  func(*slatewindv1.Process)
 }
 
 // Reloaded implements reload.Sink.
 func (r reloaded) Reloaded(process *slatewindv1.Process, changes []reload.Change) {
+	r.file.setLevel(r.logger, process)
 	r.apply(process)
 	for _, c := range changes {
 		r.logger.Info("setting changed", "key", c.Key, "before", c.Before, "after", c.After, "effect", c.Effect)
@@ -40,29 +46,26 @@
 	r.logger.Error("settings file not taken; what was in force stays", "cause", cause)
 }
 
-// setLevel sets the level of logs that settings name; without one the level of the
-// command line stays.
-func setLevel(logger *log.Logger, process *slatewindv1.Process) {
-	if process.GetLogLevel() == "" {
-		return
-	}
-	level, err := log.ParseLevel(process.GetLogLevel())
-	if err != nil {
-		logger.Error("level of logs not set", "cause", err)
-		return
+// setLevel sets the level of logs that settings name, or else the command line's.
+func (f settingsFile) setLevel(logger *log.Logger, process *slatewindv1.Process) {
+	level := f.level
+	if name := process.GetLogLevel(); name != "" {
+		var err error
+		if level, err = log.ParseLevel(name); err != nil {
+			logger.Error("level of logs not set", "cause", err)
+			return
+		}
 	}
 	logger.SetLevel(level)
 }
 
 // reload puts into force what a living process can change.
 func (p *Process) reload(process *slatewindv1.Process) {
-	setLevel(p.logger, process)
 	p.journal.Resize(int(process.GetLimits().GetJournalEntries()))
 }
 
 // reload puts into force what a living node can change.
 func (n *Node) reload(process *slatewindv1.Process) {
-	setLevel(n.logger, process)
 	n.history.Resize(int(process.GetLimits().GetJournalEntries()))
 	n.share.SetSeeds(process.GetSeedPeers())
 	n.inbound.SetBounds(boundsOf(process))
--- a/daemon/reload_test.go
+++ b/daemon/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"syscall"
@@ -10,9 +11,11 @@
 	"time"
 
 	"buf.build/go/protoyaml"
+	"github.com/charmbracelet/log"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/internal/standin"
 )
@@ -44,6 +47,21 @@
 	assert.Equal(t, f.send(0, "/pay/1", "id"), http.StatusOK)
 }
 
+// TestLogLevel: the level of logs follows the file, and is the command line's again once
+// the file names none.
+func TestLogLevel(t *testing.T) {
+	logger := log.New(io.Discard)
+	logger.SetLevel(log.InfoLevel)
+	r := reloaded{settingsFile{level: log.InfoLevel}, logger, func(*slatewindv1.Process) {}}
+	for _, step := range []struct {
+		named slatewind.LogLevel
+		want  log.Level
+	}{{slatewind.LogWarn, log.WarnLevel}, {slatewind.LogDebug, log.DebugLevel}, {"", log.InfoLevel}} {
+		r.Reloaded(&slatewindv1.Process{LogLevel: string(step.named)}, nil)
+		assert.Equal(t, logger.GetLevel(), step.want, string(step.named))
+	}
+}
+
 // TestReloadRepeatsNoSingleRequest: whatever bounds a file states, a single request
 // whose answer is lost runs once, and its caller is not told that it did not run.
 func TestReloadRepeatsNoSingleRequest(t *testing.T) {
