--- a/discovery/leaving_test.go
+++ b/discovery/leaving_test.go
@@ -205,30 +205,43 @@
 		t.Run(name, func(t *testing.T) {
 			for phase := range 8 {
 				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					f := newFleet(ctx, 12)
-					f.publishVersion(1)
-					settle(3 * time.Second)
-					f.forgetCalls()
-					settle(2*time.Second + time.Duration(phase)*100*time.Millisecond)
-					readers := f.called()
-					for _, reader := range readers {
-						trouble(f, reader)
-					}
-					f.publishVersion(2)
-					settle(leastConfigTime)
-					for process, feed := range f.feeds {
-						late := feed.Version() != 2 && !slices.Contains(readers, process)
-						assert.Check(t, !late, "%s has no newer settings", process)
-					}
-					cancel()
-					synctest.Wait()
+					late := settingsDuring(t, phase, func(f *fleet, readers []string) {
+						for _, reader := range readers {
+							trouble(f, reader)
+						}
+					})
+					assert.Check(t, len(late) == 0, "no newer settings at %v", late)
 				})
 			}
 		})
 	}
 }
 
+// settingsDuring publishes settings while there is trouble, which begins at a phase of
+// the processes' rounds. It returns who does not have them in time, of those that do
+// not read the store themselves.
+func settingsDuring(t *testing.T, phase int, trouble func(f *fleet, readers []string)) (late []string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	f := newFleet(ctx, 12)
+	f.publishVersion(1)
+	settle(3 * time.Second)
+	f.forgetCalls()
+	settle(2*time.Second + time.Duration(phase)*100*time.Millisecond)
+	readers := f.called()
+	trouble(f, readers)
+	f.publishVersion(2)
+	settle(leastConfigTime)
+	for process, feed := range f.feeds {
+		if feed.Version() != 2 && !slices.Contains(readers, process) {
+			late = append(late, process)
+		}
+	}
+	cancel()
+	synctest.Wait()
+	return late
+}
+
 // chooses has all processes choose by a pattern from now on: its lowest bits say,
 // one after the other, which of two readers is asked.
 func (f *fleet) chooses(pattern int) {
@@ -271,25 +284,13 @@
 	for phase := range phases {
 		for pattern := range 1 << choices {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				f := newFleet(ctx, 12)
-				f.publishVersion(1)
-				settle(3 * time.Second)
-				f.forgetCalls()
-				settle(2*time.Second + time.Duration(phase)*100*time.Millisecond)
-				readers := f.called()
-				for _, reader := range readers {
-					f.cutOff(reader, true)
-				}
-				f.chooses(pattern)
-				f.publishVersion(2)
-				settle(leastConfigTime)
-				for process, feed := range f.feeds {
-					late := feed.Version() != 2 && !slices.Contains(readers, process)
-					assert.Check(t, !late, "%s has no newer settings; choices %05b, phase %d", process, pattern, phase)
-				}
-				cancel()
-				synctest.Wait()
+				late := settingsDuring(t, phase, func(f *fleet, readers []string) {
+					for _, reader := range readers {
+						f.cutOff(reader, true)
+					}
+					f.chooses(pattern)
+				})
+				assert.Check(t, len(late) == 0, "no newer settings at %v; choices %05b, phase %d", late, pattern, phase)
 			})
 		}
 	}
