--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -38,12 +38,6 @@
 	// slot, and objectiveShare that of its objective, whichever is longer.
 	patienceShare  = 0.25
 	objectiveShare = 0.4
-	// refusalsPerWidth is after how many refusals a search asks one more server side by
-	// side, and mostWidth how many at most. One after the other takes some ten
-	// milliseconds each, and where half of 178 servers were sick the patience was over
-	// before the others had their turn; a slot too many is given back at once.
-	refusalsPerWidth = 3
-	mostWidth        = 6
 	// againShare is the share of its time that a request may wait for a slot
 	// after a server has seen it without an answer, and that a call may.
 	againShare = 0.6
@@ -90,8 +84,6 @@
 	waitCost float64
 	// queue holds the servers that are still to be asked in this round.
 	queue []choice.Candidate
-	// refusedSoFar counts the reservations that brought no slot.
-	refusedSoFar int
 	// asked holds the servers that were asked.
 	asked map[string]bool
 	// newest is the reservation that was made last.
@@ -290,30 +282,10 @@
 	default:
 		s.refused(e)
 	}
-	s.refusedSoFar++
-	s.askOn()
+	s.ask()
 	return nil
 }
 
-// askOn asks further servers after one refused, the more side by side the more did.
-func (s *search) askOn() {
-	width := min(1+s.refusedSoFar/refusalsPerWidth, mostWidth)
-	for asked := s.ask(); asked && s.unheard() < width; {
-		asked = s.ask()
-	}
-}
-
-// unheard returns how many reservations have no reply yet.
-func (s *search) unheard() int {
-	n := 0
-	for a := range s.open {
-		if !a.heard {
-			n++
-		}
-	}
-	return n
-}
-
 // close ends all reservations but the one that was granted. Processes that
 // never replied are avoided for a while.
 func (s *search) close() {
