Rank the processes that may read the store once, and not for each question

Cause: to find its readers each process sorted all known servers each 0.45 s, by hashes that it computed anew in every comparison. Ruled out: ranking only those of the own data centre; who reads has to follow from all. Change: the watcher keeps the ranks until a server comes, goes or moves; finding the readers takes only as many as there are. How many there should be follows from all known servers, also where some did not answer.

--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -41,7 +41,7 @@
 // nodes is a small fleet of nodes in one process, each with an IP of its own,
 // in front of a store and servers that are stand-ins.
 type nodes struct {
-	t       *testing.T
+	t       testing.TB
 	store   *standin.Platform
 	web     *httptest.Server
 	servers []*standin.Stamped
@@ -54,7 +54,7 @@
 // nextNet gives each test addresses of its own on loopback.
 var nextNet atomic.Int64
 
-func newNodes(t *testing.T, n int) *nodes {
+func newNodes(t testing.TB, n int) *nodes {
 	f := &nodes{t: t, store: standin.NewPlatform(), base: fmt.Sprintf("127.88.%d", (int64(os.Getpid())+nextNet.Add(1))%250)}
 	f.web = httptest.NewServer(f.store.Handler())
 	t.Cleanup(f.web.Close)
--- a/discovery/known.go
+++ b/discovery/known.go
@@ -33,9 +33,13 @@
 			delete(w.lapsed, entry.Name)
 			delete(w.servers, entry.Name)
 		}
-		if before, ok := w.servers[entry.Name]; ok && before.ServerEntry == entry {
+		before, ok := w.servers[entry.Name]
+		if ok && before.ServerEntry == entry {
 			continue
 		}
+		if !ok || before.Address != entry.Address || before.DataCentre != entry.DataCentre {
+			w.electorate = nil
+		}
 		w.servers[entry.Name] = known{entry, p.Revision}
 		delete(w.removed, entry.Name)
 		w.sink.Server(now, entry)
@@ -73,6 +77,7 @@
 // gone forgets a server and tells the sink.
 func (w *Watcher) gone(now time.Time, name string, revision uint64) {
 	delete(w.servers, name)
+	w.electorate = nil
 	delete(w.lapsed, name)
 	if len(w.removed) >= maxRemoved {
 		clear(w.removed)
@@ -121,13 +126,15 @@
 	return p
 }
 
-// Place is where a server is, and so the process beside it.
-type Place struct{ Address, DataCentre string }
-
 // Places returns where all known servers are.
 func (w *Watcher) Places() []Place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.places()
+}
+
+// places is Places with the lock held.
+func (w *Watcher) places() []Place {
 	places := make([]Place, 0, len(w.servers))
 	for _, server := range w.servers {
 		places = append(places, Place{server.Address, server.DataCentre})
@@ -135,6 +142,16 @@
 	return places
 }
 
+// ranks returns the electorate of all known servers.
+func (w *Watcher) ranks() *electorate {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.electorate == nil {
+		w.electorate = newElectorate(w.places())
+	}
+	return w.electorate
+}
+
 // Startles reports whether a publication takes away servers that did not say that they
 // leave.
 func (w *Watcher) Startles(p slatewind.Publication) bool {
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -5,11 +5,9 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"slatewind.example/slatewind"
@@ -19,11 +17,6 @@
 var Error = errs.Class("discovery")
 
 const (
-	// leastReaders is how many processes follow the store at least, and perReader how
-	// many share one in a larger fleet. The others ask these, so that calls to the store
-	// grow slowly with the fleet, and not with its data centres.
-	leastReaders = 2
-	perReader    = 50
 	// freshAge is how old a peer's answer may be before the store is asked: as old
 	// as a reader's view becomes from one call to the end of the next.
 	freshAge = storePace + 2*storeTime
@@ -77,8 +70,9 @@
 	// by their servers' addresses here.
 	self       string
 	dataCentre string
-	// places returns where the servers are that are known.
-	places func() []Place
+	// places returns where the servers are that are known, electorate their ranks.
+	places     func() []Place
+	electorate func() *electorate
 	// startles reports whether a publication takes away servers that did not say before
 	// that they leave: their entries may be missing since the store was away.
 	startles func(slatewind.Publication) bool
@@ -113,7 +107,7 @@
 // Follow names the watcher whose servers are the peers, and the feed of settings.
 func (s *Share) Follow(w *Watcher, feed *Feed, dataCentre string) {
 	s.dataCentre = dataCentre
-	s.places = w.Places
+	s.places, s.electorate = w.Places, w.ranks
 	s.startles = w.Startles
 	s.feed = feed
 }
@@ -254,10 +248,7 @@
 // readers returns the processes that read the store for this one: those of the own data
 // centre, or else all.
 func (s *Share) readers(now time.Time) []string {
-	candidates := slices.DeleteFunc(s.places(), func(place Place) bool {
-		return now.Before(s.failed[place.Address])
-	})
-	elected := elect(candidates)
+	elected := s.electorate().readers(func(address string) bool { return now.Before(s.failed[address]) })
 	near := addresses(elected, s.dataCentre)
 	if len(near) > 0 {
 		return near
@@ -265,26 +256,6 @@
 	return addresses(elected, "")
 }
 
-// elect returns which processes read the store: of each data centre the first, then of
-// each the second and so on, until there are enough for all.
-func elect(candidates []Place) []Place {
-	sort.Slice(candidates, func(i, j int) bool {
-		return xxhash.Sum64String(candidates[i].Address) < xxhash.Sum64String(candidates[j].Address)
-	})
-	// A server and the one that takes its place may both be listed for a moment.
-	candidates = slices.Compact(candidates)
-	ranks, before := make(map[string]int, len(candidates)), map[string]int{}
-	for _, place := range candidates {
-		ranks[place.Address] = before[place.DataCentre]
-		before[place.DataCentre]++
-	}
-	sort.SliceStable(candidates, func(i, j int) bool {
-		return ranks[candidates[i].Address] < ranks[candidates[j].Address]
-	})
-	enough := max(leastReaders, (len(candidates)+perReader-1)/perReader)
-	return candidates[:min(len(candidates), enough)]
-}
-
 // addresses returns those of the places in a data centre, or everywhere where it is
 // empty.
 func addresses(places []Place, dataCentre string) []string {
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -84,6 +84,8 @@
 	revision uint64
 	seen     time.Time
 	servers  map[string]known
+	// electorate ranks the known servers' places, nil after they changed.
+	electorate *electorate
 	// removed holds the revisions at which servers went; forgotten is the
 	// revision up to which it may lack some.
 	removed   map[string]uint64
