Ask another data centre sooner where many servers of one are sick

TestSearchPastManySickServers was always red: a request asked forty sick servers of its own data centre one after the other, and its patience was over before the well one elsewhere. Cause: each server that the process had not asked lately was taken for well, whatever those beside it had just said. Ruled out: asking more of them side by side; the processes on weak VMs answer later the more they are asked (docs/PLATFORM.md). Change: the order of a search is a decision of its own (choice.Queue). Servers of a data centre are dearer by the cost of a sickness times the share of those asked there that were sick, where four well ones are taken for granted: after three sick ones in a row one elsewhere is asked.

--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -83,7 +84,7 @@
 	mayQueue int
 	waitCost float64
 	// queue holds the servers that are still to be asked in this round.
-	queue []choice.Candidate
+	queue *choice.Queue
 	// asked holds the servers that were asked.
 	asked map[string]bool
 	// newest is the reservation that was made last.
@@ -116,7 +117,7 @@
 func (o *Outbound) acquire(ctx context.Context, rq *request, aim aim, until time.Time) (*held, *final) {
 	s := &search{
 		o: o, rq: rq, aim: aim, until: until, ctx: ctx, open: map[*pending]bool{}, asked: map[string]bool{},
-		refusals: map[inbound.Cause]int{},
+		refusals: map[inbound.Cause]int{}, queue: choice.NewQueue(),
 	}
 	defer s.close()
 	patience := time.NewTimer(time.Until(until))
@@ -196,14 +197,10 @@
 
 // begin starts a round: all servers are asked in the order of their cost.
 func (s *search) begin() {
-	s.queue = s.queue[:0]
-	for _, server := range s.rq.shard.order(time.Now(), s.rq, s.aim) {
-		if !s.aim.tried[server.Name] {
-			s.queue = append(s.queue, server)
-		}
-	}
+	servers := s.rq.shard.order(time.Now(), s.rq, s.aim)
+	s.queue.Fill(slices.DeleteFunc(servers, func(server choice.Candidate) bool { return s.aim.tried[server.Name] }))
 	// Each reservation brings at most one reply that it waits and a final one.
-	s.events = make(chan event, 2*len(s.queue))
+	s.events = make(chan event, 2*s.queue.Len())
 	s.queued, s.mayQueue, s.waitCost = 0, maxQueued, 0
 }
 
@@ -243,7 +240,8 @@
 // worthTheCost reports whether the next server is not much dearer than those at
 // which the request waits.
 func (s *search) worthTheCost() bool {
-	return len(s.queue) > 0 && s.queue[0].Cost <= s.waitCost+waitGap
+	next, left := s.queue.Next()
+	return left && next.Cost <= s.waitCost+waitGap
 }
 
 // widen lets the request wait at further servers, besides those that keep it
@@ -273,6 +271,7 @@
 		return &held{server: e.of.server, use: e.use, cancel: e.of.cancel}
 	case e.reply.GetQueued() != nil:
 		s.heard(e.of.server.Name, toldOf(e.reply.GetQueued()))
+		s.queue.Heard(e.of.server.DataCentre, false)
 		s.queued++
 		s.waitCost = max(s.waitCost, e.of.server.Cost)
 		if s.queued < s.mayQueue && s.worthTheCost() {
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -32,11 +32,10 @@
 
 // ask makes a reservation at the next server; it reports whether there was one.
 func (s *search) ask() bool {
-	if len(s.queue) == 0 {
+	server, left := s.queue.Take()
+	if !left {
 		return false
 	}
-	server := s.queue[0]
-	s.queue = s.queue[1:]
 	to := s.aim
 	to.ask.Bears = s.bears(server)
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -65,10 +64,11 @@
 // bears returns how much suspicion of a server the request bears, by what the
 // next choice costs.
 func (s *search) bears(server choice.Candidate) float64 {
-	if len(s.queue) == 0 {
+	next, left := s.queue.Next()
+	if !left {
 		return math.Inf(1)
 	}
-	return min(leastBears+bearsPerCost*max(s.queue[0].Cost-server.Cost, 0), mostBears)
+	return min(leastBears+bearsPerCost*max(next.Cost-server.Cost, 0), mostBears)
 }
 
 // reserve makes one reservation and passes its replies on up to the final one.
@@ -209,6 +209,7 @@
 		s.retryAfter = after
 	}
 	s.heard(name, toldByRefusal(refusal))
+	s.queue.Heard(e.of.server.DataCentre, inbound.Cause(refusal.GetCause()) == inbound.CauseSick)
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseBudget {
 		s.rq.shard.deny(time.Now())
 		s.o.meter.Denied(s.rq.service, deniedBound)
