Pass over sick servers that a process has never asked

Cause: on the large deployment an ingress sends six requests a second among 178 servers, so that it has heard of few of them lately. While two in five were sick, a request got 17 refusals among the first 20 servers that it asked, 14 ms each: sick servers are idle, and an idle server of which nothing was heard cost nothing, less than any that was well and busy. The searches themselves kept the processes on weak VMs busy. Change: two things. Processes tell of sick servers with their question for news, which they ask a reader anyhow; readers answer with all that they were told and exchange it (package report; TestSickServerIsHeardOf failed first, "waited in vain for: node 3 knows", while readers did not exchange, and "the breaker stays open" until a sick server that waits for a trial was preferred now and then). And a server of which nothing was heard costs the share of sick ones among those that were heard of; a search leaves out servers that were heard to be sick since it began.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -182,6 +182,18 @@
 	return max(b.trialAfter-now.Sub(b.lastTrial), 0)
 }
 
+// trialRunning is how long it is taken to be until the next trial while one runs.
+const trialRunning = 100 * time.Millisecond
+
+// TrialIn returns how long it is until a trial is let through, or zero where one would be
+// now or the breaker is closed.
+func (b *Breaker) TrialIn(now time.Time) time.Duration {
+	if b.Allow(now, Ask{}) {
+		return 0
+	}
+	return max(b.RetryAfter(now), trialRunning)
+}
+
 // Start notes that the server gets a request, which its sender expects to take so
 // long; zero is unknown.
 func (b *Breaker) Start(now time.Time, id, route string, expected time.Duration) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,8 @@
 	Spent bool
 	// TrialIn is how long it is until a sick server may get its next trial.
 	TrialIn time.Duration
+	// TrialDue says that a sick server waits for a trial.
+	TrialDue bool
 }
 
 // Server is one server in the eyes of an ingress.
@@ -116,21 +118,54 @@
 	// Cost is what it costs to send the request there; 1 is a server all of whose
 	// slots are in use.
 	Cost float64
+	// Unheard says that nothing was heard of it lately.
+	Unheard bool
 }
 
 // Order returns the servers that may get a request, cheapest first.
 func (s *Service) Order(now time.Time, want Want) []Candidate {
 	list := make([]Candidate, 0, len(s.servers))
+	unheardCost := sickCost * s.sickShare(now)
 	for _, server := range s.servers {
 		if server.passedOver(now, want) != PassNone {
 			continue
 		}
-		list = append(list, Candidate{server.ServerEntry, s.cost(now, server, want) + jitter*s.random.Float64()})
+		cost := s.cost(now, server, want) + jitter*s.random.Float64() - s.trialRelief(now, server, want)
+		unheard := !server.heardLately(now)
+		if unheard {
+			cost += unheardCost
+		}
+		list = append(list, Candidate{server.ServerEntry, cost, unheard})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Cost < list[j].Cost })
 	return list
 }
 
+// sickShare returns the share of the servers that are expected to be sick among those of
+// which nothing was heard lately, by those of which something was. A sick server is idle,
+// so that at no cost it would be asked before all that are busy with the requests that it
+// does not take: while two servers in five were sick, 17 of 20 that a request asked were.
+func (s *Service) sickShare(now time.Time) float64 {
+	heard, sick := 0, 0
+	for _, server := range s.servers {
+		if !server.heardLately(now) {
+			continue
+		}
+		heard++
+		if server.told.Sick {
+			sick++
+		}
+	}
+	return shareOf(sick, heard)
+}
+
+// PassedOver reports whether a server is not to be asked any more: it may have been heard
+// of since the order was made.
+func (s *Service) PassedOver(now time.Time, name string, want Want) bool {
+	server := s.servers[name]
+	return server == nil || server.passedOver(now, want) != PassNone
+}
+
 // Reserved notes that a reservation goes to a server.
 func (s *Service) Reserved(name string) {
 	if server := s.servers[name]; server != nil {
@@ -160,6 +195,17 @@
 	server.avoid = time.Time{}
 }
 
+// Reported takes the state that the process beside a server told another one at a time,
+// unless a newer one is known. What was sent there since counts on.
+func (s *Service) Reported(at time.Time, name string, told Told) {
+	server := s.servers[name]
+	if server == nil || !at.After(server.toldAt) {
+		return
+	}
+	server.told = told
+	server.toldAt = at
+}
+
 // Succeeded notes a whole answer of a server.
 func (s *Service) Succeeded(now time.Time, name string) {
 	if server := s.servers[name]; server != nil {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -156,6 +156,33 @@
 			},
 			first: "near-2",
 		},
+		"a busy server goes before an unknown one where many are sick": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Load: 2, Slots: 4})
+				s.Heard(start, "far-1", choice.Told{Sick: true, TrialIn: time.Second})
+				s.Heard(start, "far-2", choice.Told{Sick: true, TrialIn: time.Second})
+			},
+			ask:     careful,
+			first:   "near-1",
+			without: []string{"far-1", "far-2"},
+		},
+		"a server that waits for a trial is asked now and then": {
+			hear: func(s *choice.Service) {
+				s.Reported(start, "near-1", choice.Told{Sick: true, TrialDue: true})
+				s.Heard(start, "near-2", choice.Told{Load: 4, Slots: 4})
+			},
+		},
+		"a report that is older than what was heard changes nothing": {
+			hear: func(s *choice.Service) {
+				s.Heard(start, "near-1", choice.Told{Slots: 4})
+				s.Reported(start.Add(-ms), "near-1", choice.Told{Sick: true, TrialIn: time.Second})
+			},
+		},
+		"a reported sickness counts": {
+			hear:    func(s *choice.Service) { s.Reported(start, "near-1", choice.Told{Sick: true, TrialIn: time.Second}) },
+			first:   "near-2",
+			without: []string{"near-1"},
+		},
 		"a server that leaves by its entry is not asked": {
 			hear: func(s *choice.Service) {
 				leaving := entry("near-1", "near")
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -22,6 +22,10 @@
 	// sickRelief is the share of sickCost that a sick server is spared if it
 	// still answers every request well; it shrinks with the share of successes.
 	sickRelief = 0.5
+	// trialShare is the share of the requests that may be trials which go first to a
+	// server that waits for one. Without any such request a sick server that all processes
+	// hear of is not tried while others have room (TestSickServerIsHeardOf).
+	trialShare = 0.3
 	// suspectCost is added for each unit of suspicion up to mostSuspicion. What was
 	// told is mostly old; the process beside the server knows better (Ask.Bears).
 	suspectCost   = 0.1
@@ -116,13 +120,7 @@
 	if now.Before(server.warmUntil) {
 		cost += warmingCost
 	}
-	memory := sickMemory
-	if want.Careful {
-		memory = sickMemoryCareful
-	}
-	if server.told.Sick && now.Sub(server.toldAt) < memory {
-		cost += sickCost * (1 - sickRelief*server.told.SuccessShare)
-	}
+	cost += server.sickness(now, want)
 	if now.Sub(server.toldAt) < loadMemory {
 		cost += suspectCost * min(server.told.Suspicion, mostSuspicion)
 	}
@@ -132,10 +130,37 @@
 	return cost
 }
 
+// sickness is what a told sickness adds to a server's cost.
+func (server *Server) sickness(now time.Time, want Want) float64 {
+	memory := sickMemory
+	if want.Careful {
+		memory = sickMemoryCareful
+	}
+	if !server.told.Sick || now.Sub(server.toldAt) >= memory {
+		return 0
+	}
+	return sickCost * (1 - sickRelief*server.told.SuccessShare)
+}
+
+// trialRelief takes a sickness off the cost, now and then, for a request that may be the
+// trial which the server waits for. All processes near it hear of that, and one request
+// in trialShare of them is enough.
+func (s *Service) trialRelief(now time.Time, server *Server, want Want) float64 {
+	if want.Careful || !server.told.TrialDue || s.random.Float64() >= trialShare {
+		return 0
+	}
+	return server.sickness(now, want)
+}
+
+// heardLately reports whether what was told of the server still counts.
+func (server *Server) heardLately(now time.Time) bool {
+	return now.Sub(server.toldAt) <= loadMemory
+}
+
 // occupancy is how full the server is, as a share of its slots.
 func (server *Server) occupancy(now time.Time) float64 {
 	slots := max(float64(server.Slots), server.told.Slots, 1)
-	if now.Sub(server.toldAt) > loadMemory {
+	if !server.heardLately(now) {
 		return float64(server.inFlight) / slots
 	}
 	return (server.told.Load + float64(server.sentSince)) / slots
--- a/choice/queue_test.go
+++ b/choice/queue_test.go
@@ -10,6 +10,20 @@
 	"slatewind.example/slatewind/choice"
 )
 
+// TestQueueAsksWhoWasHeardOf: a server that was heard of goes first where many of the
+// others of its data centre are sick.
+func TestQueueAsksWhoWasHeardOf(t *testing.T) {
+	q := choice.NewQueue()
+	server := func(name string, cost float64, unheard bool) choice.Candidate {
+		return choice.Candidate{ServerEntry: slatewind.ServerEntry{Name: name, DataCentre: "near"}, Cost: cost, Unheard: unheard}
+	}
+	q.Fill([]choice.Candidate{server("idle-1", 0, true), server("idle-2", 0, true), server("busy", 0.8, false)})
+	q.Heard("near", true)
+	q.Heard("near", true)
+	first, _ := q.Take()
+	assert.Equal(t, first.Name, "busy")
+}
+
 // TestQueue states in which order a search asks five servers near and two far, which
 // cost one more, by what it hears of the first.
 func TestQueue(t *testing.T) {
@@ -37,7 +51,7 @@
 					cost++
 				}
 				servers = append(servers, choice.Candidate{
-					ServerEntry: slatewind.ServerEntry{Name: fmt.Sprint(dc, "-", n), DataCentre: dc}, Cost: cost,
+					ServerEntry: slatewind.ServerEntry{Name: fmt.Sprint(dc, "-", n), DataCentre: dc}, Cost: cost, Unheard: true,
 				})
 			}
 			q.Fill(servers)
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -22,6 +22,7 @@
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/reload"
+	"slatewind.example/slatewind/report"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -44,6 +45,8 @@
 	share    *discovery.Share
 	watcher  *discovery.Watcher
 	feed     *discovery.Feed
+	// reports holds what is known of sick servers.
+	reports *report.Table
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -100,7 +103,7 @@
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	n.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSlotsServer(n.peers, link.SlotsServer{Serve: n.inbound.Serve})
-	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{Known: n.since, Newest: n.feed.Newest})
+	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{Known: n.since, Reports: n.exchangeReports, Newest: n.feed.Newest})
 	return serveAll(n.logger, []service{
 		{"callers", n.settings.GetIngressAddress(), n.callers.Serve},
 		{"ready", n.settings.GetReadyAddress(), n.ready.Serve},
--- a/daemon/nodepeers.go
+++ b/daemon/nodepeers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
 )
 
 // nodePeers asks other nodes for what the store publishes. They are known by the
@@ -12,11 +14,28 @@
 
 // Since implements discovery.Peers.
 func (p nodePeers) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
+	return p.ask(ctx, address, after, version, p.node.reports.Direct(time.Now()))
+}
+
+// Exchange implements discovery.Peers.
+func (p nodePeers) Exchange(ctx context.Context, address string) {
+	n := p.node
+	if _, err := p.ask(ctx, address, n.watcher.Revision(), n.feed.Version(), n.reports.All(time.Now())); err != nil {
+		n.logger.Debug("reports not exchanged", "with", address, "cause", err)
+	}
+}
+
+// ask asks another node for news and tells it of sick servers, that of the own one
+// included.
+func (p nodePeers) ask(ctx context.Context, address string, after, version uint64, told []*slatewindv1.ServerReport) (slatewind.Publication, error) {
 	peer, err := p.node.peerOf(address)
 	if err != nil {
 		return slatewind.Publication{}, err
 	}
-	return p.node.pool.Since(ctx, peer, after, version)
+	own := p.node.inbound.Report()
+	news, reports, err := p.node.pool.Since(ctx, peer, after, version, append(told, own))
+	p.node.takeReports(append(reports, own))
+	return news, err
 }
 
 // Settings implements discovery.SettingsPeers.
@@ -35,3 +54,17 @@
 	p.Version = n.feed.Version()
 	return p
 }
+
+// exchangeReports takes what another node told of sick servers and returns what is known
+// here, that of the own server included.
+func (n *Node) exchangeReports(told []*slatewindv1.ServerReport) []*slatewindv1.ServerReport {
+	n.takeReports(append(told, n.inbound.Report()))
+	return n.reports.All(time.Now())
+}
+
+// takeReports notes what was told of sick servers.
+func (n *Node) takeReports(reports []*slatewindv1.ServerReport) {
+	now := time.Now()
+	n.reports.Take(now, reports)
+	n.outbound.Told(now, reports)
+}
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -15,6 +15,7 @@
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/reload"
+	"slatewind.example/slatewind/report"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -42,7 +43,7 @@
 
 // newNode puts the parts of a node together.
 func newNode(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
-	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool}
+	n := &Node{settings: process, logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool, reports: report.NewTable()}
 	n.living.Store(process)
 	n.file = reload.New(file.path, process, livingOfNode, reloaded{file, logger, n.reload})
 	n.inbound = inbound.New(inbound.Server{
@@ -52,7 +53,7 @@
 	}, boundsOf(process), j)
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		platform.Callers(), store, j, n, n.inbound, m,
+		platform.Callers(), store, j, n, n.inbound, m, n.reports,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
 	n.share = discovery.NewShare(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -45,6 +45,9 @@
 	// Since asks the process beside the server at an address which servers changed
 	// after a revision of the store; version is that of the settings known here.
 	Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error)
+	// Exchange has another reader know what this one was told of sick servers, and this
+	// one what the other was told. It may fail: the next one is soon.
+	Exchange(ctx context.Context, address string)
 }
 
 // Store is the platform's store itself.
@@ -129,9 +132,10 @@
 
 // Changes implements slatewind.Publisher.
 func (s *Share) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
-	now := time.Now()
-	readers := s.readers(now)
+	elected := s.elected(time.Now())
+	readers := s.near(elected)
 	if s.reading(slices.Contains(readers, s.self) || len(readers) == 0) {
+		s.exchange(ctx, elected)
 		return s.direct(ctx, after)
 	}
 	reader := readers[s.draw(len(readers))]
@@ -245,17 +249,35 @@
 	s.directAfter = time.Now().Add(s.pause)
 }
 
-// readers returns the processes that read the store for this one: those of the own data
-// centre, or else all.
-func (s *Share) readers(now time.Time) []string {
-	elected := s.electorate().readers(func(address string) bool { return now.Before(s.failed[address]) })
-	near := addresses(elected, s.dataCentre)
-	if len(near) > 0 {
+// elected returns the processes that read the store.
+func (s *Share) elected(now time.Time) []Place {
+	return s.electorate().readers(func(address string) bool { return now.Before(s.failed[address]) })
+}
+
+// near returns the readers that this process asks: those of its own data centre, or else
+// all.
+func (s *Share) near(elected []Place) []string {
+	if near := addresses(elected, s.dataCentre); len(near) > 0 {
 		return near
 	}
 	return addresses(elected, "")
 }
 
+// exchange asks another reader for what it was told of sick servers, beside the call to
+// the store.
+func (s *Share) exchange(ctx context.Context, elected []Place) {
+	others := slices.DeleteFunc(addresses(elected, ""), s.isSelf)
+	if len(others) == 0 {
+		return
+	}
+	other := others[rand.IntN(len(others))]
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		s.peers.Exchange(ctx, other)
+	}()
+}
+
 // addresses returns those of the places in a data centre, or everywhere where it is
 // empty.
 func addresses(places []Place, dataCentre string) []string {
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -113,6 +113,9 @@
 	return nil
 }
 
+// Exchange implements Peers. Reports of sick servers are not news of the store.
+func (f *fleet) Exchange(context.Context, string) {}
+
 // Since implements Peers.
 func (f *fleet) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
 	f.mu.Lock()
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// Report returns what the process tells others of the server.
+func (in *Inbound) Report() *slatewindv1.ServerReport {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return &slatewindv1.ServerReport{
+		Server: in.name, State: in.state(), TrialInMs: uint32(in.breaker.TrialIn(time.Now()).Milliseconds()),
+	}
+}
+
 // mostTold bounds the suspicion that is told; more says nothing more.
 const mostTold = 100
 
--- a/link/news.go
+++ b/link/news.go
@@ -9,11 +9,13 @@
 )
 
 // Since asks the process at an IP:port address which servers changed after a
-// revision of the store. version is that of the settings that the caller has.
-func (p *Pool) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
-	reply, err := call(ctx, p, address, &slatewindv1.SinceRequest{Revision: after, Version: version}, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Since)
+// revision of the store. version is that of the settings that the caller has, told are its
+// reports of sick servers; those of the other process come back.
+func (p *Pool) Since(ctx context.Context, address string, after, version uint64, told []*slatewindv1.ServerReport) (slatewind.Publication, []*slatewindv1.ServerReport, error) {
+	question := &slatewindv1.SinceRequest{Revision: after, Version: version, Reports: told}
+	reply, err := call(ctx, p, address, question, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Since)
 	if err != nil {
-		return slatewind.Publication{}, err
+		return slatewind.Publication{}, nil, err
 	}
 	news := slatewind.Publication{
 		Revision: reply.GetRevision(), Age: time.Duration(reply.GetAgeNanos()), Whole: reply.GetWhole(), Removed: reply.GetRemoved(),
@@ -25,7 +27,7 @@
 			Slots: int(s.GetSlots()), Leaving: s.GetLeaving(), Warming: time.Duration(s.GetWarmingNanos()),
 		})
 	}
-	return news, nil
+	return news, reply.GetReports(), nil
 }
 
 // NewsServer passes on what a process knows of the store.
@@ -34,6 +36,8 @@
 	// Known returns which servers changed after a revision of the store, for a
 	// process that has the given version of the settings.
 	Known func(after, version uint64) slatewind.Publication
+	// Reports takes a process's reports of sick servers and returns those of this one.
+	Reports func(told []*slatewindv1.ServerReport) []*slatewindv1.ServerReport
 	// Newest returns the settings that the process has, or nil.
 	Newest func() *slatewind.PublishedSettings
 
@@ -45,6 +49,7 @@
 	news := s.Known(request.GetRevision(), request.GetVersion())
 	reply := &slatewindv1.SinceReply{
 		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed, Version: news.Version, Cut: news.Cut,
+		Reports: s.Reports(request.GetReports()),
 	}
 	for _, e := range news.Servers {
 		reply.Servers = append(reply.Servers, &slatewindv1.PublishedServer{
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/link"
 )
@@ -43,6 +44,12 @@
 	Denied(service, cause string)
 }
 
+// Reports takes what the processes beside servers say when they refuse requests.
+type Reports interface {
+	// Heard says that a server is sick and when it is to get its next trial.
+	Heard(now time.Time, server string, state *slatewindv1.SlotState, trialIn time.Duration)
+}
+
 // Self says where an ingress stands.
 type Self struct {
 	DataCentre string
@@ -60,6 +67,7 @@
 	links   Opener
 	calls   slatewind.Calls
 	meter   Meter
+	reports Reports
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -82,10 +90,10 @@
 }
 
 // New returns an ingress that knows no servers yet. Its settings come from store.
-func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter) *Outbound {
+func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter, reports Reports) *Outbound {
 	ended, end := context.WithCancel(context.Background())
 	return &Outbound{
-		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, ended: ended, end: end,
+		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, ended: ended, end: end,
 		shards: map[string]*shard{}, services: map[string]string{}, places: map[string]string{}, splits: map[string]*splitter{},
 	}
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -56,12 +56,17 @@
 	ways    map[string]way
 	servers map[string]*standin.Stamped
 	places  map[string]*inbound.Inbound
+	// opened counts reservations.
+	opened int
 }
 
 func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
 func (m *mesh) Extra(string, string)                             {}
 func (m *mesh) Denied(string, string)                            {}
 
+// Heard implements outbound.Reports.
+func (m *mesh) Heard(time.Time, string, *slatewindv1.SlotState, time.Duration) {}
+
 // Call implements slatewind.Calls: no request of a mesh is a server's call.
 func (m *mesh) Call(string) (slatewind.Call, bool) { return slatewind.Call{}, false }
 
@@ -69,6 +74,7 @@
 func (m *mesh) Open(ctx context.Context, server slatewind.ServerEntry) (link.Use, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.opened++
 	place := m.places[server.Name]
 	switch m.ways[server.Name] {
 	case wayRefused:
@@ -133,7 +139,7 @@
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
 		outbound.Self{DataCentre: "dc", Service: "caller"},
-		platform.Callers(), m.store, m.history, m, m, m,
+		platform.Callers(), m.store, m.history, m, m, m, m,
 	)
 	for _, name := range names {
 		m.add(t, name, "svc")
@@ -227,6 +233,13 @@
 	return n
 }
 
+// openings returns how many reservations were made.
+func (m *mesh) openings() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.opened
+}
+
 // setAll has every server behave alike, but for some.
 func (m *mesh) setAll(mode standin.StampedMode, but ...string) {
 	for name, server := range m.servers {
@@ -389,7 +402,7 @@
 func TestBeforeSettings(t *testing.T) {
 	m := newMesh(t, "a")
 	empty := config.NewStore(m.history)
-	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m)
+	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m)
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -11,6 +11,7 @@
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/report"
 )
 
 // pending is one reservation without a final reply.
@@ -32,7 +33,7 @@
 
 // ask makes a reservation at the next server; it reports whether there was one.
 func (s *search) ask() bool {
-	server, left := s.queue.Take()
+	server, left := s.next()
 	if !left {
 		return false
 	}
@@ -48,6 +49,17 @@
 	return true
 }
 
+// next takes the next server off the queue, but for those that were heard to be sick or
+// full since the round began.
+func (s *search) next() (choice.Candidate, bool) {
+	for {
+		server, left := s.queue.Take()
+		if !left || !s.rq.shard.passedOver(time.Now(), s.rq, s.aim, server.Name) {
+			return server, left
+		}
+	}
+}
+
 const (
 	// leastBears is how much suspicion of a server a request bears although others
 	// cost the same. A busy healthy server shows as much in every other moment.
@@ -184,6 +196,22 @@
 	return told
 }
 
+// Told takes what other processes reported of servers.
+func (o *Outbound) Told(now time.Time, reports []*slatewindv1.ServerReport) {
+	for _, r := range reports {
+		o.mu.RLock()
+		service, known := o.services[r.GetServer()]
+		o.mu.RUnlock()
+		if !known {
+			continue
+		}
+		told := toldOf(r.GetState())
+		told.TrialIn = time.Duration(r.GetTrialInMs()) * time.Millisecond
+		told.TrialDue = told.Sick && told.TrialIn == 0
+		o.shard(service).update(func(c *choice.Service) { c.Reported(now.Add(-report.Age(r)), r.GetServer(), told) })
+	}
+}
+
 // unreached ends a reservation that failed on its way.
 func (s *search) unreached(e event) {
 	s.end(e.of)
@@ -198,6 +226,10 @@
 	s.last, s.lastServer = string(inbound.CauseLeaving)+": the server began to leave while the request waited for its slot", e.of.server.Name
 }
 
+// leastTrialIn is how long it is at least until a server that refused a request as sick
+// gets its next trial: it may be that one runs.
+const leastTrialIn = 100 * time.Millisecond
+
 // refused ends a reservation that the process beside the server refused.
 func (s *search) refused(e event) {
 	s.end(e.of)
@@ -209,7 +241,12 @@
 		s.retryAfter = after
 	}
 	s.heard(name, toldByRefusal(refusal))
-	s.queue.Heard(e.of.server.DataCentre, inbound.Cause(refusal.GetCause()) == inbound.CauseSick)
+	sick := inbound.Cause(refusal.GetCause()) == inbound.CauseSick
+	s.queue.Heard(e.of.server.DataCentre, sick)
+	if sick {
+		trialIn := max(time.Duration(refusal.GetRetryAfterMs())*time.Millisecond, leastTrialIn)
+		s.o.reports.Heard(time.Now(), name, refusal.GetState(), trialIn)
+	}
 	if inbound.Cause(refusal.GetCause()) == inbound.CauseBudget {
 		s.rq.shard.deny(time.Now())
 		s.o.meter.Denied(s.rq.service, deniedBound)
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -58,6 +58,13 @@
 	return sh.choice.Order(now, sh.want(rq, to))
 }
 
+// passedOver reports whether a server is not to be asked any more.
+func (sh *shard) passedOver(now time.Time, rq *request, to aim, server string) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.choice.PassedOver(now, server, sh.want(rq, to))
+}
+
 // survey counts the servers that a search asked and those that it did not.
 func (sh *shard) survey(now time.Time, rq *request, to aim, asked map[string]bool) choice.Survey {
 	sh.mu.Lock()
