End the search for an extra attempt after few denials

Cause: where the bound on extra attempts is reached, a request that a server rejected asked all others in turn. Ruled out: waiting for the bound to allow more; nothing runs meanwhile. Change: the search ends after 12 denials, fewer for lower ranks, two at least (retry.MostDenials), so that scarce attempts go to the higher ranks and the others are refused at once. Each server that earns an attempt is still asked many times before it earns the next. TestDeniedSearchIsShort: 40 servers asked before, 13, 7 and 3 after, by rank.

--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -11,6 +11,7 @@
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/retry"
 )
 
 const (
@@ -145,6 +146,12 @@
 	return s.aim.extra && s.refusals[inbound.CauseBudget] > 0
 }
 
+// deniedEnough reports whether so many servers may get no extra attempt that asking the
+// others is not worth it.
+func (s *search) deniedEnough() bool {
+	return s.denied() && s.queued == 0 && s.refusals[inbound.CauseBudget] >= retry.MostDenials(s.rq.route.GetRank())
+}
+
 // pause waits; it reports false if the request ended or its caller left meanwhile.
 func (s *search) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -219,6 +226,9 @@
 			if slot := s.take(e); slot != nil {
 				return slot, false
 			}
+			if s.deniedEnough() {
+				return nil, true
+			}
 		case <-silent.C:
 			if s.newest != nil && !s.newest.heard && time.Since(s.newest.since) >= silentAfter {
 				s.ask()
@@ -281,7 +291,9 @@
 	default:
 		s.refused(e)
 	}
-	s.ask()
+	if !s.deniedEnough() {
+		s.ask()
+	}
 	return nil
 }
 
--- /dev/null
+++ b/outbound/denied_test.go
@@ -0,0 +1,53 @@
+package outbound_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/internal/standin"
+)
+
+// TestDeniedSearchIsShort: a request that a server rejected, where no server may get an
+// extra attempt, asks few of them, the fewer the lower its rank, and is refused at once.
+//
+// While all servers of a service rejected half of their requests, processes took four
+// times the processor time of a quiet day, and lines such as "of all refusals: 0 full, 0
+// sick, 0 leaving, 0 moved, 96 budget" came a second after the rejection.
+func TestDeniedSearchIsShort(t *testing.T) {
+	tests := map[string]struct {
+		rank uint32
+		// asked bounds the reservations, that of the first attempt included.
+		asked int
+	}{
+		"the highest rank": {0, 13},
+		"the next":         {1, 7},
+		"a low one":        {9, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var names []string
+			for i := range 40 {
+				names = append(names, fmt.Sprint("s-", i))
+			}
+			m := newBoundedMesh(t, inbound.Bounds{RetryWindow: time.Second}, names...)
+			m.publish(2, &slatewindv1.Route{
+				Name: "ranked", Host: "h.example", PathPrefix: "/ranked/", Kind: string(slatewind.KindSingle), Service: "svc", Attempts: 3,
+				Timeout: durationpb.New(2 * time.Second), Objective: durationpb.New(400 * time.Millisecond), Rank: test.rank,
+			})
+			m.setAll(standin.StampedShed)
+			g := m.send("POST", "/ranked/1", "id", "b", 2*time.Second)
+			assert.Equal(t, g.status, http.StatusServiceUnavailable, g.body)
+			assert.Equal(t, m.arrivals(), 1)
+			assert.Equal(t, m.openings(), test.asked)
+			assert.Assert(t, g.retryAfter > 0)
+		})
+	}
+}
