Replay load at its worst through the decisions about servers

Package overload has tests only: five patterns of load as data, hundreds of ingresses and servers in a model of events around the real choice, queues, breakers and bound.

--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,77 @@
+package overload
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+	"gotest.tools/v3/assert"
+)
+
+// load reads a pattern from testdata.
+func load(t testing.TB, file string) pattern {
+	text, err := os.Open(file)
+	assert.NilError(t, err)
+	defer func() { _ = text.Close() }()
+	var p pattern
+	decoder := yaml.NewDecoder(text)
+	decoder.KnownFields(true)
+	assert.NilError(t, decoder.Decode(&p), file)
+	return p
+}
+
+// ninth returns what nine of ten are at most.
+func ninth(list []time.Duration) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)*9/10]
+}
+
+// TestPatterns: each pattern of load comes out as it states.
+func TestPatterns(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml"), func(t *testing.T) {
+			t.Parallel()
+			p := load(t, file)
+			got := replay(p, 1)
+			served := float64(got.served) / float64(got.requests)
+			reservations := float64(got.reservations) / float64(got.requests)
+			extra := float64(got.extra) / float64(max(got.first, 1))
+			held := ninth(got.held)
+			t.Logf("%d requests: served %.3f, refused %d, failed %d, held %s; %.3f extra arrivals; %.2f reservations a request, of all %d sick, %d full, %d denied, %d that waited",
+				got.requests, served, got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.sick, got.full, got.denied, got.waits)
+			assert.Equal(t, got.served+got.refused+got.failed, got.requests, "each request has one outcome")
+			assert.Check(t, served >= p.Want.Served, "served %.3f", served)
+			assert.Check(t, reservations <= p.Want.Reservations, "%.2f reservations a request", reservations)
+			assert.Check(t, extra <= p.Want.Extra, "%.3f extra arrivals", extra)
+			assert.Check(t, held <= p.Want.Held, "held %s", held)
+		})
+	}
+}
+
+// BenchmarkPatterns gives the time to replay a pattern, and reservations a request.
+func BenchmarkPatterns(b *testing.B) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	assert.NilError(b, err)
+	for _, file := range files {
+		p := load(b, file)
+		b.Run(strings.TrimSuffix(filepath.Base(file), ".yaml"), func(b *testing.B) {
+			var all tally
+			for i := 0; b.Loop(); i++ {
+				got := replay(p, uint64(i))
+				all.requests += got.requests
+				all.reservations += got.reservations
+			}
+			b.ReportMetric(float64(all.reservations)/float64(all.requests), "reservations/request")
+		})
+	}
+}
