--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -216,7 +216,7 @@
 func (r *reservation) refuse(cause refusal, after time.Duration) {
 	rq := r.request
 	rq.from.w.count(cause)
-	r.reply(r.server.word(cause, after), func() {
+	r.reply(r.server.toldWith(cause, after), func() {
 		delete(rq.open, r)
 		rq.from.service.Ended(r.server.entry.Name)
 		rq.queue.Heard(r.server.entry.DataCentre, cause == refusedSick)
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -24,8 +24,8 @@
 	return p
 }
 
-// ninth returns what nine of ten are at most.
-func ninth(list []time.Duration) time.Duration {
+// percentile90 returns what nine of ten are at most.
+func percentile90(list []time.Duration) time.Duration {
 	if len(list) == 0 {
 		return 0
 	}
@@ -46,7 +46,7 @@
 			served := float64(got.served) / float64(got.requests)
 			reservations := float64(got.reservations) / float64(got.requests)
 			extra := float64(got.extra) / float64(max(got.first, 1))
-			held := ninth(got.held)
+			held := percentile90(got.held)
 			t.Logf("%d requests: served %.3f, refused %d, failed %d, held %s; %.3f extra arrivals; %.2f reservations a request, of all %d sick, %d full, %d denied, %d that waited",
 				got.requests, served, got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.sick, got.full, got.denied, got.waits)
 			assert.Equal(t, got.served+got.refused+got.failed, got.requests, "each request has one outcome")
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -43,19 +43,19 @@
 		},
 	}
 	s.extras.SetSlack(w.Slack / float64(w.pattern.Servers))
-	w.after(tick, s.look)
+	w.after(tick, s.onTick)
 	if w.ReportEvery > 0 {
 		w.after(time.Duration(w.random.Float64()*float64(w.ReportEvery)), s.report)
 	}
 	return s
 }
 
-// look is a tick.
-func (s *server) look() {
+// onTick looks at the queue and the judgement, as each tick does.
+func (s *server) onTick() {
 	s.deliver(s.slots.Advance(s.w.now))
 	s.breaker.Tick(s.w.now)
 	if !s.w.over() || len(s.waiting) > 0 {
-		s.w.after(tick, s.look)
+		s.w.after(tick, s.onTick)
 	}
 }
 
@@ -188,8 +188,8 @@
 	})
 }
 
-// word is a refusal as the ingress hears of it.
-func (s *server) word(cause refusal, after time.Duration) choice.Told {
+// toldWith is the state that comes with a refusal.
+func (s *server) toldWith(cause refusal, after time.Duration) choice.Told {
 	told := s.told()
 	switch cause {
 	case refusedSick:
