--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -42,7 +42,7 @@
 			Name: fmt.Sprint("s-", index), Service: "svc", DataCentre: fmt.Sprint("dc-", index%w.DataCentres), Slots: w.Slots,
 		},
 	}
-	s.extras.SetSlack(w.Slack / float64(w.pattern.Servers))
+	s.extras.SetSlack(w.Slack / float64(w.Servers))
 	w.after(tick, s.onTick)
 	if w.ReportEvery > 0 {
 		w.after(time.Duration(w.random.Float64()*float64(w.ReportEvery)), s.report)
