Know workspaces by their keys

Cause: nothing knew keys.

Ruled out: keys in settings as they are.

Change: package workspace (Directory); settings have workspaces with digests, rank, rate, burst, and public routes; checks SW1016, SW1017. Both ways of running refuse 401 before the body is read, pass on neither the key nor a claimed name, and state the workspace's own. A call has no key: it belongs to the workspace of the request for which it is made. Settings that say workspaces need keys go on to do so when the last workspace is gone. The rank of a workspace goes before that of a route.

Keys come into force and go as settings do, so their bound is that of settings (docs/PLATFORM.md, TestSettingsInTime).

--- a/call.go
+++ b/call.go
@@ -5,6 +5,8 @@
 type Call struct {
 	// Repeat says that the run it belongs to is not the first of its request.
 	Repeat bool
+	// Workspace is that of the request for which it is made; empty where that has none.
+	Workspace string
 	// End notes what became of the call; it must be used once.
 	End func(served bool)
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -77,6 +77,7 @@
 		{"record", "fetch recent events as a trace", "Prints the recent events of a process as a trace for slatewind replay.", &recordCommand{out: out}},
 		{"measure", "measure the policy", "Runs the policy and two baselines through scenarios in virtual time and prints detection time, false ejections and what callers get.", &measureCommand{out: out}},
 		{"report", "sum up logs", "Reads the log files of processes and prints by service and kind of route what went unserved and why, which breakers opened, extra attempts, servers not asked, and stops. With --html also as a page with plots.", &reportCommand{out: out}},
+		{"digest", "digest keys of workspaces", "Reads keys from the standard input, one in a line, and prints the digest of each for the settings of its workspace.", &digestCommand{out: out}},
 		{"replay", "replay traces", "Plays traces through the decision code and compares with their stated outcomes.", &replayCommand{out: out}},
 	}
 	var group errs.Group
--- a/config/check.go
+++ b/config/check.go
@@ -13,6 +13,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/workspace"
 )
 
 // Check documents one check of settings files, for slatewind check --explain.
@@ -42,6 +43,8 @@
 	{"SW1013", "A route's largest body fits into a message between processes", "A larger one would be accepted from the caller and could not be passed on.", "0.1"},
 	{"SW1014", "Extra attempts are bounded by a ratio from 0 to 1 and a slack from 0", "A ratio above 1 would let retries more than double the load of sick servers.", "0.2"},
 	{"SW1015", "A log level is debug, info, warn or error", "Another word would leave a level in force that nobody chose.", "0.3"},
+	{"SW1016", "Keys of workspaces are given by digests, each of one workspace", "A key in plain text would be read by everyone who reads the file; one of two workspaces would leave open whose requests they are.", "0.4"},
+	{"SW1017", "Rates and bursts are not below 0", "Such a limit would refuse everything.", "0.4"},
 }
 
 // MaxBodyBytes is the largest request body that fits into a message between
@@ -74,6 +77,7 @@
 	}
 	services := c.checkServices(fleet)
 	c.checkRoutes(fleet, services)
+	c.checkWorkspaces(fleet)
 	return c.findings
 }
 
@@ -157,6 +161,38 @@
 	}
 }
 
+// checkWorkspaces checks who may send requests. No finding repeats what stands where a digest
+// should: it may be a key.
+func (c *checker) checkWorkspaces(fleet *slatewindv1.Fleet) {
+	names := map[string]bool{}
+	owners := map[workspace.Digest]string{}
+	for i, w := range fleet.GetWorkspaces() {
+		c.checkName("workspace", w.GetName(), names, "workspaces", i)
+		for j, text := range w.GetKeyDigests() {
+			c.checkDigest(w.GetName(), text, owners, "workspaces", i, "key_digests", j)
+		}
+		if w.GetRate() < 0 {
+			c.add("SW1017", fmt.Sprintf("rate %g is below 0", w.GetRate()), "workspaces", i, "rate")
+		}
+		if w.GetBurst() < 0 {
+			c.add("SW1017", fmt.Sprintf("burst %g is below 0", w.GetBurst()), "workspaces", i, "burst")
+		}
+	}
+}
+
+// checkDigest checks one digest of a workspace's key and notes whose it is.
+func (c *checker) checkDigest(name, text string, owners map[workspace.Digest]string, path ...any) {
+	digest, err := workspace.ParseDigest(text)
+	if err != nil {
+		c.add("SW1016", err.Error()+"; slatewind digest makes one", path...)
+		return
+	}
+	if owner, taken := owners[digest]; taken {
+		c.add("SW1016", fmt.Sprintf("the digest stands in workspace %q already", owner), path...)
+	}
+	owners[digest] = name
+}
+
 func (c *checker) checkRouteWords(i int, route *slatewindv1.Route) {
 	switch slatewind.Kind(route.GetKind()) {
 	case slatewind.KindRepeatable, slatewind.KindOnce:
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/workspace"
 )
 
 // Version orders settings files: by revision, then by digest.
@@ -48,6 +49,16 @@
 	// requests carry it, since a key's home depends on these names.
 	Owners map[string]uint64
 	Routes *RouteTable
+	// Workspaces tells whose key a request has.
+	Workspaces *workspace.Directory
+	// ranks is how many ranks routes have.
+	ranks uint32
+}
+
+// Rank returns the rank of a request in the queue for slots: that of its workspace goes before
+// that of its route.
+func (s *Snapshot) Rank(w *slatewindv1.Workspace, route *slatewindv1.Route) uint32 {
+	return w.GetRank()*s.ranks + route.GetRank()
 }
 
 // NewSnapshot builds a snapshot of a checked file.
@@ -60,6 +71,11 @@
 		Services: map[string]*slatewindv1.Service{},
 		Owners:   map[string]uint64{},
 		Routes:   NewRouteTable(fleet.GetRoutes()),
+
+		Workspaces: workspace.NewDirectory(fleet),
+	}
+	for _, route := range fleet.GetRoutes() {
+		s.ranks = max(s.ranks, route.GetRank()+1)
 	}
 	for _, service := range fleet.GetServices() {
 		s.Services[service.GetName()] = service
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -82,7 +82,7 @@
 	value, err := platform.EncodeConfig(slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
 		Services: []*slatewindv1.Service{{Name: "svc"}},
 		Routes:   []*slatewindv1.Route{nodeRoute("pay", slatewind.KindSingle), nodeRoute("look", slatewind.KindRepeatable)},
-	}})
+	}}, nil)
 	assert.NilError(f.t, err)
 	f.store.Put(platform.ConfigKey, value)
 }
--- a/daemon/starts_test.go
+++ b/daemon/starts_test.go
@@ -102,7 +102,7 @@
 	value, err := platform.EncodeConfig(slatewind.PublishedSettings{Version: 2, Fleet: &slatewindv1.Fleet{
 		Services: []*slatewindv1.Service{{Name: "svc"}, {Name: "other"}},
 		Routes:   []*slatewindv1.Route{nodeRoute("pay", slatewind.KindSingle)},
-	}})
+	}}, nil)
 	assert.NilError(t, err)
 	f.store.Put(platform.ConfigKey, value)
 	f.await("the server of the new service", func() bool { return f.serversOf(1, "other") == 1 })
--- a/inbound/calls.go
+++ b/inbound/calls.go
@@ -15,6 +15,8 @@
 type parent struct {
 	item   string
 	repeat bool
+	// workspace is that of the request.
+	workspace string
 	// open counts the calls that are under way, failed those that ended badly.
 	open   int
 	failed int
@@ -47,7 +49,7 @@
 	p.open++
 	now := time.Now()
 	in.judge(now).Pause(now, p.item)
-	return slatewind.Call{Repeat: p.repeat, End: func(served bool) { in.endCall(p, served) }}, true
+	return slatewind.Call{Repeat: p.repeat, Workspace: p.workspace, End: func(served bool) { in.endCall(p, served) }}, true
 }
 
 // parentOf returns the running request with the longest id that a call's id
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -32,7 +32,7 @@
 	ctx, cancel := u.context(remaining)
 	defer cancel()
 	toServer := u.request(ctx, request, body, remaining)
-	u.parent = parent{item: u.item.ID, repeat: u.reservation.GetExtra() || u.reservation.GetRepeat()}
+	u.parent = parent{item: u.item.ID, repeat: u.reservation.GetExtra() || u.reservation.GetRepeat(), workspace: u.reservation.GetWorkspace()}
 	u.id = toServer.Header.Get(u.in.server.Dialect.RequestID)
 	u.in.begin(u.id, &u.parent)
 	u.arrive(now)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -31,6 +31,10 @@
 	HeaderAttempt = "Slatewind-Attempt"
 	// HeaderCustomer names the customer whose share of slots the request uses.
 	HeaderCustomer = "Slatewind-Customer"
+	// HeaderWorkspaceKey has the key of the caller's workspace. No server gets it.
+	HeaderWorkspaceKey = "Slatewind-Key"
+	// HeaderWorkspace tells servers the name of the caller's workspace.
+	HeaderWorkspace = "Slatewind-Workspace"
 	// HeaderKey is the idempotency key.
 	HeaderKey = "Idempotency-Key"
 	// HeaderRetryAfterMs is Retry-After in milliseconds.
@@ -130,6 +134,10 @@
 	if route == nil {
 		return nil, &badRequest{http.StatusNotFound, fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
 	}
+	sender, err := snapshot.Workspaces.Identify(r.Header.Values(HeaderWorkspaceKey), route.GetPublic())
+	if err != nil {
+		return nil, &badRequest{http.StatusUnauthorized, err.Error()}
+	}
 	rq := &request{
 		id:       id,
 		snapshot: snapshot,
@@ -140,7 +148,11 @@
 		target:   r.URL.RequestURI(),
 		host:     r.Host,
 		customer: r.Header.Get(HeaderCustomer),
-		headers:  link.ForwardedHeaders(r.Header),
+		headers:  link.ForwardedHeaders(r.Header, HeaderWorkspaceKey, HeaderWorkspace),
+	}
+	if sender != nil {
+		rq.customer = sender.GetName()
+		rq.headers = append(rq.headers, &slatewindv1.Header{Name: HeaderWorkspace, Value: sender.GetName()})
 	}
 	if rq.shard == nil {
 		return nil, &badRequest{http.StatusServiceUnavailable, "the service of the route is being set up"}
--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -43,8 +43,10 @@
 	mu    sync.Mutex
 	mode  StampedMode
 	delay time.Duration
-	// runs counts runs by request id, arrivals everything that came.
+	// runs counts runs by request id, arrivals everything that came; headers holds by request
+	// id what came with its newest arrival.
 	runs     map[string]int
+	headers  map[string]http.Header
 	arrivals int
 	release  chan struct{}
 	// crashed is closed when the start that has the request ends.
@@ -53,7 +55,7 @@
 
 // NewStamped returns a server with a name.
 func NewStamped(name string, dialect slatewind.ServerDialect) *Stamped {
-	return &Stamped{dialect: dialect, name: name, runs: map[string]int{}, release: make(chan struct{}), crashed: make(chan struct{})}
+	return &Stamped{dialect: dialect, name: name, runs: map[string]int{}, headers: map[string]http.Header{}, release: make(chan struct{}), crashed: make(chan struct{})}
 }
 
 // SetMode changes how the server behaves; requests that hang are let go.
@@ -108,6 +110,13 @@
 	return s.arrivals
 }
 
+// Headers returns the header fields that came with a request, or nil.
+func (s *Stamped) Headers(id string) http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headers[id]
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Stamped) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(s.dialect.RequestID)
@@ -119,6 +128,7 @@
 	}
 	s.mu.Lock()
 	s.arrivals++
+	s.headers[id] = r.Header.Clone()
 	mode, delay, release, crashed := s.mode, s.delay, s.release, s.crashed
 	expected := r.Header.Get(s.dialect.Expect)
 	misdirected := expected != "" && expected != s.name
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -30,7 +30,7 @@
 	o.meter.Request("", slatewind.OutcomeNotRun, 0)
 	o.journal.Add(slatewind.Decision{
 		Time: time.Now(), Kind: slatewind.DecisionRefuse, Request: r.Header.Get(o.dialect.RequestID), Reason: rejected.reason,
-		Evidence: fmt.Sprintf("status=%d version=%d", rejected.status, o.store.Version().Revision),
+		Evidence: fmt.Sprintf("status=%d version=%d from=%s", rejected.status, o.store.Version().Revision, HostOf(r.RemoteAddr)),
 	})
 	o.writeOwn(w, r.Header.Get(o.dialect.RequestID), rejected.status, rejected.reason, rejected.retryAfter)
 }
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -51,6 +51,9 @@
 	left <-chan struct{}
 	// call is set where the request is a call of one that a server already runs.
 	call *slatewind.Call
+	// workspace is that of the caller, or of the request for which the call is made; nil where
+	// there is none.
+	workspace *slatewindv1.Workspace
 	// announced says that a reservation was made for the request.
 	announced atomic.Bool
 }
@@ -69,6 +72,9 @@
 
 func (rq *request) repeatable() bool { return rq.kind() == slatewind.KindRepeatable }
 
+// rank returns the request's place in the order of the queue for slots; lower goes first.
+func (rq *request) rank() uint32 { return rq.snapshot.Rank(rq.workspace, rq.route) }
+
 // attempts returns to how many servers the request may be sent.
 func (rq *request) attempts() int {
 	if n := int(rq.route.GetAttempts()); n > 0 {
@@ -93,24 +99,33 @@
 	if o.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	rq, err := o.newRequest(now, w, r)
+	call, served := o.callOf(r), false
+	if call != nil {
+		o.callsInFlight.Add(1)
+		defer func() {
+			o.callsInFlight.Add(-1)
+			call.End(served)
+		}()
+	}
+	rq, err := o.newRequest(now, call, w, r)
 	if err != nil {
 		o.reject(w, r, err)
 		return
 	}
-	if call, ok := o.calls.Call(rq.id); ok {
-		rq.call = &call
-		o.callsInFlight.Add(1)
-		defer o.callsInFlight.Add(-1)
-	}
 	final := o.handle(r.Context(), rq)
-	if rq.call != nil {
-		rq.call.End(final.served())
-	}
+	served = final.served()
 	o.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
 	o.answer(w, rq, final)
 }
 
+// callOf returns the call that a request is, or nil.
+func (o *Outbound) callOf(r *http.Request) *slatewind.Call {
+	if call, ok := o.calls.Call(r.Header.Get(o.dialect.RequestID)); ok {
+		return &call
+	}
+	return nil
+}
+
 // handle decides about a request until its final answer.
 func (o *Outbound) handle(ctx context.Context, rq *request) final {
 	f := final{outcome: slatewind.OutcomeNotRun, reason: stops}
@@ -123,7 +138,7 @@
 }
 
 // newRequest reads and checks a caller's request.
-func (o *Outbound) newRequest(now time.Time, w http.ResponseWriter, r *http.Request) (*request, error) {
+func (o *Outbound) newRequest(now time.Time, call *slatewind.Call, w http.ResponseWriter, r *http.Request) (*request, error) {
 	snapshot := o.store.Current()
 	if snapshot == nil {
 		return nil, &rejection{http.StatusServiceUnavailable, "no settings are in force yet", unreadyRetryAfter}
@@ -132,6 +147,10 @@
 	if route == nil {
 		return nil, &rejection{status: http.StatusNotFound, reason: fmt.Sprintf("no route for %s%s", r.Host, r.URL.Path)}
 	}
+	sender, err := o.identify(snapshot, route, call, r)
+	if err != nil {
+		return nil, &rejection{status: http.StatusUnauthorized, reason: err.Error()}
+	}
 	rq := &request{
 		id:       r.Header.Get(o.dialect.RequestID),
 		snapshot: snapshot,
@@ -141,17 +160,40 @@
 		host:     r.Host,
 		began:    now,
 		deadline: now.Add(o.timeFor(r, route)),
+
+		call:      call,
+		workspace: sender,
 	}
 	rq.service = o.split(rq)
 	rq.shard = o.shard(rq.service)
-	rq.headers = append(link.ForwardedHeaders(r.Header, o.dialect.CallerService, o.dialect.Deadline),
-		&slatewindv1.Header{Name: o.dialect.CallerService, Value: o.self.Service})
+	rq.headers = o.headers(r, rq.workspace)
 	if err := rq.readBody(w, r); err != nil {
 		return nil, err
 	}
 	return rq, nil
 }
 
+// identify returns the workspace that sends a request. A call has no key: it is made for the
+// request that the server runs, and belongs to its workspace.
+func (o *Outbound) identify(snapshot *config.Snapshot, route *slatewindv1.Route, call *slatewind.Call, r *http.Request) (*slatewindv1.Workspace, error) {
+	keys := r.Header.Values(o.dialect.Key)
+	if call != nil && len(keys) == 0 {
+		return snapshot.Workspaces.Named(call.Workspace), nil
+	}
+	return snapshot.Workspaces.Identify(keys, route.GetPublic())
+}
+
+// headers returns the fields that go to the server: the caller's, but for its key and for what
+// the fleet itself says of the request.
+func (o *Outbound) headers(r *http.Request, sender *slatewindv1.Workspace) []*slatewindv1.Header {
+	headers := link.ForwardedHeaders(r.Header, o.dialect.CallerService, o.dialect.Deadline, o.dialect.Key, o.dialect.Workspace)
+	headers = append(headers, &slatewindv1.Header{Name: o.dialect.CallerService, Value: o.self.Service})
+	if sender != nil {
+		headers = append(headers, &slatewindv1.Header{Name: o.dialect.Workspace, Value: sender.GetName()})
+	}
+	return headers
+}
+
 // timeFor returns how long a request may take: as long as its caller waits and
 // its route allows.
 func (o *Outbound) timeFor(r *http.Request, route *slatewindv1.Route) time.Duration {
--- a/publish.go
+++ b/publish.go
@@ -133,6 +133,10 @@
 	Deadline string
 	// CallerService names the service on whose VM a request began.
 	CallerService string
+	// Key is the key of the caller's workspace. No server gets it.
+	Key string
+	// Workspace tells servers the name of the caller's workspace, whatever the caller sent.
+	Workspace string
 }
 
 // ServerDialect names the header fields between the fleet and a server.
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -67,7 +67,7 @@
 	}
 	value, err := platform.EncodeConfig(slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
 		Services: []*slatewindv1.Service{{Name: service}}, Routes: routes,
-	}})
+	}}, nil)
 	if err != nil {
 		panic(err) // Only a fault of this package does that.
 	}
