Keep the limits of workspaces over all processes by tokens of a home

Cause: no limit was kept.

Weighed, as pure types in one model in virtual time (ratelimit/*_test.go, BenchmarkWays): a token of the workspace's home for each request; letting through first and counting at the home afterwards; shares of the limit that follow demand by news 0.9 s old. Counting fails where processes seldom send: each lets its first request through. So a token is held before it is spent.

Change: package ratelimit (Bucket, Ledger, Spender, Homes pure; Limiter asks), service RateLimits, admission in outbound before the body is read, 429 with the caller's turn, 503 where nobody who gives answers; state, counter by workspace. The home is the first of a rendezvous hash over the known hosts; the second gives 0.15 of the limit while the home may run, and all of it once a refused connection proves that it does not; who reaches neither spends half of what it had.

Tests: TestLimitInPlays, TestLimitHolds (150 drawn plays; 20,000 by hand hold), TestLimitWithoutSafeguard (four variants are found), the parts, TestLimiter, TestLimitOfWorkspace over real nodes.

Open: 2.7 to 5 % refused inside the limit while a large workspace's home is frozen or cut off; two homes for as long as views differ (1.8 s at most).

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -15,6 +15,7 @@
 	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/outbound"
+	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/sidecar"
 )
 
@@ -34,6 +35,8 @@
 	// store lists the servers.
 	Outbound *outbound.View `json:"outbound,omitempty"`
 	Inbound  *inbound.View  `json:"inbound,omitempty"`
+	// Limits are the workspaces whose tokens this process gives to the fleet.
+	Limits []ratelimit.Use `json:"limits,omitempty"`
 }
 
 // Settings tells which file is in force.
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/workspace"
 )
@@ -61,6 +62,11 @@
 	return w.GetRank()*s.ranks + route.GetRank()
 }
 
+// LimitOf returns the limit of a workspace, which may be nil.
+func (s *Snapshot) LimitOf(w *slatewindv1.Workspace) slatewind.WorkspaceLimit {
+	return slatewind.WorkspaceLimit{Workspace: w.GetName(), Rate: w.GetRate(), Burst: w.GetBurst(), Version: s.Version.Revision}
+}
+
 // NewSnapshot builds a snapshot of a checked file.
 func NewSnapshot(version Version, since time.Time, text []byte, fleet *slatewindv1.Fleet) *Snapshot {
 	s := &Snapshot{
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -21,6 +21,7 @@
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
 	"slatewind.example/slatewind/timer"
@@ -46,6 +47,8 @@
 	watcher  *discovery.Watcher
 	services *discovery.Services
 	feed     *discovery.Feed
+	// limiter keeps the limits of workspaces.
+	limiter *ratelimit.Limiter
 	// reports holds what is known of sick servers.
 	reports *report.Table
 	// entryLines bounds the lines about entries that name no server. Only the watcher's
@@ -73,6 +76,15 @@
 	return n.pool.Use(ctx, peer, server.DataCentre != n.settings.GetDataCentre())
 }
 
+// limitOf returns a workspace's limit as the settings in force have it.
+func (n *Node) limitOf(workspace string) slatewind.WorkspaceLimit {
+	snapshot := n.store.Current()
+	if snapshot == nil {
+		return slatewind.WorkspaceLimit{Workspace: workspace}
+	}
+	return snapshot.LimitOf(snapshot.Workspaces.Named(workspace))
+}
+
 // peerOf returns the peer address of the process on the VM of an address: every
 // VM of a fleet uses the same ports.
 func (n *Node) peerOf(address string) (string, error) {
@@ -108,6 +120,7 @@
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	n.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSlotsServer(n.peers, link.SlotsServer{Serve: n.inbound.Serve})
+	slatewindv1.RegisterRateLimitsServer(n.peers, link.LimitsServer{Give: n.limiter.Give})
 	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{Known: n.since, Reports: n.exchangeReports, Newest: n.feed.Newest})
 	return serveAll(n.logger, []service{
 		{"callers", n.settings.GetIngressAddress(), n.callers.Serve},
@@ -149,5 +162,6 @@
 	return admin.State{
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
 		Settings: inForce(n.settings.GetVm(), n.store), Reader: n.share.Reads(), Outbound: &out, Inbound: &in,
+		Limits: n.limiter.Uses(now),
 	}
 }
--- a/daemon/nodepeers.go
+++ b/daemon/nodepeers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/ratelimit"
 )
 
 // nodePeers asks other nodes for what the store publishes. They are known by the
@@ -38,6 +41,18 @@
 	return news, err
 }
 
+// Take implements ratelimit.Peers.
+func (p nodePeers) Take(ctx context.Context, host string, q ratelimit.Question) (ratelimit.Answer, error) {
+	peer, err := p.node.peerOf(net.JoinHostPort(host, "0"))
+	if err != nil {
+		return ratelimit.Answer{}, err
+	}
+	return p.node.pool.Take(ctx, peer, q)
+}
+
+// NotRunning implements ratelimit.Peers.
+func (nodePeers) NotRunning(err error) bool { return link.NotRunning(err) }
+
 // Settings implements discovery.SettingsPeers.
 func (p nodePeers) Settings(ctx context.Context, address string, version uint64) (*slatewind.PublishedSettings, error) {
 	peer, err := p.node.peerOf(address)
--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -7,6 +7,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/discovery"
+	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
 )
 
@@ -27,6 +28,7 @@
 // Server implements discovery.Sink.
 func (n *Node) Server(now time.Time, entry slatewind.ServerEntry) {
 	n.outbound.Put(now, entry)
+	n.limiter.Put(now, entry.Name, outbound.HostOf(entry.Address))
 	n.shareBounds()
 	if entry.Address == n.settings.GetLocalServer().GetAddress() {
 		n.inbound.Published(now, &entry)
@@ -36,6 +38,7 @@
 // ServerGone implements discovery.Sink.
 func (n *Node) ServerGone(now time.Time, name string) {
 	n.outbound.Remove(name)
+	n.limiter.Remove(now, name)
 	n.shareBounds()
 	n.inbound.Gone(now, name)
 }
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
@@ -16,6 +17,7 @@
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
 	"slatewind.example/slatewind/timer"
@@ -54,9 +56,10 @@
 		Address: process.GetLocalServer().GetAddress(),
 		Dialect: platform.Servers(),
 	}, boundsOf(process), j)
+	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, n.limitOf)
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		platform.Callers(), store, j, n, n.inbound, m, n.reports,
+		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
 	n.share = discovery.NewShare(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
--- a/daemon/workspaces_test.go
+++ b/daemon/workspaces_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -197,3 +198,55 @@
 	assert.Equal(t, status, http.StatusUnauthorized, "the workspace has no key any more")
 	f.assertNoKeys()
 }
+
+// TestLimitOfWorkspace: nodes keep one limit together; what is refused says when to come back,
+// reached no server, and is explained. A lower limit binds once it is in force, and other
+// workspaces are not touched.
+func TestLimitOfWorkspace(t *testing.T) {
+	f := newNodes(t, 3)
+	f.publishKeys(2, twoKeys, &slatewindv1.Workspace{Name: "sellers", Rate: 20, Burst: 20}, &slatewindv1.Workspace{Name: "buyers"})
+	f.awaitVersion(2)
+	flood := func(prefix string, n int) (served, over int) {
+		for i := range n {
+			id := fmt.Sprint(prefix, i)
+			status, answer, after := f.sendWith(i%3, "/pay/1", id, withKey(sellersKey))
+			switch status {
+			case http.StatusOK:
+				served++
+			case http.StatusTooManyRequests:
+				over++
+				assert.Assert(t, after != "" && after != "0.00", after)
+				assert.Equal(t, f.runs(id), 0)
+			default:
+				t.Fatal(status, answer)
+			}
+		}
+		return served, over
+	}
+	began := time.Now()
+	served, over := flood("first-", 300)
+	most := 20 + 20*time.Since(began).Seconds() + 3
+	assert.Assert(t, float64(served) <= most, "%d served in %v", served, time.Since(began))
+	assert.Assert(t, served >= 1 && over > 0)
+	status, answer, _ := f.sendWith(0, "/pay/1", "buyers", withKey(buyersKey))
+	assert.Equal(t, status, http.StatusOK, answer)
+
+	f.publishKeys(3, twoKeys, &slatewindv1.Workspace{Name: "sellers", Rate: 1, Burst: 1}, &slatewindv1.Workspace{Name: "buyers"})
+	f.awaitVersion(3)
+	began = time.Now()
+	served, _ = flood("second-", 300)
+	assert.Assert(t, float64(served) <= 1+time.Since(began).Seconds()+1, "%d served in %v", served, time.Since(began))
+
+	uses, refusals := 0, 0
+	for _, n := range f.nodes {
+		uses += len(n.limiter.Uses(time.Now()))
+		for _, d := range n.history.Find(history.Filter{}) {
+			if d.Reason == "the workspace is over its limit" && strings.Contains(d.Evidence, "workspace=sellers rate=") {
+				refusals++
+			}
+		}
+	}
+	assert.Assert(t, uses > 0, "some node tells of the limit")
+	assert.Assert(t, refusals > 0, "a refusal is explained")
+	f.assertNoKeys()
+}
--- a/link/heartbeat.go
+++ b/link/heartbeat.go
@@ -47,22 +47,32 @@
 	// watched says that a goroutine watches the connection.
 	watched bool
 	current net.Conn
+	// failed is why the newest connect failed, nil where it did not.
+	failed error
 }
 
 // dial makes the connection that the monitor may end.
 func (m *monitor) dial(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed = err
 	if err != nil {
 		return nil, err
 	}
 	m.heard.Store(time.Now().UnixNano())
-	m.mu.Lock()
 	m.current = conn
-	m.mu.Unlock()
 	return conn, nil
 }
 
+// dialError returns why the newest connect failed, or nil where it did not.
+func (m *monitor) dialError() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.failed
+}
+
 // beatKey is the context key of heartbeats' calls, which are not counted.
 type beatKey struct{}
 
--- a/link/link.go
+++ b/link/link.go
@@ -109,13 +109,14 @@
 type Pool struct {
 	traffic TrafficMeter
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu       sync.Mutex
+	conns    map[string]*grpc.ClientConn
+	monitors map[string]*monitor
 }
 
 // NewPool returns an empty pool that counts the bytes of its calls.
 func NewPool(traffic TrafficMeter) *Pool {
-	return &Pool{traffic: traffic, conns: map[string]*grpc.ClientConn{}}
+	return &Pool{traffic: traffic, conns: map[string]*grpc.ClientConn{}, monitors: map[string]*monitor{}}
 }
 
 // Close closes all connections.
@@ -169,7 +170,7 @@
 		return nil, Error.Wrap(err)
 	}
 	monitor.conn = conn
-	p.conns[address] = conn
+	p.conns[address], p.monitors[address] = conn, monitor
 	return conn, nil
 }
 
--- a/link/traffic.go
+++ b/link/traffic.go
@@ -18,6 +18,8 @@
 	PurposeReply   Purpose = "reply"
 	PurposeRequest Purpose = "request"
 	PurposeAnswer  Purpose = "answer"
+	// PurposeLimit is questions for tokens of workspaces, and their answers.
+	PurposeLimit Purpose = "limit"
 	// PurposeOther is news, and the messages of the product's own way.
 	PurposeOther Purpose = "other"
 )
@@ -78,6 +80,8 @@
 			return PurposeReply
 		}
 		return PurposeAnswer
+	case *slatewindv1.TakeRequest, *slatewindv1.TakeReply:
+		return PurposeLimit
 	}
 	return PurposeOther
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -17,6 +17,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/outbound"
 )
 
 // Error is the class of errors of this package.
@@ -34,6 +35,7 @@
 	denied    metric.Int64Counter
 	traffic   metric.Int64Counter
 	entries   metric.Int64Counter
+	workspace metric.Int64Counter
 }
 
 // New returns the instruments of a process.
@@ -59,6 +61,7 @@
 	m.denied = counter("slatewind.extra_attempts_denied", "Extra attempts that were not made, by service and cause.")
 	m.traffic = counter("slatewind.peer_bytes", "Bytes of messages between processes, by purpose and distance.")
 	m.entries = counter("slatewind.ignored_entries", "Entries in the platform's store that name no server, by the first field that is wrong.")
+	m.workspace = counter("slatewind.workspace_requests", "Requests that need a key, by workspace (those with the highest rates) and what was decided about the sender.")
 	m.duration, err = meter.Float64Histogram("slatewind.request.duration",
 		metric.WithDescription("Time from a request's arrival to its final answer."), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.001, .002, .004, .008, .016, .032, .064, .125, .25, .5, 1, 2, 4))
@@ -79,6 +82,11 @@
 	m.duration.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("route", route)))
 }
 
+// Workspace counts a request that needs a key, by what was decided about its sender.
+func (m *Metrics) Workspace(name string, admission outbound.Admission) {
+	m.workspace.Add(context.Background(), 1, metric.WithAttributes(attribute.String("workspace", name), attribute.String("admission", string(admission))))
+}
+
 // Extra counts a retry, a hedge or a hand-over.
 func (m *Metrics) Extra(service, why string) {
 	m.extras.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("why", why)))
--- a/outbound/model_test.go
+++ b/outbound/model_test.go
@@ -621,7 +621,7 @@
 
 // decideReally drives the dispatch itself. Attempts that it starts find no server.
 func decideReally(kind slatewind.Kind, key decisionKey, r result) decision {
-	o := New(Self{}, slatewind.CallerDialect{}, nil, silent{}, nil, nil, silent{}, nil)
+	o := New(Self{}, slatewind.CallerDialect{}, nil, silent{}, nil, nil, silent{}, nil, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if key.over {
@@ -674,6 +674,7 @@
 
 func (silent) Add(slatewind.Decision)                           {}
 func (silent) Request(string, slatewind.Outcome, time.Duration) {}
+func (silent) Workspace(string, Admission)                      {}
 func (silent) Extra(_, _ string)                                {}
 func (silent) Denied(_, _ string)                               {}
 
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -39,12 +39,26 @@
 type Meter interface {
 	// Request counts a request's outcome; route is empty where none was found.
 	Request(route string, outcome slatewind.Outcome, took time.Duration)
+	// Workspace counts a request that needs a key, by what was decided about its sender.
+	Workspace(name string, admission Admission)
 	// Extra counts an attempt beyond the first; why is the kind of decision.
 	Extra(service, why string)
 	// Denied counts an attempt beyond the first that was not made, by its cause.
 	Denied(service, cause string)
 }
 
+// Admission says what was decided about the sender of a request.
+type Admission string
+
+// Admissions.
+const (
+	AdmissionAllowed   Admission = "allowed"
+	AdmissionNoKey     Admission = "no-key"
+	AdmissionOverLimit Admission = "over-limit"
+	// AdmissionUnknown: no process that knows the workspace's use answered.
+	AdmissionUnknown Admission = "unknown"
+)
+
 // Reports takes what the processes beside servers say when they refuse requests.
 type Reports interface {
 	// Heard says that a server is sick and when it is to get its next trial.
@@ -69,6 +83,7 @@
 	calls   slatewind.Calls
 	meter   Meter
 	reports Reports
+	limiter slatewind.Limiter
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -94,10 +109,10 @@
 }
 
 // New returns an ingress that knows no servers yet. Its settings come from store.
-func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter, reports Reports) *Outbound {
+func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter, reports Reports, limiter slatewind.Limiter) *Outbound {
 	ended, end := context.WithCancel(context.Background())
 	return &Outbound{
-		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, ended: ended, end: end,
+		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, limiter: limiter, ended: ended, end: end,
 		shards: map[string]*shard{}, servers: map[string]home{}, places: map[string]string{}, overtaken: map[string]slatewind.ServerEntry{}, splits: map[string]*splitter{},
 	}
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -63,12 +63,18 @@
 }
 
 func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
+func (m *mesh) Workspace(string, outbound.Admission)             {}
 func (m *mesh) Extra(string, string)                             {}
 func (m *mesh) Denied(string, string)                            {}
 
 // Heard implements outbound.Reports.
 func (m *mesh) Heard(time.Time, slatewind.ServerStart, *slatewindv1.SlotState, time.Duration) {}
 
+// Admit implements slatewind.Limiter: no workspace of a mesh has a limit.
+func (m *mesh) Admit(context.Context, slatewind.WorkspaceLimit) slatewind.LimitVerdict {
+	return slatewind.LimitVerdict{Allowed: true}
+}
+
 // Call implements slatewind.Calls: no request of a mesh is a server's call.
 func (m *mesh) Call(string) (slatewind.Call, bool) { return slatewind.Call{}, false }
 
@@ -141,7 +147,7 @@
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
 		outbound.Self{DataCentre: "dc", Service: "caller"},
-		platform.Callers(), m.store, m.history, m, m, m, m,
+		platform.Callers(), m.store, m.history, m, m, m, m, m,
 	)
 	for _, name := range names {
 		m.add(t, name, "svc")
@@ -404,7 +410,7 @@
 func TestBeforeSettings(t *testing.T) {
 	m := newMesh(t, "a")
 	empty := config.NewStore(m.history)
-	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m)
+	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m, m)
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -18,6 +19,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// evidence holds the figures that decided, if there are any.
+	evidence string
 }
 
 // Error implements error.
@@ -30,7 +33,7 @@
 	o.meter.Request("", slatewind.OutcomeNotRun, 0)
 	o.journal.Add(slatewind.Decision{
 		Time: time.Now(), Kind: slatewind.DecisionRefuse, Request: r.Header.Get(o.dialect.RequestID), Reason: rejected.reason,
-		Evidence: fmt.Sprintf("status=%d version=%d from=%s", rejected.status, o.store.Version().Revision, HostOf(r.RemoteAddr)),
+		Evidence: strings.TrimSpace(fmt.Sprintf("status=%d version=%d %s", rejected.status, o.store.Version().Revision, rejected.evidence)),
 	})
 	o.writeOwn(w, r.Header.Get(o.dialect.RequestID), rejected.status, rejected.reason, rejected.retryAfter)
 }
@@ -44,7 +47,7 @@
 	if id != "" {
 		w.Header().Set(o.dialect.RequestID, id)
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		seconds := max(retryAfter, leastRetryAfter).Seconds()
 		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', retryAfterDecimals, 64))
 	}
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -141,7 +141,7 @@
 func (o *Outbound) newRequest(now time.Time, call *slatewind.Call, w http.ResponseWriter, r *http.Request) (*request, error) {
 	snapshot := o.store.Current()
 	if snapshot == nil {
-		return nil, &rejection{http.StatusServiceUnavailable, "no settings are in force yet", unreadyRetryAfter}
+		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "no settings are in force yet", retryAfter: unreadyRetryAfter}
 	}
 	route := snapshot.Routes.Find(HostOf(r.Host), r.Method, r.URL.Path)
 	if route == nil {
@@ -149,8 +149,14 @@
 	}
 	sender, err := o.identify(snapshot, route, call, r)
 	if err != nil {
+		o.meter.Workspace("", AdmissionNoKey)
 		return nil, &rejection{status: http.StatusUnauthorized, reason: err.Error()}
 	}
+	if call == nil && sender != nil {
+		if err := o.admitWorkspace(r.Context(), snapshot, sender); err != nil {
+			return nil, err
+		}
+	}
 	rq := &request{
 		id:       r.Header.Get(o.dialect.RequestID),
 		snapshot: snapshot,
@@ -183,6 +189,28 @@
 	return snapshot.Workspaces.Identify(keys, route.GetPublic())
 }
 
+// admitWorkspace refuses a request that is beyond its workspace's limit, before anything else is
+// spent on it.
+func (o *Outbound) admitWorkspace(ctx context.Context, snapshot *config.Snapshot, w *slatewindv1.Workspace) error {
+	verdict := o.limiter.Admit(ctx, snapshot.LimitOf(w))
+	refused := &rejection{retryAfter: verdict.RetryAfter, evidence: verdict.Evidence}
+	admission := AdmissionAllowed
+	switch {
+	case verdict.Allowed:
+	case verdict.OverLimit:
+		admission = AdmissionOverLimit
+		refused.status, refused.reason = http.StatusTooManyRequests, "the workspace is over its limit"
+	default:
+		admission = AdmissionUnknown
+		refused.status, refused.reason = http.StatusServiceUnavailable, "no process that knows the workspace's use answers"
+	}
+	o.meter.Workspace(snapshot.Workspaces.Label(w.GetName()), admission)
+	if admission == AdmissionAllowed {
+		return nil
+	}
+	return refused
+}
+
 // headers returns the fields that go to the server: the caller's, but for its key and for what
 // the fleet itself says of the request.
 func (o *Outbound) headers(r *http.Request, sender *slatewindv1.Workspace) []*slatewindv1.Header {
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -7,8 +7,10 @@
 package workspace
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/errs"
@@ -74,6 +76,35 @@
 	required bool
 	byKey    map[Digest]*slatewindv1.Workspace
 	byName   map[string]*slatewindv1.Workspace
+	// largest are the workspaces that metrics name.
+	largest map[string]bool
+}
+
+// mostLabels bounds the workspaces that metrics name.
+const mostLabels = 20
+
+// OtherLabel stands in metrics for all workspaces that they do not name.
+const OtherLabel = "other"
+
+// Label returns the name of a workspace in metrics: its own if it is one of those with the
+// highest rates.
+func (d *Directory) Label(name string) string {
+	if d.largest[name] {
+		return name
+	}
+	return OtherLabel
+}
+
+// largestOf returns the names of the workspaces with the highest rates.
+func largestOf(workspaces []*slatewindv1.Workspace) map[string]bool {
+	sorted := slices.SortedStableFunc(slices.Values(workspaces), func(a, b *slatewindv1.Workspace) int {
+		return cmp.Compare(b.GetRate(), a.GetRate())
+	})
+	largest := map[string]bool{}
+	for _, w := range sorted[:min(len(sorted), mostLabels)] {
+		largest[w.GetName()] = true
+	}
+	return largest
 }
 
 // NewDirectory returns the directory of checked settings.
@@ -82,6 +113,7 @@
 		required: fleet.GetKeysRequired() || len(fleet.GetWorkspaces()) > 0,
 		byKey:    map[Digest]*slatewindv1.Workspace{},
 		byName:   map[string]*slatewindv1.Workspace{},
+		largest:  largestOf(fleet.GetWorkspaces()),
 	}
 	for _, w := range fleet.GetWorkspaces() {
 		d.byName[w.GetName()] = w
@@ -97,9 +129,6 @@
 // Named returns the workspace of a name, or nil.
 func (d *Directory) Named(name string) *slatewindv1.Workspace { return d.byName[name] }
 
-// All returns how many workspaces there are.
-func (d *Directory) All() int { return len(d.byName) }
-
 // Identify returns the workspace that sends a request with the given values of the key's
 // header field. It is nil where none is needed: settings have no workspaces, or the route is
 // public and the request has no key that is known.
