Give slots to workspaces by turns within a rank

Cause: the queue for slots knew ranks alone. A workspace that floods (one without a limit, or while capacity is short within its limit) pushed others of its rank aside.

Change: an item in a server's queue has its workspace as its customer, by which package admission already shares slots; calls have that of the request for which they are made. Ranks go before shares.

Ruled out: weights by the workspaces' rates. A server has four slots or so, so that counts of running requests are 0, 1 or 2: weights between would decide nothing.

--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -47,6 +47,7 @@
 // request is one caller's request.
 type request struct {
 	from       *ingress
+	sender     workspaceLoad
 	repeatable bool
 	began      time.Time
 	deadline   time.Time
@@ -85,8 +86,10 @@
 // take begins a request.
 func (in *ingress) take() {
 	now := in.w.now
+	sender := in.w.sender()
+	in.w.sent[sender.Name]++
 	rq := &request{
-		from: in, repeatable: in.w.random.Float64() < in.w.Repeatable, began: now, deadline: now.Add(in.w.Patience * 4), tried: map[string]bool{},
+		from: in, sender: sender, repeatable: in.w.random.Float64() < in.w.Repeatable, began: now, deadline: now.Add(in.w.Patience * 4), tried: map[string]bool{},
 	}
 	rq.search(now.Add(in.w.Patience))
 }
@@ -259,6 +262,7 @@
 		rq.from.service.Succeeded(w.now, name)
 		rq.done = true
 		w.served++
+		w.answered[rq.sender.Name]++
 		return
 	}
 	proof := result == breaker.ResultShed
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -44,6 +44,29 @@
 	Slack  float64 `yaml:"slack"`
 	Faults []fault `yaml:"faults"`
 	Want   bounds  `yaml:"want"`
+	// Workspaces are those that send the requests; without any all are of one.
+	Workspaces []workspaceLoad `yaml:"workspaces"`
+}
+
+// workspaceLoad is one workspace's part of the requests.
+type workspaceLoad struct {
+	Name string `yaml:"name"`
+	// Share is its part of all requests, Rank that in the queue.
+	Share float64 `yaml:"share"`
+	Rank  uint32  `yaml:"rank"`
+	// Served is the least share of its requests that is to be served.
+	Served float64 `yaml:"served"`
+}
+
+// sender draws the workspace of a request.
+func (w *world) sender() workspaceLoad {
+	drawn := w.random.Float64()
+	for _, load := range w.Workspaces {
+		if drawn -= load.Share; drawn < 0 {
+			return load
+		}
+	}
+	return workspaceLoad{}
 }
 
 // fault is what befalls a share of the servers for a time.
@@ -84,6 +107,8 @@
 	// sick, full and denied count refused reservations, waits those that were queued.
 	sick, full, denied, waits int
 	held                      []time.Duration
+	// sent and answered count requests and served ones by workspace.
+	sent, answered map[string]int
 }
 
 // event is something that happens at a time; seq keeps those of one time in order.
@@ -130,6 +155,7 @@
 func replay(p pattern, seed uint64) tally {
 	w := &world{pattern: p, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1))}
 	w.began = w.now
+	w.sent, w.answered = map[string]int{}, map[string]int{}
 	for i := range p.Servers {
 		w.servers = append(w.servers, newServer(w, i))
 	}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -54,6 +54,11 @@
 			assert.Check(t, reservations <= p.Want.Reservations, "%.2f reservations a request", reservations)
 			assert.Check(t, extra <= p.Want.Extra, "%.3f extra arrivals", extra)
 			assert.Check(t, held <= p.Want.Held, "held %s", held)
+			for _, load := range p.Workspaces {
+				share := float64(got.answered[load.Name]) / float64(max(got.sent[load.Name], 1))
+				t.Logf("%s: %d requests, served %.3f", load.Name, got.sent[load.Name], share)
+				assert.Check(t, share >= load.Served, "%s: served %.3f", load.Name, share)
+			}
 		})
 	}
 }
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -99,7 +99,7 @@
 	s.nextID++
 	r.item = admission.Item{
 		ID: fmt.Sprint(s.nextID), Priority: slatewind.PriorityInteractive, Deadline: rq.deadline, StartBy: r.until(),
-		Beyond: rq.repeatable && s.breaker.Stuck(s.slots.Slots()),
+		Beyond: rq.repeatable && s.breaker.Stuck(s.slots.Slots()), Customer: rq.sender.Name, Rank: rq.sender.Rank,
 	}
 	s.waiting[r.item.ID] = r
 	decisions := s.slots.Offer(now, r.item)
