Soak keys and limits of workspaces, with a broken build for each

A run of its own, TestWorkspaces: a workspace floods all processes while these are killed, paused and cut off; its limit is lowered, its key replaced. Judged from what callers and servers see: what is run of it in any 5 s, that a key that was taken away gets nothing run 3 s later, and that each server is told the key's workspace and never a key or a name that a caller claims.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -162,8 +161,7 @@
 			return
 		}
 		v.RetryAfter = s.RetryAfter(now)
-		v.Evidence = fmt.Sprintf("workspace=%s rate=%g burst=%g tokens=%.1f used_here=%.1f/s settings=%d",
-			limit.Workspace, limit.Rate, limit.Burst, answer.Level, s.Rate(now), limit.Version)
+		v.Evidence = s.Evidence(now)
 	})
 	return v
 }
--- a/ratelimit/spender.go
+++ b/ratelimit/spender.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -30,6 +31,9 @@
 	// refused is until when requests are refused without asking, turn when a refused caller
 	// is to come back.
 	refused, turn time.Time
+	// level is how many tokens were left when the home last answered, at heard.
+	level float64
+	heard time.Time
 	// used is the decayed count of the tokens spent, as of usedAt.
 	used   float64
 	usedAt time.Time
@@ -85,6 +89,7 @@
 // Answered decides about a request for which tokens were asked.
 func (s *Spender) Answered(now time.Time, a Answer) Step {
 	s.alone = nil
+	s.level, s.heard = a.Level, now
 	if a.Tokens == 0 {
 		s.refused = now.Add(min(a.Next, refusedTime))
 		s.turn = now.Add(a.Turn)
@@ -113,6 +118,16 @@
 	return StepRefuse
 }
 
+// Evidence says on what a refusal rests.
+func (s *Spender) Evidence(now time.Time) string {
+	told := "never"
+	if !s.heard.IsZero() {
+		told = now.Sub(s.heard).Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("workspace=%s rate=%g burst=%g tokens=%.1f told_ago=%s used_here=%.1f/s settings=%d",
+		s.limit.Workspace, s.limit.Rate, s.limit.Burst, s.level, told, s.Rate(now), s.limit.Version)
+}
+
 // RetryAfter returns when a caller that is refused now is to come back.
 func (s *Spender) RetryAfter(now time.Time) time.Duration {
 	return max(s.turn.Sub(now), 0)
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -142,6 +142,25 @@
 			},
 		},
 	},
+	"a limit is not kept": {
+		promise: soak.PromiseLimit,
+		part:    soak.PartWorkspaces,
+		edits:   []edit{{file: "ratelimit/bucket.go", from: "if b.level < tokens {", to: "if false {"}},
+	},
+	"a key that was taken away is taken": {
+		promise: soak.PromiseKey,
+		part:    soak.PartWorkspaces,
+		edits: []edit{{
+			file: "workspace/workspace.go",
+			from: "	return nil, ErrUnknownKey",
+			to:   "	for _, w := range d.byName {\n\t\treturn w, nil\n\t}\n\treturn nil, ErrUnknownKey",
+		}},
+	},
+	"a claimed name is passed on": {
+		promise: soak.PromiseKey,
+		part:    soak.PartWorkspaces,
+		edits:   []edit{{file: "outbound/request.go", from: "o.dialect.Key, o.dialect.Workspace)", to: "o.dialect.Key)"}},
+	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
@@ -193,7 +212,7 @@
 // options say what a run of a broken build is like: no longer than it takes, unless the
 // whole of it is asked for.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
-	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartStops)
+	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops)
 	if *whole {
 		return o
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -87,11 +87,17 @@
 // ask sends one request. The status is zero where no whole answer came; own says
 // that the answer is that of a server to this request.
 func (f *fleet) ask(client *http.Client, to int, path, id string) (status int, own bool) {
+	return f.askWith(client, to, path, id, http.Header{})
+}
+
+// askWith is ask with header fields besides those that every caller sends.
+func (f *fleet) askWith(client *http.Client, to int, path, id string, header http.Header) (status int, own bool) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(ownBase, to, portCallers)+path, strings.NewReader(id))
 	if err != nil {
 		panic(err) // Only a wrong address or path in this package does that.
 	}
 	r.Host = host
+	r.Header = header
 	r.Header.Set(platform.Callers().RequestID, id)
 	r.Header.Set(platform.Callers().Deadline, fmt.Sprint(callerTime.Milliseconds()))
 	// What went wrong does not matter: the caller has no whole answer.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -38,6 +38,11 @@
 	PromiseSettings Promise = "settings in force"
 	// PromiseForward: settings never go back within one life of a process.
 	PromiseForward Promise = "settings never go back"
+	// PromiseKey: a server is told the workspace of a key, never the key, and runs nothing
+	// for a key that was taken away.
+	PromiseKey Promise = "the workspace of the key"
+	// PromiseLimit: the fleet keeps a workspace's limit.
+	PromiseLimit Promise = "limit of a workspace"
 	// PromiseBudget: the fleet keeps the budget of extra arrivals.
 	PromiseBudget Promise = "budget of extra arrivals"
 )
--- a/soak/node.go
+++ b/soak/node.go
@@ -90,6 +90,7 @@
 // watched writes down what comes to a server before the server sees it.
 func (f *fleet) watched(i int, server http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.record.noteHeaders(r.Header.Get(platform.Servers().RequestID), r.Header)
 		f.record.noteArrival(arrival{ID: r.Header.Get(platform.Servers().RequestID), Server: i, At: time.Now()})
 		server.ServeHTTP(w, r)
 	})
--- a/soak/record.go
+++ b/soak/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	Status int
 	// Own says that the answer is the server's to this very request.
 	Own bool
+	// Key is the workspace's key that it carried, if any.
+	Key string
 	// Stopping says that the process was told to stop before the request ended,
 	// in the calm, so that nothing else excuses a cut.
 	Stopping bool
@@ -53,6 +56,9 @@
 	// stops holds the planned stops, hangs the processes that hung meanwhile.
 	stops []plannedStop
 	hangs []hang
+	// limits are those that the flooding workspace had, keys those that were taken away.
+	limits []limitSpan
+	keys   []keySpan
 	// broken holds the promises that are checked while the run goes on.
 	broken []Breach
 	// failures are errors of the run itself.
@@ -99,6 +105,31 @@
 	r.hangs = append(r.hangs, h)
 }
 
+// noteLimit notes a limit that was published.
+func (r *record) noteLimit(l limitSpan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = append(r.limits, l)
+}
+
+// noteKeyEnd notes a key that was taken away.
+func (r *record) noteKeyEnd(k keySpan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keys = append(r.keys, k)
+}
+
+// noteHeaders judges what a server was told of a request's sender.
+func (r *record) noteHeaders(id string, header http.Header) {
+	breaches := judgeHeaders(id, header)
+	if len(breaches) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, breaches...)
+}
+
 // noteBreach notes a promise that was found broken while the run goes on.
 func (r *record) noteBreach(promise Promise, format string, arguments ...any) {
 	r.mu.Lock()
@@ -136,5 +167,7 @@
 		breaches = append(breaches, judgeStop(s, r.sent, runs, hung)...)
 	}
 	breaches = append(breaches, judgeLeaving(r.leaving, r.arrivals)...)
+	breaches = append(breaches, judgeKeys(r.keys, r.sent, runs)...)
+	breaches = append(breaches, judgeLimit(r.limits, r.sent, r.arrivals)...)
 	return append(breaches, judgeBudget(r.sent, r.arrivals)...)
 }
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -57,7 +57,19 @@
 }
 
 // encodeVersion returns the settings of a version as the store holds them.
-func encodeVersion(version uint64) []byte {
+func encodeVersion(version uint64) []byte { return encode(settingsOf(version), nil) }
+
+// encode returns settings as the store holds them; keys are those of the workspaces.
+func encode(settings slatewind.PublishedSettings, keys map[string][]string) []byte {
+	value, err := platform.EncodeConfig(settings, keys)
+	if err != nil {
+		panic(err) // Only a fault of this package does that.
+	}
+	return value
+}
+
+// settingsOf returns the settings of a version.
+func settingsOf(version uint64) slatewind.PublishedSettings {
 	routes := []*slatewindv1.Route{
 		newRoute(singlePath, slatewind.KindSingle),
 		newRoute(repeatablePath, slatewind.KindRepeatable),
@@ -65,13 +77,9 @@
 	for v := uint64(1); v <= version; v++ {
 		routes = append(routes, newRoute(versionPath(v), slatewind.KindRepeatable))
 	}
-	value, err := platform.EncodeConfig(slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
+	return slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
 		Services: []*slatewindv1.Service{{Name: service}}, Routes: routes,
-	}}, nil)
-	if err != nil {
-		panic(err) // Only a fault of this package does that.
-	}
-	return value
+	}}
 }
 
 // versionPath returns the path that a version of the settings adds.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,8 @@
 	// store, go silent for good.
 	PartSilentPeers Part = "silent peers"
 	PartSilentStore Part = "silent store"
+	// PartWorkspaces: a workspace floods, its limit is lowered and its key taken away.
+	PartWorkspaces Part = "workspaces"
 	// PartStops: processes stop in a series that overlaps, while another one hangs.
 	PartStops Part = "stops"
 )
@@ -129,6 +131,7 @@
 		{PartCalm, func() error { return f.calm(ctx) }},
 		{PartSilentPeers, func() error { return f.checkSilence(ctx, PromiseSilentPeer, peerProxy) }},
 		{PartSilentStore, func() error { return f.checkSilence(ctx, PromiseSilentStore, storeProxy) }},
+		{PartWorkspaces, func() error { return f.checkWorkspaces(ctx, random) }},
 		{PartStops, func() error { return f.checkStops(ctx, random) }},
 	}
 	for _, part := range parts {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,13 @@
 	runSeeds(t, soak.PartStops)
 }
 
+// TestWorkspaces has a workspace flood while processes fail, lowers its limit and takes its key
+// away.
+func TestWorkspaces(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartWorkspaces)
+}
+
 // TestSilentPeers has connections between processes go silent for good.
 func TestSilentPeers(t *testing.T) {
 	t.Parallel()
