Keep limits where a list of VMs names the processes too, and give stand-ins their part

A stand-in began with one token and lost what it had saved up after 0.1 s, as a successor must. Its 0.15 of the limit is its own all the time, so it may save it up.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -188,6 +188,9 @@
 		line("own server\t%s\tslots %d/%d\tqueued %d\toutcomes %d\t%s", door.Server, door.InUse, door.Slots, door.Queued, door.Outcomes, door.Leaving)
 	}
 	line("once\t%d records\t%d bytes of answers", s.Sidecar.OnceRecords, s.Sidecar.AnswerBytes)
+	for _, u := range s.Limits {
+		line("limit\t%s\t%s\t%g a second, burst %g\t%.1f tokens left", u.Workspace, u.Role, u.Rate, u.Burst, u.Level)
+	}
 	for _, m := range s.Members {
 		line("member\t%s\t%s\t%s\tby %s\t%s ago", m.VM, m.DataCentre, m.State, m.Source, s.Time.Sub(m.Updated).Round(time.Second))
 	}
--- a/cmd/slatewind-standin/main.go
+++ b/cmd/slatewind-standin/main.go
@@ -34,6 +34,8 @@
 	Rate      float64       `long:"rate" description:"requests a second" default:"100"`
 	For       time.Duration `long:"for" description:"how long to send" default:"5s"`
 	Servers   []string      `long:"server" description:"IP:port of a stand-in server whose runs are counted; repeat it"`
+	// WorkspaceKey comes by the environment: other users can read a command line.
+	WorkspaceKey string `long:"workspace-key" env:"WORKSPACE_KEY" description:"key that callers send"`
 }
 
 type controlCommand struct {
@@ -141,7 +143,7 @@
 
 // Execute implements flags.Commander.
 func (c *driveCommand) Execute([]string) error {
-	driver := &standin.Driver{Ingresses: c.Ingresses, Rate: c.Rate}
+	driver := &standin.Driver{Ingresses: c.Ingresses, Rate: c.Rate, WorkspaceKey: c.WorkspaceKey}
 	for _, text := range c.Targets {
 		var target standin.Target
 		var kind string
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/replay"
 	"slatewind.example/slatewind/sidecar"
@@ -120,6 +121,7 @@
 	gossip   *gossip.Gossip
 	sidecar  *sidecar.Sidecar
 	ingress  *ingress.Ingress
+	limiter  *ratelimit.Limiter
 	recorder *replay.Recorder
 	reader   *discovery.Reader
 	servers  *sidecar.HTTPCaller
@@ -146,7 +148,10 @@
 		Attempts:        int(limits.GetTombstones()),
 	}, store, j, p.servers)
 	own := &links{pool: pool, own: process.GetPeerAddress(), sidecar: p.sidecar}
-	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder)
+	p.limiter = ratelimit.New(time.Now(), process.GetPeerAddress(), processPeers{pool}, func(workspace string) slatewind.WorkspaceLimit {
+		return limitOf(store, workspace)
+	})
+	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder, p.limiter)
 	client := platform.NewClient(process.GetPlatformUrl(), nil)
 	p.reader = discovery.NewReader(client, client, p.gossip, m)
 	return p
@@ -177,6 +182,7 @@
 	p.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSidecarServer(p.peers, sidecarServer{sidecar: p.sidecar})
 	slatewindv1.RegisterPeerServer(p.peers, peerServer{gossip: p.gossip})
+	slatewindv1.RegisterRateLimitsServer(p.peers, link.LimitsServer{Give: p.limiter.Give})
 	return serveAll(p.logger, []service{
 		{"callers", p.settings.GetIngressAddress(), p.callers.Serve},
 		{"peers", p.settings.GetPeerAddress(), p.peers.Serve},
@@ -233,6 +239,7 @@
 
 // MembersChanged implements gossip.Events.
 func (p *Process) MembersChanged(now time.Time) {
+	p.listPeers(now)
 	p.ingress.MembersChanged(now)
 }
 
@@ -279,6 +286,7 @@
 		Ingress:     p.ingress.View(now),
 		Sidecar:     p.sidecar.View(),
 		Members:     p.gossip.Members(),
+		Limits:      p.limiter.Uses(now),
 	}
 }
 
--- /dev/null
+++ b/daemon/limits.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/ratelimit"
+)
+
+// limitOf returns a workspace's limit as the settings in force have it.
+func limitOf(store *config.Store, workspace string) slatewind.WorkspaceLimit {
+	snapshot := store.Current()
+	if snapshot == nil {
+		return slatewind.WorkspaceLimit{Workspace: workspace}
+	}
+	return snapshot.LimitOf(snapshot.Workspaces.Named(workspace))
+}
+
+// processPeers asks the other processes of a list of VMs for tokens. They are known by their
+// peer addresses.
+type processPeers struct{ pool *link.Pool }
+
+// Take implements ratelimit.Peers.
+func (p processPeers) Take(ctx context.Context, address string, q ratelimit.Question) (ratelimit.Answer, error) {
+	return p.pool.Take(ctx, address, q)
+}
+
+// NotRunning implements ratelimit.Peers.
+func (processPeers) NotRunning(err error) bool { return link.NotRunning(err) }
+
+// listPeers tells the limiter which processes there are.
+func (p *Process) listPeers(now time.Time) {
+	for _, m := range p.gossip.Members() {
+		if m.Live() && m.PeerAddress != "" {
+			p.limiter.Put(now, m.VM, m.PeerAddress)
+			continue
+		}
+		p.limiter.Remove(now, m.VM)
+	}
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -76,15 +76,6 @@
 	return n.pool.Use(ctx, peer, server.DataCentre != n.settings.GetDataCentre())
 }
 
-// limitOf returns a workspace's limit as the settings in force have it.
-func (n *Node) limitOf(workspace string) slatewind.WorkspaceLimit {
-	snapshot := n.store.Current()
-	if snapshot == nil {
-		return slatewind.WorkspaceLimit{Workspace: workspace}
-	}
-	return snapshot.LimitOf(snapshot.Workspaces.Named(workspace))
-}
-
 // peerOf returns the peer address of the process on the VM of an address: every
 // VM of a fleet uses the same ports.
 func (n *Node) peerOf(address string) (string, error) {
--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -209,7 +209,7 @@
 				c := newChaos(t, seed)
 				var ingresses []*ingress.Ingress
 				for i := range 2 {
-					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, history.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{})
+					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, history.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{})
 					in.Update(time.Now(), c.store.Current())
 					in.Start(c.ctx, timer.New())
 					ingresses = append(ingresses, in)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -76,6 +76,7 @@
 	members Members
 	meter   Meter
 	recent  Recorder
+	limiter slatewind.Limiter
 
 	nextID atomic.Uint64
 	prefix uint64
@@ -101,9 +102,9 @@
 }
 
 // New returns an ingress without services; Update brings them.
-func New(name, local string, store *config.Store, journal slatewind.Journal, links Links, members Members, meter Meter, recent Recorder) *Ingress {
+func New(name, local string, store *config.Store, journal slatewind.Journal, links Links, members Members, meter Meter, recent Recorder, limiter slatewind.Limiter) *Ingress {
 	return &Ingress{
-		name: name, local: local, store: store, journal: journal, links: links, members: members, meter: meter, recent: recent,
+		name: name, local: local, store: store, journal: journal, links: links, members: members, meter: meter, recent: recent, limiter: limiter,
 		prefix: rand.Uint64(),
 		ctx:    context.Background(),
 		shards: map[string]*shard{},
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -20,6 +20,7 @@
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/workspace"
 )
 
 const settings = `
@@ -53,11 +54,24 @@
 	mu       sync.Mutex
 	all      behaviour
 	attempts []string
+	// last is the newest request that came.
+	last *slatewindv1.RunRequest
+}
+
+// header returns a header field of the newest request, or nothing.
+func (f *fakeLinks) header(name string) string {
+	for _, h := range f.last.GetHeaders() {
+		if h.GetName() == name {
+			return h.GetValue()
+		}
+	}
+	return ""
 }
 
 func (f *fakeLinks) Run(ctx context.Context, address string, request *slatewindv1.RunRequest) (*link.Reply, bool, error) {
 	f.mu.Lock()
 	f.attempts = append(f.attempts, address)
+	f.last = request
 	f.mu.Unlock()
 	head := &slatewindv1.RunHead{AttemptId: request.GetAttemptId(), EarlierExcluded: true}
 	switch f.all {
@@ -116,12 +130,18 @@
 func (fakeRecorder) Lost(time.Time, string, string)       {}
 
 func newIngress(t *testing.T, links *fakeLinks) (*ingress.Ingress, *history.Journal) {
+	t.Helper()
+	return newIngressWith(t, links, settings)
+}
+
+// newIngressWith returns an ingress with settings.
+func newIngressWith(t *testing.T, links *fakeLinks, settings string) (*ingress.Ingress, *history.Journal) {
 	t.Helper()
 	j := history.New(0, nil)
 	store := config.NewStore(j)
 	_, err := store.Offer(time.Now(), "test", 1, []byte(settings))
 	assert.NilError(t, err)
-	in := ingress.New("vm-0", "dc", store, j, links, fakeMembers{}, fakeMeter{}, fakeRecorder{})
+	in := ingress.New("vm-0", "dc", store, j, links, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{})
 	in.Update(time.Now(), store.Current())
 	return in, j
 }
@@ -212,3 +232,60 @@
 		assert.Assert(t, len(links.attempts) <= requests*12/10+10, "%d attempts", len(links.attempts))
 	})
 }
+
+// fakeLimiter refuses the requests of all workspaces that have a limit.
+type fakeLimiter struct{}
+
+// Admit implements slatewind.Limiter.
+func (fakeLimiter) Admit(_ context.Context, limit slatewind.WorkspaceLimit) slatewind.LimitVerdict {
+	if limit.Rate == 0 {
+		return slatewind.LimitVerdict{Allowed: true}
+	}
+	return slatewind.LimitVerdict{OverLimit: true, RetryAfter: 1500 * time.Millisecond, Evidence: "tokens=0"}
+}
+
+// TestWorkspaces: a request needs the key of a workspace, is within its limit, and comes to
+// servers with its name.
+func TestWorkspaces(t *testing.T) {
+	workspaces := settings + `workspaces:
+  - {name: free, key_digests: [` + workspace.DigestOf("free-key").String() + `]}
+  - {name: limited, key_digests: [` + workspace.DigestOf("limited-key").String() + `], rate: 5, burst: 5}
+`
+	tests := map[string]struct {
+		key    string
+		status int
+		after  string
+		told   string
+	}{
+		"a key":            {key: "free-key", status: http.StatusOK, told: "free"},
+		"over the limit":   {key: "limited-key", status: http.StatusTooManyRequests, after: "1500"},
+		"an unknown key":   {key: "other-key", status: http.StatusUnauthorized},
+		"no key at all":    {status: http.StatusUnauthorized},
+		"a claimed digest": {key: workspace.DigestOf("free-key").String(), status: http.StatusUnauthorized},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				links := &fakeLinks{all: answers}
+				in, j := newIngressWith(t, links, workspaces)
+				r := httptest.NewRequest(http.MethodGet, "/prices/1", nil)
+				if test.key != "" {
+					r.Header.Set(ingress.HeaderWorkspaceKey, test.key)
+				}
+				r.Header.Set(ingress.HeaderWorkspace, "claimed")
+				w := httptest.NewRecorder()
+				in.ServeHTTP(w, r)
+				time.Sleep(time.Minute)
+				assert.Equal(t, w.Code, test.status, w.Body.String())
+				assert.Equal(t, w.Header().Get(ingress.HeaderRetryAfterMs), test.after)
+				assert.Equal(t, links.header(ingress.HeaderWorkspace), test.told)
+				assert.Equal(t, links.header(ingress.HeaderWorkspaceKey), "")
+				if test.status != http.StatusOK {
+					explained := j.Find(history.Filter{Request: w.Header().Get(ingress.HeaderRequest)})
+					assert.Assert(t, len(explained) == 1, "the journal does not explain the refusal")
+					assert.Assert(t, test.key == "" || !strings.Contains(fmt.Sprint(explained), test.key), "the key is in the journal")
+				}
+			})
+		})
+	}
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -75,6 +75,10 @@
 type badRequest struct {
 	status int
 	reason string
+	// retryAfter is when the caller may come back, zero for the default.
+	retryAfter time.Duration
+	// evidence holds the figures that decided, if there are any.
+	evidence string
 }
 
 // Error implements error.
@@ -87,7 +91,7 @@
 	id := in.newID()
 	w.Header().Set(HeaderRequest, id)
 	if waiting > maxInFlight {
-		in.refuseBad(w, id, &badRequest{http.StatusServiceUnavailable, "too many requests wait at this ingress"})
+		in.refuseBad(w, id, &badRequest{status: http.StatusServiceUnavailable, reason: "too many requests wait at this ingress"})
 		return
 	}
 	if in.stop.Load() != nil {
@@ -100,7 +104,7 @@
 	}
 	if stop := in.stop.Load(); stop != nil && rq.deadline.After(stop.Finishes()) {
 		// It would be cut off at the end of the stop, should its server need all of its time.
-		in.refuseBad(w, id, &badRequest{http.StatusServiceUnavailable, "the process stops"})
+		in.refuseBad(w, id, &badRequest{status: http.StatusServiceUnavailable, reason: "the process stops"})
 		return
 	}
 	final := in.dispatch(r.Context(), rq)
@@ -116,10 +120,10 @@
 	bad := &badRequest{status: http.StatusBadRequest, reason: err.Error()}
 	errors.As(err, &bad)
 	in.meter.Request("", slatewind.OutcomeNotRun, 0)
-	in.journal.Add(slatewind.Decision{Time: time.Now(), Kind: slatewind.DecisionRefuse, Request: id, Reason: bad.reason})
+	in.journal.Add(slatewind.Decision{Time: time.Now(), Kind: slatewind.DecisionRefuse, Request: id, Reason: bad.reason, Evidence: bad.evidence})
 	w.Header().Set(HeaderOutcome, string(slatewind.OutcomeNotRun))
-	if bad.status == http.StatusServiceUnavailable {
-		setRetryAfter(w, defaultRetryAfter)
+	if bad.status == http.StatusServiceUnavailable || bad.status == http.StatusTooManyRequests {
+		setRetryAfter(w, bad.retryAfter)
 	}
 	http.Error(w, bad.reason, bad.status)
 }
@@ -128,15 +132,18 @@
 func (in *Ingress) newRequest(id string, w http.ResponseWriter, r *http.Request) (*request, error) {
 	snapshot := in.store.Current()
 	if snapshot == nil {
-		return nil, &badRequest{http.StatusServiceUnavailable, "no settings are in force yet"}
+		return nil, &badRequest{status: http.StatusServiceUnavailable, reason: "no settings are in force yet"}
 	}
 	route := snapshot.Routes.Find(hostOnly(r.Host), r.Method, r.URL.Path)
 	if route == nil {
-		return nil, &badRequest{http.StatusNotFound, fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
+		return nil, &badRequest{status: http.StatusNotFound, reason: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
 	}
 	sender, err := snapshot.Workspaces.Identify(r.Header.Values(HeaderWorkspaceKey), route.GetPublic())
 	if err != nil {
-		return nil, &badRequest{http.StatusUnauthorized, err.Error()}
+		return nil, &badRequest{status: http.StatusUnauthorized, reason: err.Error()}
+	}
+	if err := in.admit(r.Context(), snapshot, sender); err != nil {
+		return nil, err
 	}
 	rq := &request{
 		id:       id,
@@ -155,10 +162,10 @@
 		rq.headers = append(rq.headers, &slatewindv1.Header{Name: HeaderWorkspace, Value: sender.GetName()})
 	}
 	if rq.shard == nil {
-		return nil, &badRequest{http.StatusServiceUnavailable, "the service of the route is being set up"}
+		return nil, &badRequest{status: http.StatusServiceUnavailable, reason: "the service of the route is being set up"}
 	}
 	if len(rq.customer) > maxKeyLength {
-		return nil, &badRequest{http.StatusBadRequest, HeaderCustomer + " is too long"}
+		return nil, &badRequest{status: http.StatusBadRequest, reason: HeaderCustomer + " is too long"}
 	}
 	if err := rq.readKey(r.Header); err != nil {
 		return nil, err
@@ -171,6 +178,21 @@
 	return rq, nil
 }
 
+// admit refuses a request that is beyond its workspace's limit.
+func (in *Ingress) admit(ctx context.Context, snapshot *config.Snapshot, sender *slatewindv1.Workspace) error {
+	verdict := in.limiter.Admit(ctx, snapshot.LimitOf(sender))
+	refused := &badRequest{retryAfter: verdict.RetryAfter, evidence: verdict.Evidence}
+	switch {
+	case verdict.Allowed:
+		return nil
+	case verdict.OverLimit:
+		refused.status, refused.reason = http.StatusTooManyRequests, "the workspace is over its limit"
+	default:
+		refused.status, refused.reason = http.StatusServiceUnavailable, "no process that knows the workspace's use answers"
+	}
+	return refused
+}
+
 func hostOnly(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		return host[:i]
@@ -192,7 +214,7 @@
 	if number != "" {
 		n, err := strconv.Atoi(number)
 		if err != nil || n < 1 {
-			return &badRequest{http.StatusBadRequest, fmt.Sprintf("%s %q is not a number from 1", HeaderAttempt, number)}
+			return &badRequest{status: http.StatusBadRequest, reason: fmt.Sprintf("%s %q is not a number from 1", HeaderAttempt, number)}
 		}
 		rq.claim = slatewind.ClaimRetry
 		if n == 1 {
@@ -201,7 +223,7 @@
 	}
 	if key == "" {
 		if rq.claim == slatewind.ClaimRetry {
-			return &badRequest{http.StatusBadRequest, "a retry needs the " + HeaderKey + " of its first attempt"}
+			return &badRequest{status: http.StatusBadRequest, reason: "a retry needs the " + HeaderKey + " of its first attempt"}
 		}
 		rq.claim = slatewind.ClaimFirst
 		key = "minted-" + rq.id
@@ -215,17 +237,17 @@
 // that stand twice.
 func checkKey(h http.Header, key string) error {
 	if len(h.Values(HeaderKey)) > 1 {
-		return &badRequest{http.StatusBadRequest, HeaderKey + " stands twice"}
+		return &badRequest{status: http.StatusBadRequest, reason: HeaderKey + " stands twice"}
 	}
 	if _, ok := h[HeaderKey]; ok && key == "" {
-		return &badRequest{http.StatusBadRequest, HeaderKey + " is empty"}
+		return &badRequest{status: http.StatusBadRequest, reason: HeaderKey + " is empty"}
 	}
 	if len(key) > maxKeyLength {
-		return &badRequest{http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes", HeaderKey, maxKeyLength)}
+		return &badRequest{status: http.StatusBadRequest, reason: fmt.Sprintf("%s is longer than %d bytes", HeaderKey, maxKeyLength)}
 	}
 	for i := range len(key) {
 		if key[i] < ' ' || key[i] > '~' {
-			return &badRequest{http.StatusBadRequest, HeaderKey + " holds characters outside printable ASCII"}
+			return &badRequest{status: http.StatusBadRequest, reason: HeaderKey + " holds characters outside printable ASCII"}
 		}
 	}
 	return nil
@@ -238,10 +260,10 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &badRequest{http.StatusRequestEntityTooLarge, fmt.Sprintf("body is over the route's limit of %d bytes", limit)}
+		return &badRequest{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body is over the route's limit of %d bytes", limit)}
 	}
 	if err != nil {
-		return &badRequest{http.StatusBadRequest, "body did not arrive whole: " + err.Error()}
+		return &badRequest{status: http.StatusBadRequest, reason: "body did not arrive whole: " + err.Error()}
 	}
 	rq.body = body
 	return nil
--- a/internal/standin/drive.go
+++ b/internal/standin/drive.go
@@ -43,8 +43,10 @@
 	Ingresses []string
 	Targets   []Target
 	// Rate is the number of requests a second.
-	Rate   float64
-	Counts Counts
+	Rate float64
+	// WorkspaceKey is the key that callers send, if any.
+	WorkspaceKey string
+	Counts       Counts
 
 	client http.Client
 	sent   atomic.Int64
@@ -155,6 +157,9 @@
 		return outcomeFailed
 	}
 	r.Header.Set(HeaderNonce, nonce)
+	if d.WorkspaceKey != "" {
+		r.Header.Set(ingress.HeaderWorkspaceKey, d.WorkspaceKey)
+	}
 	r.Header.Set(ingress.HeaderCustomer, fmt.Sprintf("customer-%d", rand.IntN(customers)))
 	if key != "" {
 		// The customer is part of a key's scope, so a retry keeps it.
--- a/link/limits.go
+++ b/link/limits.go
@@ -24,11 +24,27 @@
 		return ratelimit.Answer{}, err
 	}
 	return ratelimit.Answer{
-		Tokens: int(reply.GetTokens()), Level: reply.GetLevel(),
+		Tokens: int(reply.GetTokens()), Level: reply.GetLevel(), Role: roleOf(reply.GetRole()),
 		Next: time.Duration(reply.GetNextNanos()), Turn: time.Duration(reply.GetTurnNanos()),
 	}, nil
 }
 
+// roleWord is a role's word in replies.
+func roleWord(role ratelimit.Role) string {
+	if role == ratelimit.RoleHome {
+		return ""
+	}
+	return string(role)
+}
+
+// roleOf returns the role of a word in replies.
+func roleOf(word string) ratelimit.Role {
+	if word == "" {
+		return ratelimit.RoleHome
+	}
+	return ratelimit.Role(word)
+}
+
 // NotRunning reports whether an error of a call proves that no process listens at the peer's
 // address.
 func NotRunning(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
@@ -69,5 +85,6 @@
 	})
 	return &slatewindv1.TakeReply{
 		Tokens: uint32(answer.Tokens), Level: answer.Level, NextNanos: int64(answer.Next), TurnNanos: int64(answer.Turn),
+		Role: roleWord(answer.Role),
 	}, nil
 }
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -37,6 +37,8 @@
 	Next, Turn time.Duration
 	// Level is how many tokens are left.
 	Level float64
+	// Role is that in which the process answered.
+	Role Role
 }
 
 // account is one workspace's at a process that gives its tokens.
@@ -96,7 +98,7 @@
 	for given < q.Tokens && a.bucket.Level(now) > a.bucket.burst/2 && a.bucket.Take(now, 1) {
 		given++
 	}
-	return Answer{Tokens: given, Level: a.bucket.Level(now)}
+	return Answer{Tokens: given, Level: a.bucket.Level(now), Role: a.role}
 }
 
 // account returns the account that a question is about, made or changed where that is due.
@@ -106,8 +108,8 @@
 		a = l.newAccount(now, q)
 		l.accounts[q.Limit.Workspace] = a
 	}
-	if q.Role != RoleHome && now.Sub(a.used) > askedPause {
-		// Meanwhile the home gave what came.
+	if q.Role == RoleSuccessor && now.Sub(a.used) > askedPause {
+		// Meanwhile the home gave what came. A stand-in's part is its own all the time.
 		a.bucket.Lose(now)
 	}
 	if q.Limit.Version > a.limit.Version {
@@ -117,7 +119,7 @@
 	return a
 }
 
-// askedPause is how long nobody asked a process for tokens when it begins anew to stand in.
+// askedPause is how long nobody asked a successor for tokens when it begins anew.
 const askedPause = 100 * time.Millisecond
 
 // newAccount returns the account of a workspace that nobody asked this process for. A home has
@@ -125,9 +127,12 @@
 func (l *Ledger) newAccount(now time.Time, q Question) *account {
 	a := &account{limit: q.Limit, role: q.Role, used: now}
 	rate, burst := a.gives()
-	if q.Role == RoleHome {
+	switch q.Role {
+	case RoleHome:
 		a.bucket = NewBucket(l.since, rate, burst, startShare)
-	} else {
+	case RoleStandIn:
+		a.bucket = NewBucket(now, rate, burst, 1)
+	case RoleSuccessor:
 		a.bucket = NewBucket(now, rate, burst, 0)
 	}
 	return a
@@ -153,7 +158,7 @@
 func (a *account) refuse(now time.Time) Answer {
 	next := a.bucket.Next(now)
 	if next > mostTurn {
-		return Answer{Next: mostTurn, Turn: mostTurn, Level: a.bucket.Level(now)}
+		return Answer{Next: mostTurn, Turn: mostTurn, Level: a.bucket.Level(now), Role: a.role}
 	}
 	turn := now.Add(next)
 	if after := a.told.Add(time.Duration(float64(time.Second) / a.bucket.rate)); after.After(turn) {
@@ -163,7 +168,7 @@
 		turn = last
 	}
 	a.told = turn
-	return Answer{Next: next, Turn: turn.Sub(now), Level: a.bucket.Level(now)}
+	return Answer{Next: next, Turn: turn.Sub(now), Level: a.bucket.Level(now), Role: a.role}
 }
 
 // sweepPause is the least time between two looks for unused accounts.
--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -335,10 +335,10 @@
 
 // tellHosts has each process hear within viewAge which hosts there are.
 func (m *model) tellHosts(w way) {
-	hosts := m.hosts()
 	for i := range m.processes {
 		late := time.Duration(m.random.Float64() * float64(viewAge))
-		m.after(late, func() { m.at(i, func() { w.moved(i, hosts) }) })
+		// News never goes back: what is heard is what holds now.
+		m.after(late, func() { m.at(i, func() { w.moved(i, m.hosts()) }) })
 	}
 }
 
--- a/ratelimit/parts_test.go
+++ b/ratelimit/parts_test.go
@@ -200,7 +200,7 @@
 		least, most int
 	}{
 		"the home answers":              {least: 20, most: 22},
-		"the home is silent":            {away: errSilent, least: 1, most: 3},
+		"the home is silent":            {away: errSilent, least: 15, most: 16},
 		"the home is proved not to run": {away: errRefused, least: 1, most: 3},
 	}
 	for name, test := range tests {
--- a/ratelimit/spender.go
+++ b/ratelimit/spender.go
@@ -34,6 +34,8 @@
 	// level is how many tokens were left when the home last answered, at heard.
 	level float64
 	heard time.Time
+	// by is in which role it answered.
+	by Role
 	// used is the decayed count of the tokens spent, as of usedAt.
 	used   float64
 	usedAt time.Time
@@ -89,7 +91,7 @@
 // Answered decides about a request for which tokens were asked.
 func (s *Spender) Answered(now time.Time, a Answer) Step {
 	s.alone = nil
-	s.level, s.heard = a.Level, now
+	s.level, s.heard, s.by = a.Level, now, a.Role
 	if a.Tokens == 0 {
 		s.refused = now.Add(min(a.Next, refusedTime))
 		s.turn = now.Add(a.Turn)
@@ -124,8 +126,8 @@
 	if !s.heard.IsZero() {
 		told = now.Sub(s.heard).Round(time.Millisecond).String()
 	}
-	return fmt.Sprintf("workspace=%s rate=%g burst=%g tokens=%.1f told_ago=%s used_here=%.1f/s settings=%d",
-		s.limit.Workspace, s.limit.Rate, s.limit.Burst, s.level, told, s.Rate(now), s.limit.Version)
+	return fmt.Sprintf("workspace=%s rate=%g burst=%g tokens=%.1f told_by=%s told_ago=%s used_here=%.1f/s settings=%d",
+		s.limit.Workspace, s.limit.Rate, s.limit.Burst, s.level, s.by, told, s.Rate(now), s.limit.Version)
 }
 
 // RetryAfter returns when a caller that is refused now is to come back.
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -55,7 +55,7 @@
 bin/slatewind ready "${admins[@]}"
 
 echo "== requests for 10 s; after 4 s vitrine-3 answers 8 times as slowly"
-bin/slatewind-standin drive "${ingresses[@]}" "${servers[@]}" --rate 300 --for 10s \
+WORKSPACE_KEY=dakar-sellers-demo bin/slatewind-standin drive "${ingresses[@]}" "${servers[@]}" --rate 300 --for 10s \
   --target GET:/:repeatable:0.45 --target GET:/search:repeatable:0.35 \
   --target POST:/boosts:once:0.1 --target POST:/listings:once:0.1 >"$work/drive.out" &
 drive=$!
