Collect garbage less often where the processor is short

Cause: the heap was collected whenever it had grown by 30 percent, to spare memory. With some 5 MB alive that is a collection each 1.5 MB.

The share is in the settings that the platform fills in (limits.processor_share); without it a whole core counts.

--- a/config/check.go
+++ b/config/check.go
@@ -45,6 +45,7 @@
 	{"SW1015", "A log level is debug, info, warn or error", "Another word would leave a level in force that nobody chose.", "0.3"},
 	{"SW1016", "Keys of workspaces are given by digests, each of one workspace", "A key in plain text would be read by everyone who reads the file; one of two workspaces would leave open whose requests they are.", "0.4"},
 	{"SW1017", "Rates and bursts are not below 0", "Such a limit would refuse everything.", "0.4"},
+	{"SW1018", "A processor share is not below 0", "It would have a process collect garbage as if it never had time for it.", "0.4"},
 }
 
 // MaxBodyBytes is the largest request body that fits into a message between
@@ -256,6 +257,9 @@
 	if level := process.GetLogLevel(); level != "" && !slices.Contains(logLevels, slatewind.LogLevel(level)) {
 		c.add("SW1015", fmt.Sprintf("log level %q is not debug, info, warn or error", level), "log_level")
 	}
+	if share := process.GetLimits().GetProcessorShare(); share < 0 {
+		c.add("SW1018", fmt.Sprintf("processor_share %g is below 0", share), "limits", "processor_share")
+	}
 	if process.GetStore() != nil {
 		c.checkNode(process)
 		return c.findings
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -170,6 +170,7 @@
 	p.ingress.Start(ctx, p.timers)
 	p.reader.Start(ctx)
 	p.file.Start(ctx, p.timers)
+	adaptGarbage(ctx, p.timers, p.settings.GetLimits().GetProcessorShare())
 	p.logger.Info("started", "vm", p.settings.GetVm(), "data_centre", p.settings.GetDataCentre(),
 		"ingress", p.settings.GetIngressAddress(), "peer", p.settings.GetPeerAddress(), "admin", p.settings.GetAdminAddress(), "version", Version)
 	return nil
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -98,6 +98,7 @@
 	n.watcher.Start(ctx)
 	n.feed.Start(ctx)
 	n.file.Start(ctx, n.timers)
+	adaptGarbage(ctx, n.timers, n.settings.GetLimits().GetProcessorShare())
 	n.logger.Info("started", "vm", n.settings.GetVm(), "data_centre", n.settings.GetDataCentre(),
 		"service", n.settings.GetLocalServer().GetService(), "callers", n.settings.GetIngressAddress(),
 		"peer", n.settings.GetPeerAddress(), "admin", n.settings.GetAdminAddress(), "version", Version)
