--- a/daemon/workspaces_test.go
+++ b/daemon/workspaces_test.go
@@ -15,6 +15,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/ratelimit"
 )
 
 // Keys of the workspaces in these tests. None of them may be seen anywhere.
@@ -241,7 +242,7 @@
 	for _, n := range f.nodes {
 		uses += len(n.limiter.Uses(time.Now()))
 		for _, d := range n.history.Find(history.Filter{}) {
-			if d.Reason == "the workspace is over its limit" && strings.Contains(d.Evidence, "workspace=sellers rate=") {
+			if d.Reason == ratelimit.ReasonOverLimit && strings.Contains(d.Evidence, "workspace=sellers rate=") {
 				refusals++
 			}
 		}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -15,6 +15,7 @@
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/once"
+	"slatewind.example/slatewind/ratelimit"
 )
 
 // Header fields between caller and ingress.
@@ -181,16 +182,11 @@
 // admit refuses a request that is beyond its workspace's limit.
 func (in *Ingress) admit(ctx context.Context, snapshot *config.Snapshot, sender *slatewindv1.Workspace) error {
 	verdict := in.limiter.Admit(ctx, snapshot.LimitOf(sender))
-	refused := &badRequest{retryAfter: verdict.RetryAfter, evidence: verdict.Evidence}
-	switch {
-	case verdict.Allowed:
+	if verdict.Allowed {
 		return nil
-	case verdict.OverLimit:
-		refused.status, refused.reason = http.StatusTooManyRequests, "the workspace is over its limit"
-	default:
-		refused.status, refused.reason = http.StatusServiceUnavailable, "no process that knows the workspace's use answers"
 	}
-	return refused
+	status, reason := ratelimit.Refusal(verdict)
+	return &badRequest{status: status, reason: reason, retryAfter: verdict.RetryAfter, evidence: verdict.Evidence}
 }
 
 func hostOnly(host string) string {
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -14,6 +14,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/ratelimit"
 )
 
 const (
@@ -193,22 +194,20 @@
 // spent on it.
 func (o *Outbound) admitWorkspace(ctx context.Context, snapshot *config.Snapshot, w *slatewindv1.Workspace) error {
 	verdict := o.limiter.Admit(ctx, snapshot.LimitOf(w))
-	refused := &rejection{retryAfter: verdict.RetryAfter, evidence: verdict.Evidence}
 	admission := AdmissionAllowed
 	switch {
 	case verdict.Allowed:
 	case verdict.OverLimit:
 		admission = AdmissionOverLimit
-		refused.status, refused.reason = http.StatusTooManyRequests, "the workspace is over its limit"
 	default:
 		admission = AdmissionUnknown
-		refused.status, refused.reason = http.StatusServiceUnavailable, "no process that knows the workspace's use answers"
 	}
 	o.meter.Workspace(snapshot.Workspaces.Label(w.GetName()), admission)
-	if admission == AdmissionAllowed {
+	if verdict.Allowed {
 		return nil
 	}
-	return refused
+	status, reason := ratelimit.Refusal(verdict)
+	return &rejection{status: status, reason: reason, retryAfter: verdict.RetryAfter, evidence: verdict.Evidence}
 }
 
 // headers returns the fields that go to the server: the caller's, but for its key and for what
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -144,6 +144,7 @@
 // TestLimitInPlays: in no play is more let through than operators allow. On calm days at most
 // 0.1 % of what is inside the limits is refused, and 1 % while processes start anew.
 func TestLimitInPlays(t *testing.T) {
+	t.Parallel()
 	refusals := map[string]float64{
 		"calm": 0.001, "demand moves each second": 0.001, "a large one floods": 0.001, "a small one floods": 0.001, "a limit is lowered": 0.001,
 		"calm, messages get lost": 0.01, "calm, processes restart in turn": 0.01, "flood, a third is killed": 0.01, "flood, all are killed": 0.01,
@@ -191,6 +192,7 @@
 // TestLimitHolds: whatever befalls processes while workspaces flood, no more is let through
 // than operators allow.
 func TestLimitHolds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(150) {
 		p := drawn(seed, newTokens)
 		o := p.run()
@@ -200,6 +202,7 @@
 
 // TestLimitWithoutSafeguard: without any of the safeguards some play breaks the limit.
 func TestLimitWithoutSafeguard(t *testing.T) {
+	t.Parallel()
 	var kills []fault
 	for at := 6 * time.Second; at < 10*time.Second; at += time.Second {
 		kills = append(kills, fault{at: at, lasts: 300 * time.Millisecond, homeOf: "w0", what: troubleKill})
--- a/ratelimit/ways_test.go
+++ b/ratelimit/ways_test.go
@@ -39,10 +39,32 @@
 	}
 }
 
+// hostView is what a process knows of the hosts.
+type hostView struct {
+	homes *ratelimit.Homes
+	known []bool
+}
+
+func newHostView(processes int) hostView {
+	return hostView{homes: ratelimit.NewHomes(), known: make([]bool, processes)}
+}
+
+// hear takes which hosts there are.
+func (v hostView) hear(hosts []bool) {
+	for i, there := range hosts {
+		switch {
+		case there && !v.known[i]:
+			v.homes.Put(hostOf(i), hostOf(i))
+		case !there && v.known[i]:
+			v.homes.Remove(hostOf(i))
+		}
+		v.known[i] = there
+	}
+}
+
 type tokenProcess struct {
+	hostView
 	ledger   *ratelimit.Ledger
-	homes    *ratelimit.Homes
-	known    []bool
 	spenders map[string]*ratelimit.Spender
 	silent   map[int]time.Duration
 	proved   map[int]bool
@@ -58,22 +80,14 @@
 
 func (t *tokens) restarted(process int) {
 	t.processes[process] = &tokenProcess{
-		ledger: ratelimit.NewLedger(t.m.clock()), homes: ratelimit.NewHomes(), known: make([]bool, t.m.processes),
+		hostView: newHostView(t.m.processes), ledger: ratelimit.NewLedger(t.m.clock()),
 		spenders: map[string]*ratelimit.Spender{}, silent: map[int]time.Duration{}, proved: map[int]bool{},
 	}
 }
 
 func (t *tokens) moved(process int, hosts []bool) {
 	p := t.processes[process]
-	for i, there := range hosts {
-		switch {
-		case there && !p.known[i]:
-			p.homes.Put(hostOf(i), hostOf(i))
-		case !there && p.known[i]:
-			p.homes.Remove(hostOf(i))
-		}
-		p.known[i] = there
-	}
+	p.hear(hosts)
 	now := t.m.clock()
 	if t.without == withoutStart {
 		now = now.Add(-time.Hour)
@@ -198,8 +212,7 @@
 }
 
 type countProcess struct {
-	homes   *ratelimit.Homes
-	known   []bool
+	hostView
 	buckets map[string]*debt
 	refused map[string]time.Duration
 }
@@ -220,22 +233,11 @@
 
 func (c *counts) restarted(process int) {
 	c.processes[process] = &countProcess{
-		homes: ratelimit.NewHomes(), known: make([]bool, c.m.processes), buckets: map[string]*debt{}, refused: map[string]time.Duration{},
+		hostView: newHostView(c.m.processes), buckets: map[string]*debt{}, refused: map[string]time.Duration{},
 	}
 }
 
-func (c *counts) moved(process int, hosts []bool) {
-	p := c.processes[process]
-	for i, there := range hosts {
-		switch {
-		case there && !p.known[i]:
-			p.homes.Put(hostOf(i), hostOf(i))
-		case !there && p.known[i]:
-			p.homes.Remove(hostOf(i))
-		}
-		p.known[i] = there
-	}
-}
+func (c *counts) moved(process int, hosts []bool) { c.processes[process].hear(hosts) }
 
 func (c *counts) request(process int, l *load, limit slatewind.WorkspaceLimit, done func(bool)) {
 	p := c.processes[process]
