--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -129,6 +129,7 @@
 		d.learn(r)
 	}
 	if d.best != nil {
+		d.noteError(result{final: final{reason: "its time was over or its caller left"}})
 		return *d.best
 	}
 	f := final{outcome: slatewind.OutcomeNotRun, reason: "no answer in the request's time", timedOut: true}
@@ -211,6 +212,7 @@
 		return final{}, false
 	}
 	if d.best != nil {
+		d.noteError(r)
 		return *d.best, true
 	}
 	if d.mayHaveRun {
@@ -220,6 +222,16 @@
 	return r.final, true
 }
 
+// noteError writes down that the caller gets a server's own error answer, and what came of the
+// last attempt, so that no failed request is without a line.
+func (d *dispatch) noteError(last result) {
+	reason := fmt.Sprintf("the server answered with status %d", d.best.answer.head.GetStatus())
+	if last.answer == nil {
+		reason += "; the last attempt: " + last.reason
+	}
+	d.journal(slatewind.DecisionError, d.best.server, reason)
+}
+
 // again starts another attempt after a failed one, if that is allowed. A refused
 // reservation was the end of a long search; only what was sent is tried again.
 func (d *dispatch) again(r result) bool {
@@ -241,8 +253,14 @@
 // note counts and writes down an attempt beyond the first.
 func (d *dispatch) note(kind slatewind.DecisionKind, server, reason string) {
 	d.o.meter.Extra(d.rq.service, string(kind))
+	d.journal(kind, server, reason)
+}
+
+// journal writes down a decision about the request.
+func (d *dispatch) journal(kind slatewind.DecisionKind, server, reason string) {
 	d.o.journal.Add(slatewind.Decision{
 		Time: time.Now(), Kind: kind, Service: d.rq.service, Server: server, Request: d.rq.id, Reason: reason,
-		Evidence: fmt.Sprintf("route=%s after=%s arrivals=%d", d.rq.route.GetName(), time.Since(d.rq.began).Round(time.Millisecond), d.arrivals),
+		Evidence: fmt.Sprintf("route=%s kind=%s after=%s arrivals=%d tries=%d",
+			d.rq.route.GetName(), d.rq.kind(), time.Since(d.rq.began).Round(time.Millisecond), d.arrivals, d.tries),
 	})
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -309,7 +309,9 @@
 			}
 			if g.status == http.StatusOK {
 				assert.Assert(t, strings.HasSuffix(g.body, test.path+" body"), g.body)
+				return
 			}
+			assert.Assert(t, len(m.history.Find(history.Filter{Request: "id"})) > 0, "the journal does not explain it")
 		})
 	}
 }
--- a/slatewind.go
+++ b/slatewind.go
@@ -234,6 +234,8 @@
 	DecisionAway      DecisionKind = "away"
 	DecisionSuspicion DecisionKind = "suspicion"
 	DecisionIdle      DecisionKind = "idle"
+	// DecisionError: a server's own error answer is passed on.
+	DecisionError DecisionKind = "server-error"
 )
 
 // Decision is one entry of the journal: what was decided, about what and why.
