--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -225,7 +225,7 @@
 // noteError writes down that the caller gets a server's own error answer, and what came of the
 // last attempt, so that no failed request is without a line.
 func (d *dispatch) noteError(last result) {
-	reason := fmt.Sprintf("the server answered with status %d", d.best.answer.head.GetStatus())
+	reason := fmt.Sprintf("the server answered with status %d", d.best.status())
 	if last.answer == nil {
 		reason += "; the last attempt: " + last.reason
 	}
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -68,6 +68,14 @@
 	answer *answer
 }
 
+// status returns that of the server's answer, 0 where there is none.
+func (f *final) status() int32 {
+	if f.answer == nil {
+		return 0
+	}
+	return f.answer.head.GetStatus()
+}
+
 // served reports whether the outcome is a server's answer and no error of its own.
 func (f *final) served() bool {
 	return f.answer != nil && f.answer.head.GetStatus() < slatewind.FirstServerError
