Do not take a home for silent when the caller of a question leaves

Cause: a question for a token ends with its caller. Found by reading.

Test: TestCallerThatLeaves failed before.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -213,9 +213,13 @@
 	if ok && time.Now().Before(known.until) {
 		return Answer{}, &known
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	asking, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	answer, err := l.peers.Take(ctx, host, q)
+	answer, err := l.peers.Take(asking, host, q)
+	if err != nil && ctx.Err() != nil {
+		// The caller left, which says nothing of the process that was asked.
+		return Answer{}, &silence{}
+	}
 	l.silentMu.Lock()
 	defer l.silentMu.Unlock()
 	if err == nil {
--- a/ratelimit/parts_test.go
+++ b/ratelimit/parts_test.go
@@ -239,6 +239,23 @@
 	}
 }
 
+// TestCallerThatLeaves: a question that ends since its caller left does not make the home silent
+// for the next caller.
+func TestCallerThatLeaves(t *testing.T) {
+	p := &peers{all: map[string]*ratelimit.Limiter{}, away: map[string]error{hostOf(1): context.Canceled}}
+	l := ratelimit.New(time.Now(), hostOf(0), p, unknown)
+	p.all[hostOf(1)] = ratelimit.New(time.Now(), hostOf(1), p, unknown)
+	for _, of := range []*ratelimit.Limiter{l, p.all[hostOf(1)]} {
+		of.Put(time.Now(), hostOf(1), hostOf(1))
+	}
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	assert.Assert(t, !l.Admit(left, limit(5, 5, 1)).Allowed)
+	p.away = nil
+	assert.Assert(t, l.Admit(context.Background(), limit(5, 5, 1)).Allowed)
+	assert.Equal(t, p.asked, 2)
+}
+
 // TestNobodyAnswers: where neither the home nor the second answers, refusals do not say that
 // the workspace is over its limit.
 func TestNobodyAnswers(t *testing.T) {
