Give what is asked for where the home knows that a limit is gone

Cause: a home with newer settings goes by its own limit. Where these have none any more, or not the workspace, it kept a bucket that never fills, and askers with the older settings were refused until they heard. Found by reading.

Test: TestNewerLimitOfTheHome, "none any more" failed before.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -116,6 +116,10 @@
 		q.Role = RoleStandIn
 	}
 	if own := l.own(q.Limit.Workspace); own.Version > q.Limit.Version {
+		if own.Rate <= 0 {
+			// The asker has not heard yet that there is no limit any more.
+			return Answer{Tokens: q.Tokens, Role: q.Role}
+		}
 		q.Limit = own
 	}
 	l.ledgerMu.Lock()
--- a/ratelimit/parts_test.go
+++ b/ratelimit/parts_test.go
@@ -239,6 +239,30 @@
 	}
 }
 
+// TestNewerLimitOfTheHome: a home that knows newer settings than the asker goes by its own.
+func TestNewerLimitOfTheHome(t *testing.T) {
+	tests := map[string]struct {
+		own   slatewind.WorkspaceLimit
+		given int
+	}{
+		"a lower one":        {own: limit(0.001, 2, 2), given: 1},
+		"none any more":      {own: slatewind.WorkspaceLimit{Version: 2}, given: 50},
+		"an older one":       {own: limit(0.001, 1, 0), given: 20},
+		"the same, no limit": {own: slatewind.WorkspaceLimit{Version: 1}, given: 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := ratelimit.New(time.Now(), hostOf(0), &peers{}, func(string) slatewind.WorkspaceLimit { return test.own })
+			l.Put(time.Now(), "s", hostOf(0))
+			given := 0
+			for range 50 {
+				given += l.Give(time.Now(), ratelimit.Question{Limit: limit(0.001, 100, 1), Tokens: 1, Role: ratelimit.RoleHome}).Tokens
+			}
+			assert.Equal(t, given, test.given)
+		})
+	}
+}
+
 // TestCallerThatLeaves: a question that ends since its caller left does not make the home silent
 // for the next caller.
 func TestCallerThatLeaves(t *testing.T) {
