--- a/outbound/denied_test.go
+++ b/outbound/denied_test.go
@@ -63,9 +63,7 @@
 // TestTrialWhileExtraAttemptsAreDenied: a server that is well again gets work within two seconds,
 // also while another one rejects so much that no extra attempt is left. A server whose breaker
 // is open is tried by requests that may be repeated, and these try none for half a second after
-// an extra attempt was denied: with one denied every so often, none is ever tried. On a day of
-// load 20 of 73 servers stood idle for 1 to 6 s that way, each refusing 10 to 260 reservations
-// as sick, three seconds after the last of them had failed.
+// an extra attempt was denied: with one denied every so often, none is ever tried.
 func TestTrialWhileExtraAttemptsAreDenied(t *testing.T) {
 	m := newBoundedMesh(t, inbound.Bounds{RetryWindow: time.Minute}, "a", "b", "c")
 	m.servers["a"].SetMode(standin.StampedReset)
