Note the end of a call before its answer, as before

Cause: since calls are known before their requests are read, their end was noted after the answer was written. A server that fails its request by itself just after the answer of its call could then have passed for one whose call failed.

--- a/outbound/request.go
+++ b/outbound/request.go
@@ -100,21 +100,19 @@
 	if o.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	call, served := o.callOf(r), false
+	call := o.callOf(r)
 	if call != nil {
 		o.callsInFlight.Add(1)
-		defer func() {
-			o.callsInFlight.Add(-1)
-			call.End(served)
-		}()
+		defer o.callsInFlight.Add(-1)
 	}
 	rq, err := o.newRequest(now, call, w, r)
 	if err != nil {
+		endCall(call, false)
 		o.reject(w, r, err)
 		return
 	}
 	final := o.handle(r.Context(), rq)
-	served = final.served()
+	endCall(call, final.served())
 	o.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
 	o.answer(w, rq, final)
 }
@@ -127,6 +125,14 @@
 	return nil
 }
 
+// endCall notes the end of a call, which may be nil. It comes before the answer: what the server
+// does with that is its own doing.
+func endCall(call *slatewind.Call, served bool) {
+	if call != nil {
+		call.End(served)
+	}
+}
+
 // handle decides about a request until its final answer.
 func (o *Outbound) handle(ctx context.Context, rq *request) final {
 	f := final{outcome: slatewind.OutcomeNotRun, reason: stops}
