--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -148,9 +148,7 @@
 		Attempts:        int(limits.GetTombstones()),
 	}, store, j, p.servers)
 	own := &links{pool: pool, own: process.GetPeerAddress(), sidecar: p.sidecar}
-	p.limiter = ratelimit.New(time.Now(), process.GetPeerAddress(), processPeers{pool}, func(workspace string) slatewind.WorkspaceLimit {
-		return limitOf(store, workspace)
-	})
+	p.limiter = ratelimit.New(time.Now(), process.GetPeerAddress(), processPeers{pool}, limitsOf(store))
 	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder, p.limiter)
 	client := platform.NewClient(process.GetPlatformUrl(), nil)
 	p.reader = discovery.NewReader(client, client, p.gossip, m)
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -10,13 +10,15 @@
 	"slatewind.example/slatewind/ratelimit"
 )
 
-// limitOf returns a workspace's limit as the settings in force have it.
-func limitOf(store *config.Store, workspace string) slatewind.WorkspaceLimit {
-	snapshot := store.Current()
-	if snapshot == nil {
-		return slatewind.WorkspaceLimit{Workspace: workspace}
+// limitsOf returns what tells a workspace's limit as the settings in force have it.
+func limitsOf(store *config.Store) func(workspace string) slatewind.WorkspaceLimit {
+	return func(workspace string) slatewind.WorkspaceLimit {
+		snapshot := store.Current()
+		if snapshot == nil {
+			return slatewind.WorkspaceLimit{Workspace: workspace}
+		}
+		return snapshot.LimitOf(snapshot.Workspaces.Named(workspace))
 	}
-	return snapshot.LimitOf(snapshot.Workspaces.Named(workspace))
 }
 
 // processPeers asks the other processes of a list of VMs for tokens. They are known by their
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -56,7 +56,7 @@
 		Address: process.GetLocalServer().GetAddress(),
 		Dialect: platform.Servers(),
 	}, boundsOf(process), j)
-	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, func(workspace string) slatewind.WorkspaceLimit { return limitOf(store, workspace) })
+	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
 		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter,
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -82,9 +82,6 @@
 	}
 }
 
-// Len returns how many accounts there are.
-func (l *Ledger) Len() int { return len(l.accounts) }
-
 // Take gives tokens, as many as are wanted and there.
 func (l *Ledger) Take(now time.Time, q Question) Answer {
 	l.sweep(now)
--- a/soak/record.go
+++ b/soak/record.go
@@ -70,6 +70,13 @@
 	return &record{sent: map[string]sentRequest{}}
 }
 
+// add adds to one of a record's lists under its lock.
+func add[T any](r *record, list *[]T, item T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*list = append(*list, item)
+}
+
 // noteSent notes a request that has ended for its caller.
 func (r *record) noteSent(s sentRequest) {
 	r.mu.Lock()
@@ -78,46 +85,22 @@
 }
 
 // noteArrival notes a request as it comes to a server.
-func (r *record) noteArrival(a arrival) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, a)
-}
+func (r *record) noteArrival(a arrival) { add(r, &r.arrivals, a) }
 
 // noteLeaving notes a server that left in the calm.
-func (r *record) noteLeaving(l departure) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.leaving = append(r.leaving, l)
-}
+func (r *record) noteLeaving(l departure) { add(r, &r.leaving, l) }
 
 // noteStop notes a planned stop that has ended.
-func (r *record) noteStop(s plannedStop) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.stops = append(r.stops, s)
-}
+func (r *record) noteStop(s plannedStop) { add(r, &r.stops, s) }
 
 // noteHang notes a process that hung while others stopped.
-func (r *record) noteHang(h hang) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.hangs = append(r.hangs, h)
-}
+func (r *record) noteHang(h hang) { add(r, &r.hangs, h) }
 
 // noteLimit notes a limit that was published.
-func (r *record) noteLimit(l limitSpan) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.limits = append(r.limits, l)
-}
+func (r *record) noteLimit(l limitSpan) { add(r, &r.limits, l) }
 
 // noteKeyEnd notes a key that was taken away.
-func (r *record) noteKeyEnd(k keySpan) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.keys = append(r.keys, k)
-}
+func (r *record) noteKeyEnd(k keySpan) { add(r, &r.keys, k) }
 
 // noteHeaders judges what a server was told of a request's sender.
 func (r *record) noteHeaders(id string, header http.Header) {
