Say when a server ended under requests, and under which

What could not be seen: a reset of one connection and the end of the server read the same, and no line told which requests were on it. Change: a run that breaks is followed by one connect to the server beside the process; a refused one is an end, and kind=server-ended names digests of what ran, never content. A connection that is made is kept for the next request.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -68,6 +68,22 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx)
+}
+
+// Probe returns an error where no connection to the server can be opened. One that can is kept
+// for the next request.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.keep(c, nil)
+	return nil
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
--- /dev/null
+++ b/inbound/ended.go
@@ -0,0 +1,120 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/quarantine"
+)
+
+const (
+	// endedProbe bounds the connect that tells whether a server listens still.
+	endedProbe = 100 * time.Millisecond
+	// leftTime is how long a run whose caller left is suspected still: the server may have
+	// begun to end under it.
+	leftTime = 500 * time.Millisecond
+	// mostLeft bounds the runs that are kept for that.
+	mostLeft = 16
+	// mostShown bounds the digests in a line.
+	mostShown = 8
+)
+
+// end is one end of the server: nothing listens at its address any more, and nobody had
+// planned that.
+type end struct {
+	id uint64
+	at time.Time
+}
+
+// leftRun is a run whose caller left before its end.
+type leftRun struct {
+	digest quarantine.Digest
+	at     time.Time
+}
+
+// ends holds what is known of ends of the server.
+type ends struct {
+	// probing is held while somebody finds out whether the server ended.
+	probing sync.Mutex
+	// last is the newest end. Only whoever holds probing changes it.
+	last end
+	// left are the newest runs whose callers left.
+	left []leftRun
+}
+
+// broke reports whether an error says that the connection of a request ended before its answer
+// did.
+func broke(err error) bool {
+	for _, sign := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED} {
+		if errors.Is(err, sign) {
+			return true
+		}
+	}
+	return false
+}
+
+// endUnder returns the end of the server during a run that began at a time and broke; ok is
+// false where the server is there, leaves by plan, or cannot be told. A reset of one connection
+// reads the same as an end; only a refused connect tells them apart.
+func (in *Inbound) endUnder(began time.Time) (e end, ok bool) {
+	in.ends.probing.Lock()
+	defer in.ends.probing.Unlock()
+	if in.ends.last.at.After(began) {
+		return in.ends.last, true
+	}
+	if in.leaving() != "" {
+		return end{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endedProbe)
+	defer cancel()
+	if !errors.Is(in.pool.Probe(ctx), syscall.ECONNREFUSED) {
+		return end{}, false
+	}
+	in.ends.last = end{id: rand.Uint64(), at: time.Now()}
+	return in.ends.last, true
+}
+
+// noteLeft keeps a run whose caller left.
+func (in *Inbound) noteLeft(now time.Time, digest quarantine.Digest) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.ends.left = append(in.ends.left, leftRun{digest, now})
+	if extra := len(in.ends.left) - mostLeft; extra > 0 {
+		in.ends.left = in.ends.left[extra:]
+	}
+}
+
+// takeLeft returns the runs that callers left shortly before an end, and forgets all.
+func (in *Inbound) takeLeft(e end) []quarantine.Digest {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var suspects []quarantine.Digest
+	for _, run := range in.ends.left {
+		if e.at.Sub(run.at) <= leftTime {
+			suspects = append(suspects, run.digest)
+		}
+	}
+	in.ends.left = nil
+	return suspects
+}
+
+// noteEnded writes down that the server ended under requests.
+func (in *Inbound) noteEnded(now time.Time, request string, e end, suspects []quarantine.Digest) {
+	shown := make([]string, 0, mostShown)
+	for _, digest := range suspects[:min(len(suspects), mostShown)] {
+		shown = append(shown, digest.String())
+	}
+	in.journal.Add(slatewind.Decision{
+		Time: now, Kind: slatewind.DecisionEnded, Service: in.server.Service, Server: in.name, Request: request,
+		Reason:   "the server ended while it ran the request",
+		Evidence: fmt.Sprintf("end=%08x digests=%s", uint32(e.id), strings.Join(shown, ",")),
+	})
+}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -130,6 +130,8 @@
 	idle idleTime
 	// pauses tells when the process did not run.
 	pauses pauseDetector
+	// ends are those of the server.
+	ends ends
 }
 
 // New returns the slots of a server.
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -14,6 +14,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // run has the server run the request.
@@ -36,6 +37,9 @@
 	u.id = toServer.Header.Get(u.in.server.Dialect.RequestID)
 	u.in.begin(u.id, &u.parent)
 	u.arrive(now)
+	u.content = quarantine.Content{
+		Workspace: u.reservation.GetWorkspace(), Method: request.GetMethod(), Host: request.GetHost(), Target: request.GetTarget(), Body: body,
+	}
 	answer, sent, err := u.in.pool.Do(ctx, toServer)
 	if err != nil {
 		return u.fail(ctx, sent, err)
@@ -105,6 +109,7 @@
 	if ctx.Err() != nil {
 		result = breaker.ResultNone
 	}
+	u.noteEnd(ctx, sent, err)
 	u.end(result, "no answer: "+err.Error())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		u.in.ended()
@@ -112,6 +117,29 @@
 	return u.sendFailure(outcome, err.Error())
 }
 
+// noteEnd notes whether the server ended under the request, whose run failed.
+func (u *use) noteEnd(ctx context.Context, sent bool, err error) {
+	now := time.Now()
+	if ctx.Err() != nil {
+		u.in.noteLeft(now, u.content.Digest())
+		return
+	}
+	if !broke(err) {
+		return
+	}
+	e, ok := u.in.endUnder(u.granted)
+	if !ok {
+		return
+	}
+	suspects := u.in.takeLeft(e)
+	if sent {
+		suspects = append(suspects, u.content.Digest())
+	}
+	if len(suspects) > 0 {
+		u.in.noteEnded(now, u.id, e, suspects)
+	}
+}
+
 // ended notes that nothing listens at the server's address. Where its VM is taken away the
 // server ends before its process, which then has no slots to give.
 func (in *Inbound) ended() {
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -8,6 +8,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
 )
 
@@ -30,6 +31,8 @@
 	parent parent
 	// payment is what an extra arrival was paid from.
 	payment retry.Payment
+	// content is that of the request that is sent to the server.
+	content quarantine.Content
 }
 
 // serve takes the reservation through its steps. The error concerns the stream.
--- /dev/null
+++ b/internal/standin/crasher.go
@@ -0,0 +1,109 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// crashWork is how long a server works on a deadly request before it ends.
+	crashWork = 20 * time.Millisecond
+	// crasherHeaderTime bounds how long a server waits for the head of a request.
+	crasherHeaderTime = time.Second
+)
+
+// Crasher is a server process that some requests end: nothing listens at its address then, all
+// its connections are gone, and it starts again after a while.
+type Crasher struct {
+	address string
+	handler http.Handler
+	deadly  func(*http.Request) bool
+	back    time.Duration
+
+	mu  sync.Mutex
+	web *http.Server
+	// deaths are the times at which deadly requests began to run.
+	deaths []time.Time
+	closed bool
+}
+
+// NewCrasher starts a server at an address. It ends under deadly requests and is back after a
+// time; all others go to the handler.
+func NewCrasher(address string, handler http.Handler, deadly func(*http.Request) bool, back time.Duration) (*Crasher, error) {
+	c := &Crasher{address: address, handler: handler, deadly: deadly, back: back}
+	if err := c.start(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// start listens at the address.
+func (c *Crasher) start() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.web != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", c.address)
+	if err != nil {
+		return err
+	}
+	c.address = listener.Addr().String()
+	web := &http.Server{Handler: c, ReadHeaderTimeout: crasherHeaderTime}
+	c.web = web
+	go func() { _ = web.Serve(listener) }()
+	return nil
+}
+
+// Address returns where the server listens.
+func (c *Crasher) Address() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.address
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Crasher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !c.deadly(r) {
+		c.handler.ServeHTTP(w, r)
+		return
+	}
+	c.mu.Lock()
+	c.deaths = append(c.deaths, time.Now())
+	c.mu.Unlock()
+	time.Sleep(crashWork)
+	c.Crash()
+}
+
+// Crash ends the server, which starts again after its time.
+func (c *Crasher) Crash() {
+	c.mu.Lock()
+	web := c.web
+	c.web = nil
+	closed := c.closed
+	c.mu.Unlock()
+	if web == nil {
+		return
+	}
+	_ = web.Close()
+	if !closed {
+		time.AfterFunc(c.back, func() { _ = c.start() })
+	}
+}
+
+// Close ends the server for good.
+func (c *Crasher) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.Crash()
+}
+
+// Deaths returns when deadly requests began to run.
+func (c *Crasher) Deaths() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.deaths...)
+}
--- a/slatewind.go
+++ b/slatewind.go
@@ -236,6 +236,8 @@
 	DecisionIdle      DecisionKind = "idle"
 	// DecisionError: a server's own error answer is passed on.
 	DecisionError DecisionKind = "server-error"
+	// DecisionEnded: a server ended while it ran a request, and nobody had planned that.
+	DecisionEnded DecisionKind = "server-ended"
 )
 
 // Decision is one entry of the journal: what was decided, about what and why.
