--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -5,10 +5,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -45,12 +45,20 @@
 	store   *standin.Platform
 	web     *httptest.Server
 	servers []*standin.Stamped
-	nodes   []*Node
+	// crashers are the processes of the servers.
+	crashers []*standin.Crasher
+	nodes    []*Node
 	base    string
 	// files are the settings files of the nodes, empty until a test writes one.
 	files []string
 }
 
+// crashTime is how long a server is away that ended under a deadly request.
+const crashTime = 300 * time.Millisecond
+
+// isDeadly reports whether servers end under a request.
+func isDeadly(r *http.Request) bool { return strings.HasPrefix(path.Base(r.URL.Path), "deadly") }
+
 // nextNet gives each test addresses of its own on loopback.
 var nextNet atomic.Int64
 
@@ -61,12 +69,10 @@
 	f.publish(1)
 	for i := range n {
 		server := standin.NewStamped(fmt.Sprint("s-", i), platform.Servers())
-		listener, err := net.Listen("tcp", f.address(i, 9000))
+		crasher, err := standin.NewCrasher(f.address(i, 9000), server, isDeadly, crashTime)
 		assert.NilError(t, err)
-		web := &http.Server{Handler: server, ReadHeaderTimeout: time.Second}
-		go func() { _ = web.Serve(listener) }()
-		t.Cleanup(func() { _ = web.Close() })
-		f.servers = append(f.servers, server)
+		t.Cleanup(crasher.Close)
+		f.servers, f.crashers = append(f.servers, server), append(f.crashers, crasher)
 		f.enter(i, false)
 		f.nodes = append(f.nodes, f.start(i))
 	}
--- /dev/null
+++ b/daemon/quarantine_test.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+)
+
+// On a checkout service a single price lookup ended each server that began to run it, for three
+// seconds each, and came again and again at all VMs. Breakers and pauses speak of servers, so that
+// each attempt took it to the next one that was well: 16 ended, and 255 of 1,383 card payments of
+// the day, which go to the same servers, were refused or failed. Of the lines for a server's end
+// in another such play,
+//
+//	kind=server-ended ... evidence="end=e0a3a52b digests=9a07fc42"
+//
+// 14 of 14 ends named the same digest, and 19 others were named once each: what the servers had in
+// common was that request.
+
+// Bounds that the operators state for such a request.
+const (
+	// mostDeaths is how many servers may end under it before it has to be known.
+	mostDeaths = 3
+	// knownTime is how long after that it may go on.
+	knownTime = 3 * time.Second
+	// mostLater is how often it may be sent to servers afterwards.
+	mostLater = 3
+)
+
+// deaths returns when servers began to run deadly requests, in order.
+func (f *nodes) deaths() (all []time.Time) {
+	for _, crasher := range f.crashers {
+		all = append(all, crasher.Deaths()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+// later returns how many of the deaths came later than is allowed.
+func later(deaths []time.Time) (n int) {
+	for _, at := range deaths[min(len(deaths), mostDeaths):] {
+		if at.Sub(deaths[mostDeaths-1]) > knownTime {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRequestThatEndsServers: a request under which servers end is kept from them, whichever VM it
+// comes to, and others are served.
+func TestRequestThatEndsServers(t *testing.T) {
+	tests := map[string]slatewind.Kind{"look": slatewind.KindRepeatable, "pay": slatewind.KindSingle}
+	for route := range tests {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			f := newNodes(t, 6)
+			for i, began := 0, time.Now(); time.Since(began) < knownTime+3*time.Second; i++ {
+				f.send(i%len(f.nodes), "/"+route+"/deadly", fmt.Sprint("deadly-", i))
+				f.await("a sound request is answered", func() bool {
+					status := f.send(i%len(f.nodes), "/look/sound", fmt.Sprint("sound-", i))
+					assert.Assert(t, status != http.StatusBadRequest)
+					return status == http.StatusOK
+				})
+			}
+			deaths := f.deaths()
+			assert.Assert(t, len(deaths) > 0)
+			assert.Assert(t, later(deaths) <= mostLater, "%d servers ended, %d of them later than is allowed", len(deaths), later(deaths))
+		})
+	}
+}
