Keep a request under which servers ended from all servers

Cause: a request was not known again over its attempts. Breakers, pauses and reports speak of servers, so each attempt went to the next one that was well, our second attempts and the caller's alike. Ruled out: servers that end by themselves (one digest in 14 of 14 ends); our second attempts alone (the caller's come through other VMs).

Change: package quarantine. A digest stands for workspace, method, host, target and body. The process beside a server that ended (a broken run, then a refused connect) notes it and tells the processes beside the other servers of the service at once; everybody hears of it with the questions for news. What two servers ended under without an answer in between is refused everywhere, with 400, before it is sent; a trial after 5 s, the next after minutes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -15,6 +15,7 @@
 	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/outbound"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/sidecar"
 )
@@ -37,6 +38,8 @@
 	Inbound  *inbound.View  `json:"inbound,omitempty"`
 	// Limits are the workspaces whose tokens this process gives to the fleet.
 	Limits []ratelimit.Use `json:"limits,omitempty"`
+	// Suspects are requests under which servers ended.
+	Suspects []quarantine.View `json:"suspects,omitempty"`
 }
 
 // Settings tells which file is in force.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -128,6 +128,15 @@
 	return server != nil && !server.Leaving
 }
 
+// Addresses returns those of all known servers, in no order.
+func (s *Service) Addresses() []string {
+	addresses := make([]string, 0, len(s.servers))
+	for _, server := range s.servers {
+		addresses = append(addresses, server.Address)
+	}
+	return addresses
+}
+
 // Sharer returns the place of the server at an address among the servers by the hashes of
 // their addresses, or none where it is not known. All processes find the same order, and a
 // change of one server moves no other by more than one.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -21,6 +21,7 @@
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
@@ -51,6 +52,9 @@
 	limiter *ratelimit.Limiter
 	// reports holds what is known of sick servers.
 	reports *report.Table
+	// suspects holds what is known of requests under which servers ended, spreader tells others.
+	suspects *quarantine.Table
+	spreader *spreader
 	// entryLines bounds the lines about entries that name no server. Only the watcher's
 	// goroutine uses it.
 	entryLines throttle
@@ -94,6 +98,7 @@
 		cancel()
 		return err
 	}
+	n.spreader.start(ctx)
 	n.inbound.Start(ctx, n.timers)
 	n.watcher.Start(ctx)
 	n.feed.Start(ctx)
@@ -113,7 +118,7 @@
 	n.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSlotsServer(n.peers, link.SlotsServer{Serve: n.inbound.Serve})
 	slatewindv1.RegisterRateLimitsServer(n.peers, link.LimitsServer{Give: n.limiter.Give})
-	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{Known: n.since, Reports: n.exchangeReports, Newest: n.feed.Newest})
+	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{Known: n.since, Exchange: n.exchange, Told: n.told, Newest: n.feed.Newest})
 	return serveAll(n.logger, []service{
 		{"callers", n.settings.GetIngressAddress(), n.callers.Serve},
 		{"ready", n.settings.GetReadyAddress(), n.ready.Serve},
@@ -154,6 +159,6 @@
 	return admin.State{
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
 		Settings: inForce(n.settings.GetVm(), n.store), Reader: n.share.Reads(), Outbound: &out, Inbound: &in,
-		Limits: n.limiter.Uses(now),
+		Limits: n.limiter.Uses(now), Suspects: n.suspects.Views(now),
 	}
 }
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -48,7 +48,7 @@
 	// crashers are the processes of the servers.
 	crashers []*standin.Crasher
 	nodes    []*Node
-	base    string
+	base     string
 	// files are the settings files of the nodes, empty until a test writes one.
 	files []string
 }
--- a/daemon/nodepeers.go
+++ b/daemon/nodepeers.go
@@ -8,6 +8,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 )
 
@@ -36,8 +37,11 @@
 		return slatewind.Publication{}, err
 	}
 	own := p.node.inbound.Report()
-	news, reports, err := p.node.pool.Since(ctx, peer, after, version, append(told, own))
-	p.node.takeReports(append(reports, own))
+	news, answer, err := p.node.pool.Since(ctx, peer, after, version, link.Told{Reports: append(told, own), Suspects: p.node.tellsSuspects()})
+	p.node.takeReports(append(answer.Reports, own))
+	if err == nil {
+		p.node.takeSuspects(answer.Suspects)
+	}
 	return news, err
 }
 
@@ -70,13 +74,16 @@
 	return p
 }
 
-// exchangeReports takes what another node told of sick servers and returns what is known
-// here, that of the own server included.
-func (n *Node) exchangeReports(told []*slatewindv1.ServerReport) []*slatewindv1.ServerReport {
-	n.takeReports(append(told, n.inbound.Report()))
-	return n.reports.All(time.Now())
+// exchange takes what another node told and returns what is known here, the report of the own
+// server included.
+func (n *Node) exchange(told link.Told) link.Told {
+	n.takeReports(append(told.Reports, n.inbound.Report()))
+	return link.Told{Reports: n.reports.All(time.Now()), Suspects: n.exchangeSuspects(told.Suspects)}
 }
 
+// told takes what has just happened beside another node.
+func (n *Node) told(records []quarantine.Record) { n.suspects.Take(time.Now(), records) }
+
 // takeReports notes what was told of sick servers.
 func (n *Node) takeReports(reports []*slatewindv1.ServerReport) {
 	now := time.Now()
--- /dev/null
+++ b/daemon/nodequarantine.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
+)
+
+const (
+	// spreadTime bounds the wait for a process that is told of a server's end. One that does not
+	// answer hears of it with the news that it asks for.
+	spreadTime = 500 * time.Millisecond
+	// mostSpread is how many processes are told at a time.
+	mostSpread = 32
+	// mostUnspread bounds the news that wait to be told.
+	mostUnspread = 256
+)
+
+// spreader tells the processes beside the other servers of the service what happened to the
+// server beside this one: they are those who would give their servers the same request next.
+// What comes while it tells others goes with the next round.
+type spreader struct {
+	node *Node
+	news chan []quarantine.Record
+	// heard is the hash of what the process that was asked last knows.
+	heard atomic.Uint64
+}
+
+func newSpreader(n *Node) *spreader {
+	return &spreader{node: n, news: make(chan []quarantine.Record, mostUnspread)}
+}
+
+// spread takes news that are to be told. Where too many wait, they go with other news.
+func (s *spreader) spread(records []quarantine.Record) {
+	select {
+	case s.news <- records:
+	default:
+	}
+}
+
+// start tells news until ctx ends.
+func (s *spreader) start(ctx context.Context) {
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case records := <-s.news:
+				s.tell(ctx, append(records, s.waiting()...))
+			}
+		}
+	}()
+}
+
+// waiting returns the news that came meanwhile.
+func (s *spreader) waiting() (records []quarantine.Record) {
+	for {
+		select {
+		case more := <-s.news:
+			records = append(records, more...)
+		default:
+			return records
+		}
+	}
+}
+
+// tell tells all others of the service, some at a time. One that is silent does not hold up the
+// next round for long.
+func (s *spreader) tell(ctx context.Context, records []quarantine.Record) {
+	var all sync.WaitGroup
+	places := make(chan struct{}, mostSpread)
+	for _, address := range s.node.outbound.Addresses(s.node.settings.GetLocalServer().GetService()) {
+		if address == s.node.settings.GetLocalServer().GetAddress() {
+			continue
+		}
+		places <- struct{}{}
+		all.Go(func() {
+			defer func() { <-places }()
+			s.tellOne(ctx, address, records)
+		})
+	}
+	all.Wait()
+}
+
+func (s *spreader) tellOne(ctx context.Context, address string, records []quarantine.Record) {
+	ctx, cancel := context.WithTimeout(ctx, spreadTime)
+	defer cancel()
+	peer, err := s.node.peerOf(address)
+	if err == nil {
+		err = s.node.pool.Spread(ctx, peer, records)
+	}
+	if err != nil {
+		s.node.logger.Debug("end of a server not told", "to", address, "cause", err)
+	}
+}
+
+// listed writes down that a request is refused from now on.
+func (n *Node) listed(digest quarantine.Digest, verdict quarantine.Verdict) {
+	n.history.Add(slatewind.Decision{
+		Time: time.Now(), Kind: slatewind.DecisionQuarantine, Service: n.settings.GetLocalServer().GetService(),
+		Reason:   fmt.Sprintf("request %s is refused: servers ended while they ran it", digest),
+		Evidence: fmt.Sprintf("ends=%d trial_in=%s", verdict.Ends, verdict.TrialIn.Round(time.Millisecond)),
+	})
+}
+
+// tellsSuspects returns what goes with a question to another process: only a hash, as long as
+// both know the same.
+func (n *Node) tellsSuspects() link.Suspects {
+	now := time.Now()
+	told := link.Suspects{Sum: n.suspects.Sum(now)}
+	if told.Sum != n.spreader.heard.Load() {
+		told.Records = n.suspects.Records(now)
+	}
+	return told
+}
+
+// takeSuspects takes what came with an answer.
+func (n *Node) takeSuspects(told link.Suspects) {
+	n.spreader.heard.Store(told.Sum)
+	n.suspects.Take(time.Now(), told.Records)
+}
+
+// exchangeSuspects takes what another process told and returns what that one does not know.
+func (n *Node) exchangeSuspects(told link.Suspects) link.Suspects {
+	now := time.Now()
+	n.suspects.Take(now, told.Records)
+	own := link.Suspects{Sum: n.suspects.Sum(now)}
+	if own.Sum != told.Sum {
+		own.Records = n.suspects.Records(now)
+	}
+	return own
+}
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -17,6 +17,7 @@
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
@@ -51,15 +52,17 @@
 	n.entryLines = throttle{interval: entryLinesTime, most: mostEntryLines}
 	n.living.Store(process)
 	n.file = reload.New(file.path, process, livingOfNode, reloaded{file, logger, n.reload})
+	n.spreader = newSpreader(n)
+	n.suspects = quarantine.NewTable(n.spreader.spread, n.listed)
 	n.inbound = inbound.New(inbound.Server{
 		Service: process.GetLocalServer().GetService(),
 		Address: process.GetLocalServer().GetAddress(),
 		Dialect: platform.Servers(),
-	}, boundsOf(process), j)
+	}, boundsOf(process), j, n.suspects)
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter,
+		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter, n.suspects,
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
 	n.share = discovery.NewShare(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
--- a/daemon/quarantine_test.go
+++ b/daemon/quarantine_test.go
@@ -22,6 +22,9 @@
 //
 // 14 of 14 ends named the same digest, and 19 others were named once each: what the servers had in
 // common was that request.
+//
+// The cause: nobody knew a request again over its attempts. Now the process beside a server that
+// ended tells a digest of what ran there, and all refuse what two servers ended under.
 
 // Bounds that the operators state for such a request.
 const (
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -33,6 +33,8 @@
 		return u.fail(ctx, true, err)
 	}
 	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header)}
+	// What the server answers, be it with an error, does not end it.
+	u.in.suspects.Answered(time.Now(), u.digest)
 	if len(body) <= link.MaxHeld {
 		answer.Close()
 		u.end(resultOf(answer.StatusCode), "an error answer")
@@ -71,7 +73,7 @@
 	}
 	answer.Close()
 	u.end(result, reason)
-	return u.sendFailure(slatewind.OutcomeNotRun, reason)
+	return u.sendFailure(slatewind.OutcomeNotRun, reason, nil)
 }
 
 // A load report has three figures: requests running, requests waiting, slots
--- a/inbound/ended.go
+++ b/inbound/ended.go
@@ -27,6 +27,14 @@
 	mostShown = 8
 )
 
+// run is what is kept of one run of a request for the case that the server ends.
+type run struct {
+	digest quarantine.Digest
+	trial  bool
+	// left is when its caller left.
+	left time.Time
+}
+
 // end is one end of the server: nothing listens at its address any more, and nobody had
 // planned that.
 type end struct {
@@ -34,12 +42,6 @@
 	at time.Time
 }
 
-// leftRun is a run whose caller left before its end.
-type leftRun struct {
-	digest quarantine.Digest
-	at     time.Time
-}
-
 // ends holds what is known of ends of the server.
 type ends struct {
 	// probing is held while somebody finds out whether the server ended.
@@ -47,11 +49,11 @@
 	// last is the newest end. Only whoever holds probing changes it.
 	last end
 	// left are the newest runs whose callers left.
-	left []leftRun
+	left []run
 }
 
 // broke reports whether an error says that the connection of a request ended before its answer
-// did.
+// did, or that there was none.
 func broke(err error) bool {
 	for _, sign := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED} {
 		if errors.Is(err, sign) {
@@ -83,38 +85,54 @@
 }
 
 // noteLeft keeps a run whose caller left.
-func (in *Inbound) noteLeft(now time.Time, digest quarantine.Digest) {
+func (in *Inbound) noteLeft(r run) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.ends.left = append(in.ends.left, leftRun{digest, now})
+	in.ends.left = append(in.ends.left, r)
 	if extra := len(in.ends.left) - mostLeft; extra > 0 {
 		in.ends.left = in.ends.left[extra:]
 	}
 }
 
+// hasLeft reports whether runs are kept whose callers left.
+func (in *Inbound) hasLeft() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.ends.left) > 0
+}
+
 // takeLeft returns the runs that callers left shortly before an end, and forgets all.
-func (in *Inbound) takeLeft(e end) []quarantine.Digest {
+func (in *Inbound) takeLeft(e end) []run {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	var suspects []quarantine.Digest
-	for _, run := range in.ends.left {
-		if e.at.Sub(run.at) <= leftTime {
-			suspects = append(suspects, run.digest)
+	var runs []run
+	for _, r := range in.ends.left {
+		if e.at.Sub(r.left) <= leftTime {
+			runs = append(runs, r)
 		}
 	}
 	in.ends.left = nil
-	return suspects
+	return runs
 }
 
-// noteEnded writes down that the server ended under requests.
-func (in *Inbound) noteEnded(now time.Time, request string, e end, suspects []quarantine.Digest) {
+// noteEnded writes down that the server ended under requests, and has all know of them.
+func (in *Inbound) noteEnded(now time.Time, request string, e end, runs []run) {
+	told := quarantine.End{ID: e.id}
 	shown := make([]string, 0, mostShown)
-	for _, digest := range suspects[:min(len(suspects), mostShown)] {
-		shown = append(shown, digest.String())
+	for _, r := range runs {
+		if len(shown) < mostShown {
+			shown = append(shown, r.digest.String())
+		}
+		if r.trial {
+			told.Trials = append(told.Trials, r.digest)
+			continue
+		}
+		told.Digests = append(told.Digests, r.digest)
 	}
 	in.journal.Add(slatewind.Decision{
 		Time: now, Kind: slatewind.DecisionEnded, Service: in.server.Service, Server: in.name, Request: request,
 		Reason:   "the server ended while it ran the request",
 		Evidence: fmt.Sprintf("end=%08x digests=%s", uint32(e.id), strings.Join(shown, ",")),
 	})
+	in.suspects.Ended(now, told)
 }
--- a/inbound/ended_test.go
+++ b/inbound/ended_test.go
@@ -13,6 +13,7 @@
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // newMortal returns a place whose server ends under all requests while it is deadly, and the
@@ -23,7 +24,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(crasher.Close)
 	journal := history.New(0, nil)
-	p := &place{server: server, Inbound: inbound.New(inbound.Server{Service: "svc", Address: crasher.Address(), Dialect: platform.Servers()}, bounds, journal)}
+	p := &place{server: server, Inbound: inbound.New(inbound.Server{Service: "svc", Address: crasher.Address(), Dialect: platform.Servers()}, bounds, journal, quarantine.NewTable(nil, nil))}
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 	return p, journal
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -24,6 +24,7 @@
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
 	"slatewind.example/slatewind/timer"
 )
@@ -58,6 +59,8 @@
 	CauseMoved Cause = "moved"
 	// CauseBudget: an extra arrival that the bound on them does not allow here.
 	CauseBudget Cause = "budget"
+	// CauseQuarantined: servers ended under the request.
+	CauseQuarantined Cause = "quarantined"
 	// CauseLate: the request's time is over, its granted slot ran out, or it cannot be
 	// finished before this process ends.
 	CauseLate Cause = "late"
@@ -130,14 +133,16 @@
 	idle idleTime
 	// pauses tells when the process did not run.
 	pauses pauseDetector
-	// ends are those of the server.
-	ends ends
+	// ends are those of the server, suspects the requests under which servers ended.
+	ends     ends
+	suspects *quarantine.Table
 }
 
-// New returns the slots of a server.
-func New(server Server, bounds Bounds, journal slatewind.Journal) *Inbound {
+// New returns the slots of a server. What is known of requests under which servers ended is the
+// process's.
+func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table) *Inbound {
 	return &Inbound{
-		server: server, bounds: bounds, journal: journal,
+		server: server, bounds: bounds, journal: journal, suspects: suspects,
 		pool:    backend.NewPool(server.Address, server.Dialect),
 		slots:   admission.NewServer(defaultSlots),
 		breaker: breaker.New(),
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -21,6 +21,7 @@
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -42,7 +43,7 @@
 	p := &place{server: server}
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Dialect: platform.Servers(),
-	}, bounds, history.New(0, nil))
+	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil))
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 	return p
@@ -53,7 +54,7 @@
 func newUnreached() *place {
 	return &place{Inbound: inbound.New(inbound.Server{
 		Service: "svc", Address: "127.0.0.1:1", Dialect: platform.Servers(),
-	}, bounds, history.New(0, nil))}
+	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil))}
 }
 
 // reservation is one for a request that may be a trial.
--- a/inbound/pause_test.go
+++ b/inbound/pause_test.go
@@ -10,6 +10,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // TestPauseOfTheProcess: time in which this process did not run is not the server's, whose
@@ -30,7 +31,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil))
+			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil))
 			woken := time.Now()
 			now := woken.Add(-silence)
 			in.tick(now)
--- /dev/null
+++ b/inbound/quarantine.go
@@ -0,0 +1,57 @@
+package inbound
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
+)
+
+// quarantined says whether the server may be given the request. It is asked last, since news of
+// other servers' ends may come while a request waits or is read.
+func (u *use) quarantined(now time.Time, request *slatewindv1.SlotRequest, body []byte) quarantine.Verdict {
+	u.digest = sync.OnceValue(quarantine.Content{
+		Workspace: u.reservation.GetWorkspace(), Method: request.GetMethod(), Host: request.GetHost(), Target: request.GetTarget(), Body: body,
+	}.Digest)
+	verdict := u.in.suspects.Begin(now, u.digest)
+	u.trial = verdict.Trial
+	return verdict
+}
+
+// refuseQuarantined refuses a request under which servers ended.
+func (u *use) refuseQuarantined(now time.Time, verdict quarantine.Verdict) error {
+	u.in.mu.Lock()
+	refusal := u.in.refusal(CauseQuarantined, fmt.Sprintf("%d servers ended under the request %s", verdict.Ends, u.digest()), verdict.TrialIn)
+	u.in.mu.Unlock()
+	refusal.Suspect = link.SuspectOf(u.in.suspects.Record(now, u.digest()))
+	return u.sendRefusal(refusal)
+}
+
+// noteEnd notes whether the server ended under the request, whose run failed. It returns what is
+// known of the request then, so that its sender knows before it tries another server.
+func (u *use) noteEnd(ctx context.Context, sent bool, err error) *slatewindv1.Suspect {
+	now := time.Now()
+	if ctx.Err() != nil {
+		u.in.noteLeft(run{u.digest(), u.trial, now})
+		return nil
+	}
+	if !broke(err) || !sent && !u.in.hasLeft() {
+		return nil
+	}
+	e, ok := u.in.endUnder(u.granted)
+	if !ok {
+		return nil
+	}
+	runs := u.in.takeLeft(e)
+	if sent {
+		runs = append(runs, run{digest: u.digest(), trial: u.trial})
+	}
+	if len(runs) > 0 {
+		u.in.noteEnded(now, u.id, e, runs)
+	}
+	return link.SuspectOf(u.in.suspects.Record(now, u.digest()))
+}
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -14,7 +14,6 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
-	"slatewind.example/slatewind/quarantine"
 )
 
 // run has the server run the request.
@@ -30,6 +29,10 @@
 		u.release()
 		return u.refuse(CauseLate, "its time was over before the start")
 	}
+	if verdict := u.quarantined(now, request, body); verdict.Refused {
+		u.release()
+		return u.refuseQuarantined(now, verdict)
+	}
 	ctx, cancel := u.context(remaining)
 	defer cancel()
 	toServer := u.request(ctx, request, body, remaining)
@@ -37,9 +40,6 @@
 	u.id = toServer.Header.Get(u.in.server.Dialect.RequestID)
 	u.in.begin(u.id, &u.parent)
 	u.arrive(now)
-	u.content = quarantine.Content{
-		Workspace: u.reservation.GetWorkspace(), Method: request.GetMethod(), Host: request.GetHost(), Target: request.GetTarget(), Body: body,
-	}
 	answer, sent, err := u.in.pool.Do(ctx, toServer)
 	if err != nil {
 		return u.fail(ctx, sent, err)
@@ -109,35 +109,12 @@
 	if ctx.Err() != nil {
 		result = breaker.ResultNone
 	}
-	u.noteEnd(ctx, sent, err)
+	suspect := u.noteEnd(ctx, sent, err)
 	u.end(result, "no answer: "+err.Error())
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		u.in.ended()
 	}
-	return u.sendFailure(outcome, err.Error())
-}
-
-// noteEnd notes whether the server ended under the request, whose run failed.
-func (u *use) noteEnd(ctx context.Context, sent bool, err error) {
-	now := time.Now()
-	if ctx.Err() != nil {
-		u.in.noteLeft(now, u.content.Digest())
-		return
-	}
-	if !broke(err) {
-		return
-	}
-	e, ok := u.in.endUnder(u.granted)
-	if !ok {
-		return
-	}
-	suspects := u.in.takeLeft(e)
-	if sent {
-		suspects = append(suspects, u.content.Digest())
-	}
-	if len(suspects) > 0 {
-		u.in.noteEnded(now, u.id, e, suspects)
-	}
+	return u.sendFailure(outcome, err.Error(), suspect)
 }
 
 // ended notes that nothing listens at the server's address. Where its VM is taken away the
@@ -150,8 +127,8 @@
 	}
 }
 
-func (u *use) sendFailure(outcome slatewind.Outcome, reason string) error {
-	failure := &slatewindv1.Failure{Outcome: string(outcome), Reason: reason, State: u.state()}
+func (u *use) sendFailure(outcome slatewind.Outcome, reason string, suspect *slatewindv1.Suspect) error {
+	failure := &slatewindv1.Failure{Outcome: string(outcome), Reason: reason, State: u.state(), Suspect: suspect}
 	return u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Failure{Failure: failure}})
 }
 
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -31,8 +31,10 @@
 	parent parent
 	// payment is what an extra arrival was paid from.
 	payment retry.Payment
-	// content is that of the request that is sent to the server.
-	content quarantine.Content
+	// digest stands for the request that is sent to the server, trial says that it is let
+	// through to see whether servers end under it still.
+	digest func() quarantine.Digest
+	trial  bool
 }
 
 // serve takes the reservation through its steps. The error concerns the stream.
--- a/link/news.go
+++ b/link/news.go
@@ -6,16 +6,27 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/quarantine"
 )
 
+// Told is what processes tell each other with questions for news and with the answers.
+type Told struct {
+	// Reports are those of sick servers.
+	Reports  []*slatewindv1.ServerReport
+	Suspects Suspects
+}
+
 // Since asks the process at an IP:port address which servers changed after a
 // revision of the store. version is that of the settings that the caller has, told are its
-// reports of sick servers; those of the other process come back.
-func (p *Pool) Since(ctx context.Context, address string, after, version uint64, told []*slatewindv1.ServerReport) (slatewind.Publication, []*slatewindv1.ServerReport, error) {
-	question := &slatewindv1.SinceRequest{Revision: after, Version: version, Reports: told}
+// reports of sick servers and of requests under which servers ended; those of the other process
+// come back.
+func (p *Pool) Since(ctx context.Context, address string, after, version uint64, told Told) (slatewind.Publication, Told, error) {
+	question := &slatewindv1.SinceRequest{
+		Revision: after, Version: version, Reports: told.Reports, SuspectsSum: told.Suspects.Sum, Suspects: SuspectsOf(told.Suspects.Records),
+	}
 	reply, err := call(ctx, p, address, question, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Since)
 	if err != nil {
-		return slatewind.Publication{}, nil, err
+		return slatewind.Publication{}, Told{}, err
 	}
 	news := slatewind.Publication{
 		Revision: reply.GetRevision(), Age: time.Duration(reply.GetAgeNanos()), Whole: reply.GetWhole(), Removed: reply.GetRemoved(),
@@ -31,7 +42,7 @@
 	for _, s := range reply.GetEnded() {
 		news.Ended = append(news.Ended, slatewind.ServerStart{Name: s.GetName(), Start: s.GetUnixMillis()})
 	}
-	return news, reply.GetReports(), nil
+	return news, Told{reply.GetReports(), Suspects{reply.GetSuspectsSum(), RecordsOf(reply.GetSuspects())}}, nil
 }
 
 // NewsServer passes on what a process knows of the store.
@@ -40,8 +51,10 @@
 	// Known returns which servers changed after a revision of the store, for a
 	// process that has the given version of the settings.
 	Known func(after, version uint64) slatewind.Publication
-	// Reports takes a process's reports of sick servers and returns those of this one.
-	Reports func(told []*slatewindv1.ServerReport) []*slatewindv1.ServerReport
+	// Exchange takes what another process tells and returns what this one does.
+	Exchange func(told Told) Told
+	// Told takes what has just happened beside another process.
+	Told func(records []quarantine.Record)
 	// Newest returns the settings that the process has, or nil.
 	Newest func() *slatewind.PublishedSettings
 
@@ -51,9 +64,10 @@
 // Since implements the generated interface.
 func (s *NewsServer) Since(_ context.Context, request *slatewindv1.SinceRequest) (*slatewindv1.SinceReply, error) {
 	news := s.Known(request.GetRevision(), request.GetVersion())
+	told := s.Exchange(Told{request.GetReports(), Suspects{request.GetSuspectsSum(), RecordsOf(request.GetSuspects())}})
 	reply := &slatewindv1.SinceReply{
 		Revision: news.Revision, AgeNanos: int64(news.Age), Whole: news.Whole, Removed: news.Removed, Version: news.Version, Cut: news.Cut,
-		Reports: s.Reports(request.GetReports()),
+		Reports: told.Reports, SuspectsSum: told.Suspects.Sum, Suspects: SuspectsOf(told.Suspects.Records),
 	}
 	for _, e := range news.Servers {
 		reply.Servers = append(reply.Servers, &slatewindv1.PublishedServer{
--- /dev/null
+++ b/link/suspects.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/quarantine"
+)
+
+// Suspects is what two processes tell each other of requests under which servers ended.
+type Suspects struct {
+	// Sum is a hash of all that the sender knows.
+	Sum     uint64
+	Records []quarantine.Record
+}
+
+// Spread tells the process at an IP:port address what has just happened.
+func (p *Pool) Spread(ctx context.Context, address string, records []quarantine.Record) error {
+	news := &slatewindv1.SuspectsNews{Suspects: SuspectsOf(records)}
+	_, err := call(ctx, p, address, news, slatewindv1.NewNewsClient, slatewindv1.NewsClient.Suspects)
+	return err
+}
+
+// Suspects implements the generated interface.
+func (s *NewsServer) Suspects(_ context.Context, news *slatewindv1.SuspectsNews) (*slatewindv1.SuspectsReply, error) {
+	s.Told(RecordsOf(news.GetSuspects()))
+	return &slatewindv1.SuspectsReply{}, nil
+}
+
+// SuspectOf translates a record for a message.
+func SuspectOf(record quarantine.Record) *slatewindv1.Suspect {
+	suspect := &slatewindv1.Suspect{Digest: record.Digest[:]}
+	for _, e := range record.Events {
+		suspect.Events = append(suspect.Events, &slatewindv1.SuspectEvent{
+			Id: e.ID, Kind: string(e.Kind), AgeMs: uint32(e.Age.Milliseconds()), Void: e.Void,
+		})
+	}
+	return suspect
+}
+
+// SuspectsOf translates records for a message.
+func SuspectsOf(records []quarantine.Record) []*slatewindv1.Suspect {
+	suspects := make([]*slatewindv1.Suspect, 0, len(records))
+	for _, record := range records {
+		suspects = append(suspects, SuspectOf(record))
+	}
+	return suspects
+}
+
+// RecordsOf translates what came in a message. What cannot be a record is left out.
+func RecordsOf(suspects []*slatewindv1.Suspect) []quarantine.Record {
+	var records []quarantine.Record
+	for _, suspect := range suspects {
+		var record quarantine.Record
+		if len(suspect.GetDigest()) != len(record.Digest) {
+			continue
+		}
+		copy(record.Digest[:], suspect.GetDigest())
+		for _, e := range suspect.GetEvents() {
+			record.Events = append(record.Events, quarantine.Event{
+				ID: e.GetId(), Kind: quarantine.Kind(e.GetKind()), Age: time.Duration(e.GetAgeMs()) * time.Millisecond, Void: e.GetVoid(),
+			})
+		}
+		records = append(records, record)
+	}
+	return records
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -36,6 +36,7 @@
 	traffic   metric.Int64Counter
 	entries   metric.Int64Counter
 	workspace metric.Int64Counter
+	refused   metric.Int64Counter
 }
 
 // New returns the instruments of a process.
@@ -62,6 +63,7 @@
 	m.traffic = counter("slatewind.peer_bytes", "Bytes of messages between processes, by purpose and distance.")
 	m.entries = counter("slatewind.ignored_entries", "Entries in the platform's store that name no server, by the first field that is wrong.")
 	m.workspace = counter("slatewind.workspace_requests", "Requests that need a key, by workspace (those with the highest rates) and what was decided about the sender.")
+	m.refused = counter("slatewind.quarantined_requests", "Requests that were refused since servers ended while they ran them, by service.")
 	m.duration, err = meter.Float64Histogram("slatewind.request.duration",
 		metric.WithDescription("Time from a request's arrival to its final answer."), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.001, .002, .004, .008, .016, .032, .064, .125, .25, .5, 1, 2, 4))
@@ -97,6 +99,11 @@
 	m.denied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
 }
 
+// Quarantined counts a request that was refused since servers ended under it.
+func (m *Metrics) Quarantined(service string) {
+	m.refused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 // EntryIgnored counts an entry in the platform's store that names no server.
 func (m *Metrics) EntryIgnored(field string) {
 	m.entries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("field", field)))
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -113,6 +113,8 @@
 		return "the caller left"
 	case !l.o.mayStart(l.rq):
 		return stops
+	case l.o.quarantined(time.Now(), l.rq):
+		return string(inbound.CauseQuarantined)
 	}
 	return ""
 }
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -202,6 +202,8 @@
 		return r.final, true
 	case failed:
 		d.best = &r.final
+	case d.o.quarantined(time.Now(), d.rq):
+		return d.quarantine(r), true
 	}
 	if d.rq.repeatable() || r.outcome == slatewind.OutcomeNotRun {
 		if d.again(r) {
--- a/outbound/model_test.go
+++ b/outbound/model_test.go
@@ -11,6 +11,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/internal/explore"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // The model: one request at an ingress, which begins three attempts at most, and two
@@ -621,7 +622,7 @@
 
 // decideReally drives the dispatch itself. Attempts that it starts find no server.
 func decideReally(kind slatewind.Kind, key decisionKey, r result) decision {
-	o := New(Self{}, slatewind.CallerDialect{}, nil, silent{}, nil, nil, silent{}, nil, nil)
+	o := New(Self{}, slatewind.CallerDialect{}, nil, silent{}, nil, nil, silent{}, nil, nil, quarantine.NewTable(nil, nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if key.over {
@@ -677,6 +678,7 @@
 func (silent) Workspace(string, Admission)                      {}
 func (silent) Extra(_, _ string)                                {}
 func (silent) Denied(_, _ string)                               {}
+func (silent) Quarantined(string)                               {}
 
 // explore visits all states.
 func (m *reservationModel) explore() explore.Result {
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -25,6 +25,7 @@
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // Error is the class of errors of this package.
@@ -45,6 +46,8 @@
 	Extra(service, why string)
 	// Denied counts an attempt beyond the first that was not made, by its cause.
 	Denied(service, cause string)
+	// Quarantined counts a request that was refused since servers ended under it.
+	Quarantined(service string)
 }
 
 // Admission says what was decided about the sender of a request.
@@ -84,6 +87,8 @@
 	meter   Meter
 	reports Reports
 	limiter slatewind.Limiter
+	// suspects are requests under which servers ended.
+	suspects *quarantine.Table
 
 	mu     sync.RWMutex
 	shards map[string]*shard
@@ -109,10 +114,10 @@
 }
 
 // New returns an ingress that knows no servers yet. Its settings come from store.
-func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter, reports Reports, limiter slatewind.Limiter) *Outbound {
+func New(self Self, dialect slatewind.CallerDialect, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.Calls, meter Meter, reports Reports, limiter slatewind.Limiter, suspects *quarantine.Table) *Outbound {
 	ended, end := context.WithCancel(context.Background())
 	return &Outbound{
-		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, limiter: limiter, ended: ended, end: end,
+		self: self, dialect: dialect, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, limiter: limiter, suspects: suspects, ended: ended, end: end,
 		shards: map[string]*shard{}, servers: map[string]home{}, places: map[string]string{}, overtaken: map[string]slatewind.ServerEntry{}, splits: map[string]*splitter{},
 	}
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -25,6 +25,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // way is how the path to a process behaves.
@@ -47,7 +48,9 @@
 	*outbound.Outbound
 	store   *config.Store
 	history *history.Journal
-	callers *httptest.Server
+	// suspects are those of all processes.
+	suspects *quarantine.Table
+	callers  *httptest.Server
 
 	// bounds are those of all processes beside servers.
 	bounds inbound.Bounds
@@ -66,6 +69,7 @@
 func (m *mesh) Workspace(string, outbound.Admission)             {}
 func (m *mesh) Extra(string, string)                             {}
 func (m *mesh) Denied(string, string)                            {}
+func (m *mesh) Quarantined(string)                               {}
 
 // Heard implements outbound.Reports.
 func (m *mesh) Heard(time.Time, slatewind.ServerStart, *slatewindv1.SlotState, time.Duration) {}
@@ -142,12 +146,12 @@
 	m := &mesh{
 		bounds: bounds,
 		ways:   map[string]way{}, servers: map[string]*standin.Stamped{}, places: map[string]*inbound.Inbound{}, addresses: map[string]string{},
-		history: history.New(0, nil),
+		history: history.New(0, nil), suspects: quarantine.NewTable(nil, nil),
 	}
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
 		outbound.Self{DataCentre: "dc", Service: "caller"},
-		platform.Callers(), m.store, m.history, m, m, m, m, m,
+		platform.Callers(), m.store, m.history, m, m, m, m, m, m.suspects,
 	)
 	for _, name := range names {
 		m.add(t, name, "svc")
@@ -163,7 +167,7 @@
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	entry := slatewind.ServerEntry{Name: name, Service: service, Address: strings.TrimPrefix(web.URL, "http://"), DataCentre: "dc", Slots: 2}
-	place := inbound.New(inbound.Server{Service: service, Address: entry.Address, Dialect: platform.Servers()}, m.bounds, m.history)
+	place := inbound.New(inbound.Server{Service: service, Address: entry.Address, Dialect: platform.Servers()}, m.bounds, m.history, m.suspects)
 	t.Cleanup(place.Close)
 	place.Published(time.Now(), &entry)
 	m.mu.Lock()
@@ -412,7 +416,7 @@
 func TestBeforeSettings(t *testing.T) {
 	m := newMesh(t, "a")
 	empty := config.NewStore(m.history)
-	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m, m)
+	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m, m, m.suspects)
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -62,6 +62,8 @@
 	server     string
 	// survey counts the servers that the last search asked, where it found no slot.
 	survey choice.Survey
+	// quarantined says that servers ended under the request.
+	quarantined bool
 	// timedOut says that the request's time ended while a server had it.
 	timedOut bool
 	// answer is set for OutcomeAnswer.
@@ -95,12 +97,12 @@
 		o.passOn(w, rq, f)
 		return
 	}
-	kind, status := slatewind.DecisionRefuse, http.StatusServiceUnavailable
+	kind, status := slatewind.DecisionRefuse, rq.statusOf(f)
 	if f.outcome == slatewind.OutcomeUnknown {
-		kind, status = slatewind.DecisionUnknown, http.StatusBadGateway
-		if f.timedOut {
-			status = http.StatusGatewayTimeout
-		}
+		kind = slatewind.DecisionUnknown
+	}
+	if f.quarantined {
+		o.meter.Quarantined(rq.service)
 	}
 	o.journal.Add(slatewind.Decision{
 		Time: time.Now(), Kind: kind, Service: rq.service, Server: f.server, Request: rq.id, Reason: f.reason,
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 )
 
@@ -46,6 +48,8 @@
 	host     string
 	headers  []*slatewindv1.Header
 	body     []byte
+	// digest stands for the request's content.
+	digest   func() quarantine.Digest
 	began    time.Time
 	deadline time.Time
 	// left is closed when the caller leaves or has its answer.
@@ -137,7 +141,11 @@
 func (o *Outbound) handle(ctx context.Context, rq *request) final {
 	f := final{outcome: slatewind.OutcomeNotRun, reason: stops}
 	// Its body may have taken long to come.
-	if o.admit(time.Now(), rq) {
+	switch now := time.Now(); {
+	case !o.admit(now, rq):
+	case o.quarantined(now, rq):
+		f = o.refuseQuarantined(now, rq)
+	default:
 		f = o.dispatch(ctx, rq)
 	}
 	o.comeBack(time.Now(), &f)
@@ -183,6 +191,9 @@
 	if err := rq.readBody(w, r); err != nil {
 		return nil, err
 	}
+	rq.digest = sync.OnceValue(quarantine.Content{
+		Workspace: rq.workspace.GetName(), Method: rq.method, Host: rq.host, Target: rq.target, Body: rq.body,
+	}.Digest)
 	return rq, nil
 }
 
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -71,10 +71,12 @@
 	case reply.GetFailure() != nil:
 		failure := reply.GetFailure()
 		r.outcome, r.reason = slatewind.Outcome(failure.GetOutcome()), failure.GetReason()
+		o.hearSuspect(failure.GetSuspect())
 		r.timedOut = time.Now().After(rq.deadline)
 		o.hear(rq, slot, failure.GetState())
 	case reply.GetRefusal() != nil:
 		r.outcome, r.reason = slatewind.OutcomeNotRun, reasonOf(reply.GetRefusal())
+		o.hearSuspect(reply.GetRefusal().GetSuspect())
 		o.hear(rq, slot, reply.GetRefusal().GetState())
 	default:
 		r.reason = "a reply that is none"
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -188,6 +188,12 @@
 	return len(o.servers)
 }
 
+// Addresses returns those of the known servers of a service.
+func (o *Outbound) Addresses(service string) (addresses []string) {
+	o.shard(service).update(func(c *choice.Service) { addresses = c.Addresses() })
+	return addresses
+}
+
 // Sharer returns the place of the server at an address among those that share the bound on
 // extra attempts of a service.
 func (o *Outbound) Sharer(service, address string) (sharer retry.Sharer) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,6 +1,91 @@
-// Package quarantine knows requests again under which servers ended.
+// Package quarantine knows requests again under which servers ended, and keeps them from other
+// servers.
 //
-// Some requests end each server that runs them. A breaker does not help: it speaks of the
-// server, and the next attempt takes the request to the next one that is well. So a request is
-// known by a digest of its content, whoever sends it again and wherever.
+// Some requests end each server that begins to run them. A breaker does not help: it speaks of
+// one server, and the next attempt takes the request to the next one that is well. So the process
+// beside a server that ended notes a digest of each request that the server ran, and tells the
+// processes beside the other servers of the service at once, and everybody with the news that
+// travel anyway. Under whom two servers ended without one answer in between, that request is
+// refused everywhere, before it is sent.
+//
+// A sound request may be on two servers as they end by themselves. So a refusal lasts some
+// seconds; then one run is let through as a trial. Any whole answer acquits the request. After a
+// trial under which the server ended too, the next one comes after minutes: a release of the
+// servers may have mended them.
+//
+// What is known are events with ids of their own, each of which only ever becomes void. So it does
+// not matter in which order, how often and from whom a process hears of them (Table.Take).
 package quarantine
+
+import "time"
+
+// Kind says what an event tells of a request.
+type Kind string
+
+// Kinds of events.
+const (
+	// KindEnd: a server ended while it ran the request.
+	KindEnd Kind = "end"
+	// KindTrial: a refused request was let through once.
+	KindTrial Kind = "trial"
+	// KindFailedTrial: a server ended while it ran a trial of the request.
+	KindFailedTrial Kind = "failed-trial"
+)
+
+const (
+	// enoughEnds is under how many ends a request is refused. One server may end beside any
+	// request; of two ends without an answer in between the request is the likelier cause.
+	enoughEnds = 2
+	// firstPause is the time from the last end to the first trial: servers are back by then,
+	// and a sound request is not refused for longer.
+	firstPause = 5 * time.Second
+	// failedPause is the time from a failed trial to the next; it doubles with each up to
+	// mostPause.
+	failedPause = 10 * time.Minute
+	mostPause   = time.Hour
+	// keepTime is how long a request is remembered after its newest event, and voidTime that
+	// where it was acquitted: until all have heard of it.
+	keepTime = 2 * mostPause
+	voidTime = time.Minute
+	// mostRecords bounds the requests that are remembered, mostEvents the events of each.
+	mostRecords = 512
+	mostEvents  = 8
+	// mostTold bounds the records of one message, some 60 bytes each.
+	mostTold = 64
+)
+
+// Event is one event as processes tell it to each other.
+type Event struct {
+	// ID is the event's own; the requests that one end of a server concerns share its id.
+	ID   uint64
+	Kind Kind
+	// Age is how long ago it happened.
+	Age time.Duration
+	// Void says that the request was answered since.
+	Void bool
+}
+
+// Record is what is known of one request.
+type Record struct {
+	Digest Digest
+	Events []Event
+}
+
+// Verdict says whether a request may be sent to a server.
+type Verdict struct {
+	// Refused requests must not be sent. Trial says that this run is one.
+	Refused, Trial bool
+	// Ends is how many servers ended under the request.
+	Ends int
+	// TrialIn is the time until the next trial of a refused request.
+	TrialIn time.Duration
+}
+
+// View is one request in a state dump.
+type View struct {
+	Digest  string `json:"digest"`
+	Ends    int    `json:"ends"`
+	Refused bool   `json:"refused"`
+	// TrialInMs is the time until the next trial of a refused request, in milliseconds.
+	TrialInMs int64 `json:"trial_in_ms,omitempty"`
+}
--- a/slatewind.go
+++ b/slatewind.go
@@ -238,6 +238,8 @@
 	DecisionError DecisionKind = "server-error"
 	// DecisionEnded: a server ended while it ran a request, and nobody had planned that.
 	DecisionEnded DecisionKind = "server-ended"
+	// DecisionQuarantine: a request is refused from now on, since servers ended under it.
+	DecisionQuarantine DecisionKind = "quarantine"
 )
 
 // Decision is one entry of the journal: what was decided, about what and why.
