Tell each process of a server's end by itself, again where that fails

Cause: a round of news waited for the slowest of 32 processes, so that one that was frozen held up the next end by 0.5 s, and a process behind a silent connection was not told again. Change: each is told by itself, three times at most; news gather for 2 ms.

TestQuarantineOutlivesWitnesses: processes that begin anew refuse the request. TestQuarantineEnds: one that servers no longer end under is served again.

--- a/daemon/nodequarantine.go
+++ b/daemon/nodequarantine.go
@@ -3,28 +3,34 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 )
 
 const (
-	// spreadTime bounds the wait for a process that is told of a server's end. One that does not
-	// answer hears of it with the news that it asks for.
-	spreadTime = 500 * time.Millisecond
-	// mostSpread is how many processes are told at a time.
-	mostSpread = 32
+	// spreadGather is how long news wait for others: one end concerns all requests of a server.
+	spreadGather = 2 * time.Millisecond
+	// spreadTime bounds one attempt to tell a process, spreadPause is the time from one that
+	// failed to the next: a connection that has gone silent is ended meanwhile.
+	spreadTime  = 500 * time.Millisecond
+	spreadPause = 300 * time.Millisecond
+	// spreadAttempts is how often one process is told at most. Whoever does not answer hears of
+	// it with the news that it asks for.
+	spreadAttempts = 3
 	// mostUnspread bounds the news that wait to be told.
 	mostUnspread = 256
+	// spreadAge bounds the time from the end of a server to when all processes of its service that
+	// run and can be reached know of it. The probe of the server that ended is part of it.
+	spreadAge = inbound.EndedProbe + spreadGather + spreadAttempts*spreadTime + (spreadAttempts-1)*spreadPause
 )
 
 // spreader tells the processes beside the other servers of the service what happened to the
 // server beside this one: they are those who would give their servers the same request next.
-// What comes while it tells others goes with the next round.
 type spreader struct {
 	node *Node
 	news chan []quarantine.Record
@@ -52,6 +58,7 @@
 			case <-ctx.Done():
 				return
 			case records := <-s.news:
+				time.Sleep(spreadGather)
 				s.tell(ctx, append(records, s.waiting()...))
 			}
 		}
@@ -70,34 +77,33 @@
 	}
 }
 
-// tell tells all others of the service, some at a time. One that is silent does not hold up the
-// next round for long.
+// tell tells all others of the service, each by itself: one that is silent holds up nobody.
 func (s *spreader) tell(ctx context.Context, records []quarantine.Record) {
-	var all sync.WaitGroup
-	places := make(chan struct{}, mostSpread)
-	for _, address := range s.node.outbound.Addresses(s.node.settings.GetLocalServer().GetService()) {
-		if address == s.node.settings.GetLocalServer().GetAddress() {
-			continue
+	local := s.node.settings.GetLocalServer()
+	for _, address := range s.node.outbound.Addresses(local.GetService()) {
+		if address != local.GetAddress() {
+			go s.tellOne(ctx, address, records)
 		}
-		places <- struct{}{}
-		all.Go(func() {
-			defer func() { <-places }()
-			s.tellOne(ctx, address, records)
-		})
 	}
-	all.Wait()
 }
 
+// tellOne tells one process, again where that fails.
 func (s *spreader) tellOne(ctx context.Context, address string, records []quarantine.Record) {
-	ctx, cancel := context.WithTimeout(ctx, spreadTime)
-	defer cancel()
 	peer, err := s.node.peerOf(address)
-	if err == nil {
-		err = s.node.pool.Spread(ctx, peer, records)
-	}
-	if err != nil {
-		s.node.logger.Debug("end of a server not told", "to", address, "cause", err)
+	for attempt := 1; err == nil; attempt++ {
+		tried, cancel := context.WithTimeout(ctx, spreadTime)
+		failed := s.node.pool.Spread(tried, peer, records)
+		cancel()
+		if failed == nil {
+			return
+		}
+		if attempt == spreadAttempts || ctx.Err() != nil {
+			err = failed
+			break
+		}
+		time.Sleep(spreadPause)
 	}
+	s.node.logger.Debug("end of a server not told", "to", address, "cause", err)
 }
 
 // listed writes down that a request is refused from now on.
--- a/daemon/quarantine_test.go
+++ b/daemon/quarantine_test.go
@@ -77,3 +77,78 @@
 		})
 	}
 }
+
+// TestSpreadBound: all processes of a service that run and can be reached know of a server's end
+// before the request may not come any more, also where a connection between them went silent.
+func TestSpreadBound(t *testing.T) {
+	assert.Assert(t, spreadAge < knownTime, "%s", spreadAge)
+}
+
+// deadlyUntil sends a deadly request to all nodes in turn until so many servers ended, and until
+// all nodes that run refuse it.
+func (f *nodes) deadlyUntil(ends int) {
+	for i := 0; len(f.deaths()) < ends; i++ {
+		assert.Assert(f.t, i < 2000, "%d servers ended", len(f.deaths()))
+		f.send(i%len(f.nodes), "/look/deadly", fmt.Sprint("until-", i))
+	}
+	for i := range f.nodes {
+		f.awaitRefusal(i)
+	}
+}
+
+// awaitRefusal waits until a node refuses the deadly request without sending it.
+func (f *nodes) awaitRefusal(i int) {
+	f.t.Helper()
+	began := time.Now()
+	for !f.refuses(i) {
+		assert.Assert(f.t, time.Since(began) < knownTime, "node %d does not know of the request", i)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// refuses reports whether a node knows that the deadly request is refused.
+func (f *nodes) refuses(i int) bool {
+	for _, view := range f.nodes[i].suspects.Views(time.Now()) {
+		if view.Refused {
+			return true
+		}
+	}
+	return false
+}
+
+// TestQuarantineOutlivesWitnesses: processes that begin anew hear of the request from others, also
+// those beside the servers that ended under it.
+func TestQuarantineOutlivesWitnesses(t *testing.T) {
+	t.Parallel()
+	f := newNodes(t, 5)
+	f.deadlyUntil(2)
+	deaths := len(f.deaths())
+	for i, crasher := range f.crashers {
+		if len(crasher.Deaths()) == 0 {
+			continue
+		}
+		f.end(f.nodes[i])
+		f.nodes[i] = f.start(i)
+		f.awaitReady(i)
+		f.awaitRefusal(i)
+		assert.Equal(t, f.send(i, "/look/deadly", fmt.Sprint("again-", i)), http.StatusBadRequest)
+	}
+	assert.Equal(t, len(f.deaths()), deaths)
+}
+
+// TestQuarantineEnds: a request that servers no longer end under is served again after a trial, and
+// all hear of that.
+func TestQuarantineEnds(t *testing.T) {
+	t.Parallel()
+	f := newNodes(t, 4)
+	f.deadlyUntil(2)
+	for _, crasher := range f.crashers {
+		crasher.Mend()
+	}
+	began := time.Now()
+	f.await("the request to be answered", func() bool { return f.send(0, "/look/deadly", fmt.Sprint("mended-", time.Now())) == http.StatusOK })
+	assert.Assert(t, time.Since(began) < 8*time.Second)
+	for i := range f.nodes {
+		f.await("all to send it", func() bool { return f.send(i, "/look/deadly", fmt.Sprint("all-", i, time.Now())) == http.StatusOK })
+	}
+}
--- a/inbound/ended.go
+++ b/inbound/ended.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// endedProbe bounds the connect that tells whether a server listens still.
-	endedProbe = 100 * time.Millisecond
+	// EndedProbe bounds the connect that tells whether a server listens still.
+	EndedProbe = 100 * time.Millisecond
 	// leftTime is how long a run whose caller left is suspected still: the server may have
 	// begun to end under it.
 	leftTime = 500 * time.Millisecond
@@ -75,7 +75,7 @@
 	if in.leaving() != "" {
 		return end{}, false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), endedProbe)
+	ctx, cancel := context.WithTimeout(context.Background(), EndedProbe)
 	defer cancel()
 	if !errors.Is(in.pool.Probe(ctx), syscall.ECONNREFUSED) {
 		return end{}, false
--- a/internal/standin/crasher.go
+++ b/internal/standin/crasher.go
@@ -24,6 +24,8 @@
 
 	mu  sync.Mutex
 	web *http.Server
+	// mended servers end under no request.
+	mended bool
 	// deaths are the times at which deadly requests began to run.
 	deaths []time.Time
 	closed bool
@@ -66,17 +68,32 @@
 
 // ServeHTTP implements http.Handler.
 func (c *Crasher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !c.deadly(r) {
+	if !c.dies(r) {
 		c.handler.ServeHTTP(w, r)
 		return
 	}
-	c.mu.Lock()
-	c.deaths = append(c.deaths, time.Now())
-	c.mu.Unlock()
 	time.Sleep(crashWork)
 	c.Crash()
 }
 
+// dies reports whether the server ends under a request, and counts it.
+func (c *Crasher) dies(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mended || !c.deadly(r) {
+		return false
+	}
+	c.deaths = append(c.deaths, time.Now())
+	return true
+}
+
+// Mend has no request end the server any more.
+func (c *Crasher) Mend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mended = true
+}
+
 // Crash ends the server, which starts again after its time.
 func (c *Crasher) Crash() {
 	c.mu.Lock()
