Tell apart which request servers ended under, and try sound ones sooner

And a request that comes often is on several servers as these end by themselves, and would have been refused for 5 s.

Change: an end is charged to the request of it under which most servers ended; the first trial of a request that was answered lately does not wait; before a failed trial callers get 503 with the time of the trial, after it 400. Ruled out: a trial at once for all requests, since three servers of a service with three would be away at once.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -34,7 +34,7 @@
 	}
 	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header)}
 	// What the server answers, be it with an error, does not end it.
-	u.in.suspects.Answered(time.Now(), u.digest)
+	u.in.suspects.Answered(time.Now(), u.digest())
 	if len(body) <= link.MaxHeld {
 		answer.Close()
 		u.end(resultOf(answer.StatusCode), "an error answer")
--- a/outbound/quarantine.go
+++ b/outbound/quarantine.go
@@ -17,16 +17,17 @@
 
 // refuseQuarantined is the outcome of a request that is not sent since servers ended under it.
 func (o *Outbound) refuseQuarantined(now time.Time, rq *request) final {
-	return final{outcome: slatewind.OutcomeNotRun, quarantined: true, reason: o.whyQuarantined(now, rq)}
-}
-
-// whyQuarantined says why a request is not sent, to its caller and to operators.
-func (o *Outbound) whyQuarantined(now time.Time, rq *request) string {
 	verdict := o.suspects.Check(now, rq.digest)
-	return fmt.Sprintf("quarantined: %d servers ended while they ran the request %s; it is tried again in %s",
-		verdict.Ends, rq.digest(), verdict.TrialIn.Round(time.Second))
+	return final{
+		outcome: slatewind.OutcomeNotRun, quarantine: verdict, retryAfter: verdict.TrialIn,
+		reason: fmt.Sprintf("quarantined: %d servers ended while they ran the request %s; it is tried again in %s",
+			verdict.Ends, rq.digest(), verdict.TrialIn.Round(tellsTrial)),
+	}
 }
 
+// tellsTrial is how exactly callers are told when a request is tried again.
+const tellsTrial = 100 * time.Millisecond
+
 // hearSuspect takes what the process beside a server knows of a request.
 func (o *Outbound) hearSuspect(suspect *slatewindv1.Suspect) {
 	if suspect != nil {
@@ -36,8 +37,8 @@
 
 // quarantine ends a request that an attempt showed to be one under which servers end.
 func (d *dispatch) quarantine(r result) final {
-	f := r.final
-	f.quarantined, f.outcome, f.reason = true, slatewind.OutcomeNotRun, d.o.whyQuarantined(time.Now(), d.rq)
+	f := d.o.refuseQuarantined(time.Now(), d.rq)
+	f.server = r.server
 	if d.mayHaveRun {
 		f.outcome = slatewind.OutcomeUnknown
 	}
@@ -45,11 +46,11 @@
 }
 
 // statusOf returns the status of an answer that is not a server's, for an outcome. A request
-// under which servers ended is refused as bad, so that its caller does not send it again; where a
-// single one may have run, nothing is said about that.
+// that is proved to end servers is refused as bad, so that its caller does not send it again;
+// where a single one may have run, nothing is said about that.
 func (rq *request) statusOf(f final) int {
 	switch {
-	case f.quarantined && (f.outcome == slatewind.OutcomeNotRun || rq.repeatable()):
+	case f.quarantine.Proven && (f.outcome == slatewind.OutcomeNotRun || rq.repeatable()):
 		return http.StatusBadRequest
 	case f.outcome == slatewind.OutcomeNotRun:
 		return http.StatusServiceUnavailable
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -12,6 +12,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // rejection is a request that is refused before anything is sent.
@@ -62,8 +63,8 @@
 	server     string
 	// survey counts the servers that the last search asked, where it found no slot.
 	survey choice.Survey
-	// quarantined says that servers ended under the request.
-	quarantined bool
+	// quarantine says why the request was not sent, where servers ended under it.
+	quarantine quarantine.Verdict
 	// timedOut says that the request's time ended while a server had it.
 	timedOut bool
 	// answer is set for OutcomeAnswer.
@@ -101,7 +102,7 @@
 	if f.outcome == slatewind.OutcomeUnknown {
 		kind = slatewind.DecisionUnknown
 	}
-	if f.quarantined {
+	if f.quarantine.Refused {
 		o.meter.Quarantined(rq.service)
 	}
 	o.journal.Add(slatewind.Decision{
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,9 +8,10 @@
 // travel anyway. Under whom two servers ended without one answer in between, that request is
 // refused everywhere, before it is sent.
 //
-// A sound request may be on two servers as they end by themselves. So a refusal lasts some
-// seconds; then one run is let through as a trial. Any whole answer acquits the request. After a
-// trial under which the server ended too, the next one comes after minutes: a release of the
+// A sound request may be on two servers as they end by themselves, above all one that comes often.
+// So a refusal lasts some seconds; then one run is let through as a trial, and at once where the
+// request was answered a moment before. Any whole answer acquits the request. Only a trial under
+// which the server ended too proves it; the next one comes after minutes, since a release of the
 // servers may have mended them.
 //
 // What is known are events with ids of their own, each of which only ever becomes void. So it does
@@ -36,9 +37,12 @@
 	// enoughEnds is under how many ends a request is refused. One server may end beside any
 	// request; of two ends without an answer in between the request is the likelier cause.
 	enoughEnds = 2
-	// firstPause is the time from the last end to the first trial: servers are back by then,
-	// and a sound request is not refused for longer.
+	// firstPause is the time from the last end, or from a trial that came to nothing, to the next
+	// trial: servers are back by then, and a sound request is not refused for longer.
 	firstPause = 5 * time.Second
+	// latelyPause is that from a trial of a request that was answered lately. Its first trial
+	// does not wait.
+	latelyPause = time.Second
 	// failedPause is the time from a failed trial to the next; it doubles with each up to
 	// mostPause.
 	failedPause = 10 * time.Minute
@@ -47,6 +51,10 @@
 	// where it was acquitted: until all have heard of it.
 	keepTime = 2 * mostPause
 	voidTime = time.Minute
+	// latelyTime is how long an answer counts as lately at least, mostLately how many of them
+	// are remembered at least where there are that many.
+	latelyTime = 15 * time.Second
+	mostLately = 2048
 	// mostRecords bounds the requests that are remembered, mostEvents the events of each.
 	mostRecords = 512
 	mostEvents  = 8
@@ -77,6 +85,8 @@
 	Refused, Trial bool
 	// Ends is how many servers ended under the request.
 	Ends int
+	// Proven says that one of them ended under a trial.
+	Proven bool
 	// TrialIn is the time until the next trial of a refused request.
 	TrialIn time.Duration
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -72,22 +72,42 @@
 // newest returns the time of the newest event.
 func (r *record) newest() time.Time { return r.events[len(r.events)-1].at }
 
-// pause returns how long after the newest event the next trial comes.
-func (r *record) pause() time.Duration {
-	pause := firstPause
-	for i := range r.count(KindFailedTrial) {
-		pause = min(failedPause<<i, mostPause)
+// pause returns how long after the newest event the next trial comes; lately says that the request
+// was answered shortly before the first.
+func (r *record) pause(lately bool) time.Duration {
+	failed, trials := r.count(KindFailedTrial), r.count(KindTrial)
+	switch {
+	case failed > 0:
+		return min(failedPause<<(failed-1), mostPause)
+	case lately && trials == 0:
+		return 0
+	case lately:
+		return latelyPause
 	}
-	return pause
+	return firstPause
 }
 
-// verdict returns whether the request may be sent now. It does not decide who makes the trial.
-func (r *record) verdict(now time.Time) Verdict {
-	v := Verdict{Ends: r.ends()}
+// charged returns how many ends are the request's to answer for: those that no other request was
+// part of under which more servers ended. Most is the highest number of ends of all requests of
+// an end.
+func (r *record) charged(most map[uint64]int) (n int) {
+	own := r.ends()
+	for _, e := range r.events {
+		if !e.void && e.kind != KindTrial && most[e.id] <= own {
+			n++
+		}
+	}
+	return n
+}
+
+// verdict returns whether the request may be sent now, by how many ends it has to answer for. It
+// does not decide who makes the trial.
+func (r *record) verdict(now time.Time, charged int, lately bool) Verdict {
+	v := Verdict{Ends: charged, Proven: r.count(KindFailedTrial) > 0}
 	if v.Ends < enoughEnds {
 		return v
 	}
-	v.TrialIn = max(r.newest().Add(r.pause()).Sub(now), 0)
+	v.TrialIn = max(r.newest().Add(r.pause(lately)).Sub(now), 0)
 	v.Refused, v.Trial = v.TrialIn > 0, v.TrialIn == 0
 	return v
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -24,6 +24,10 @@
 
 	mu      sync.Mutex
 	records map[Digest]*record
+	// most holds the highest number of ends of all requests that were part of an end, by its id.
+	most map[uint64]int
+	// lately are the requests that were answered here lately.
+	lately answers
 }
 
 // NewTable returns an empty table. What happens beside this process goes to spread, and requests
@@ -48,12 +52,29 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.known(now, digest()); r != nil {
-		return r.verdict(now)
+	d := digest()
+	if r := t.known(now, d); r != nil {
+		return t.verdict(now, d, r)
 	}
 	return Verdict{}
 }
 
+// verdict returns that of a known request. The lock is held.
+func (t *Table) verdict(now time.Time, digest Digest, r *record) Verdict {
+	return r.verdict(now, r.charged(t.most), t.lately.has(now, digest))
+}
+
+// weigh works out anew which requests were part of most ends. Others that were on the same servers
+// need not answer for these. The lock is held.
+func (t *Table) weigh() {
+	t.most = map[uint64]int{}
+	for _, r := range t.records {
+		for _, e := range r.events {
+			t.most[e.id] = max(t.most[e.id], r.ends())
+		}
+	}
+}
+
 // known returns what is known of a request, or nil. The lock is held.
 func (t *Table) known(now time.Time, digest Digest) *record {
 	r := t.records[digest]
@@ -84,7 +105,7 @@
 	if r == nil {
 		return v, told
 	}
-	v = r.verdict(now)
+	v = t.verdict(now, digest, r)
 	if v.Trial {
 		r.add(event{id: rand.Uint64(), kind: KindTrial, at: now})
 		told = r.told(now, digest)
@@ -115,11 +136,8 @@
 
 // Answered notes that a server answered a request wholly: it does not end those that run it.
 // Others are told at once where that lets it through again.
-func (t *Table) Answered(now time.Time, digest func() Digest) {
-	if t.Empty() {
-		return
-	}
-	if told, acquitted := t.answered(now, digest()); acquitted {
+func (t *Table) Answered(now time.Time, digest Digest) {
+	if told, acquitted := t.answered(now, digest); acquitted {
 		t.spread([]Record{told})
 	}
 }
@@ -127,12 +145,14 @@
 func (t *Table) answered(now time.Time, digest Digest) (told Record, acquitted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.lately.add(now, digest)
 	r := t.known(now, digest)
 	if r == nil {
 		return told, false
 	}
 	acquitted = r.ends() >= enoughEnds
 	r.answered()
+	t.weigh()
 	return r.told(now, digest), acquitted
 }
 
@@ -185,6 +205,7 @@
 		delete(t.records, first)
 	}
 	t.size.Store(int64(len(t.records)))
+	t.weigh()
 }
 
 // Record returns what is known of one request, for who asked to send it.
@@ -236,7 +257,7 @@
 	defer t.mu.Unlock()
 	var views []View
 	for digest, r := range t.records {
-		v := r.verdict(now)
+		v := t.verdict(now, digest, r)
 		if v.Ends > 0 {
 			views = append(views, View{Digest: digest.String(), Ends: v.Ends, Refused: v.Refused, TrialInMs: v.TrialIn.Milliseconds()})
 		}
