Count the time in which a VM was suspended where something holds for a time

Cause: the steady clock stands still meanwhile, so that a view of servers that was 4 s older was told on as new, a slot granted before was used after it, and held tokens were spent. Absences were told by the time of day, which may be set at the same moment, and only from 1 or 2 s on.

Change: timer.Clock adds the difference of the clocks that count from the VM's start, to the millisecond and whatever the time of day does; timer.Instant keeps its moments apart from others.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -74,7 +74,7 @@
 		w.revision = p.Revision
 	}
 	w.revision = max(w.revision, p.Revision)
-	if seen := now.Add(-p.Age); seen.After(w.seen) {
+	if seen := w.clock.Now().Add(-p.Age); seen.After(w.seen) {
 		w.seen = seen
 	}
 }
@@ -285,7 +285,7 @@
 	if w.revision == 0 {
 		return slatewind.Publication{}
 	}
-	p := slatewind.Publication{Revision: w.revision, Age: time.Since(w.seen), Whole: after == 0 || after <= w.forgotten, Cut: w.lost}
+	p := slatewind.Publication{Revision: w.revision, Age: w.clock.Since(w.seen), Whole: after == 0 || after <= w.forgotten, Cut: w.lost}
 	for name, server := range w.servers {
 		if _, lapsed := w.lapsed[name]; !lapsed && (p.Whole || server.revision > after) {
 			p.Servers = append(p.Servers, server.ServerEntry)
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/timer"
 )
 
 // Error is the class of errors of this package.
@@ -69,6 +70,8 @@
 
 	store Store
 	peers Peers
+	// clock counts the time too in which the VM was suspended.
+	clock timer.Clock
 	// self is the address of the server beside this process. Processes are known
 	// by their servers' addresses here.
 	self       string
@@ -118,9 +121,9 @@
 // Read implements slatewind.Publisher. A process that begins reads the store,
 // so that it starts with the newest; where the store is away, it asks others.
 func (s *Share) Read(ctx context.Context) (slatewind.Publication, error) {
-	began := time.Now()
+	began := s.clock.Now()
 	p, err := s.store.Read(ctx)
-	p.Age = time.Since(began)
+	p.Age = s.clock.Since(began)
 	if err == nil {
 		return p, nil
 	}
@@ -223,10 +226,10 @@
 
 // direct asks the store. Where that fails, a peer may know more.
 func (s *Share) direct(ctx context.Context, after uint64) (slatewind.Publication, error) {
-	began := time.Now()
+	began := s.clock.Now()
 	p, err := s.store.Changes(ctx, after)
 	s.heard(err)
-	p.Age = time.Since(began)
+	p.Age = s.clock.Since(began)
 	s.pauseAfter(!s.cut && p.Age < wellTime)
 	if err == nil {
 		return p, nil
@@ -294,7 +297,7 @@
 func (s *Share) ask(ctx context.Context, address string, after uint64) (p slatewind.Publication, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	began := time.Now()
+	began := s.clock.Now()
 	p, err := s.peers.Since(ctx, address, after, s.feed.Version())
 	if err != nil || p.Revision == 0 {
 		s.failed[address] = time.Now().Add(failedTime)
@@ -303,7 +306,7 @@
 	s.feed.Heard(p.Version, address)
 	p.Relayed, p.From = true, address
 	// The peer may have been paused after it told its news' age.
-	p.Age += time.Since(began)
+	p.Age += s.clock.Since(began)
 	return p, true
 }
 
--- /dev/null
+++ b/discovery/suspended_test.go
@@ -0,0 +1,51 @@
+package discovery
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/timer"
+)
+
+// suspendedFor returns a clock of a VM that was suspended for a time which tests change.
+func suspendedFor(d *time.Duration) timer.Clock {
+	return timer.Clock{Suspension: func() time.Duration { return *d }}
+}
+
+// suspendingPeers are processes during whose answer this VM is suspended.
+type suspendingPeers struct {
+	suspended *time.Duration
+	sleep     time.Duration
+}
+
+// Since implements Peers.
+func (p suspendingPeers) Since(context.Context, string, uint64, uint64) (slatewind.Publication, error) {
+	*p.suspended += p.sleep
+	return slatewind.Publication{Revision: 1}, nil
+}
+
+// Exchange implements Peers.
+func (suspendingPeers) Exchange(context.Context, string) {}
+
+// TestAgeCountsSuspension: what a process knows grows old while its VM is suspended, so that
+// nobody whom it tells takes that for new, and an answer that came meanwhile is as old.
+func TestAgeCountsSuspension(t *testing.T) {
+	const sleep = 4 * time.Second
+	var suspended time.Duration
+	w := NewWatcher(nil, nil)
+	w.clock = suspendedFor(&suspended)
+	w.take(time.Now(), slatewind.Publication{Revision: 1})
+	suspended += sleep
+	assert.Assert(t, w.Since(1).Age >= sleep, "%s", w.Since(1).Age)
+
+	s := NewShare(nil, suspendingPeers{&suspended, sleep}, "self", nil)
+	s.clock = suspendedFor(&suspended)
+	s.feed = NewFeed(nil, nil, s, nil)
+	p, ok := s.ask(t.Context(), "reader", 1)
+	assert.Assert(t, ok)
+	assert.Assert(t, p.Age >= sleep, "%s", p.Age)
+}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/timer"
 )
 
 const (
@@ -86,7 +87,9 @@
 	// revision is the store's up to which everything is known, seen when the store
 	// last said so, be it to a peer.
 	revision uint64
-	seen     time.Time
+	seen     timer.Instant
+	// clock counts the time too in which the VM was suspended: a view grows old meanwhile.
+	clock timer.Clock
 	// reread says that the changes since revision cannot be had, so that everything is
 	// read anew.
 	reread  bool
@@ -182,7 +185,7 @@
 		return 0, err
 	}
 	if took := now.Sub(began); took >= slowCall && after > 0 {
-		w.sink.Slow(SlowNews{From: p.From, Took: took, Age: now.Sub(w.seen), Servers: len(p.Servers), Removed: len(p.Removed)})
+		w.sink.Slow(SlowNews{From: p.From, Took: took, Age: w.clock.Since(w.seen), Servers: len(p.Servers), Removed: len(p.Removed)})
 	}
 	if p.Cut {
 		w.failed(now, errCut)
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -68,7 +68,7 @@
 		}
 		u.in.mu.Unlock()
 	}
-	if time.Now().After(u.deadline) {
+	if u.in.clock.Now().After(u.expires) {
 		result = breaker.ResultNone
 	}
 	answer.Close()
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -131,6 +131,8 @@
 	nextID        uint64
 	// idle is the time in which the server gets no request.
 	idle idleTime
+	// clock counts the time too in which the VM was suspended.
+	clock timer.Clock
 	// pauses tells when the process did not run.
 	pauses pauseDetector
 	// ends are those of the server, suspects the requests under which servers ended.
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -24,7 +24,7 @@
 		return u.refuse(CauseLeaving, why)
 	}
 	now := time.Now()
-	remaining := min(time.Duration(request.GetRemainingNanos()), u.deadline.Sub(now))
+	remaining := min(time.Duration(request.GetRemainingNanos()), u.expires.Sub(u.in.clock.Now()))
 	if remaining <= 0 {
 		u.release()
 		return u.refuse(CauseLate, "its time was over before the start")
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -10,6 +10,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
+	"slatewind.example/slatewind/timer"
 )
 
 // maxBody bounds a request's body in bytes, whatever the sender says.
@@ -21,9 +22,10 @@
 	stream      link.UseStream
 	reservation *slatewindv1.Reservation
 	item        admission.Item
-	// deadline is the end of the request's time, granted when its slot was.
-	deadline time.Time
-	granted  time.Time
+	// expires is the end of the request's time and lapses that of its granted slot, also where the
+	// VM was suspended meanwhile; granted is when it got that.
+	expires, lapses timer.Instant
+	granted         time.Time
 	// early says that the slot was granted before a stop closed.
 	early bool
 	// id is the caller's id of the request, parent what its calls came to.
@@ -57,7 +59,7 @@
 // reserve waits for a slot. granted says that one is held.
 func (u *use) reserve() (granted bool, err error) {
 	now := time.Now()
-	u.deadline = now.Add(time.Duration(u.reservation.GetRemainingMs()) * time.Millisecond)
+	u.expires = u.in.clock.Now().Add(time.Duration(u.reservation.GetRemainingMs()) * time.Millisecond)
 	item, refusal, decision := u.in.offer(now, u.reservation)
 	if refusal != nil {
 		return false, u.sendRefusal(refusal)
@@ -87,7 +89,7 @@
 	if d.Action != admission.ActionStart {
 		return false, u.refuseFull(d)
 	}
-	u.granted = time.Now()
+	u.granted, u.lapses = time.Now(), u.in.clock.Now().Add(grantTime)
 	u.in.mu.Lock()
 	refusal := u.in.refuses(u.granted, u.reservation)
 	if refusal != nil {
@@ -177,7 +179,7 @@
 	defer timeout.Stop()
 	select {
 	case r := <-result:
-		if r.err == nil && time.Since(u.granted) > grantTime {
+		if r.err == nil && u.in.clock.Now().After(u.lapses) {
 			return nil, nil, errTooLate
 		}
 		return r.request, r.body, r.err
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -113,6 +113,8 @@
 		return "the caller left"
 	case !l.o.mayStart(l.rq):
 		return stops
+	case l.rq.remaining(time.Now()) <= 0:
+		return "its time was over before it was sent"
 	case l.o.quarantined(time.Now(), l.rq):
 		return string(inbound.CauseQuarantined)
 	}
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -26,6 +26,7 @@
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
+	"slatewind.example/slatewind/timer"
 )
 
 // Error is the class of errors of this package.
@@ -87,6 +88,8 @@
 	meter   Meter
 	reports Reports
 	limiter slatewind.Limiter
+	// clock counts the time too in which the VM was suspended.
+	clock timer.Clock
 	// suspects are requests under which servers ended.
 	suspects *quarantine.Table
 
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -17,6 +17,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
+	"slatewind.example/slatewind/timer"
 )
 
 const (
@@ -52,6 +53,10 @@
 	digest   func() quarantine.Digest
 	began    time.Time
 	deadline time.Time
+	// clock counts the time too in which the VM was suspended, suspended is how long it had been
+	// when the request came.
+	clock     timer.Clock
+	suspended time.Duration
 	// left is closed when the caller leaves or has its answer.
 	left <-chan struct{}
 	// call is set where the request is a call of one that a server already runs.
@@ -182,6 +187,8 @@
 		began:    now,
 		deadline: now.Add(o.timeFor(r, route)),
 
+		clock:     o.clock,
+		suspended: o.clock.Suspended(),
 		call:      call,
 		workspace: sender,
 	}
@@ -277,9 +284,9 @@
 	return nil
 }
 
-// remaining returns the time left to a request.
+// remaining returns the time left to a request. Its caller waited also while this VM was suspended.
 func (rq *request) remaining(now time.Time) time.Duration {
-	return rq.deadline.Sub(now)
+	return rq.deadline.Sub(now) - (rq.clock.Suspended() - rq.suspended)
 }
 
 // context ends with the request's time and a moment for a server's own
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/timer"
 )
 
 const (
@@ -48,6 +49,9 @@
 
 	shards [spenderShards]spenders
 
+	// clock counts the time too in which the VM was suspended: what is held lapses meanwhile.
+	clock timer.Clock
+
 	silentMu sync.Mutex
 	silent   map[string]silence
 }
@@ -68,7 +72,8 @@
 // New returns the limiter of the process at a host. own returns a workspace's limit as this
 // process's settings have it.
 func New(now time.Time, self string, peers Peers, own func(workspace string) slatewind.WorkspaceLimit) *Limiter {
-	l := &Limiter{self: self, peers: peers, own: own, homes: NewHomes(), ledger: NewLedger(now), silent: map[string]silence{}}
+	l := &Limiter{self: self, peers: peers, own: own, homes: NewHomes(), silent: map[string]silence{}}
+	l.ledger = NewLedger(l.counted(now))
 	for i := range l.shards {
 		l.shards[i].all = map[string]*Spender{}
 	}
@@ -93,9 +98,12 @@
 func (l *Limiter) moved(now time.Time) {
 	l.ledgerMu.Lock()
 	defer l.ledgerMu.Unlock()
-	l.ledger.Moved(now, l.ownRole)
+	l.ledger.Moved(l.counted(now), l.ownRole)
 }
 
+// counted adds to a time that in which the VM was suspended so far.
+func (l *Limiter) counted(now time.Time) time.Time { return now.Add(l.clock.Suspended()) }
+
 // ownRole returns this process's role for a workspace as it knows the hosts, empty where it
 // has none.
 func (l *Limiter) ownRole(workspace string) Role {
@@ -124,7 +132,7 @@
 	}
 	l.ledgerMu.Lock()
 	defer l.ledgerMu.Unlock()
-	return l.ledger.Take(now, q)
+	return l.ledger.Take(l.counted(now), q)
 }
 
 // Admit implements slatewind.Limiter: a request costs its workspace one token.
@@ -135,7 +143,7 @@
 	var step Step
 	var wanted int
 	l.update(limit.Workspace, func(s *Spender) {
-		now := time.Now()
+		now := l.counted(time.Now())
 		step, wanted = s.Begin(now, limit), s.Want(now)
 	})
 	if step == StepAllow {
@@ -152,7 +160,7 @@
 // decide ends a request that a spender could not allow by itself.
 func (l *Limiter) decide(limit slatewind.WorkspaceLimit, step Step, answer Answer, answered bool) (v slatewind.LimitVerdict) {
 	l.update(limit.Workspace, func(s *Spender) {
-		now := time.Now()
+		now := l.counted(time.Now())
 		switch {
 		case step == StepRefuse:
 		case answered:
@@ -241,7 +249,7 @@
 // Uses returns the state of the workspaces whose tokens this process gives, by name.
 func (l *Limiter) Uses(now time.Time) []Use {
 	l.ledgerMu.Lock()
-	uses := l.ledger.Uses(now)
+	uses := l.ledger.Uses(l.counted(now))
 	l.ledgerMu.Unlock()
 	slices.SortFunc(uses, func(a, b Use) int { return strings.Compare(a.Workspace, b.Workspace) })
 	return uses
--- /dev/null
+++ b/ratelimit/suspended_test.go
@@ -0,0 +1,41 @@
+package ratelimit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/timer"
+)
+
+// givingPeers give what is asked for and count the questions.
+type givingPeers struct{ asked int }
+
+// Take implements Peers.
+func (p *givingPeers) Take(context.Context, string, Question) (Answer, error) {
+	p.asked++
+	return Answer{Tokens: 5, Level: 100, Role: RoleHome}, nil
+}
+
+// NotRunning implements Peers.
+func (*givingPeers) NotRunning(error) bool { return false }
+
+// TestSuspendedTokens: tokens that are held ahead lapse while the VM is suspended.
+func TestSuspendedTokens(t *testing.T) {
+	var suspended time.Duration
+	peers := &givingPeers{}
+	l := New(time.Now(), "self", peers, func(string) slatewind.WorkspaceLimit { return slatewind.WorkspaceLimit{} })
+	l.clock = timer.Clock{Suspension: func() time.Duration { return suspended }}
+	l.Put(time.Now(), "s-1", "home")
+	limit := slatewind.WorkspaceLimit{Workspace: "w", Rate: 100, Burst: 100, Version: 1}
+	for range 3 {
+		assert.Assert(t, l.Admit(t.Context(), limit).Allowed)
+	}
+	assert.Equal(t, peers.asked, 1, "the others were held")
+	suspended += 2 * time.Second
+	assert.Assert(t, l.Admit(t.Context(), limit).Allowed)
+	assert.Equal(t, peers.asked, 2)
+}
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -10,6 +10,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/outlier"
+	"slatewind.example/slatewind/timer"
 )
 
 // door is the state of one server: a shard with its own lock.
@@ -25,15 +26,17 @@
 	outcomes *outlier.Outcomes
 	waiting  map[string]chan admission.Decision
 	// breaks ends running requests that may be broken off, by attempt.
-	breaks   map[string]context.CancelFunc
-	leaving  string
-	lastTick time.Time
+	breaks  map[string]context.CancelFunc
+	leaving string
+	// clock counts the time too in which the VM was suspended, lastTick is by it.
+	clock    timer.Clock
+	lastTick timer.Instant
 	// told counts the digests that were given out.
 	told uint64
 }
 
 func newDoor(now time.Time, service string, server *slatewindv1.Server, incarnation uint64, limit int) *door {
-	return &door{
+	d := &door{
 		service:  service,
 		name:     server.GetName(),
 		slots:    admission.NewServer(int(server.GetSlots())),
@@ -42,8 +45,9 @@
 		waiting:  map[string]chan admission.Decision{},
 		breaks:   map[string]context.CancelFunc{},
 		probe:    &probe{},
-		lastTick: now,
 	}
+	d.lastTick = d.clock.Now()
+	return d
 }
 
 func (d *door) update(service *slatewindv1.Service, server *slatewindv1.Server) {
@@ -78,18 +82,12 @@
 // checkAwake begins a new incarnation if the process was paused since the last
 // tick: what arrives now may have been sent before the pause.
 func (d *door) checkAwake(now time.Time) {
-	if wasPaused(d.lastTick, now) {
+	if d.clock.Since(d.lastTick) > awakeBound {
 		d.attempts.Wake(now)
-		d.lastTick = now
+		d.lastTick = d.clock.Now()
 	}
 }
 
-// wasPaused reports whether the process missed ticks since last, by the monotonic
-// clock or by the wall clock, which goes on while a VM is suspended.
-func wasPaused(last, now time.Time) bool {
-	return now.Sub(last) > awakeBound || now.Round(0).Sub(last.Round(0)) > awakeBound
-}
-
 // offer asks for a slot; the channel gives the decision. A leaving server gives
 // none, but its records are still asked before.
 func (d *door) offer(now time.Time, it admission.Item) <-chan admission.Decision {
@@ -226,7 +224,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.checkAwake(now)
-	d.lastTick = now
+	d.lastTick = d.clock.Now()
 	d.attempts.Rotate(now)
 	d.deliver(d.slots.Advance(now))
 	d.outcomes.Tick(now)
--- /dev/null
+++ b/sidecar/door_test.go
@@ -0,0 +1,35 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/timer"
+)
+
+// TestSuspendedDoor: an attempt that was sent before the VM was suspended is refused after it, be
+// it the first thing that happens then.
+func TestSuspendedDoor(t *testing.T) {
+	tests := map[string]struct {
+		suspended time.Duration
+		admitted  bool
+	}{
+		"not at all":      {0, true},
+		"for a moment":    {200 * time.Millisecond, true},
+		"for two seconds": {2 * time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var suspended time.Duration
+			d := newDoor(time.Now(), "svc", &slatewindv1.Server{Name: "s-1", Slots: 1}, 7, 100)
+			d.clock = timer.Clock{Suspension: func() time.Duration { return suspended }}
+			d.tick(time.Now())
+			suspended = test.suspended
+			refusal := d.admit(time.Now(), "a", d.attempts.Incarnation())
+			assert.Equal(t, refusal == "", test.admitted, "%v", refusal)
+		})
+	}
+}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -23,7 +23,7 @@
 }
 
 // Service hands out ticks.
-type Service struct{}
+type Service struct{ clock Clock }
 
 // New returns a timer service.
 func New() *Service {
@@ -34,7 +34,7 @@
 // calls come from one goroutine for each subscription, one after the other.
 func (s *Service) Subscribe(ctx context.Context, interval time.Duration, handle func(Tick)) {
 	ticker := time.NewTicker(interval)
-	last := time.Now()
+	last, suspended := time.Now(), s.clock.Suspended()
 	go func() {
 		defer ticker.Stop()
 		for {
@@ -42,9 +42,9 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				now := time.Now()
-				handle(Tick{Now: now, Away: Absence(last, now, interval)})
-				last = now
+				now, since := time.Now(), s.clock.Suspended()
+				handle(Tick{Now: now, Away: max(Absence(last, now, interval), since-suspended)})
+				last, suspended = now, since
 			}
 		}
 	}()
