Find ends of servers in a package of its own, and remember answers where requests begin

Ruled out: the load; which server answered first decided.

Package crash takes what inbound knew of ends, for the other place that runs requests at servers.

--- a/daemon/nodequarantine.go
+++ b/daemon/nodequarantine.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 )
@@ -26,7 +26,7 @@
 	mostUnspread = 256
 	// spreadAge bounds the time from the end of a server to when all processes of its service that
 	// run and can be reached know of it. The probe of the server that ended is part of it.
-	spreadAge = inbound.EndedProbe + spreadGather + spreadAttempts*spreadTime + (spreadAttempts-1)*spreadPause
+	spreadAge = crash.ProbeTime + spreadGather + spreadAttempts*spreadTime + (spreadAttempts-1)*spreadPause
 )
 
 // spreader tells the processes beside the other servers of the service what happened to the
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -33,11 +33,9 @@
 		return u.fail(ctx, true, err)
 	}
 	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header)}
-	// What the server answers, be it with an error, does not end it.
-	u.in.suspects.Answered(time.Now(), u.digest())
 	if len(body) <= link.MaxHeld {
 		answer.Close()
-		u.end(resultOf(answer.StatusCode), "an error answer")
+		u.answered(answer.StatusCode)
 		return u.sendAnswer(head, body, nil)
 	}
 	if err := u.sendAnswer(head, body, answer.Body); err != nil {
@@ -49,10 +47,17 @@
 		u.end(result, "a long answer broke off")
 		return errors.Join(errBrokenOff, err)
 	}
-	u.end(resultOf(answer.StatusCode), "an error answer")
+	u.answered(answer.StatusCode)
 	return nil
 }
 
+// answered ends a run with the server's whole answer. What it answers, be it with an error, does
+// not end it.
+func (u *use) answered(status int) {
+	u.end(resultOf(status), "an error answer")
+	u.in.suspects.Answered(time.Now(), u.digest())
+}
+
 // errBrokenOff ends a reply whose answer broke off.
 var errBrokenOff = Error.New("the answer broke off")
 
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -22,6 +22,7 @@
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/backend"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
@@ -135,15 +136,15 @@
 	clock timer.Clock
 	// pauses tells when the process did not run.
 	pauses pauseDetector
-	// ends are those of the server, suspects the requests under which servers ended.
-	ends     ends
+	// crashes finds the ends of the server, suspects are the requests under which servers ended.
+	crashes  *crash.Detector
 	suspects *quarantine.Table
 }
 
 // New returns the slots of a server. What is known of requests under which servers ended is the
 // process's.
 func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table) *Inbound {
-	return &Inbound{
+	in := &Inbound{
 		server: server, bounds: bounds, journal: journal, suspects: suspects,
 		pool:    backend.NewPool(server.Address, server.Dialect),
 		slots:   admission.NewServer(defaultSlots),
@@ -153,6 +154,8 @@
 		parents: map[string]*parent{},
 		idle:    newIdleTime(time.Now()),
 	}
+	in.crashes = crash.New(in.pool.Probe, func() bool { return in.leaving() != "" })
+	return in
 }
 
 // Start begins the ticks, which end with ctx.
--- a/inbound/quarantine.go
+++ b/inbound/quarantine.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 )
@@ -31,27 +33,24 @@
 	return u.sendRefusal(refusal)
 }
 
+// atServer returns the run of the request at the server, which may have had it.
+func (u *use) atServer(sent bool) crash.Run {
+	return crash.Run{Digest: u.digest(), Trial: u.trial, Began: u.granted, Sent: sent}
+}
+
 // noteEnd notes whether the server ended under the request, whose run failed. It returns what is
 // known of the request then, so that its sender knows before it tries another server.
 func (u *use) noteEnd(ctx context.Context, sent bool, err error) *slatewindv1.Suspect {
 	now := time.Now()
 	if ctx.Err() != nil {
-		u.in.noteLeft(run{u.digest(), u.trial, now})
-		return nil
-	}
-	if !broke(err) || !sent && !u.in.hasLeft() {
+		u.in.crashes.Left(now, u.atServer(sent))
 		return nil
 	}
-	e, ok := u.in.endUnder(u.granted)
+	end, ok := u.in.crashes.Failed(u.atServer(sent), err)
 	if !ok {
 		return nil
 	}
-	runs := u.in.takeLeft(e)
-	if sent {
-		runs = append(runs, run{digest: u.digest(), trial: u.trial})
-	}
-	if len(runs) > 0 {
-		u.in.noteEnded(now, u.id, e, runs)
-	}
+	u.in.journal.Add(end.Decision(now, slatewind.Decision{Service: u.in.server.Service, Server: u.in.serverName(), Request: u.id}))
+	u.in.suspects.Ended(now, end)
 	return link.SuspectOf(u.in.suspects.Record(now, u.digest()))
 }
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -154,6 +154,13 @@
 	return nil
 }
 
+// serverName returns the name of the server that runs here.
+func (in *Inbound) serverName() string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.name
+}
+
 // leaving returns why the server takes no new work, or nothing while it does.
 func (in *Inbound) leaving() string {
 	in.mu.Lock()
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -34,6 +34,9 @@
 	to.sent(slot.server.Name)
 	began := time.Now()
 	r := o.run(rq, slot)
+	if r.answer != nil && r.answer.rest == nil {
+		o.suspects.Answered(time.Now(), rq.digest())
+	}
 	rq.shard.update(func(c *choice.Service) {
 		c.Ended(slot.server.ID())
 		if r.served() {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -113,14 +113,6 @@
 	return v, told
 }
 
-// End is an end of a server with the requests that it ran.
-type End struct {
-	// ID tells it from other ends.
-	ID uint64
-	// Digests are those of the requests, Trials those of them that were trials.
-	Digests, Trials []Digest
-}
-
 // Ended notes that a server ended, and tells others.
 func (t *Table) Ended(now time.Time, end End) {
 	var records []Record
