Keep requests under which servers ended from servers named by a file too

Cause: the same as beside servers that the store lists. The sidecar of the product's own way knew attempts and keys, and no request again over them; its ingress took one to the next server that was well. The ingress refuses at once, with 503 before and 400 after a failed trial.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/replay"
@@ -122,6 +123,7 @@
 	sidecar  *sidecar.Sidecar
 	ingress  *ingress.Ingress
 	limiter  *ratelimit.Limiter
+	suspects *quarantine.Table
 	recorder *replay.Recorder
 	reader   *discovery.Reader
 	servers  *sidecar.HTTPCaller
@@ -142,14 +144,15 @@
 	p.gossip = gossip.New(member.Entry{
 		VM: process.GetVm(), DataCentre: process.GetDataCentre(), PeerAddress: process.GetPeerAddress(), Incarnation: incarnation,
 	}, process.GetSeedPeers(), store, j, pool)
+	p.suspects = p.newSuspects()
 	p.sidecar = sidecar.New(process.GetVm(), incarnation, sidecar.Limits{
 		OnceRecords:     int(limits.GetOnceRecords()),
 		OnceAnswerBytes: int(limits.GetOnceAnswerBytes()),
 		Attempts:        int(limits.GetTombstones()),
-	}, store, j, p.servers)
+	}, store, j, p.servers, p.suspects)
 	own := &links{pool: pool, own: process.GetPeerAddress(), sidecar: p.sidecar}
 	p.limiter = ratelimit.New(time.Now(), process.GetPeerAddress(), processPeers{pool}, limitsOf(store))
-	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder, p.limiter)
+	p.ingress = ingress.New(process.GetVm(), process.GetDataCentre(), store, j, own, p.gossip, m, p.recorder, p.limiter, p.suspects)
 	client := platform.NewClient(process.GetPlatformUrl(), nil)
 	p.reader = discovery.NewReader(client, client, p.gossip, m)
 	return p
@@ -286,6 +289,7 @@
 		Sidecar:     p.sidecar.View(),
 		Members:     p.gossip.Members(),
 		Limits:      p.limiter.Uses(now),
+		Suspects:    p.suspects.Views(now),
 	}
 }
 
--- a/daemon/nodequarantine.go
+++ b/daemon/nodequarantine.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"time"
 
-	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
@@ -108,11 +106,9 @@
 
 // listed writes down that a request is refused from now on.
 func (n *Node) listed(digest quarantine.Digest, verdict quarantine.Verdict) {
-	n.history.Add(slatewind.Decision{
-		Time: time.Now(), Kind: slatewind.DecisionQuarantine, Service: n.settings.GetLocalServer().GetService(),
-		Reason:   fmt.Sprintf("request %s is refused: servers ended while they ran it", digest),
-		Evidence: fmt.Sprintf("ends=%d trial_in=%s", verdict.Ends, verdict.TrialIn.Round(time.Millisecond)),
-	})
+	entry := verdict.Listed(time.Now(), digest)
+	entry.Service = n.settings.GetLocalServer().GetService()
+	n.history.Add(entry)
 }
 
 // tellsSuspects returns what goes with a question to another process: only a hash, as long as
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -62,6 +62,10 @@
 	SelfLeaving(now time.Time)
 	// Digests returns those of this VM's servers, with or without outcomes.
 	Digests(outcomes bool) []*slatewindv1.Digest
+	// Suspects returns what is told of requests under which servers ended, and HeardSuspects
+	// brings what others tell.
+	Suspects(now time.Time) []*slatewindv1.Suspect
+	HeardSuspects(now time.Time, suspects []*slatewindv1.Suspect)
 }
 
 // Gossip is the host of the member table.
@@ -291,7 +295,7 @@
 	g.mu.Unlock()
 	g.take(time.Now(), address, &slatewindv1.SyncRequest{
 		Self: reply.GetSelf(), Version: reply.GetVersion(), Members: reply.GetMembers(),
-		Digests: reply.GetDigests(), PlatformAgeNanos: reply.GetPlatformAgeNanos(),
+		Digests: reply.GetDigests(), PlatformAgeNanos: reply.GetPlatformAgeNanos(), Suspects: reply.GetSuspects(),
 	})
 }
 
@@ -322,6 +326,16 @@
 		Members:          membersToAPI(now, g.table.Recent(now, maxMembers)),
 		Digests:          digests,
 		PlatformAgeNanos: int64(g.platformAge(now)),
+		Suspects:         g.events.Suspects(now),
+	}
+}
+
+// Tell exchanges news with the processes of some VMs at once.
+func (g *Gossip) Tell(vms []string) {
+	for _, vm := range vms {
+		if address := g.Address(vm); address != "" {
+			go g.exchange(address, vm, plain)
+		}
 	}
 }
 
@@ -332,7 +346,7 @@
 	r := g.request(now, request.GetWantsOutcomes())
 	return &slatewindv1.SyncReply{
 		Self: r.GetSelf(), Version: r.GetVersion(), Members: r.GetMembers(),
-		Digests: r.GetDigests(), PlatformAgeNanos: r.GetPlatformAgeNanos(),
+		Digests: r.GetDigests(), PlatformAgeNanos: r.GetPlatformAgeNanos(), Suspects: r.GetSuspects(),
 	}, nil
 }
 
@@ -346,6 +360,7 @@
 		g.events.MembersChanged(now)
 	}
 	g.events.Heard(now, told.GetDigests())
+	g.events.HeardSuspects(now, told.GetSuspects())
 	g.Hint(address, config.VersionFromAPI(told.GetVersion()))
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -17,8 +17,10 @@
 	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/gossip"
 	"slatewind.example/slatewind/history"
+	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/member"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -47,6 +49,8 @@
 	store   *config.Store
 	// leaving counts calls of SelfLeaving.
 	leaving int
+	// suspects is what the process knows of requests under which servers ended.
+	suspects *quarantine.Table
 }
 
 func newCluster(t testing.TB) *cluster {
@@ -66,7 +70,7 @@
 
 // add starts a process; seed is the address of one that it knows.
 func (c *cluster) add(i int, seeds ...string) *node {
-	n := &node{cluster: c, address: vmName(i)}
+	n := &node{cluster: c, address: vmName(i), suspects: quarantine.NewTable(nil, nil)}
 	j := history.New(64, nil)
 	n.store = config.NewStore(j)
 	self := member.Entry{VM: vmName(i), DataCentre: zone(i), PeerAddress: n.address, Incarnation: uint64(time.Now().UnixMilli()) << 24}
@@ -146,6 +150,36 @@
 func (n *node) SelfLeaving(time.Time)                       { n.leaving++ }
 func (n *node) Digests(bool) []*slatewindv1.Digest          { return nil }
 
+// Suspects implements Events.
+func (n *node) Suspects(time.Time) []*slatewindv1.Suspect {
+	return link.SuspectsOf(n.suspects.Records(time.Now()))
+}
+
+// HeardSuspects implements Events.
+func (n *node) HeardSuspects(now time.Time, suspects []*slatewindv1.Suspect) {
+	n.suspects.Take(now, link.RecordsOf(suspects))
+}
+
+// TestSuspectsTravel: news of a server's end go at once to the VMs that are told, and to all others
+// with the next rounds.
+func TestSuspectsTravel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		nodes := c.addAll(12)
+		time.Sleep(2 * time.Second)
+		nodes[0].suspects.Ended(time.Now(), quarantine.End{ID: 1, Digests: []quarantine.Digest{{1}}})
+		nodes[0].gossip.Tell([]string{vmName(1), vmName(2)})
+		time.Sleep(50 * time.Millisecond)
+		for _, n := range nodes[1:3] {
+			assert.Equal(t, len(n.suspects.Views(time.Now())), 1)
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range nodes {
+			assert.Equal(t, len(n.suspects.Views(time.Now())), 1, n.address)
+		}
+	})
+}
+
 // fakePlatform counts calls and can be down or stale.
 type fakePlatform struct {
 	mu    sync.Mutex
--- a/inbound/quarantine.go
+++ b/inbound/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -27,7 +26,7 @@
 // refuseQuarantined refuses a request under which servers ended.
 func (u *use) refuseQuarantined(now time.Time, verdict quarantine.Verdict) error {
 	u.in.mu.Lock()
-	refusal := u.in.refusal(CauseQuarantined, fmt.Sprintf("%d servers ended under the request %s", verdict.Ends, u.digest()), verdict.TrialIn)
+	refusal := u.in.refusal(CauseQuarantined, verdict.Reason(u.digest()), verdict.TrialIn)
 	u.in.mu.Unlock()
 	refusal.Suspect = link.SuspectOf(u.in.suspects.Record(now, u.digest()))
 	return u.sendRefusal(refusal)
--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -23,6 +23,7 @@
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/sidecar"
 	"slatewind.example/slatewind/timer"
 )
@@ -68,7 +69,7 @@
 // replace ends a VM's sidecar and starts another without its memory.
 func (c *chaos) replace(vm string) {
 	ctx, cancel := context.WithCancel(c.ctx)
-	side := sidecar.New(vm, attempt.NewIncarnation(time.Now()), sidecar.Limits{OnceRecords: 30}, c.store, history.New(16, nil), c)
+	side := sidecar.New(vm, attempt.NewIncarnation(time.Now()), sidecar.Limits{OnceRecords: 30}, c.store, history.New(16, nil), c, quarantine.NewTable(nil, nil))
 	side.Update(time.Now(), c.store.Current())
 	side.Start(ctx, timer.New())
 	c.mu.Lock()
@@ -197,6 +198,8 @@
 // Probe implements sidecar.ServerCaller.
 func (c *chaos) Probe(context.Context, string, string) (bool, error) { return false, nil }
 
+func (c *chaos) Reach(context.Context, string) error { return nil }
+
 // TestChaosDoublesNothing has callers pay through two real ingresses and three
 // real sidecars, with numbered retries, over a network that loses and delays one
 // message in twelve each, while sidecars are replaced and servers lose answers.
@@ -209,7 +212,7 @@
 				c := newChaos(t, seed)
 				var ingresses []*ingress.Ingress
 				for i := range 2 {
-					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, history.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{})
+					in := ingress.New(fmt.Sprint("in-", i), "dc", c.store, history.New(16, nil), c, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{}, quarantine.NewTable(nil, nil))
 					in.Update(time.Now(), c.store.Current())
 					in.Start(c.ctx, timer.New())
 					ingresses = append(ingresses, in)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/policy"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -77,6 +78,8 @@
 	meter   Meter
 	recent  Recorder
 	limiter slatewind.Limiter
+	// suspects are requests under which servers ended.
+	suspects *quarantine.Table
 
 	nextID atomic.Uint64
 	prefix uint64
@@ -102,9 +105,9 @@
 }
 
 // New returns an ingress without services; Update brings them.
-func New(name, local string, store *config.Store, journal slatewind.Journal, links Links, members Members, meter Meter, recent Recorder, limiter slatewind.Limiter) *Ingress {
+func New(name, local string, store *config.Store, journal slatewind.Journal, links Links, members Members, meter Meter, recent Recorder, limiter slatewind.Limiter, suspects *quarantine.Table) *Ingress {
 	return &Ingress{
-		name: name, local: local, store: store, journal: journal, links: links, members: members, meter: meter, recent: recent, limiter: limiter,
+		name: name, local: local, store: store, journal: journal, links: links, members: members, meter: meter, recent: recent, limiter: limiter, suspects: suspects,
 		prefix: rand.Uint64(),
 		ctx:    context.Background(),
 		shards: map[string]*shard{},
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -20,6 +20,7 @@
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/ingress"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/workspace"
 )
 
@@ -141,7 +142,7 @@
 	store := config.NewStore(j)
 	_, err := store.Offer(time.Now(), "test", 1, []byte(settings))
 	assert.NilError(t, err)
-	in := ingress.New("vm-0", "dc", store, j, links, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{})
+	in := ingress.New("vm-0", "dc", store, j, links, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{}, quarantine.NewTable(nil, nil))
 	in.Update(time.Now(), store.Current())
 	return in, j
 }
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"slatewind.example/slatewind"
@@ -15,6 +16,7 @@
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/once"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 )
 
@@ -108,6 +110,10 @@
 		in.refuseBad(w, id, &badRequest{status: http.StatusServiceUnavailable, reason: "the process stops"})
 		return
 	}
+	if err := in.quarantined(rq); err != nil {
+		in.refuseBad(w, id, err)
+		return
+	}
 	final := in.dispatch(r.Context(), rq)
 	in.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
 	in.answer(w, rq, final)
@@ -355,6 +361,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// quarantined refuses a request under which servers ended. One that is proved to end them is bad, and
+// its caller need not come back.
+func (in *Ingress) quarantined(rq *request) error {
+	digest := sync.OnceValue(quarantine.Content{Workspace: rq.customer, Method: rq.method, Host: rq.host, Target: rq.target, Body: rq.body}.Digest)
+	verdict := in.suspects.Check(time.Now(), digest)
+	if !verdict.Refused {
+		return nil
+	}
+	status := http.StatusServiceUnavailable
+	if verdict.Proven {
+		status = http.StatusBadRequest
+	}
+	return &badRequest{status: status, reason: verdict.Reason(digest()), retryAfter: verdict.TrialIn}
+}
+
 // dispatch decides about a request until its final answer.
 func (in *Ingress) dispatch(ctx context.Context, rq *request) final {
 	rq.shard.mu.Lock()
--- a/outbound/quarantine.go
+++ b/outbound/quarantine.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -20,14 +19,10 @@
 	verdict := o.suspects.Check(now, rq.digest)
 	return final{
 		outcome: slatewind.OutcomeNotRun, quarantine: verdict, retryAfter: verdict.TrialIn,
-		reason: fmt.Sprintf("quarantined: %d servers ended while they ran the request %s; it is tried again in %s",
-			verdict.Ends, rq.digest(), verdict.TrialIn.Round(tellsTrial)),
+		reason: verdict.Reason(rq.digest()),
 	}
 }
 
-// tellsTrial is how exactly callers are told when a request is tried again.
-const tellsTrial = 100 * time.Millisecond
-
 // hearSuspect takes what the process beside a server knows of a request.
 func (o *Outbound) hearSuspect(suspect *slatewindv1.Suspect) {
 	if suspect != nil {
--- a/quarantine/end.go
+++ b/quarantine/end.go
@@ -16,6 +16,15 @@
 	Digests, Trials []Digest
 }
 
+// Listed returns the journal's entry for a request that is refused from now on.
+func (v Verdict) Listed(now time.Time, digest Digest) slatewind.Decision {
+	return slatewind.Decision{
+		Time: now, Kind: slatewind.DecisionQuarantine,
+		Reason:   fmt.Sprintf("request %s is refused: servers ended while they ran it", digest),
+		Evidence: fmt.Sprintf("ends=%d trial_in=%s", v.Ends, v.TrialIn.Round(time.Millisecond)),
+	}
+}
+
 // mostShown bounds the digests in a line.
 const mostShown = 8
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,7 +18,10 @@
 // not matter in which order, how often and from whom a process hears of them (Table.Take).
 package quarantine
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Kind says what an event tells of a request.
 type Kind string
@@ -91,6 +94,15 @@
 	TrialIn time.Duration
 }
 
+// tellsTrial is how exactly it is told when a request is tried again.
+const tellsTrial = 100 * time.Millisecond
+
+// Reason says to a request's caller and to operators why it is refused.
+func (v Verdict) Reason(digest Digest) string {
+	return fmt.Sprintf("quarantined: %d servers ended while they ran the request %s; it is tried again in %s",
+		v.Ends, digest, v.TrialIn.Round(tellsTrial))
+}
+
 // View is one request in a state dump.
 type View struct {
 	Digest  string `json:"digest"`
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -164,6 +164,16 @@
 	return draining, nil
 }
 
+// Reach implements ServerCaller.
+func (c *HTTPCaller) Reach(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return conn.Close()
+}
+
 // flatten lists header fields, in no order that matters.
 func flatten(h http.Header) []slatewind.Header {
 	var list []slatewind.Header
--- a/sidecar/door.go
+++ b/sidecar/door.go
@@ -9,6 +9,7 @@
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/attempt"
+	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/outlier"
 	"slatewind.example/slatewind/timer"
 )
@@ -28,6 +29,8 @@
 	// breaks ends running requests that may be broken off, by attempt.
 	breaks  map[string]context.CancelFunc
 	leaving string
+	// crashes finds the ends of the server.
+	crashes *crash.Detector
 	// clock counts the time too in which the VM was suspended, lastTick is by it.
 	clock    timer.Clock
 	lastTick timer.Instant
@@ -65,6 +68,13 @@
 	return d.address
 }
 
+// isLeaving reports whether the server takes no new work.
+func (d *door) isLeaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving != ""
+}
+
 // refusal is why a door sends a request away, proved not to have run.
 type refusal struct {
 	reason     string
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/once"
 	"slatewind.example/slatewind/outlier"
+	"slatewind.example/slatewind/quarantine"
 )
 
 // chunkBytes is the size of the parts in which an answer travels.
@@ -40,6 +42,11 @@
 	item     admission.Item
 	// record is set while a record of a once-request is running for it.
 	record *once.ID
+	// digest stands for the request, trial says that it is one of a request under which servers
+	// ended, began is when the server could first see it.
+	digest func() quarantine.Digest
+	trial  bool
+	began  time.Time
 }
 
 // Run takes one attempt through all checks to the server and back. The error,
@@ -51,6 +58,7 @@
 		request:  request,
 		send:     send,
 		deadline: now.Add(time.Duration(request.GetRemainingNanos())),
+		digest:   sync.OnceValue(contentOf(request).Digest),
 	}
 	r.door = s.door(request.GetServer())
 	if r.door == nil {
@@ -160,6 +168,11 @@
 		// Breaking off a once-request gains nothing: it counts as run.
 		stop = nil
 	}
+	if refused := r.quarantined(time.Now()); refused != nil {
+		r.door.release(time.Now(), r.item)
+		r.revoke()
+		return r.refuse(refused)
+	}
 	if refused := r.door.begin(time.Now(), r.item.ID, outlier.Class(r.request.GetRoute()), r.deadline, stop); refused != nil {
 		r.door.release(time.Now(), r.item)
 		r.revoke()
@@ -193,6 +206,7 @@
 
 // callServer runs a started attempt at the server.
 func (r *run) callServer(ctx context.Context) error {
+	r.began = time.Now()
 	answer, started, err := r.sidecar.caller.Call(ctx, r.door.serverAddress(), r.request)
 	if err != nil {
 		return r.fail(ctx, started, err)
@@ -216,6 +230,7 @@
 // fail ends an attempt that has no whole answer.
 func (r *run) fail(ctx context.Context, started bool, err error) error {
 	r.door.end(time.Now(), r.item, failureResult(ctx))
+	r.noteEnd(ctx, started, err)
 	if !started {
 		r.revoke()
 		return r.sendOutcome(slatewind.OutcomeNotRun, "the server cannot be reached: "+err.Error(), defaultRetryAfter)
@@ -235,6 +250,7 @@
 // finish ends an attempt with a whole answer.
 func (r *run) finish(answer *slatewind.Answer) {
 	r.door.end(time.Now(), r.item, resultOf(answer.Status))
+	r.sidecar.suspects.Answered(time.Now(), r.digest())
 	r.endRecord(func(records *once.Store, id once.ID) { records.Finish(time.Now(), id, answer) })
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,7 +16,9 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/once"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -42,6 +44,8 @@
 	store       *config.Store
 	journal     slatewind.Journal
 	caller      ServerCaller
+	// suspects are requests under which servers ended.
+	suspects *quarantine.Table
 
 	outcomes *rate.Limiter
 
@@ -62,10 +66,12 @@
 	Call(ctx context.Context, address string, request *slatewindv1.RunRequest) (answer *ServerAnswer, started bool, err error)
 	// Probe asks a server for its health.
 	Probe(ctx context.Context, address, path string) (draining bool, err error)
+	// Reach returns an error where no connection to the server can be opened.
+	Reach(ctx context.Context, address string) error
 }
 
 // New returns a sidecar without servers; Update brings them.
-func New(vm string, incarnation uint64, limits Limits, store *config.Store, journal slatewind.Journal, caller ServerCaller) *Sidecar {
+func New(vm string, incarnation uint64, limits Limits, store *config.Store, journal slatewind.Journal, caller ServerCaller, suspects *quarantine.Table) *Sidecar {
 	return &Sidecar{
 		vm:          vm,
 		incarnation: incarnation,
@@ -73,6 +79,7 @@
 		store:       store,
 		journal:     journal,
 		caller:      caller,
+		suspects:    suspects,
 		outcomes:    rate.NewLimiter(OutcomeReplies, OutcomeBurst),
 		doors:       map[string]*door{},
 		records:     once.NewStore(time.Now(), limits.OnceRecords, limits.OnceAnswerBytes),
@@ -115,6 +122,7 @@
 	d := s.doors[server.GetName()]
 	if d == nil {
 		d = newDoor(now, service.GetName(), server, s.incarnation, s.limits.Attempts)
+		d.crashes = crash.New(func(ctx context.Context) error { return s.caller.Reach(ctx, d.serverAddress()) }, d.isLeaving)
 		if s.leaving != "" {
 			d.leave(s.leaving)
 		}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -21,6 +21,7 @@
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/sidecar"
 )
 
@@ -55,7 +56,7 @@
 		caller.CloseIdle()
 		listener.Close()
 	})
-	f.sidecar = sidecar.New("vm", incarnation, sidecar.Limits{}, f.store, history.New(0, nil), caller)
+	f.sidecar = sidecar.New("vm", incarnation, sidecar.Limits{}, f.store, history.New(0, nil), caller, quarantine.NewTable(nil, nil))
 	f.offer(1, strings.TrimPrefix(listener.URL, "http://"))
 	return f
 }
