--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -92,6 +92,21 @@
 	return " " + f.survey.String()
 }
 
+// statusOf returns the status of an answer that is not a server's, for an outcome. A request
+// that is proved to end servers is refused as bad, so that its caller does not send it again;
+// where a single one may have run, nothing is said about that.
+func (rq *request) statusOf(f final) int {
+	switch {
+	case f.quarantine.Proven && (f.outcome == slatewind.OutcomeNotRun || rq.repeatable()):
+		return http.StatusBadRequest
+	case f.outcome == slatewind.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case f.timedOut:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
 // answer gives a caller the outcome of its request.
 func (o *Outbound) answer(w http.ResponseWriter, rq *request, f final) {
 	if f.outcome == slatewind.OutcomeAnswer {
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -47,8 +47,8 @@
 		fault:   standin.StampedLost,
 		edits: []edit{{
 			file: "outbound/reply.go",
-			from: "kind, status = slatewind.DecisionUnknown, http.StatusBadGateway",
-			to:   "kind, status = slatewind.DecisionUnknown, http.StatusServiceUnavailable",
+			from: "	return http.StatusBadGateway",
+			to:   "	return http.StatusServiceUnavailable",
 		}},
 	},
 	"a broken answer passes for whole": {
