Tell the same requests to all where many servers ended, and each end once

Where over 64 requests were known, two processes that knew the same told each other 64 of them with each question (17 KB/s by its sum), since the hash was of all. Now it is of those that are told, the ones under which most servers ended first (TestFlood, which had looked at the count alone). A run that was sent after an end had been found, into a slot granted before it, told of that end anew; what counts is when it was sent. A request under which one server ended is forgotten after ten minutes: most were there by chance. A digest is worked out before the lock.

--- a/inbound/quarantine.go
+++ b/inbound/quarantine.go
@@ -34,7 +34,7 @@
 
 // atServer returns the run of the request at the server, which may have had it.
 func (u *use) atServer(sent bool) crash.Run {
-	return crash.Run{Digest: u.digest(), Trial: u.trial, Began: u.granted, Sent: sent}
+	return crash.Run{Digest: u.digest(), Trial: u.trial, Began: u.began, Sent: sent}
 }
 
 // noteEnd notes whether the server ended under the request, whose run failed. It returns what is
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -40,6 +40,7 @@
 	u.id = toServer.Header.Get(u.in.server.Dialect.RequestID)
 	u.in.begin(u.id, &u.parent)
 	u.arrive(now)
+	u.began = time.Now()
 	answer, sent, err := u.in.pool.Do(ctx, toServer)
 	if err != nil {
 		return u.fail(ctx, sent, err)
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -37,6 +37,8 @@
 	// through to see whether servers end under it still.
 	digest func() quarantine.Digest
 	trial  bool
+	// began is when the server could first see it.
+	began time.Time
 }
 
 // serve takes the reservation through its steps. The error concerns the stream.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -50,10 +50,12 @@
 	// mostPause.
 	failedPause = 10 * time.Minute
 	mostPause   = time.Hour
-	// keepTime is how long a request is remembered after its newest event, and voidTime that
-	// where it was acquitted: until all have heard of it.
-	keepTime = 2 * mostPause
-	voidTime = time.Minute
+	// keepTime is how long a request is remembered after its newest event, singleTime where one
+	// server ended under it, as under many by chance, and voidTime where it was acquitted: until
+	// all have heard of that.
+	keepTime   = 2 * mostPause
+	singleTime = 10 * time.Minute
+	voidTime   = time.Minute
 	// latelyTime is how long an answer counts as lately at least, mostLately how many of them
 	// are remembered at least where there are that many.
 	latelyTime = 15 * time.Second
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -122,8 +122,11 @@
 // over reports whether the request is to be forgotten.
 func (r *record) over(now time.Time) bool {
 	keep := keepTime
-	if r.ends() == 0 {
+	switch n := r.ends(); {
+	case n == 0:
 		keep = voidTime
+	case n < enoughEnds:
+		keep = singleTime
 	}
 	return now.Sub(r.newest()) > keep
 }
@@ -152,8 +155,8 @@
 	return total
 }
 
-// before orders records by which is the first to go where there are too many: acquitted ones,
+// order compares records by which is the first to go where there are too many: acquitted ones,
 // those with the fewest ends, the oldest.
-func (r *record) before(other *record) bool {
-	return cmp.Or(cmp.Compare(r.ends(), other.ends()), r.newest().Compare(other.newest())) < 0
+func (r *record) order(other *record) int {
+	return cmp.Or(cmp.Compare(r.ends(), other.ends()), r.newest().Compare(other.newest()))
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -50,9 +50,9 @@
 	if t.Empty() {
 		return Verdict{}
 	}
+	d := digest()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := digest()
 	if r := t.known(now, d); r != nil {
 		return t.verdict(now, d, r)
 	}
@@ -190,7 +190,7 @@
 		var first Digest
 		var least *record
 		for digest, r := range t.records {
-			if least == nil || r.before(least) {
+			if least == nil || r.order(least) < 0 {
 				first, least = digest, r
 			}
 		}
@@ -210,39 +210,45 @@
 	return Record{Digest: digest}
 }
 
-// Records returns what other processes are told: of the requests with the newest events, if there
-// are too many for a message.
-func (t *Table) Records(now time.Time) []Record {
+// Records returns what other processes are told.
+func (t *Table) Records(now time.Time) (records []Record) {
 	if t.Empty() {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sweep(now)
-	digests := slices.Collect(maps.Keys(t.records))
-	slices.SortFunc(digests, func(a, b Digest) int { return t.records[b].newest().Compare(t.records[a].newest()) })
-	var records []Record
-	for _, digest := range digests[:min(len(digests), mostTold)] {
+	for _, digest := range t.told(now) {
 		records = append(records, t.records[digest].told(now, digest))
 	}
 	return records
 }
 
-// Sum returns a hash of all that is known, 0 for nothing. Two processes with the same one need
-// not tell each other anything.
+// Sum returns a hash of what other processes are told, 0 for nothing. Two processes with the same
+// one need not tell each other anything.
 func (t *Table) Sum(now time.Time) (sum uint64) {
 	if t.Empty() {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sweep(now)
-	for digest, r := range t.records {
-		sum ^= r.sum(digest)
+	for _, digest := range t.told(now) {
+		sum ^= t.records[digest].sum(digest)
 	}
 	return sum
 }
 
+// told returns the requests of which others are told: where there are too many for a message, those
+// under which most servers ended, and the newest of these. The lock is held.
+func (t *Table) told(now time.Time) []Digest {
+	t.sweep(now)
+	digests := slices.Collect(maps.Keys(t.records))
+	if len(digests) > mostTold {
+		slices.SortFunc(digests, func(a, b Digest) int { return t.records[b].order(t.records[a]) })
+		digests = digests[:mostTold]
+	}
+	return digests
+}
+
 // Views returns the requests under which servers ended, in the order of their digests.
 func (t *Table) Views(now time.Time) []View {
 	t.mu.Lock()
@@ -250,7 +256,7 @@
 	var views []View
 	for digest, r := range t.records {
 		v := t.verdict(now, digest, r)
-		if v.Ends > 0 {
+		if v.Ends > 0 && !r.over(now) {
 			views = append(views, View{Digest: digest.String(), Ends: v.Ends, Refused: v.Refused, TrialInMs: v.TrialIn.Milliseconds()})
 		}
 	}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -77,7 +77,8 @@
 			failedTrial(q, at(7), 3)
 			failedTrial(q, at(700), 4)
 		}, 700 + 601, true, false},
-		"after hours without any": {func(q *quarantine.Table) { ended(q, at(0), 1); ended(q, at(1), 2); ended(q, at(3*3600), 3) }, 3*3600 + 1, false, false},
+		"one end, and one more much later": {func(q *quarantine.Table) { ended(q, at(0), 1); ended(q, at(700), 2) }, 701, false, false},
+		"after hours without any":          {func(q *quarantine.Table) { ended(q, at(0), 1); ended(q, at(1), 2); ended(q, at(3*3600), 3) }, 3*3600 + 1, false, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -183,6 +184,11 @@
 	}
 	assert.Equal(t, len(table.Views(now)), 512)
 	assert.Equal(t, len(table.Records(now)), 64)
+	// One that begins anew knows what it is told, and both know that nothing is left to tell.
+	beginner := quarantine.NewTable(nil, nil)
+	beginner.Take(now, table.Records(now))
+	assert.Equal(t, beginner.Sum(now), table.Sum(now))
+	assert.Assert(t, beginner.Check(now, lazy(1)).Refused)
 	assert.Assert(t, table.Check(now, lazy(1)).Refused)
 }
 
