--- a/internal/standin/crasher.go
+++ b/internal/standin/crasher.go
@@ -24,6 +24,8 @@
 
 	mu  sync.Mutex
 	web *http.Server
+	// listener is web's; one that has only just begun does not know it yet.
+	listener net.Listener
 	// mended servers end under no request.
 	mended bool
 	// deaths are the times at which deadly requests began to run.
@@ -54,7 +56,7 @@
 	}
 	c.address = listener.Addr().String()
 	web := &http.Server{Handler: c, ReadHeaderTimeout: crasherHeaderTime}
-	c.web = web
+	c.web, c.listener = web, listener
 	go func() { _ = web.Serve(listener) }()
 	return nil
 }
@@ -97,7 +99,7 @@
 // Crash ends the server, which starts again after its time.
 func (c *Crasher) Crash() {
 	c.mu.Lock()
-	web := c.web
+	web, listener := c.web, c.listener
 	c.web = nil
 	closed := c.closed
 	c.mu.Unlock()
@@ -105,6 +107,7 @@
 		return
 	}
 	_ = web.Close()
+	_ = listener.Close()
 	if !closed {
 		time.AfterFunc(c.back, func() { _ = c.start() })
 	}
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -161,6 +161,14 @@
 		part:    soak.PartWorkspaces,
 		edits:   []edit{{file: "outbound/request.go", from: "o.dialect.Key, o.dialect.Workspace)", to: "o.dialect.Key)"}},
 	},
+	"requests under which servers ended are sent on": {
+		promise: soak.PromiseQuarantine,
+		part:    soak.PartDeadly,
+		edits: []edit{
+			{file: "inbound/quarantine.go", from: "verdict := u.in.suspects.Begin(now, u.digest)", to: "verdict := quarantine.Verdict{}"},
+			{file: "outbound/quarantine.go", from: "return o.suspects.Check(now, rq.digest).Refused", to: "return false"},
+		},
+	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
@@ -212,7 +220,7 @@
 // options say what a run of a broken build is like: no longer than it takes, unless the
 // whole of it is asked for.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
-	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops)
+	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartDeadly)
 	if *whole {
 		return o
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -92,7 +92,13 @@
 
 // askWith is ask with header fields besides those that every caller sends.
 func (f *fleet) askWith(client *http.Client, to int, path, id string, header http.Header) (status int, own bool) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(ownBase, to, portCallers)+path, strings.NewReader(id))
+	status, answerHeader, text := f.post(client, to, path, id, id, header)
+	return status, status != 0 && isOwn(answerHeader, text, path, id)
+}
+
+// post sends a request with a body. The status is 0 where there is no whole answer.
+func (f *fleet) post(client *http.Client, to int, path, id, body string, header http.Header) (status int, answerHeader http.Header, answer string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.address(ownBase, to, portCallers)+path, strings.NewReader(body))
 	if err != nil {
 		panic(err) // Only a wrong address or path in this package does that.
 	}
@@ -103,14 +109,14 @@
 	// What went wrong does not matter: the caller has no whole answer.
 	response, err := client.Do(r)
 	if err != nil {
-		return 0, false
+		return 0, nil, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, false
+		return 0, nil, ""
 	}
-	return response.StatusCode, isOwn(response.Header, string(text), path, id)
+	return response.StatusCode, response.Header, string(text)
 }
 
 // isOwn says whether an answer is that of a server to one request: it is signed
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -43,6 +43,8 @@
 	PromiseKey Promise = "the workspace of the key"
 	// PromiseLimit: the fleet keeps a workspace's limit.
 	PromiseLimit Promise = "limit of a workspace"
+	// PromiseQuarantine: a request under which servers end is kept from the others.
+	PromiseQuarantine Promise = "quarantine of a request"
 	// PromiseBudget: the fleet keeps the budget of extra arrivals.
 	PromiseBudget Promise = "budget of extra arrivals"
 )
--- a/soak/node.go
+++ b/soak/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,20 +15,15 @@
 	"slatewind.example/slatewind/platform"
 )
 
-const (
-	// serverWork is how long a server works on a request.
-	serverWork = 30 * time.Millisecond
-	// headerTime bounds how long a server waits for the head of a request.
-	headerTime = time.Second
-)
+// serverWork is how long a server works on a request.
+const serverWork = 30 * time.Millisecond
 
 // node is one process with its server and its links.
 type node struct {
 	number int
 	server *standin.Stamped
-	// serverWeb serves what comes to the server at serverPort.
-	serverWeb  *http.Server
-	serverPort net.Listener
+	// crasher is the server's process.
+	crasher *standin.Crasher
 	// peerProxy is before the process's peer port, storeProxy before the store.
 	peerProxy, storeProxy *proxy
 	// life counts the starts of the process.
@@ -63,14 +57,11 @@
 
 // serve has a node's server listen.
 func (f *fleet) serve(n *node) error {
-	listener, err := net.Listen("tcp", f.address(linkBase, n.number, portServer))
+	crasher, err := standin.NewCrasher(f.address(linkBase, n.number, portServer), f.watched(n.number, n.server), isDeadly, serverAway)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	n.serverPort = listener
-	n.serverWeb = &http.Server{Handler: f.watched(n.number, n.server), ReadHeaderTimeout: headerTime}
-	// It ends with an error always, at close by that of a closed server.
-	go func() { _ = n.serverWeb.Serve(listener) }()
+	n.crasher = crasher
 	return nil
 }
 
@@ -149,10 +140,8 @@
 			p.close()
 		}
 	}
-	if n.serverWeb != nil {
+	if n.crasher != nil {
 		// What is still in progress there interests nobody any more.
-		_ = n.serverWeb.Close()
-		// A server that has only just begun does not know its listener yet.
-		_ = n.serverPort.Close()
+		n.crasher.Close()
 	}
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -41,7 +41,7 @@
 
 	listener, err := net.Listen("tcp", f.address(ownBase, 0, portReady))
 	assert.NilError(t, err)
-	ready := &http.Server{ReadHeaderTimeout: headerTime, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	ready := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != platform.ReadyPath {
 			w.WriteHeader(http.StatusNotFound)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,6 +71,12 @@
 	runSeeds(t, soak.PartWorkspaces)
 }
 
+// TestDeadly has servers end under one request while processes fail.
+func TestDeadly(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartDeadly)
+}
+
 // TestSilentPeers has connections between processes go silent for good.
 func TestSilentPeers(t *testing.T) {
 	t.Parallel()
