Have an exchange that tells of a server's end carry that end

The process beside a server that ended had others exchange news at once, but the exchange carried 16 of the records that it knew, in no order: with more than 16 known, the end that had just happened was likely not among them and came with a later round. Change: what is to be told goes with the exchange (TestSuspectsAreTold). What runs beside servers that the store lists is not touched.

--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -14,9 +14,11 @@
 
 // newSuspects returns the table of a process with a list of VMs.
 func (p *Process) newSuspects() *quarantine.Table {
-	return quarantine.NewTable(func([]quarantine.Record) { p.gossip.Tell(p.sameServices()) }, func(digest quarantine.Digest, verdict quarantine.Verdict) {
+	spread := func(records []quarantine.Record) { p.gossip.Tell(p.sameServices(), link.SuspectsOf(records)) }
+	listed := func(digest quarantine.Digest, verdict quarantine.Verdict) {
 		p.journal.Add(verdict.Listed(time.Now(), digest))
-	})
+	}
+	return quarantine.NewTable(spread, listed)
 }
 
 // sameServices returns the other VMs that have servers of a service of which this one has some.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -330,11 +330,13 @@
 	}
 }
 
-// Tell exchanges news with the processes of some VMs at once.
-func (g *Gossip) Tell(vms []string) {
+// Tell exchanges news with the processes of some VMs at once, what it is given among them: of much
+// that is known an exchange tells a part only.
+func (g *Gossip) Tell(vms []string, suspects []*slatewindv1.Suspect) {
+	with := func(request *slatewindv1.SyncRequest) { request.Suspects = append(request.Suspects, suspects...) }
 	for _, vm := range vms {
 		if address := g.Address(vm); address != "" {
-			go g.exchange(address, vm, plain)
+			go g.exchange(address, vm, with)
 		}
 	}
 }
