Have the stand-in store come back from an older copy

Revisions are given out again in the next era, which each answer states in its header; a watch from a revision that the store does not have gets 410.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,22 +42,70 @@
 // Platform is a stand-in for the platform's store: a map with revisions that
 // can be read by key, by prefix and by watches.
 type Platform struct {
-	mu       sync.Mutex
-	mode     PlatformMode
+	mu   sync.Mutex
+	mode PlatformMode
+	// era counts how often the store was restored from a copy.
+	era uint64
+	contents
+	// stale is what a stale platform answers from.
+	stale   []platform.Item
+	changed chan struct{}
+	calls   map[string]int
+}
+
+// contents is what a store loses where it is restored from a copy.
+type contents struct {
 	revision uint64
 	items    map[string]platform.Item
 	// history holds every change after the revision forgotten, oldest first.
 	history   []platform.Item
 	forgotten uint64
-	// stale is what a stale platform answers from.
-	stale   []platform.Item
-	changed chan struct{}
-	calls   map[string]int
 }
 
+// clone returns contents that no later change reaches.
+func (c contents) clone() contents {
+	c.items, c.history = maps.Clone(c.items), slices.Clone(c.history)
+	return c
+}
+
+// Copy is the contents of a store at one moment.
+type Copy struct{ contents }
+
 // NewPlatform returns an empty store.
 func NewPlatform() *Platform {
-	return &Platform{mode: PlatformOK, items: map[string]platform.Item{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Platform{
+		mode: PlatformOK, contents: contents{items: map[string]platform.Item{}}, changed: make(chan struct{}), calls: map[string]int{},
+	}
+}
+
+// Copy returns a copy of the store.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{p.clone()}
+}
+
+// Restore has the store come back from a copy: what was written since is gone, and its
+// revisions are given out again, in the next era. Watches that wait look again.
+func (p *Platform) Restore(from Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.contents = from.clone()
+	p.wake()
+}
+
+// wake has waiting watches look again. The lock is held.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Revision returns the newest revision.
+func (p *Platform) Revision() slatewind.Revision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slatewind.Revision{Era: p.era, Number: p.revision}
 }
 
 // Put writes a value and returns its revision.
@@ -84,8 +134,7 @@
 	} else {
 		p.items[item.Key] = item
 	}
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.wake()
 	return p.revision
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -40,6 +40,7 @@
 		p.mu.Lock()
 		p.calls[call]++
 		mode := p.mode
+		p.stateEra(w)
 		p.mu.Unlock()
 		switch mode {
 		case PlatformDown:
@@ -55,6 +56,12 @@
 	}
 }
 
+// stateEra states the store's era in the header of an answer. The lock is held, as it is
+// where the answer is read.
+func (p *Platform) stateEra(w http.ResponseWriter) {
+	w.Header().Set(platform.HeaderEra, strconv.FormatUint(p.era, 10))
+}
+
 func reply(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
@@ -89,6 +96,7 @@
 	key := r.URL.Query().Get(platform.ParamKey)
 	p.mu.Lock()
 	items, revision := p.listed(key), p.revision
+	p.stateEra(w)
 	p.mu.Unlock()
 	if len(items) == 0 || items[0].Key != key {
 		http.Error(w, "no such key", http.StatusNotFound)
@@ -101,6 +109,7 @@
 	query := r.URL.Query()
 	p.mu.Lock()
 	items, revision := p.listed(query.Get(platform.ParamPrefix)), p.revision
+	p.stateEra(w)
 	p.mu.Unlock()
 	first := sort.Search(len(items), func(i int) bool { return items[i].Key > query.Get(platform.ParamAfter) })
 	if query.Get(platform.ParamAfter) == "" {
@@ -125,7 +134,7 @@
 	deadline := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer deadline.Stop()
 	for {
-		events, revision, changed, gone := p.since(after, query.Get(platform.ParamPrefix))
+		events, revision, changed, gone := p.since(w, after, query.Get(platform.ParamPrefix))
 		if gone {
 			http.Error(w, "history is gone", http.StatusGone)
 			return
@@ -146,11 +155,12 @@
 }
 
 // since returns the changes below a prefix after a revision, and what is closed
-// at the next change.
-func (p *Platform) since(after uint64, prefix string) (events []platform.Item, revision uint64, changed <-chan struct{}, gone bool) {
+// at the next change. It states the era of what it returns.
+func (p *Platform) since(w http.ResponseWriter, after uint64, prefix string) (events []platform.Item, revision uint64, changed <-chan struct{}, gone bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after < p.forgotten {
+	p.stateEra(w)
+	if after < p.forgotten || after > p.revision {
 		return nil, p.revision, p.changed, true
 	}
 	if p.mode == PlatformStale {
--- a/publish.go
+++ b/publish.go
@@ -13,6 +13,14 @@
 // revision; everything has to be read anew.
 var ErrHistoryGone = errors.New("the history since the revision is gone")
 
+// Revision names a state of a source. Its number rises with each change. A source that was
+// restored from a copy begins the next era, in which numbers are given out again for other
+// states.
+type Revision struct {
+	Era    uint64
+	Number uint64
+}
+
 // ServerEntry is one backend server as it is published.
 type ServerEntry struct {
 	// Name is what the server calls itself. Another start of it may take the same name.
