Name revisions by era and number, and say when the store was restored

A revision did not tell in which life of the store it was given out, and no line said that an answer was of an earlier state. Revisions are a type of their own, travel with their era between processes, and stand in the line of settings in force and in the state of a process. How they compare is as before.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -36,6 +36,8 @@
 	// store lists the servers.
 	Outbound *outbound.View `json:"outbound,omitempty"`
 	Inbound  *inbound.View  `json:"inbound,omitempty"`
+	// Known is the store's revision up to which the process knows all servers.
+	Known *slatewind.Revision `json:"known_revision,omitempty"`
 	// Limits are the workspaces whose tokens this process gives to the fleet.
 	Limits []ratelimit.Use `json:"limits,omitempty"`
 	// Suspects are requests under which servers ended.
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -178,6 +178,9 @@
 	line("vm\t%s\tdata centre %s", s.VM, s.DataCentre)
 	line("settings\trevision %d\tsince %s", s.Settings.Revision, s.Settings.Since.Format(time.RFC3339))
 	line("platform\tseen %s ago\treader %t", s.PlatformAge, s.Reader)
+	if s.Known != nil {
+		line("servers\tknown until revision %s", s.Known)
+	}
 	for _, service := range s.Ingress.Services {
 		line("service\t%s\tcapacity %d\tfloor %d", service.Name, service.Capacity, service.Floor)
 		for _, server := range service.Servers {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -155,10 +155,10 @@
 
 func (n *Node) state() admin.State {
 	now := time.Now()
-	out, in := n.outbound.View(now), n.inbound.View()
+	out, in, known := n.outbound.View(now), n.inbound.View(), n.watcher.Revision()
 	return admin.State{
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
-		Settings: inForce(n.settings.GetVm(), n.store), Reader: n.share.Reads(), Outbound: &out, Inbound: &in,
+		Settings: inForce(n.settings.GetVm(), n.store), Reader: n.share.Reads(), Outbound: &out, Inbound: &in, Known: &known,
 		Limits: n.limiter.Uses(now), Suspects: n.suspects.Views(now),
 	}
 }
--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -14,7 +14,7 @@
 // Settings implements discovery.SettingsSink.
 func (n *Node) Settings(now time.Time, settings *slatewind.PublishedSettings, from string, took time.Duration) {
 	n.services.Name(now, settings.Fleet)
-	n.store.Adopt(now, fmt.Sprintf("%s took=%s", nameOf(from), took.Round(time.Millisecond)), settings)
+	n.store.Adopt(now, fmt.Sprintf("%s took=%s revision=%s", nameOf(from), took.Round(time.Millisecond), settings.Revision), settings)
 }
 
 // nameOf names who told news by an address, which is empty for the store.
@@ -69,7 +69,7 @@
 		})
 	case errors.As(finding, &start):
 		n.ignored(now, ignoredEntry{
-			server: start.Entry.Name, field: "start", reason: start.Error(), place: fmt.Sprintf("revision=%d", start.Revision),
+			server: start.Entry.Name, field: "start", reason: start.Error(), place: fmt.Sprintf("revision=%s", start.Revision),
 		})
 	case errors.As(finding, &service):
 		n.ignored(now, ignoredEntry{
@@ -104,6 +104,11 @@
 		"age", news.Age.Round(time.Millisecond), "servers", news.Servers, "removed", news.Removed)
 }
 
+// Restored implements discovery.Sink.
+func (n *Node) Restored(_ time.Time, before, since slatewind.Revision) {
+	n.logger.Warn("store restored", "known_until", before, "read_at", since)
+}
+
 // Reach implements discovery.Sink.
 func (n *Node) Reach(_ time.Time, reached bool, cause error) {
 	n.logReach("store", reached, cause)
--- a/daemon/starts_test.go
+++ b/daemon/starts_test.go
@@ -27,7 +27,7 @@
 	f.t.Helper()
 	f.await("all nodes to have heard", func() bool {
 		for _, n := range f.nodes {
-			if n.watcher.Revision() < revision {
+			if n.watcher.Revision().Number < revision {
 				return false
 			}
 		}
--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -64,7 +64,7 @@
 	mu       sync.Mutex
 	settings *slatewind.PublishedSettings
 	// revision is the store's up to which the settings are known.
-	revision uint64
+	revision slatewind.Revision
 	// newest is the highest version heard of, holder the address of a process
 	// that has it, or empty.
 	newest uint64
@@ -173,7 +173,7 @@
 	news, err := f.store.Settings(ctx, after, wait)
 	f.mu.Lock()
 	f.restart = nil
-	f.revision = max(f.revision, news.Revision)
+	f.revision = f.revision.Later(news.Revision)
 	f.mu.Unlock()
 	if news.Finding != nil {
 		f.sink.Finding(time.Now(), news.Finding)
@@ -228,7 +228,7 @@
 // take takes settings that are newer than those that are known.
 func (f *Feed) take(settings *slatewind.PublishedSettings, from string, took time.Duration) {
 	f.mu.Lock()
-	f.revision = max(f.revision, settings.Revision)
+	f.revision = f.revision.Later(settings.Revision)
 	newer := f.settings == nil || settings.Version > f.settings.Version
 	if newer {
 		f.settings = settings
--- a/discovery/feed_test.go
+++ b/discovery/feed_test.go
@@ -42,12 +42,12 @@
 }
 
 func (s *silentStore) Read(ctx context.Context) (slatewind.Publication, error) {
-	return s.Changes(ctx, 0)
+	return s.Changes(ctx, slatewind.Revision{})
 }
 
-func (s *silentStore) Changes(ctx context.Context, _ uint64) (slatewind.Publication, error) {
+func (s *silentStore) Changes(ctx context.Context, _ slatewind.Revision) (slatewind.Publication, error) {
 	revision, err := s.answered(ctx, 0)
-	return slatewind.Publication{Revision: revision, Servers: servers("own")}, err
+	return slatewind.Publication{Revision: at(revision), Servers: servers("own")}, err
 }
 
 func (s *silentStore) Ping(ctx context.Context) error {
@@ -55,13 +55,13 @@
 	return err
 }
 
-func (s *silentStore) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
+func (s *silentStore) Settings(ctx context.Context, after slatewind.Revision, wait time.Duration) (slatewind.SettingsNews, error) {
 	revision, err := s.answered(ctx, wait)
-	if err != nil || revision <= after {
+	if err != nil || revision <= after.Number {
 		sleep(ctx, wait)
 		return slatewind.SettingsNews{}, err
 	}
-	return slatewind.SettingsNews{Revision: revision, Settings: &slatewind.PublishedSettings{Version: revision, Revision: revision}}, nil
+	return slatewind.SettingsNews{Revision: at(revision), Settings: &slatewind.PublishedSettings{Version: revision, Revision: at(revision)}}, nil
 }
 
 // storeTimeout is that of package platform's calls.
@@ -102,25 +102,25 @@
 	asOf    uint64
 }
 
-func (s *settingsOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
-	assert.Check(s.t, after == s.asOf, "asked from %d, not from %d on", after, s.asOf)
+func (s *settingsOf) Settings(ctx context.Context, after slatewind.Revision, wait time.Duration) (slatewind.SettingsNews, error) {
+	assert.Check(s.t, after.Number == s.asOf, "asked from %s, not from %d on", after, s.asOf)
 	if len(s.answers) == 0 {
 		sleep(ctx, wait)
 		s.asOf += 10
-		return slatewind.SettingsNews{Revision: s.asOf}, ctx.Err()
+		return slatewind.SettingsNews{Revision: at(s.asOf)}, ctx.Err()
 	}
 	news := s.answers[0]
 	s.answers = s.answers[1:]
-	s.asOf = news.Revision
+	s.asOf = news.Revision.Number
 	return news, nil
 }
 
 // TestFeed plays the answers of a store and states what a sink has heard.
 func TestFeed(t *testing.T) {
 	v := func(version, revision uint64) slatewind.SettingsNews {
-		return slatewind.SettingsNews{Revision: revision, Settings: &slatewind.PublishedSettings{Version: version, Revision: revision - 1}}
+		return slatewind.SettingsNews{Revision: at(revision), Settings: &slatewind.PublishedSettings{Version: version, Revision: at(revision - 1)}}
 	}
-	bad := slatewind.SettingsNews{Revision: 30, Finding: errors.New("bad value")}
+	bad := slatewind.SettingsNews{Revision: at(30), Finding: errors.New("bad value")}
 	tests := map[string]struct {
 		answers  []slatewind.SettingsNews
 		versions []uint64
--- a/discovery/known.go
+++ b/discovery/known.go
@@ -12,12 +12,12 @@
 // known is an entry with the revision at which it was heard of.
 type known struct {
 	slatewind.ServerEntry
-	revision uint64
+	revision slatewind.Revision
 }
 
 // removal is the revision at which a server went, and its newest start that is known.
 type removal struct {
-	revision uint64
+	revision slatewind.Revision
 	start    int64
 }
 
@@ -27,21 +27,21 @@
 	// Newest is the newest start of the server that was heard of.
 	Newest int64
 	// Revision is the source's at which the entry was heard of.
-	Revision uint64
+	Revision slatewind.Revision
 }
 
 // Error implements error.
 func (e *StartError) Error() string {
 	if e.Entry.Start == 0 {
-		return fmt.Sprintf("server %s at revision %d: the entry states no start, as its server (%d) or most others do", e.Entry.Name, e.Revision, e.Newest)
+		return fmt.Sprintf("server %s at revision %s: the entry states no start, as its server (%d) or most others do", e.Entry.Name, e.Revision, e.Newest)
 	}
-	return fmt.Sprintf("server %s at revision %d: the entry is of start %d, older than %d", e.Entry.Name, e.Revision, e.Entry.Start, e.Newest)
+	return fmt.Sprintf("server %s at revision %s: the entry is of start %d, older than %d", e.Entry.Name, e.Revision, e.Entry.Start, e.Newest)
 }
 
 // take takes a publication. Servers that a whole one lacks are gone. What another process
 // knew at an earlier revision than this one adds nothing. The lock is held.
 func (w *Watcher) take(now time.Time, p slatewind.Publication) {
-	if p.Relayed && p.Revision < w.revision {
+	if p.Relayed && w.revision.After(p.Revision) {
 		return
 	}
 	w.reread = false
@@ -51,7 +51,7 @@
 	if p.Whole {
 		w.removeOthers(now, p)
 		// What went before is not known here, so whoever knows less gets everything.
-		w.forgotten = max(w.forgotten, max(p.Revision, 1)-1)
+		w.complete = w.complete.Later(p.Revision)
 	}
 	for _, name := range p.Removed {
 		w.vanished(now, name, p.Revision)
@@ -71,16 +71,25 @@
 		w.dropUnstated(now, p.Revision)
 	}
 	if p.Whole && !p.Relayed {
+		w.noteRestored(now, p.Revision)
 		w.revision = p.Revision
 	}
-	w.revision = max(w.revision, p.Revision)
+	w.revision = w.revision.Later(p.Revision)
 	if seen := w.clock.Now().Add(-p.Age); seen.After(w.seen) {
 		w.seen = seen
 	}
 }
 
+// noteRestored tells the sink where a whole answer of the store is of an earlier state than
+// what was known.
+func (w *Watcher) noteRestored(now time.Time, revision slatewind.Revision) {
+	if w.revision.After(revision) || w.revision.Era != revision.Era && !w.revision.IsZero() {
+		w.sink.Restored(now, w.revision, revision)
+	}
+}
+
 // put takes an entry that was heard of at a revision.
-func (w *Watcher) put(now time.Time, entry slatewind.ServerEntry, revision uint64) {
+func (w *Watcher) put(now time.Time, entry slatewind.ServerEntry, revision slatewind.Revision) {
 	if entry.Start < w.newestStart(entry.Name) {
 		w.putOlder(now, entry, revision)
 		return
@@ -113,14 +122,14 @@
 // putOlder takes an entry of a start that another one followed: a write that came late, or
 // one that states no start although its server does. The newer start goes on, unless its
 // own entry was removed in between or the new one names no server at all.
-func (w *Watcher) putOlder(now time.Time, entry slatewind.ServerEntry, revision uint64) {
+func (w *Watcher) putOlder(now time.Time, entry slatewind.ServerEntry, revision slatewind.Revision) {
 	w.sink.Finding(now, &StartError{Entry: entry, Newest: w.newestStart(entry.Name), Revision: revision})
 	server, ok := w.servers[entry.Name]
 	// What is known is told anew, so that whoever took the older one hears of the newer.
 	switch {
 	case !ok:
 		w.remember(entry.Name, removal{revision, w.removed[entry.Name].start})
-	case entry.Start == 0, entry.Created > server.revision:
+	case entry.Start == 0, entry.Created > server.revision.Number:
 		w.vanished(now, entry.Name, revision)
 	default:
 		server.revision = revision
@@ -192,13 +201,13 @@
 
 // putUnstated takes an entry without a start where most servers state theirs: it names no
 // server, and what stood there before is gone.
-func (w *Watcher) putUnstated(now time.Time, entry slatewind.ServerEntry, revision uint64) {
+func (w *Watcher) putUnstated(now time.Time, entry slatewind.ServerEntry, revision slatewind.Revision) {
 	w.sink.Finding(now, &StartError{Entry: entry, Newest: w.newestStart(entry.Name), Revision: revision})
 	w.vanished(now, entry.Name, revision)
 }
 
 // dropUnstated lets go of servers that were taken before most others stated their starts.
-func (w *Watcher) dropUnstated(now time.Time, revision uint64) {
+func (w *Watcher) dropUnstated(now time.Time, revision slatewind.Revision) {
 	for name, server := range w.servers {
 		if _, lapsed := w.lapsed[name]; server.Start == 0 && !lapsed {
 			w.putUnstated(now, server.ServerEntry, revision)
@@ -207,7 +216,7 @@
 }
 
 // ended takes another process's word of the newest start of a server that is gone.
-func (w *Watcher) ended(s slatewind.ServerStart, revision uint64) {
+func (w *Watcher) ended(s slatewind.ServerStart, revision slatewind.Revision) {
 	if _, ok := w.servers[s.Name]; ok {
 		return
 	}
@@ -232,7 +241,7 @@
 // vanished handles an entry that is no longer there. Entries run out while the
 // store is away although their servers are well, so after an outage a server
 // may come back for a moment; otherwise it is gone at once.
-func (w *Watcher) vanished(now time.Time, name string, revision uint64) {
+func (w *Watcher) vanished(now time.Time, name string, revision slatewind.Revision) {
 	delete(w.overtaken, name)
 	if _, ok := w.servers[name]; !ok {
 		// It came and went unseen; others may have seen it.
@@ -247,7 +256,7 @@
 }
 
 // gone forgets a server and tells the sink.
-func (w *Watcher) gone(now time.Time, name string, revision uint64) {
+func (w *Watcher) gone(now time.Time, name string, revision slatewind.Revision) {
 	start := w.servers[name].Start
 	delete(w.servers, name)
 	w.electorate = nil
@@ -260,7 +269,7 @@
 func (w *Watcher) remember(name string, gone removal) {
 	if _, known := w.removed[name]; !known && len(w.removed) >= maxRemoved {
 		clear(w.removed)
-		w.forgotten = max(w.revision, gone.revision)
+		w.complete = w.revision.Later(gone.revision)
 	}
 	w.removed[name] = gone
 }
@@ -279,15 +288,15 @@
 
 // Since returns what changed after a revision, for another process. The publication
 // is empty where nothing is known yet.
-func (w *Watcher) Since(after uint64) slatewind.Publication {
+func (w *Watcher) Since(after slatewind.Revision) slatewind.Publication {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.revision == 0 {
+	if w.revision.IsZero() {
 		return slatewind.Publication{}
 	}
-	p := slatewind.Publication{Revision: w.revision, Age: w.clock.Since(w.seen), Whole: after == 0 || after <= w.forgotten, Cut: w.lost}
+	p := slatewind.Publication{Revision: w.revision, Age: w.clock.Since(w.seen), Whole: after.IsZero() || w.complete.After(after), Cut: w.lost}
 	for name, server := range w.servers {
-		if _, lapsed := w.lapsed[name]; !lapsed && (p.Whole || server.revision > after) {
+		if _, lapsed := w.lapsed[name]; !lapsed && (p.Whole || server.revision.After(after)) {
 			p.Servers = append(p.Servers, server.ServerEntry)
 		}
 	}
@@ -297,9 +306,9 @@
 
 // addRemoved adds to a publication which servers went after a revision, and the newest
 // starts of those. A whole one names all of the latter: its reader knows none of them.
-func (w *Watcher) addRemoved(p *slatewind.Publication, after uint64) {
+func (w *Watcher) addRemoved(p *slatewind.Publication, after slatewind.Revision) {
 	add := func(name string, gone removal) {
-		if !p.Whole && gone.revision <= after {
+		if !p.Whole && !gone.revision.After(after) {
 			return
 		}
 		if !p.Whole {
--- a/discovery/share.go
+++ b/discovery/share.go
@@ -45,7 +45,7 @@
 type Peers interface {
 	// Since asks the process beside the server at an address which servers changed
 	// after a revision of the store; version is that of the settings known here.
-	Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error)
+	Since(ctx context.Context, address string, after slatewind.Revision, version uint64) (slatewind.Publication, error)
 	// Exchange has another reader know what this one was told of sick servers, and this
 	// one what the other was told. It may fail: the next one is soon.
 	Exchange(ctx context.Context, address string)
@@ -127,14 +127,14 @@
 	if err == nil {
 		return p, nil
 	}
-	if p, ok := s.askAnybody(ctx, 0); ok {
+	if p, ok := s.askAnybody(ctx, slatewind.Revision{}); ok {
 		return p, nil
 	}
 	return p, err
 }
 
 // Changes implements slatewind.Publisher.
-func (s *Share) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
+func (s *Share) Changes(ctx context.Context, after slatewind.Revision) (slatewind.Publication, error) {
 	elected := s.elected(time.Now())
 	readers := s.near(elected)
 	if s.reading(slices.Contains(readers, s.self) || len(readers) == 0) {
@@ -160,7 +160,7 @@
 
 // follow asks a reader. It reports whether that one answered, and whether its news are
 // as good as the store's own.
-func (s *Share) follow(ctx context.Context, reader string, after uint64) (p slatewind.Publication, answered, fresh bool) {
+func (s *Share) follow(ctx context.Context, reader string, after slatewind.Revision) (p slatewind.Publication, answered, fresh bool) {
 	pinged := s.pingWhileCut(ctx, time.Now())
 	p, answered = s.ask(ctx, reader, after)
 	s.endPing(pinged)
@@ -225,7 +225,7 @@
 }
 
 // direct asks the store. Where that fails, a peer may know more.
-func (s *Share) direct(ctx context.Context, after uint64) (slatewind.Publication, error) {
+func (s *Share) direct(ctx context.Context, after slatewind.Revision) (slatewind.Publication, error) {
 	began := s.clock.Now()
 	p, err := s.store.Changes(ctx, after)
 	s.heard(err)
@@ -234,7 +234,7 @@
 	if err == nil {
 		return p, nil
 	}
-	if other, ok := s.askAnybody(ctx, after); ok && other.Revision > after {
+	if other, ok := s.askAnybody(ctx, after); ok && other.Revision.After(after) {
 		return other, nil
 	}
 	return p, err
@@ -294,12 +294,12 @@
 }
 
 // ask asks one process; ok says that it answered and knows something.
-func (s *Share) ask(ctx context.Context, address string, after uint64) (p slatewind.Publication, ok bool) {
+func (s *Share) ask(ctx context.Context, address string, after slatewind.Revision) (p slatewind.Publication, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	began := s.clock.Now()
 	p, err := s.peers.Since(ctx, address, after, s.feed.Version())
-	if err != nil || p.Revision == 0 {
+	if err != nil || p.Revision.IsZero() {
 		s.failed[address] = time.Now().Add(failedTime)
 		return p, false
 	}
@@ -311,7 +311,7 @@
 }
 
 // askAnybody asks a random process.
-func (s *Share) askAnybody(ctx context.Context, after uint64) (p slatewind.Publication, ok bool) {
+func (s *Share) askAnybody(ctx context.Context, after slatewind.Revision) (p slatewind.Publication, ok bool) {
 	others := s.without(addresses(s.places(), ""))
 	if len(others) == 0 {
 		return p, false
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -58,15 +58,15 @@
 }
 
 func (s storeOf) Read(ctx context.Context) (slatewind.Publication, error) {
-	return s.Changes(ctx, 0)
+	return s.Changes(ctx, slatewind.Revision{})
 }
 
-func (s storeOf) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
+func (s storeOf) Changes(ctx context.Context, after slatewind.Revision) (slatewind.Publication, error) {
 	s.f.mu.Lock()
 	s.f.calls[s.self]++
 	cut, p, held := s.f.cut[s.self], s.f.published, s.f.held[s.self]
 	incoming := s.f.incoming[s.self]
-	forgets := s.f.forgets[s.self] && after > 0
+	forgets := s.f.forgets[s.self] && !after.IsZero()
 	if forgets {
 		delete(s.f.forgets, s.self)
 	}
@@ -83,7 +83,7 @@
 	return p, incoming.carry(ctx, changedBytes)
 }
 
-func (s storeOf) Settings(ctx context.Context, after uint64, wait time.Duration) (slatewind.SettingsNews, error) {
+func (s storeOf) Settings(ctx context.Context, after slatewind.Revision, wait time.Duration) (slatewind.SettingsNews, error) {
 	const look = 10 * time.Millisecond
 	s.f.mu.Lock()
 	s.f.settingsCalls++
@@ -96,7 +96,7 @@
 		case cut:
 			sleep(ctx, time.Second)
 			return slatewind.SettingsNews{}, errors.New("cut off")
-		case settings != nil && settings.Revision > after:
+		case settings != nil && settings.Revision.After(after):
 			err := incoming.carry(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
 			return slatewind.SettingsNews{Settings: settings, Revision: settings.Revision}, err
 		case ctx.Err() != nil || !time.Now().Before(end):
@@ -123,7 +123,7 @@
 }
 
 // Since implements Peers.
-func (f *fleet) Since(ctx context.Context, address string, after, version uint64) (slatewind.Publication, error) {
+func (f *fleet) Since(ctx context.Context, address string, after slatewind.Revision, version uint64) (slatewind.Publication, error) {
 	f.mu.Lock()
 	watcher, feed, outgoing := f.watchers[address], f.feeds[address], f.outgoing[address]
 	frozen, busy := f.frozen[address], f.busy
@@ -172,7 +172,7 @@
 	f := &fleet{
 		watchers: map[string]*Watcher{}, sinks: map[string]*heardBy{}, shares: map[string]*Share{}, cut: map[string]bool{}, frozen: map[string]bool{},
 		held: map[string]time.Duration{}, feeds: map[string]*Feed{}, handOvers: map[string]int{}, forgets: map[string]bool{}, choices: map[string]int{}, random: rand.New(rand.NewPCG(1, 2)), incoming: map[string]*line{}, outgoing: map[string]*line{},
-		calls: map[string]int{}, exchanged: map[string]int{}, published: slatewind.Publication{Revision: 1},
+		calls: map[string]int{}, exchanged: map[string]int{}, published: slatewind.Publication{Revision: at(1)},
 	}
 	for i := range n {
 		f.published.Servers = append(f.published.Servers, servers(fmt.Sprint("server-", i))...)
@@ -229,7 +229,7 @@
 func (f *fleet) publish(p slatewind.Publication) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p.Revision = f.published.Revision + 1
+	p.Revision = at(f.published.Revision.Number + 1)
 	f.published = p
 }
 
@@ -241,7 +241,7 @@
 func (f *fleet) publishSettings(settings *slatewind.PublishedSettings) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.published.Revision++
+	f.published.Revision.Number++
 	settings.Revision = f.published.Revision
 	f.settings = settings
 }
--- a/discovery/starts_test.go
+++ b/discovery/starts_test.go
@@ -64,7 +64,7 @@
 
 // read is an answer of the store at a revision: all there is, or what changed since.
 func (h history) read(after, revision int) slatewind.Publication {
-	p := slatewind.Publication{Revision: uint64(revision), Whole: after == 0}
+	p := slatewind.Publication{Revision: at(uint64(revision)), Whole: after == 0}
 	entry := h.at(revision)
 	switch {
 	case entry != nil && revision > after:
@@ -185,14 +185,14 @@
 	if m.whole {
 		return 0
 	}
-	return int(w.Revision())
+	return int(w.Revision().Number)
 }
 
 // ask has a process ask another one. No start that it was told of may be undone.
 func (s *startSink) ask(now time.Time, asking, asked *Watcher) {
 	p := asked.Since(asking.Revision())
 	p.Relayed = true
-	heard := p.Revision >= asking.Revision()
+	heard := !asking.Revision().After(p.Revision)
 	asking.take(now, p)
 	if !heard {
 		return
@@ -244,8 +244,8 @@
 		w.take(now, older)
 		assert.Equal(t, sink.broken, "")
 		assert.Assert(t, sink.entry != nil && sink.entry.Leaving, "a server that said it leaves does not come back")
-		assert.Equal(t, w.Revision(), uint64(3))
-		assert.Equal(t, w.after(), uint64(0), "everything is still to be read")
+		assert.Equal(t, w.Revision(), at(3))
+		assert.Equal(t, w.after(), slatewind.Revision{}, "everything is still to be read")
 	}
 }
 
@@ -254,7 +254,7 @@
 func TestStartOfUnknownTime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	entry := func(start int64) slatewind.Publication {
-		return slatewind.Publication{Revision: 2, Servers: []slatewind.ServerEntry{{Name: "s", Service: "svc", Address: "a:1", Start: start, Created: 1}}}
+		return slatewind.Publication{Revision: at(2), Servers: []slatewind.ServerEntry{{Name: "s", Service: "svc", Address: "a:1", Start: start, Created: 1}}}
 	}
 	sink := newStartSink()
 	w := NewWatcher(nil, sink)
@@ -281,10 +281,10 @@
 		return list
 	}
 	whole := func(list ...[]slatewind.ServerEntry) slatewind.Publication {
-		return slatewind.Publication{Revision: 1, Whole: true, Servers: slices.Concat(list...)}
+		return slatewind.Publication{Revision: at(1), Whole: true, Servers: slices.Concat(list...)}
 	}
 	later := func(revision uint64, list []slatewind.ServerEntry) slatewind.Publication {
-		return slatewind.Publication{Revision: revision, Servers: list}
+		return slatewind.Publication{Revision: at(revision), Servers: list}
 	}
 	tests := map[string]struct {
 		news     []slatewind.Publication
@@ -319,9 +319,9 @@
 	start := time.Unix(1000, 0)
 	entry := func(revision uint64, start int64) slatewind.Publication {
 		e := slatewind.ServerEntry{Name: "s", Service: "svc", Address: "a:1", Start: start, Created: 1}
-		return slatewind.Publication{Revision: revision, Servers: []slatewind.ServerEntry{e}}
+		return slatewind.Publication{Revision: at(revision), Servers: []slatewind.ServerEntry{e}}
 	}
-	removed := slatewind.Publication{Revision: 4, Removed: []string{"s"}}
+	removed := slatewind.Publication{Revision: at(4), Removed: []string{"s"}}
 	tests := map[string]struct {
 		news []slatewind.Publication
 		// soon and late are the starts that are used before and after the while.
@@ -330,8 +330,8 @@
 		"it stands on":                    {[]slatewind.Publication{entry(2, 5), entry(3, 3)}, 5, 3},
 		"the newer one writes again":      {[]slatewind.Publication{entry(2, 5), entry(3, 3), entry(4, 5)}, 5, 5},
 		"it goes":                         {[]slatewind.Publication{entry(2, 5), entry(3, 3), removed}, 0, 0},
-		"it came after the newer one's":   {[]slatewind.Publication{entry(2, 5), {Revision: 3, Removed: []string{"s"}}, entry(4, 3)}, 0, 3},
-		"and goes before all is read":     {[]slatewind.Publication{entry(2, 5), {Revision: 3, Removed: []string{"s"}}, entry(4, 3), {Revision: 5, Whole: true}}, 0, 0},
+		"it came after the newer one's":   {[]slatewind.Publication{entry(2, 5), {Revision: at(3), Removed: []string{"s"}}, entry(4, 3)}, 0, 3},
+		"and goes before all is read":     {[]slatewind.Publication{entry(2, 5), {Revision: at(3), Removed: []string{"s"}}, entry(4, 3), {Revision: at(5), Whole: true}}, 0, 0},
 		"nothing but the newer one wrote": {[]slatewind.Publication{entry(2, 5)}, 5, 5},
 	}
 	for name, test := range tests {
--- a/discovery/suspended_test.go
+++ b/discovery/suspended_test.go
@@ -23,9 +23,9 @@
 }
 
 // Since implements Peers.
-func (p suspendingPeers) Since(context.Context, string, uint64, uint64) (slatewind.Publication, error) {
+func (p suspendingPeers) Since(context.Context, string, slatewind.Revision, uint64) (slatewind.Publication, error) {
 	*p.suspended += p.sleep
-	return slatewind.Publication{Revision: 1}, nil
+	return slatewind.Publication{Revision: at(1)}, nil
 }
 
 // Exchange implements Peers.
@@ -38,14 +38,14 @@
 	var suspended time.Duration
 	w := NewWatcher(nil, nil)
 	w.clock = suspendedFor(&suspended)
-	w.take(time.Now(), slatewind.Publication{Revision: 1})
+	w.take(time.Now(), slatewind.Publication{Revision: at(1)})
 	suspended += sleep
-	assert.Assert(t, w.Since(1).Age >= sleep, "%s", w.Since(1).Age)
+	assert.Assert(t, w.Since(at(1)).Age >= sleep, "%s", w.Since(at(1)).Age)
 
 	s := NewShare(nil, suspendingPeers{&suspended, sleep}, "self", nil)
 	s.clock = suspendedFor(&suspended)
 	s.feed = NewFeed(nil, nil, s, nil)
-	p, ok := s.ask(t.Context(), "reader", 1)
+	p, ok := s.ask(t.Context(), "reader", at(1))
 	assert.Assert(t, ok)
 	assert.Assert(t, p.Age >= sleep, "%s", p.Age)
 }
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -58,6 +58,8 @@
 	ServerGone(now time.Time, name string)
 	// Finding brings an entry that could not be read.
 	Finding(now time.Time, finding error)
+	// Restored says that the source came back at an earlier state.
+	Restored(now time.Time, before, since slatewind.Revision)
 	// Reach says that the source was lost or regained.
 	Reach(now time.Time, reached bool, cause error)
 	// Slow says that news took long to come.
@@ -86,7 +88,7 @@
 	mu sync.Mutex
 	// revision is the store's up to which everything is known, seen when the store
 	// last said so, be it to a peer.
-	revision uint64
+	revision slatewind.Revision
 	seen     timer.Instant
 	// clock counts the time too in which the VM was suspended: a view grows old meanwhile.
 	clock timer.Clock
@@ -96,13 +98,12 @@
 	servers map[string]known
 	// electorate ranks the known servers' places, nil after they changed.
 	electorate *electorate
-	// removed holds the servers that went; forgotten is the revision up to which it may
-	// lack some.
-	removed   map[string]removal
-	forgotten uint64
+	// removed holds the servers that went; since complete it lacks none.
+	removed  map[string]removal
+	complete slatewind.Revision
 	// lapsed holds, of the servers, those whose entries vanished during an outage, at
 	// which revision.
-	lapsed map[string]uint64
+	lapsed map[string]slatewind.Revision
 	// overtaken holds, by their names, entries of starts that others followed.
 	overtaken map[string]overtaken
 	// lost says that the last call failed, regained when the last outage ended.
@@ -114,7 +115,7 @@
 func NewWatcher(source slatewind.Publisher, sink Sink) *Watcher {
 	return &Watcher{
 		source: source, sink: sink,
-		servers: map[string]known{}, removed: map[string]removal{}, lapsed: map[string]uint64{}, overtaken: map[string]overtaken{},
+		servers: map[string]known{}, removed: map[string]removal{}, lapsed: map[string]slatewind.Revision{}, overtaken: map[string]overtaken{},
 	}
 }
 
@@ -169,7 +170,7 @@
 	after := w.after()
 	began := time.Now()
 	var p slatewind.Publication
-	if after == 0 {
+	if after.IsZero() {
 		p, err = w.source.Read(ctx)
 	} else {
 		p, err = w.source.Changes(ctx, after)
@@ -184,7 +185,7 @@
 		}
 		return 0, err
 	}
-	if took := now.Sub(began); took >= slowCall && after > 0 {
+	if took := now.Sub(began); took >= slowCall && !after.IsZero() {
 		w.sink.Slow(SlowNews{From: p.From, Took: took, Age: w.clock.Since(w.seen), Servers: len(p.Servers), Removed: len(p.Removed)})
 	}
 	if p.Cut {
@@ -196,7 +197,7 @@
 	switch {
 	case len(w.servers) == 0:
 		return emptyPace, nil
-	case after == 0 && !w.reread:
+	case after.IsZero() && !w.reread:
 		return readPace, nil
 	case p.Relayed:
 		return peerPace, nil
@@ -205,18 +206,18 @@
 }
 
 // Revision returns the store's revision up to which everything is known.
-func (w *Watcher) Revision() uint64 {
+func (w *Watcher) Revision() slatewind.Revision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.revision
 }
 
-// after returns the revision after which changes are asked for, 0 for everything.
-func (w *Watcher) after() uint64 {
+// after returns the revision after which changes are asked for, zero for everything.
+func (w *Watcher) after() slatewind.Revision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.reread {
-		return 0
+		return slatewind.Revision{}
 	}
 	return w.revision
 }
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -48,6 +48,8 @@
 	h.settingsReach = append(h.settingsReach, reached)
 }
 
+func (h *heardBy) Restored(time.Time, slatewind.Revision, slatewind.Revision) {}
+
 func (h *heardBy) NotHanded(time.Time, string, error) {}
 
 func (h *heardBy) Slow(news SlowNews) { h.slow = append(h.slow, news) }
@@ -78,7 +80,7 @@
 	return s.next(ctx)
 }
 
-func (s *scripted) Changes(ctx context.Context, after uint64) (slatewind.Publication, error) {
+func (s *scripted) Changes(ctx context.Context, after slatewind.Revision) (slatewind.Publication, error) {
 	if len(s.answers) == 0 {
 		return slatewind.Publication{Revision: after}, nil
 	}
@@ -99,12 +101,15 @@
 	return list
 }
 
+// at returns a revision of the first era.
+func at(number uint64) slatewind.Revision { return slatewind.Revision{Number: number} }
+
 func all(revision uint64, names ...string) answer {
-	return answer{Publication: slatewind.Publication{Revision: revision, Whole: true, Servers: servers(names...)}}
+	return answer{Publication: slatewind.Publication{Revision: at(revision), Whole: true, Servers: servers(names...)}}
 }
 
 func gone(revision uint64, names ...string) answer {
-	return answer{Publication: slatewind.Publication{Revision: revision, Removed: names}}
+	return answer{Publication: slatewind.Publication{Revision: at(revision), Removed: names}}
 }
 
 func cut(a answer) answer {
@@ -115,8 +120,8 @@
 var (
 	down     = answer{err: errors.New("down")}
 	compact  = answer{err: slatewind.ErrHistoryGone}
-	unread   = answer{Publication: slatewind.Publication{Revision: 9, Findings: []error{errors.New("bad entry")}}}
-	nothing  = answer{Publication: slatewind.Publication{Revision: 1}}
+	unread   = answer{Publication: slatewind.Publication{Revision: at(9), Findings: []error{errors.New("bad entry")}}}
+	nothing  = answer{Publication: slatewind.Publication{Revision: at(1)}}
 	fullDrop = all(5, "a")
 )
 
@@ -134,7 +139,7 @@
 		"after lost history all is read anew":    {[]answer{all(1, "a", "b"), compact, fullDrop}, 2 * time.Second, []string{"a"}, 2, false},
 		"an entry that cannot be read":           {[]answer{all(1, "a"), unread}, time.Second, []string{"a"}, 1, false},
 		"while the store is away nothing goes":   {append([]answer{all(1, "a")}, slices.Repeat([]answer{down}, 100)...), 10 * time.Second, []string{"a"}, 1, true},
-		"after an outage an entry may come back": {[]answer{all(1, "a", "b"), down, gone(3, "a"), {Publication: slatewind.Publication{Revision: 4, Servers: servers("a")}}}, 4 * time.Second, []string{"a", "b"}, 1, false},
+		"after an outage an entry may come back": {[]answer{all(1, "a", "b"), down, gone(3, "a"), {Publication: slatewind.Publication{Revision: at(4), Servers: servers("a")}}}, 4 * time.Second, []string{"a", "b"}, 1, false},
 		"after an outage it goes if it does not": {[]answer{all(1, "a", "b"), down, gone(3, "a")}, 4 * time.Second, []string{"b"}, 1, false},
 		"what vanishes soon after an outage goes a lapse time after it": {
 			[]answer{all(1, "a", "b"), down, nothing, gone(3, "a")},
@@ -192,12 +197,12 @@
 
 func (c *counted) Read(context.Context) (slatewind.Publication, error) {
 	c.calls++
-	return slatewind.Publication{Revision: 1, Whole: true, Servers: servers("a")}, nil
+	return slatewind.Publication{Revision: at(1), Whole: true, Servers: servers("a")}, nil
 }
 
-func (c *counted) Changes(_ context.Context, after uint64) (slatewind.Publication, error) {
+func (c *counted) Changes(_ context.Context, after slatewind.Revision) (slatewind.Publication, error) {
 	c.calls++
-	return slatewind.Publication{Revision: after + 1}, nil
+	return slatewind.Publication{Revision: at(after.Number + 1)}, nil
 }
 
 // TestSince: what one watcher passes on brings another to the same view.
@@ -211,14 +216,14 @@
 	pass()
 	assert.DeepEqual(t, heard.names(), []string{"a", "b"})
 	first.take(now, gone(3, "a").Publication)
-	first.take(now, slatewind.Publication{Revision: 4, Servers: servers("c")})
+	first.take(now, slatewind.Publication{Revision: at(4), Servers: servers("c")})
 	news := first.Since(second.Revision())
 	assert.Assert(t, !news.Whole)
 	assert.Equal(t, len(news.Servers)+len(news.Removed), 2, "only what changed travels")
 	pass()
 	assert.DeepEqual(t, heard.names(), []string{"b", "c"})
-	empty := NewWatcher(nil, heard).Since(0)
-	assert.Equal(t, empty.Revision, uint64(0), "who knows nothing says so")
+	empty := NewWatcher(nil, heard).Since(at(0))
+	assert.Equal(t, empty.Revision, slatewind.Revision{}, "who knows nothing says so")
 }
 
 // TestSinceOfABeginner: a process that has just read everything tells one that
@@ -239,7 +244,7 @@
 	other.take(now, all(3, "a", "b").Publication)
 	other.take(now, beginner.Since(other.Revision()))
 	assert.DeepEqual(t, heard.names(), []string{"a", "c"})
-	assert.Equal(t, other.Revision(), uint64(5))
+	assert.Equal(t, other.Revision(), at(5))
 	beginner.take(now, gone(6, "a").Publication)
 	news := beginner.Since(other.Revision())
 	assert.Assert(t, !news.Whole, "from then on only what changed travels")
@@ -256,15 +261,15 @@
 	keeping.failed(now, errCut)
 	heard := newHeardBy()
 	other := NewWatcher(nil, heard)
-	other.take(now, keeping.Since(0))
+	other.take(now, keeping.Since(at(0)))
 	keeping.take(now, gone(2, "b").Publication)
 	assert.Equal(t, len(keeping.servers), 2)
 	other.take(now, keeping.Since(other.Revision()))
 	assert.DeepEqual(t, heard.names(), []string{"a"})
 	beginner := newHeardBy()
-	NewWatcher(nil, beginner).take(now, keeping.Since(0))
+	NewWatcher(nil, beginner).take(now, keeping.Since(at(0)))
 	assert.DeepEqual(t, beginner.names(), []string{"a"})
-	keeping.take(now, slatewind.Publication{Revision: 3, Servers: servers("b")})
+	keeping.take(now, slatewind.Publication{Revision: at(3), Servers: servers("b")})
 	other.take(now, keeping.Since(other.Revision()))
 	assert.DeepEqual(t, heard.names(), []string{"a", "b"})
 }
--- a/link/settings.go
+++ b/link/settings.go
@@ -87,7 +87,7 @@
 	if err := proto.Unmarshal(text, fleet); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &slatewind.PublishedSettings{Version: first.GetVersion(), Revision: first.GetRevision(), Fleet: fleet}, nil
+	return &slatewind.PublishedSettings{Version: first.GetVersion(), Revision: slatewind.Revision{Era: first.GetEra(), Number: first.GetRevision()}, Fleet: fleet}, nil
 }
 
 // pack returns the settings as they travel: a Fleet, compressed by gzip.
@@ -149,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	first := &slatewindv1.SettingsPart{Version: settings.Version, Revision: settings.Revision, Checksum: xxhash.Sum64(packed)}
+	first := &slatewindv1.SettingsPart{Version: settings.Version, Era: settings.Revision.Era, Revision: settings.Revision.Number, Checksum: xxhash.Sum64(packed)}
 	for part := range slices.Chunk(packed, partBytes) {
 		first.Packed = part
 		if err := stream.Send(first); err != nil {
--- a/link/settings_test.go
+++ b/link/settings_test.go
@@ -42,7 +42,7 @@
 // TestSettings: settings come over whole, and only if they are newer.
 func TestSettings(t *testing.T) {
 	fleet := bigFleet(4000)
-	newest := &slatewind.PublishedSettings{Version: 7, Revision: 70, Fleet: fleet}
+	newest := &slatewind.PublishedSettings{Version: 7, Revision: slatewind.Revision{Era: 2, Number: 70}, Fleet: fleet}
 	address := serveNews(t, &link.NewsServer{Newest: func() *slatewind.PublishedSettings { return newest }})
 	pool := link.NewPool(nil)
 	defer func() { _ = pool.Close() }()
@@ -52,7 +52,7 @@
 		assert.Equal(t, settings != nil, newer, "known: %d", known)
 		if newer {
 			assert.Equal(t, settings.Version, uint64(7))
-			assert.Equal(t, settings.Revision, uint64(70))
+			assert.Equal(t, settings.Revision, newest.Revision)
 			assert.Assert(t, proto.Equal(settings.Fleet, fleet))
 		}
 	}
--- a/publish.go
+++ b/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -17,10 +18,27 @@
 // restored from a copy begins the next era, in which numbers are given out again for other
 // states.
 type Revision struct {
-	Era    uint64
-	Number uint64
+	Era    uint64 `json:"era,omitempty"`
+	Number uint64 `json:"number"`
 }
 
+// IsZero reports whether the revision names no state.
+func (r Revision) IsZero() bool { return r == Revision{} }
+
+// After reports whether r comes after o.
+func (r Revision) After(o Revision) bool { return r.Number > o.Number }
+
+// Later returns the later of two revisions.
+func (r Revision) Later(o Revision) Revision {
+	if o.After(r) {
+		return o
+	}
+	return r
+}
+
+// String returns the era and the number.
+func (r Revision) String() string { return fmt.Sprintf("%d.%d", r.Era, r.Number) }
+
 // ServerEntry is one backend server as it is published.
 type ServerEntry struct {
 	// Name is what the server calls itself. Another start of it may take the same name.
@@ -40,7 +58,7 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Warming is how much longer the server is slow after its start.
 	Warming time.Duration `json:"warming,omitempty"`
-	// Created is the source's revision at which the entry came to be: it was not there
+	// Created is the number of the source's revision at which the entry came to be: it was not there
 	// shortly before.
 	Created uint64 `json:"created,omitempty"`
 }
@@ -69,8 +87,8 @@
 type PublishedSettings struct {
 	// Version rises with each change; the highest is in force.
 	Version uint64
-	// Revision is the source's count of changes at which they were written.
-	Revision uint64
+	// Revision is the source's at which they were written.
+	Revision Revision
 	Fleet    *slatewindv1.Fleet
 }
 
@@ -78,8 +96,8 @@
 // what changed since a revision. It is small and urgent. Settings may be large,
 // so they come by themselves, and no server's word waits for them.
 type Publication struct {
-	// Revision is the source's count of changes up to which this tells.
-	Revision uint64
+	// Revision is the source's up to which this tells.
+	Revision Revision
 	// Version is that of the newest settings that the source has, where it is
 	// another process.
 	Version uint64
@@ -110,17 +128,17 @@
 	Read(ctx context.Context) (Publication, error)
 	// Changes returns at once what changed after a revision. The error is
 	// ErrHistoryGone where a new Read is due.
-	Changes(ctx context.Context, after uint64) (Publication, error)
+	Changes(ctx context.Context, after Revision) (Publication, error)
 }
 
 // SettingsNews is what a source tells of settings.
 type SettingsNews struct {
 	// Settings is nil where they did not change.
 	Settings *PublishedSettings
-	// Revision is the source's count of changes up to which this tells. Those to
+	// Revision is the source's up to which this tells. Changes to
 	// other things count too, and a source forgets old ones, so that the next
 	// question begins here even where settings did not change.
-	Revision uint64
+	Revision Revision
 	// Finding says, with its place, that settings were written and cannot be read.
 	Finding error
 }
@@ -130,7 +148,7 @@
 	// Settings returns what is new as soon as settings are written at a revision
 	// above after, or when wait is over. A large answer may take longer, as long as
 	// it goes on coming.
-	Settings(ctx context.Context, after uint64, wait time.Duration) (SettingsNews, error)
+	Settings(ctx context.Context, after Revision, wait time.Duration) (SettingsNews, error)
 }
 
 // CallerDialect names the header fields between callers and the fleet.
