--- a/publish.go
+++ b/publish.go
@@ -25,8 +25,13 @@
 // IsZero reports whether the revision names no state.
 func (r Revision) IsZero() bool { return r == Revision{} }
 
-// After reports whether r comes after o.
-func (r Revision) After(o Revision) bool { return r.Number > o.Number }
+// After reports whether r comes after o: a later era goes before a higher number.
+func (r Revision) After(o Revision) bool {
+	if r.Era != o.Era {
+		return r.Era > o.Era
+	}
+	return r.Number > o.Number
+}
 
 // Later returns the later of two revisions.
 func (r Revision) Later(o Revision) Revision {
