Take a restore of the store for an outage, after which entries may come back

Callers lost a server that had started after the copy was taken, until it wrote its entry again, up to two seconds later; with several such servers requests are refused meanwhile.

Cause: what a whole answer lacks went at once where no call had failed, and a short outage between two calls is noticed by none.

Change: a later era, or a whole answer of the store at an earlier revision, begins the time in which entries may come back, for processes that hear of it from others too.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -44,6 +44,7 @@
 	if p.Relayed && w.revision.After(p.Revision) {
 		return
 	}
+	w.noteRestored(now, p)
 	w.reread = false
 	for _, finding := range p.Findings {
 		w.sink.Finding(now, finding)
@@ -71,7 +72,6 @@
 		w.dropUnstated(now, p.Revision)
 	}
 	if p.Whole && !p.Relayed {
-		w.noteRestored(now, p.Revision)
 		w.revision = p.Revision
 	}
 	w.revision = w.revision.Later(p.Revision)
@@ -80,14 +80,6 @@
 	}
 }
 
-// noteRestored tells the sink where a whole answer of the store is of an earlier state than
-// what was known.
-func (w *Watcher) noteRestored(now time.Time, revision slatewind.Revision) {
-	if w.revision.After(revision) || w.revision.Era != revision.Era && !w.revision.IsZero() {
-		w.sink.Restored(now, w.revision, revision)
-	}
-}
-
 // put takes an entry that was heard of at a revision.
 func (w *Watcher) put(now time.Time, entry slatewind.ServerEntry, revision slatewind.Revision) {
 	if entry.Start < w.newestStart(entry.Name) {
