Keep a leaving server leaving where the store came back from a copy

Callers' requests reached a server that had said that it leaves, once the store was back.

Cause: the entry in the copy is older than the server's word, and its revision, in the new era, is later.

Change: of one start of a server, staying in a later era does not follow leaving in an earlier one. The memory ends with the start's entry, or where the entry stands for ten seconds as staying, which only a server that renews it can bring about. Within an era the last word counts, as before.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -13,6 +13,21 @@
 type known struct {
 	slatewind.ServerEntry
 	revision slatewind.Revision
+	// left is the revision at which the server was first heard to leave.
+	left slatewind.Revision
+}
+
+// follow returns what is known after an entry of the same name was heard of at a revision. A
+// start that said that it leaves does not stay because a copy of the store knows it so.
+func (k known) follow(entry slatewind.ServerEntry, revision slatewind.Revision) known {
+	next := known{ServerEntry: entry, revision: revision}
+	if k.Leaving && k.ID() == entry.ID() {
+		next.left = k.left
+		next.Leaving = entry.Leaving || revision.Era > k.left.Era
+	} else if entry.Leaving {
+		next.left = revision
+	}
+	return next
 }
 
 // removal is the revision at which a server went, and its newest start that is known.
@@ -86,24 +101,25 @@
 		w.putOlder(now, entry, revision)
 		return
 	}
-	if _, lapsed := w.lapsed[entry.Name]; lapsed {
-		// Others were told that it had gone, so that it is news to them.
-		delete(w.lapsed, entry.Name)
-		delete(w.servers, entry.Name)
-	}
-	delete(w.overtaken, entry.Name)
+	delete(w.lapsed, entry.Name)
 	before, ok := w.servers[entry.Name]
-	if ok && before.ServerEntry == entry {
-		// It was written anew: others may have heard of another one in between.
-		w.servers[entry.Name] = known{entry, revision}
+	next := before.follow(entry, revision)
+	if next.Leaving == entry.Leaving {
+		delete(w.overtaken, entry.Name)
+	} else {
+		w.overtake(now, entry)
+	}
+	// One that was written anew is told anew: others may have heard that it had gone, or of
+	// another entry in between.
+	w.servers[entry.Name] = next
+	if ok && before.ServerEntry == next.ServerEntry {
 		return
 	}
 	if !ok || before.Address != entry.Address || before.DataCentre != entry.DataCentre {
 		w.electorate = nil
 	}
-	w.servers[entry.Name] = known{entry, revision}
 	delete(w.removed, entry.Name)
-	w.sink.Server(now, entry)
+	w.sink.Server(now, next.ServerEntry)
 }
 
 // newestStart returns the newest start of a server that was heard of, 0 where none was.
@@ -132,13 +148,14 @@
 	}
 }
 
-// overtaken is the entry of a start that another one followed, and since when it stands.
+// overtaken is an entry that was true once, and since when it stands: that of a start which
+// another one followed, or one that a copy of the store brought back.
 type overtaken struct {
 	entry slatewind.ServerEntry
 	since time.Time
 }
 
-// overtake keeps the entry of a start that another one followed.
+// overtake keeps an entry that was true once.
 func (w *Watcher) overtake(now time.Time, entry slatewind.ServerEntry) {
 	since := now
 	if before, ok := w.overtaken[entry.Name]; ok && before.entry.Start == entry.Start {
@@ -147,8 +164,9 @@
 	w.overtaken[entry.Name] = overtaken{entry, since}
 }
 
-// adopt takes the entries that stand although another start followed: nobody else writes
-// there, so it seems that the clock of the server's VM went back.
+// adopt takes the entries that go on to stand although something newer is known: nobody else
+// writes there, so it seems that the clock of the server's VM went back, or that the server
+// itself wrote it anew.
 func (w *Watcher) adopt(now time.Time) {
 	for name, o := range w.overtaken {
 		if now.Sub(o.since) < overtakenTime {
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -38,8 +38,8 @@
 	// lapseTime is how long after an outage servers may write their entries
 	// anew before they count as gone: a heartbeat of theirs.
 	lapseTime = 1500 * time.Millisecond
-	// overtakenTime is how long the entry of a start that another one followed may stand
-	// before it counts. A server that lives overwrites it within a heartbeat, and one that
+	// overtakenTime is how long an entry that was true once may stand before it counts
+	// again. A server that lives overwrites it within a heartbeat, and one that
 	// does not write goes after three.
 	overtakenTime = 10 * time.Second
 	// slowCall is how long a call for news may last before it is told of. It takes
@@ -104,7 +104,7 @@
 	// lapsed holds, of the servers, those whose entries vanished during an outage, at
 	// which revision.
 	lapsed map[string]slatewind.Revision
-	// overtaken holds, by their names, entries of starts that others followed.
+	// overtaken holds, by their names, entries that stand although something newer is known.
 	overtaken map[string]overtaken
 	// lost says that the last call failed, regained when the last outage ended.
 	lost     bool
