Do not use a removed server again because a copy of the store lists it

Callers' requests were sent to a server that had left, or that had ended and whose address may be another's, until its entry in the copy ran out.

Cause: what a whole answer lists was known as new, whatever had been heard of it before.

Change: an entry of a start that went in an earlier era does not count where a whole answer lists it.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -77,11 +77,14 @@
 	}
 	stated := w.mostStateStarts(p)
 	for _, entry := range p.Servers {
-		if stated && entry.Start == 0 {
+		switch {
+		case stated && entry.Start == 0:
 			w.putUnstated(now, entry, p.Revision)
-			continue
+		case p.Whole && w.broughtBack(entry, p.Revision):
+			w.overtake(now, entry)
+		default:
+			w.put(now, entry, p.Revision)
 		}
-		w.put(now, entry, p.Revision)
 	}
 	if stated {
 		w.dropUnstated(now, p.Revision)
--- a/discovery/restored.go
+++ b/discovery/restored.go
@@ -17,3 +17,10 @@
 	w.regained = now
 	w.sink.Restored(now, w.revision, p.Revision)
 }
+
+// broughtBack reports whether an entry that a whole publication lists is of a server that went
+// in an earlier era: a copy of the store may hold it. The lock is held.
+func (w *Watcher) broughtBack(entry slatewind.ServerEntry, revision slatewind.Revision) bool {
+	gone, ok := w.removed[entry.Name]
+	return ok && revision.Era > gone.revision.Era && entry.Start <= gone.start
+}
