--- /dev/null
+++ b/discovery/restored_test.go
@@ -0,0 +1,368 @@
+package discovery
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+)
+
+// Servers of the model: one leaves and goes, the other starts.
+const (
+	leaver  = "leaver"
+	starter = "starter"
+)
+
+// move is one event of the model.
+type move string
+
+const (
+	// moveSay: the leaver says that it leaves. moveEnd: its entry goes.
+	moveSay move = "say"
+	moveEnd move = "end"
+	// moveStart: the starter writes its first entry.
+	moveStart move = "start"
+	// moveCopy takes a copy of the store, moveRestore brings it back. moveAgain has the servers
+	// write their entries again.
+	moveCopy    move = "copy"
+	moveRestore move = "restore"
+	moveAgain   move = "again"
+	// moveRead has the reader read the store, moveAsk the other process ask the reader.
+	moveRead move = "read"
+	moveAsk  move = "ask"
+	// moveLook has the other process read the store itself, moveBegin has it start anew.
+	moveLook  move = "look"
+	moveBegin move = "begin"
+)
+
+var moves = []move{moveSay, moveEnd, moveStart, moveCopy, moveRestore, moveAgain, moveRead, moveAsk, moveLook, moveBegin}
+
+// modelEntry is what a store holds of a server.
+type modelEntry struct {
+	slatewind.ServerEntry
+	written uint64
+}
+
+// telling is how a store tells that it was restored.
+type telling string
+
+const (
+	// tellsEra is what a store does: it states its era.
+	tellsEra telling = "era"
+	// tellsGone says only that it does not have a revision, tellsNothing not even that.
+	tellsGone    telling = "gone"
+	tellsNothing telling = "nothing"
+)
+
+// modelStore is a store of which copies can be taken.
+type modelStore struct {
+	telling  telling
+	revision slatewind.Revision
+	entries  map[string]modelEntry
+	// removed holds the revisions at which entries went, forgotten is that up to which the
+	// history is lost.
+	removed   map[string]uint64
+	forgotten uint64
+}
+
+func (s modelStore) clone() modelStore {
+	s.entries, s.removed = maps.Clone(s.entries), maps.Clone(s.removed)
+	return s
+}
+
+// write writes an entry, or removes it.
+func (s *modelStore) write(name string, entry *slatewind.ServerEntry) {
+	s.revision.Number++
+	if entry == nil {
+		delete(s.entries, name)
+		s.removed[name] = s.revision.Number
+		return
+	}
+	e := modelEntry{*entry, s.revision.Number}
+	e.Created = s.revision.Number
+	if before, ok := s.entries[name]; ok {
+		e.Created = before.Created
+	}
+	delete(s.removed, name)
+	s.entries[name] = e
+}
+
+// read answers a process that knows the store until a revision: with what changed since, or
+// with everything.
+func (s *modelStore) read(after slatewind.Revision) slatewind.Publication {
+	gone := s.telling != tellsNothing && (after.Number > s.revision.Number || after.Number < s.forgotten)
+	whole := after.IsZero() || after.Era != s.revision.Era || gone
+	p := slatewind.Publication{Revision: s.revision, Whole: whole}
+	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
+		if e := s.entries[name]; whole || e.written > after.Number {
+			p.Servers = append(p.Servers, e.ServerEntry)
+		}
+	}
+	for name, at := range s.removed {
+		if !whole && at > after.Number {
+			p.Removed = append(p.Removed, name)
+		}
+	}
+	return p
+}
+
+// modelProcess is a process with what it believes of the servers.
+type modelProcess struct {
+	*heardBy
+	*Watcher
+	believed map[string]slatewind.ServerEntry
+	// left says that it knew once that the leaver leaves or is gone, lost that the starter went.
+	left, lost bool
+	broken     string
+}
+
+func newModelProcess() *modelProcess {
+	p := &modelProcess{heardBy: newHeardBy(), believed: map[string]slatewind.ServerEntry{}}
+	p.Watcher = NewWatcher(nil, p)
+	return p
+}
+
+func (p *modelProcess) Server(_ time.Time, e slatewind.ServerEntry) {
+	p.believed[e.Name] = e
+	if e.Name != leaver {
+		return
+	}
+	if p.left && !e.Leaving {
+		p.broken = "a server that leaves came back as staying"
+	}
+	p.left = p.left || e.Leaving
+}
+
+func (p *modelProcess) ServerGone(_ time.Time, name string) {
+	delete(p.believed, name)
+	p.left = p.left || name == leaver
+	p.lost = p.lost || name == starter
+}
+
+// model is a store, its copy and two processes, one of which reads for both.
+type model struct {
+	now         time.Time
+	store       modelStore
+	taken       *modelStore
+	restored    bool
+	leaving     bool
+	ended       bool
+	started     bool
+	reader      *modelProcess
+	other       *modelProcess
+	compacts    bool
+	lastOfReads move
+}
+
+func entryOf(name string, leaving bool) *slatewind.ServerEntry {
+	return &slatewind.ServerEntry{Name: name, Service: "svc", Address: name + ":1", Leaving: leaving}
+}
+
+// newModel returns a model in which both processes know the leaver. compacts says that a
+// restored store has no history.
+func newModel(how telling, compacts bool) *model {
+	m := &model{
+		now: time.Unix(1000, 0), store: modelStore{telling: how, entries: map[string]modelEntry{}, removed: map[string]uint64{}},
+		reader: newModelProcess(), other: newModelProcess(), compacts: compacts,
+	}
+	m.store.write(leaver, entryOf(leaver, false))
+	m.play(moveRead)
+	m.play(moveAsk)
+	return m
+}
+
+// may reports whether an event can happen now and can make a difference.
+func (m *model) may(e move) bool {
+	switch e {
+	case moveSay:
+		return !m.leaving
+	case moveEnd:
+		return m.leaving && !m.ended && m.store.entries[leaver].Leaving
+	case moveStart:
+		return !m.started
+	case moveCopy:
+		return m.taken == nil
+	case moveRestore:
+		return m.taken != nil && !m.restored
+	case moveAgain:
+		return m.restored && m.lastOfReads != moveAgain
+	}
+	return m.lastOfReads != e
+}
+
+// play plays one event.
+func (m *model) play(e move) {
+	switch e {
+	case moveSay:
+		m.leaving = true
+		m.store.write(leaver, entryOf(leaver, true))
+	case moveEnd:
+		m.ended = true
+		m.store.write(leaver, nil)
+	case moveStart:
+		m.started = true
+		m.store.write(starter, entryOf(starter, false))
+	case moveCopy:
+		taken := m.store.clone()
+		m.taken = &taken
+	case moveRestore:
+		m.restore()
+	case moveAgain:
+		m.writeAgain()
+	case moveRead:
+		m.reader.take(m.now, m.store.read(m.reader.after()))
+	case moveAsk:
+		m.ask()
+	case moveLook:
+		m.other.take(m.now, m.store.read(m.other.after()))
+	case moveBegin:
+		m.other = newModelProcess()
+		m.play(moveLook)
+	}
+	m.lastOfReads = e
+}
+
+func (m *model) restore() {
+	m.restored = true
+	m.store = m.taken.clone()
+	if m.store.telling == tellsEra {
+		m.store.revision.Era++
+	}
+	if m.compacts {
+		m.store.forgotten = m.store.revision.Number
+	}
+}
+
+// writeAgain has servers that live write their entries, and what nobody renews run out.
+func (m *model) writeAgain() {
+	switch {
+	case !m.ended:
+		m.store.write(leaver, entryOf(leaver, m.leaving))
+	case m.store.entries[leaver].written > 0:
+		m.store.write(leaver, nil)
+	}
+	if m.started {
+		m.store.write(starter, entryOf(starter, false))
+	}
+}
+
+func (m *model) ask() {
+	p := m.reader.Since(m.other.Watcher.after())
+	p.Relayed = true
+	m.other.take(m.now, p)
+}
+
+// settle lets all be written and heard that is to be, and time pass.
+func (m *model) settle() {
+	if m.restored {
+		m.writeAgain()
+	}
+	for range 2 {
+		m.play(moveRead)
+		m.play(moveAsk)
+		m.now = m.now.Add(2 * lapseTime)
+		for _, p := range []*modelProcess{m.reader, m.other} {
+			p.expire(m.now)
+		}
+	}
+}
+
+// check returns what is wrong with what a process believes, or nothing.
+func (p *modelProcess) check() string {
+	switch {
+	case p.broken != "":
+		return p.broken
+	case p.lost:
+		return "a server that lives was taken for gone"
+	}
+	return ""
+}
+
+// checkSettled returns what is wrong once all is heard.
+func (m *model) checkSettled(p *modelProcess) string {
+	leaver, listed := p.believed[leaver]
+	_, startedListed := p.believed[starter]
+	switch {
+	case listed == m.ended:
+		return fmt.Sprintf("the leaver is listed: %t, ended: %t", listed, m.ended)
+	case listed && leaver.Leaving != m.leaving:
+		return fmt.Sprintf("the leaver is believed to leave: %t, not: %t", leaver.Leaving, m.leaving)
+	case startedListed != m.started:
+		return fmt.Sprintf("the starter is listed: %t, started: %t", startedListed, m.started)
+	}
+	return ""
+}
+
+// playAll plays events from the start.
+func playAll(how telling, compacts bool, events []move) *model {
+	m := newModel(how, compacts)
+	for _, e := range events {
+		m.play(e)
+	}
+	return m
+}
+
+// possible returns the events that may follow.
+func (m *model) possible() []move {
+	return slices.DeleteFunc(slices.Clone(moves), func(e move) bool { return !m.may(e) })
+}
+
+// verdict returns what is wrong, or nothing. It has the model settle.
+func (m *model) verdict() string {
+	for _, p := range []*modelProcess{m.reader, m.other} {
+		if wrong := p.check(); wrong != "" {
+			return wrong
+		}
+	}
+	m.settle()
+	for name, p := range map[string]*modelProcess{"reader": m.reader, "other": m.other} {
+		if wrong := m.checkSettled(p); wrong != "" {
+			return name + ", settled: " + wrong
+		}
+	}
+	return ""
+}
+
+// explore plays all orders of so many events and returns the first that goes wrong, and how.
+func explore(how telling, compacts bool, events []move, length int) (wrong string, orders int) {
+	m := playAll(how, compacts, events)
+	next := m.possible()
+	if wrong := m.verdict(); wrong != "" {
+		return fmt.Sprintf("%v: %s", events, wrong), 1
+	}
+	orders = 1
+	if len(events) == length {
+		return "", orders
+	}
+	for _, e := range next {
+		wrong, more := explore(how, compacts, append(slices.Clone(events), e), length)
+		orders += more
+		if wrong != "" {
+			return wrong, orders
+		}
+	}
+	return "", orders
+}
+
+// TestRestoresInEveryOrder: in no order of words, copies, restores, reads and starts does a server that leaves come back, and all processes agree in the end.
+func TestRestoresInEveryOrder(t *testing.T) {
+	for _, compacts := range []bool{false, true} {
+		wrong, orders := explore(tellsEra, compacts, nil, 6)
+		assert.Equal(t, wrong, "", "history lost: %t", compacts)
+		t.Logf("%d orders, history lost: %t", orders, compacts)
+	}
+}
+
+// TestRestoresUntold: the exploration finds what goes wrong where a restore is told by a lost revision alone, or not at all.
+func TestRestoresUntold(t *testing.T) {
+	for _, how := range []telling{tellsGone, tellsNothing} {
+		wrong, _ := explore(how, false, nil, 6)
+		assert.Assert(t, wrong != "", how)
+		t.Log(how, wrong)
+	}
+}
