--- a/discovery/restored_test.go
+++ b/discovery/restored_test.go
@@ -18,6 +18,9 @@
 	starter = "starter"
 )
 
+// otherChanges is how many changes to other things a restored store lacks.
+const otherChanges = 10
+
 // move is one event of the model.
 type move string
 
@@ -210,6 +213,7 @@
 	case moveCopy:
 		taken := m.store.clone()
 		m.taken = &taken
+		m.store.revision.Number += otherChanges
 	case moveRestore:
 		m.restore()
 	case moveAgain:
