Have a reader of the store fetch settings that a restored store lacks

Callers got 404 for a route that was added, from a process that had started while the store was back from a copy, until the operator wrote the settings again.

Cause: a process that reads the store for others fetched from others only where its call failed; a restored store answers, with older settings.

Change: after a call to the store that brought nothing, settings that another process is known to have are fetched from it.

--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -115,15 +115,16 @@
 }
 
 // step makes one attempt at newer settings, or rests where there are none. A process
-// that begins asks the store, which is sooner than to find out who else has them.
+// that begins asks the store, which is sooner than to find out who else has them. A store
+// that was restored may lack what others have.
 func (f *Feed) step(ctx context.Context) error {
 	if wait, asks := f.asks(); asks {
 		err := f.read(ctx, wait)
-		if err == nil {
+		switch {
+		case err == nil && !f.outdated():
 			sleep(ctx, settingsPace)
 			return nil
-		}
-		if !f.behind() {
+		case err != nil && !f.behind():
 			return err
 		}
 	}
@@ -284,6 +285,9 @@
 	return f.settings == nil || f.settings.Version < f.newest
 }
 
+// outdated reports whether there are newer settings than known ones.
+func (f *Feed) outdated() bool { return f.behind() && f.Newest() != nil }
+
 // Newest returns the settings that are known, or nil.
 func (f *Feed) Newest() *slatewind.PublishedSettings {
 	f.mu.Lock()
