Compare when an entry came to be only within an era

A server that had started again under its name was dropped until it wrote anew, where a copy of the store held its older start. Cause: the number at which the older entry came to be was compared with one of another era. TestNewerStartLostToCopy failed before (start 0 in use, not 5) and holds now.

--- a/discovery/known.go
+++ b/discovery/known.go
@@ -145,7 +145,7 @@
 	switch {
 	case !ok:
 		w.remember(entry.Name, removal{revision, w.removed[entry.Name].start})
-	case entry.Start == 0, entry.Created > server.revision.Number:
+	case entry.Start == 0, createdAfter(entry, revision.Era, server.revision):
 		w.vanished(now, entry.Name, revision)
 	default:
 		server.revision = revision
@@ -156,6 +156,13 @@
 	}
 }
 
+// createdAfter reports whether an entry that stands in an era came to be after a revision. What
+// came to be before a restore cannot be told from what came after it.
+func createdAfter(entry slatewind.ServerEntry, era uint64, revision slatewind.Revision) bool {
+	created := slatewind.Revision{Era: era, Number: entry.Created}
+	return era == revision.Era && created.After(revision)
+}
+
 // overtaken is an entry that was true once, and since when it stands: that of a start which
 // another one followed, or one that a copy of the store brought back.
 type overtaken struct {
--- a/discovery/starts_test.go
+++ b/discovery/starts_test.go
@@ -356,3 +356,17 @@
 	}
 	return s.entry.Start
 }
+
+// TestNewerStartLostToCopy: a start is used on though a copy of the store holds an older one that came to be at a higher number.
+func TestNewerStartLostToCopy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(start int64, created uint64) slatewind.ServerEntry {
+		return slatewind.ServerEntry{Name: "s", Service: "svc", Address: "a:1", Start: start, Created: created}
+	}
+	sink := newStartSink()
+	w := NewWatcher(nil, sink)
+	w.take(now, slatewind.Publication{Revision: at(9), Whole: true, Servers: []slatewind.ServerEntry{entry(5, 8)}})
+	w.take(now, slatewind.Publication{Revision: slatewind.Revision{Era: 1, Number: 12}, Whole: true, Servers: []slatewind.ServerEntry{entry(3, 10)}})
+	w.expire(now.Add(2 * lapseTime))
+	assert.Equal(t, sink.used(), int64(5))
+}
