Order the operators' file by the era of the platform's store too

Operators saw a file that the platform had acknowledged come into force nowhere, in the product's own way of running, after the platform's store was restored from a copy.

Change: the era goes before the number. A file has no version of its own, so that the copy's older file would now count as newer: a process remembers the last 16 files that were in force, and one of these in a later era is stale. A process that started since and knows the copy alone has the older file until the operator writes again.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/history"
 	_ "slatewind.example/slatewind/internal/seeded"
@@ -140,7 +141,7 @@
 		}), 1, 12).Draw(t, "offers")
 		give := func(s *config.Store, o offer) {
 			before := s.Current()
-			changed, err := s.Offer(time.Unix(0, 0), "test", o.revision, fileWithFloor(o.floor))
+			changed, err := s.Offer(time.Unix(0, 0), "test", slatewind.Revision{Number: o.revision}, fileWithFloor(o.floor))
 			assert.Assert(t, err == nil || o.floor > 1)
 			if changed {
 				assert.Assert(t, before == nil || s.Version().Newer(before.Version))
@@ -158,6 +159,21 @@
 	})
 }
 
+// TestFileOfCopy: a file that was in force before does not come back with a copy of the platform's store, and a new one comes into force at a number that was given out before.
+func TestFileOfCopy(t *testing.T) {
+	s := config.NewStore(history.New(0, nil))
+	offer := func(era, number uint64, floor int) bool {
+		changed, err := s.Offer(time.Unix(0, 0), "test", slatewind.Revision{Era: era, Number: number}, fileWithFloor(floor))
+		assert.NilError(t, err)
+		return changed
+	}
+	assert.Assert(t, offer(0, 10, 0))
+	assert.Assert(t, offer(0, 12, 1))
+	assert.Assert(t, !offer(1, 10, 0), "the copy's file")
+	assert.Assert(t, offer(1, 12, 0), "another file at a number that was given out before")
+	assert.Assert(t, !offer(0, 13, 1), "a file of an earlier era")
+}
+
 func TestRouteTable(t *testing.T) {
 	fleet, err := config.ParseFleet("file", []byte(`
 services:
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -12,28 +12,34 @@
 	"slatewind.example/slatewind/workspace"
 )
 
-// Version orders settings files: by revision, then by digest.
+// Version orders settings files: by the platform's revision, then by digest.
 type Version struct {
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	Digest   uint64 `json:"digest"`
 }
 
+// Written returns the platform's revision at which the file was written.
+func (v Version) Written() slatewind.Revision {
+	return slatewind.Revision{Era: v.Era, Number: v.Revision}
+}
+
 // Newer reports whether v comes after o.
 func (v Version) Newer(o Version) bool {
-	if v.Revision != o.Revision {
-		return v.Revision > o.Revision
+	if v.Written() != o.Written() {
+		return v.Written().After(o.Written())
 	}
 	return v.Digest > o.Digest
 }
 
 // ToAPI returns the message form of a version.
 func (v Version) ToAPI() *slatewindv1.Version {
-	return &slatewindv1.Version{Revision: v.Revision, Digest: v.Digest}
+	return &slatewindv1.Version{Era: v.Era, Revision: v.Revision, Digest: v.Digest}
 }
 
 // VersionFromAPI returns the struct form of a version message.
 func VersionFromAPI(v *slatewindv1.Version) Version {
-	return Version{Revision: v.GetRevision(), Digest: v.GetDigest()}
+	return Version{Era: v.GetEra(), Revision: v.GetRevision(), Digest: v.GetDigest()}
 }
 
 // Snapshot is one accepted file, ready for use. It never changes; a request
--- a/config/store.go
+++ b/config/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,14 +12,22 @@
 	"slatewind.example/slatewind"
 )
 
+// mostPassed bounds the files that are remembered after they were in force. A copy of the
+// platform's store is seconds old.
+const mostPassed = 16
+
 // Store holds the settings in force. Offers come from the platform and from
 // peers, in any order; the store keeps the newest that passes every check.
 type Store struct {
 	journal slatewind.Journal
 	current atomic.Pointer[Snapshot]
+
+	mu sync.Mutex
 	// refused is the newest version that had findings; offering it again is
 	// not worth another entry in the journal.
-	refused atomic.Pointer[Version]
+	refused *Version
+	// passed holds the last versions that were in force, oldest first.
+	passed []Version
 }
 
 // NewStore returns a store without settings.
@@ -42,24 +52,21 @@
 // Offer puts a file in force if it is newer than what is and has no finding.
 // It reports whether the file is in force now because of this call. The error
 // is of type Findings.
-func (s *Store) Offer(now time.Time, source string, revision uint64, text []byte) (bool, error) {
-	version := Version{Revision: revision, Digest: xxhash.Sum64(text)}
-	for {
-		current := s.current.Load()
-		if current != nil && !version.Newer(current.Version) {
-			s.noteStale(now, source, version, current.Version)
-			return false, nil
-		}
-		fleet, err := ParseFleet(fmt.Sprintf("revision-%d", revision), text)
-		if err != nil {
-			s.noteRefused(now, source, version, err)
-			return false, err
-		}
-		if s.current.CompareAndSwap(current, NewSnapshot(version, now, text, fleet)) {
-			break
-		}
+func (s *Store) Offer(now time.Time, source string, revision slatewind.Revision, text []byte) (bool, error) {
+	version := Version{Era: revision.Era, Revision: revision.Number, Digest: xxhash.Sum64(text)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.advances(version) {
+		s.noteStale(now, source, version)
+		return false, nil
+	}
+	fleet, err := ParseFleet(fmt.Sprintf("revision-%d", revision.Number), text)
+	if err != nil {
+		s.noteRefused(now, source, version, err)
+		return false, err
 	}
-	s.add(now, slatewind.DecisionSettings, fmt.Sprintf("revision %d is in force", revision), fmt.Sprintf("source=%s digest=%x", source, version.Digest))
+	s.put(NewSnapshot(version, now, text, fleet))
+	s.add(now, slatewind.DecisionSettings, fmt.Sprintf("revision %d is in force", revision.Number), fmt.Sprintf("source=%s digest=%x", source, version.Digest))
 	return true, nil
 }
 
@@ -67,22 +74,42 @@
 // reports whether they are in force now because of this call.
 func (s *Store) Adopt(now time.Time, source string, settings *slatewind.PublishedSettings) bool {
 	version := Version{Revision: settings.Version}
-	for {
-		current := s.current.Load()
-		if current != nil && !version.Newer(current.Version) {
-			s.noteStale(now, source, version, current.Version)
-			return false
-		}
-		if s.current.CompareAndSwap(current, NewSnapshot(version, now, nil, settings.Fleet)) {
-			break
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.advances(version) {
+		s.noteStale(now, source, version)
+		return false
 	}
+	s.put(NewSnapshot(version, now, nil, settings.Fleet))
 	reason := fmt.Sprintf("version %d is in force", settings.Version)
 	s.add(now, slatewind.DecisionSettings, reason, fmt.Sprintf("source=%s routes=%d", source, len(settings.Fleet.GetRoutes())))
 	return true
 }
 
-func (s *Store) noteStale(now time.Time, source string, offered, current Version) {
+// advances reports whether a version comes after what is in force. One that was in force before
+// and comes with a later era is what a copy of the platform's store held. The lock is held.
+func (s *Store) advances(version Version) bool {
+	current := s.current.Load()
+	if current == nil {
+		return true
+	}
+	copied := slices.ContainsFunc(s.passed, func(p Version) bool {
+		return p.Revision == version.Revision && p.Digest == version.Digest && p.Era < version.Era
+	})
+	return version.Newer(current.Version) && !copied
+}
+
+// put puts a snapshot in force. The lock is held.
+func (s *Store) put(next *Snapshot) {
+	if before := s.current.Swap(next); before != nil {
+		s.passed = append(s.passed, before.Version)
+	}
+	s.passed = s.passed[max(0, len(s.passed)-mostPassed):]
+}
+
+// noteStale notes that an offer is older than what is in force. The lock is held.
+func (s *Store) noteStale(now time.Time, source string, offered Version) {
+	current := s.Version()
 	if offered == current {
 		return
 	}
@@ -90,10 +117,12 @@
 	s.add(now, slatewind.DecisionStale, reason, "source="+source)
 }
 
+// noteRefused notes that an offer has findings. The lock is held.
 func (s *Store) noteRefused(now time.Time, source string, version Version, err error) {
-	if last := s.refused.Swap(&version); last != nil && *last == version {
+	if s.refused != nil && *s.refused == version {
 		return
 	}
+	s.refused = &version
 	reason := fmt.Sprintf("revision %d has findings, the file in force stays", version.Revision)
 	s.add(now, slatewind.DecisionStale, reason, "source="+source+" findings="+err.Error())
 }
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -463,3 +463,30 @@
 	}
 	assert.Equal(t, m.started(), 0)
 }
+
+// TestFileMissedAfterRestore: a file that a restored store acknowledges comes into force, and the copy's older one does not.
+func TestFileMissedAfterRestore(t *testing.T) {
+	m := newMesh(t, 3, time.Millisecond)
+	inForce := func(floor int) func() bool {
+		return func() bool {
+			for _, p := range m.processes {
+				if floors := m.state(p).Ingress.Services; len(floors) != 1 || int(floors[0].Floor) != floor {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	taken := m.platform.Copy()
+	for range 5 {
+		m.platform.Publish([]byte(m.settings(1)))
+	}
+	m.platform.Publish([]byte(m.settings(2)))
+	m.await("the file that the store loses", inForce(2))
+	m.platform.Restore(taken)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		assert.Assert(t, inForce(2)(), "the copy's file is in force")
+	}
+	m.platform.Publish([]byte(m.settings(3)))
+	m.await("the file of the restored store", inForce(3))
+}
--- a/discovery/reader.go
+++ b/discovery/reader.go
@@ -35,7 +35,7 @@
 	// Listed takes the VM list.
 	Listed(now time.Time, vms []slatewind.VM)
 	// Offer takes the operators' file.
-	Offer(now time.Time, source string, revision uint64, text []byte)
+	Offer(now time.Time, source string, revision slatewind.Revision, text []byte)
 }
 
 // CallMeter counts calls to the platform.
@@ -52,7 +52,7 @@
 	views  Views
 	meter  CallMeter
 	// revision is the newest that this process saw at the platform.
-	revision uint64
+	revision slatewind.Revision
 }
 
 // NewReader returns a reader.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -424,7 +424,7 @@
 	if !whole {
 		return
 	}
-	g.Offer(time.Now(), "peer "+address, reply.GetVersion().GetRevision(), text)
+	g.Offer(time.Now(), "peer "+address, config.VersionFromAPI(reply.GetVersion()).Written(), text)
 }
 
 // Fetch answers a process that lacks settings.
@@ -443,7 +443,7 @@
 
 // Offer puts a file in force if it is newer and without findings, and then
 // tells others at once.
-func (g *Gossip) Offer(now time.Time, source string, revision uint64, text []byte) {
+func (g *Gossip) Offer(now time.Time, source string, revision slatewind.Revision, text []byte) {
 	changed, err := g.store.Offer(now, source, revision, text)
 	if err != nil || !changed {
 		return
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -214,9 +214,9 @@
 }
 
 // Watch implements slatewind.ConfigSource.
-func (p *fakePlatform) Watch(ctx context.Context, after uint64) (slatewind.SettingsFile, error) {
+func (p *fakePlatform) Watch(ctx context.Context, after slatewind.Revision) (slatewind.SettingsFile, error) {
 	file, err := p.enter()
-	for waited := time.Duration(0); err == nil && after > 0 && file.Revision <= after && waited < platform.WatchTime; waited += time.Second / 4 {
+	for waited := time.Duration(0); err == nil && !after.IsZero() && !file.Revision.After(after) && waited < platform.WatchTime; waited += time.Second / 4 {
 		select {
 		case <-ctx.Done():
 			return file, ctx.Err()
@@ -297,7 +297,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
 				nodes := c.addAll(tt.nodes)
-				nodes[0].gossip.Offer(time.Now(), "test", 1, settings(0))
+				nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 1}, settings(0))
 				timeToAll(t, nodes, 1)
 				c.mu.Lock()
 				c.loss = tt.loss
@@ -305,7 +305,7 @@
 					c.cut = tt.cut
 				}
 				c.mu.Unlock()
-				nodes[0].gossip.Offer(time.Now(), "test", 2, settings(1))
+				nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 2}, settings(1))
 				took := timeToAll(t, nodes, 2)
 				t.Logf("revision 2 on %d nodes after %s", tt.nodes, took)
 				assert.Assert(t, took < inForceWithin)
@@ -321,13 +321,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
 		nodes := c.addAll(12)
-		nodes[0].gossip.Offer(time.Now(), "test", 1, settings(0))
+		nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 1}, settings(0))
 		timeToAll(t, nodes, 1)
 		inDC1 := func(address string) bool { return c.nodes[address] != nil && address[len(address)-1]%2 == 1 }
 		c.setCut(func(from, to string) bool { return inDC1(from) != inDC1(to) })
-		nodes[0].gossip.Offer(time.Now(), "test", 2, settings(1))
+		nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 2}, settings(1))
 		time.Sleep(time.Hour)
-		nodes[2].gossip.Offer(time.Now(), "test", 3, settings(0))
+		nodes[2].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 3}, settings(0))
 		time.Sleep(time.Second)
 		assert.Equal(t, nodes[1].store.Version().Revision, uint64(1))
 		c.setCut(func(string, string) bool { return false })
@@ -341,15 +341,17 @@
 // what peers and platform know.
 func TestNewNodeWhilePlatformIsDownOrStale(t *testing.T) {
 	tests := map[string]func(*fakePlatform){
-		"down":  func(p *fakePlatform) { p.down = true },
-		"stale": func(p *fakePlatform) { p.file = slatewind.SettingsFile{Revision: 1, Text: settings(0)} },
+		"down": func(p *fakePlatform) { p.down = true },
+		"stale": func(p *fakePlatform) {
+			p.file = slatewind.SettingsFile{Revision: slatewind.Revision{Number: 1}, Text: settings(0)}
+		},
 	}
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
 				nodes := c.addAll(5)
-				nodes[0].gossip.Offer(time.Now(), "test", 7, settings(1))
+				nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 7}, settings(1))
 				timeToAll(t, nodes, 7)
 				c.fake.set(change)
 				time.Sleep(3 * time.Hour)
@@ -369,9 +371,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
 		nodes := c.addAll(4)
-		nodes[0].gossip.Offer(time.Now(), "test", 1, settings(0))
+		nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 1}, settings(0))
 		timeToAll(t, nodes, 1)
-		nodes[0].gossip.Offer(time.Now(), "test", 2, settings(5))
+		nodes[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 2}, settings(5))
 		time.Sleep(10 * time.Second)
 		timeToAll(t, nodes, 1)
 	})
@@ -384,7 +386,7 @@
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
-				c.fake.file = slatewind.SettingsFile{Revision: 1, Text: settings(0)}
+				c.fake.file = slatewind.SettingsFile{Revision: slatewind.Revision{Number: 1}, Text: settings(0)}
 				nodes := c.addAll(count)
 				for _, n := range nodes {
 					discovery.NewReader(&c.fake, &c.fake, n.gossip, &c.fake).Start(c.ctx)
--- a/gossip/spread_test.go
+++ b/gossip/spread_test.go
@@ -15,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
 		all := c.addAll(nodes)
-		all[0].gossip.Offer(time.Now(), "test", 1, settings(0))
+		all[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 1}, settings(0))
 		timeToAll(t, all, 1)
 		cut := map[string]bool{}
 		var rest []*node
@@ -29,7 +29,7 @@
 		c.loss = 0.01
 		c.cut = func(from, to string) bool { return cut[from] != cut[to] }
 		c.mu.Unlock()
-		all[0].gossip.Offer(time.Now(), "test", 2, settings(1))
+		all[0].gossip.Offer(time.Now(), "test", slatewind.Revision{Number: 2}, settings(1))
 		t.Logf("in force on %d nodes after %s", len(rest), timeToAll(t, rest, 2))
 		c.setCut(func(string, string) bool { return false })
 		t.Logf("on the %d that were cut off %s after the cut", nodes-len(rest), timeToAll(t, all, 2))
--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -58,7 +58,7 @@
 		t: t, ctx: ctx, store: config.NewStore(history.New(16, nil)), random: rand.New(rand.NewPCG(seed, 0)),
 		sides: map[string]*sidecar.Sidecar{}, stops: map[string]context.CancelFunc{}, runs: map[string]int{},
 	}
-	_, err := c.store.Offer(time.Now(), "test", 1, []byte(settings))
+	_, err := c.store.Offer(time.Now(), "test", slatewind.Revision{Number: 1}, []byte(settings))
 	assert.NilError(t, err)
 	for i := range 3 {
 		c.replace(fmt.Sprint("vm-", i))
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -140,7 +140,7 @@
 	t.Helper()
 	j := history.New(0, nil)
 	store := config.NewStore(j)
-	_, err := store.Offer(time.Now(), "test", 1, []byte(settings))
+	_, err := store.Offer(time.Now(), "test", slatewind.Revision{Number: 1}, []byte(settings))
 	assert.NilError(t, err)
 	in := ingress.New("vm-0", "dc", store, j, links, fakeMembers{}, fakeMeter{}, fakeRecorder{}, fakeLimiter{}, quarantine.NewTable(nil, nil))
 	in.Update(time.Now(), store.Current())
--- a/replay/events.go
+++ b/replay/events.go
@@ -188,7 +188,7 @@
 
 func (p *player) offer(n *node, revision uint64, text []byte) {
 	before := n.store.Version()
-	changed, err := n.store.Offer(p.now(), "trace", revision, text)
+	changed, err := n.store.Offer(p.now(), "trace", slatewind.Revision{Number: revision}, text)
 	if err != nil || !changed {
 		return
 	}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -97,7 +97,7 @@
 	settings := readTrace(t, "../testdata/traces/kassa-slow-3x.yaml").Settings
 	store := config.NewStore(history.New(0, nil))
 	now := time.Unix(0, 0)
-	_, err := store.Offer(now, "test", 7, []byte(settings))
+	_, err := store.Offer(now, "test", slatewind.Revision{Number: 7}, []byte(settings))
 	assert.NilError(t, err)
 	recorder := replay.NewRecorder("a", 1000)
 	rings := map[string]*outlier.Ring{"kassa-1": {}, "kassa-2": {}, "kassa-3": {}, "kassa-4": {}}
--- a/replay/side.go
+++ b/replay/side.go
@@ -75,7 +75,7 @@
 }
 
 func (s *side) offer(revision uint64, text []byte) {
-	changed, err := s.store.Offer(s.player.now(), "trace", revision, text)
+	changed, err := s.store.Offer(s.player.now(), "trace", slatewind.Revision{Number: revision}, text)
 	if err != nil || !changed {
 		return
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -68,7 +68,7 @@
 routes:
   - {name: price, path_prefix: /, service: kassa, kind: repeatable}
 `, f.slots, address)
-	changed, err := f.store.Offer(time.Now(), "test", revision, []byte(text))
+	changed, err := f.store.Offer(time.Now(), "test", slatewind.Revision{Number: revision}, []byte(text))
 	assert.NilError(f.t, err)
 	assert.Assert(f.t, changed)
 	f.sidecar.Update(time.Now(), f.store.Current())
--- a/slatewind.go
+++ b/slatewind.go
@@ -190,8 +190,8 @@
 
 // SettingsFile is the operators' file as the platform publishes it.
 type SettingsFile struct {
-	// Revision is the platform's count of changes to the file.
-	Revision uint64
+	// Revision is the platform's at which the file was written.
+	Revision Revision
 	// Text is the YAML text.
 	Text []byte
 }
@@ -200,7 +200,7 @@
 type ConfigSource interface {
 	// Watch returns the file as soon as its revision is above after, or the
 	// same file again when the platform's waiting time is over.
-	Watch(ctx context.Context, after uint64) (SettingsFile, error)
+	Watch(ctx context.Context, after Revision) (SettingsFile, error)
 }
 
 // VMSource reads the platform's list of live and leaving VMs, which lags.
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -131,14 +131,8 @@
 			{file: "discovery/feed.go", from: newerInDiscovery, to: "true"},
 			{
 				file: "config/store.go",
-				from: `version := Version{Revision: settings.Version}
-	for {
-		current := s.current.Load()
-		if current != nil && !version.Newer(current.Version) {`,
-				to: `version := Version{Revision: settings.Version}
-	for {
-		current := s.current.Load()
-		if false {`,
+				from: "	return version.Newer(current.Version) && !copied",
+				to:   "	return version != current.Version || copied",
 			},
 		},
 	},
