Soak restores of the store from older copies, with five broken builds

Four returns of the store in a run: after a server's word, after its end, before its word, and with new settings as the first that it is told; processes are paused and cut off meanwhile. A restore of the stand-in store now cuts calls that wait.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 # PARALLEL is how many runs of the soak go on at once; they mostly wait.
 PARALLEL ?= 4
 soak:
-	go test -count=1 -timeout=0 -parallel=$(PARALLEL) -run='TestSoak$$|TestSilent|TestStops$$|TestWorkspaces$$|TestDeadly$$' ./soak -soak.seeds=$(SEEDS) -soak.seed=$(SEED) -v
+	go test -count=1 -timeout=0 -parallel=$(PARALLEL) -run='TestSoak$$|TestSilent|TestStops$$|TestWorkspaces$$|TestRestores$$|TestDeadly$$' ./soak -soak.seeds=$(SEEDS) -soak.seed=$(SEED) -v
 
 # Everything of the soak: SEEDS runs, and whole runs of all broken builds.
 soak-all:
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -133,7 +133,11 @@
 	wait, _ := strconv.Atoi(query.Get(platform.ParamWait))
 	deadline := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer deadline.Stop()
-	for {
+	for began := p.Revision().Era; ; {
+		if p.Revision().Era != began {
+			// A restore ends the calls that wait.
+			panic(http.ErrAbortHandler)
+		}
 		events, revision, changed, gone := p.since(w, after, query.Get(platform.ParamPrefix))
 		if gone {
 			http.Error(w, "history is gone", http.StatusGone)
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -163,6 +163,35 @@
 			{file: "outbound/quarantine.go", from: "return o.suspects.Check(now, rq.digest).Refused", to: "return false"},
 		},
 	},
+	"the store's era is not read": {
+		promise: soak.PromiseSettings,
+		part:    soak.PartRestores,
+		edits:   []edit{{file: "platform/platform.go", from: `if text == "" {`, to: "if true {"}},
+	},
+	"a restore is told by a lost history alone": {
+		promise: soak.PromiseSettings,
+		part:    soak.PartRestores,
+		edits:   []edit{{file: "platform/platform.go", from: "if err == nil && era != after.Era {", to: "if false {"}},
+	},
+	"news of a restored store are dropped": {
+		promise: soak.PromiseLeaving,
+		part:    soak.PartRestores,
+		edits: []edit{{
+			file: "discovery/known.go",
+			from: "if p.Relayed && w.revision.After(p.Revision) {",
+			to:   "if p.Relayed && w.revision.Number > p.Revision.Number {",
+		}},
+	},
+	"a copy brings a leaving server back": {
+		promise: soak.PromiseLeaving,
+		part:    soak.PartRestores,
+		edits:   []edit{{file: "discovery/known.go", from: "entry.Leaving || revision.Era > k.left.Era", to: "entry.Leaving"}},
+	},
+	"a copy brings a removed server back": {
+		promise: soak.PromiseLeaving,
+		part:    soak.PartRestores,
+		edits:   []edit{{file: "discovery/known.go", from: "case p.Whole && w.broughtBack(entry, p.Revision):", to: "case false:"}},
+	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
@@ -214,7 +243,7 @@
 // options say what a run of a broken build is like: no longer than it takes, unless the
 // whole of it is asked for.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
-	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartDeadly)
+	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly)
 	if *whole {
 		return o
 	}
--- a/soak/calm.go
+++ b/soak/calm.go
@@ -64,7 +64,11 @@
 
 // checkSettings publishes settings and waits until all have them in force.
 func (f *fleet) checkSettings(ctx context.Context) {
-	version := f.publish()
+	f.awaitSettings(ctx, f.publish())
+}
+
+// awaitSettings waits until all processes have settings in force.
+func (f *fleet) awaitSettings(ctx context.Context, version uint64) {
 	end := time.Now().Add(f.options.Patience)
 	client := newCaller()
 	defer client.CloseIdleConnections()
@@ -83,6 +87,11 @@
 func (f *fleet) checkLeaving(ctx context.Context) {
 	leaver := f.nodes[len(f.nodes)-1]
 	f.putEntry(leaver.number, true)
+	f.awaitLeaving(ctx, leaver)
+}
+
+// awaitLeaving waits until a server that leaves gets nothing. It must get nothing from then on.
+func (f *fleet) awaitLeaving(ctx context.Context, leaver *node) {
 	arrivals, since := leaver.server.Arrivals(), time.Now()
 	quiet := func() bool {
 		if now := leaver.server.Arrivals(); now != arrivals {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,8 @@
 	PartWorkspaces Part = "workspaces"
 	// PartStops: processes stop in a series that overlaps, while another one hangs.
 	PartStops Part = "stops"
+	// PartRestores: the store comes back from an older copy.
+	PartRestores Part = "restores"
 	// PartDeadly: servers end under one request, which comes again and again.
 	PartDeadly Part = "deadly"
 )
@@ -135,6 +137,7 @@
 		{PartSilentStore, func() error { return f.checkSilence(ctx, PromiseSilentStore, storeProxy) }},
 		{PartWorkspaces, func() error { return f.checkWorkspaces(ctx, random) }},
 		{PartStops, func() error { return f.checkStops(ctx, random) }},
+		{PartRestores, func() error { return f.checkRestores(ctx, random) }},
 		{PartDeadly, func() error { return f.checkDeadly(ctx, random) }},
 	}
 	for _, part := range parts {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,6 +71,12 @@
 	runSeeds(t, soak.PartWorkspaces)
 }
 
+// TestRestores has the store come back from older copies while processes are paused and cut off.
+func TestRestores(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartRestores)
+}
+
 // TestDeadly has servers end under one request while processes fail.
 func TestDeadly(t *testing.T) {
 	t.Parallel()
