--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,7 +26,7 @@
 
 // faults are drawn with equal chances; what is listed twice comes twice as often.
 var faults = []fault{
-	linkFault, linkFault, linkReset, linkSilence, storeLinkFault, storeLinkSilence, storeFault, storeBehind, storeCompact,
+	linkFault, linkFault, linkReset, linkSilence, storeLinkFault, storeLinkSilence, storeFault, storeBehind, storeCompact, storeRestored,
 	serverFault, serverFault, serverFault, pause, killAgain, stopAgain, newSettings, reloadOne,
 }
 
@@ -126,6 +126,19 @@
 	return func() {}
 }
 
+// storeRestored has the store come back from a copy that is taken now; servers and operators
+// write again what they wrote.
+func storeRestored(f *fleet, _ *rand.Rand) func() {
+	taken := f.store.Copy()
+	return func() {
+		f.store.Restore(taken)
+		f.store.Put(platform.ConfigKey, encodeVersion(f.version.Load()))
+		for _, n := range f.nodes {
+			f.putEntry(n.number, false)
+		}
+	}
+}
+
 // serverFault makes a server sick.
 func serverFault(f *fleet, random *rand.Rand) func() {
 	n := f.draw(random)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,9 +6,9 @@
 // keep their connections; and two phases. In the storm, faults come in series
 // and overlap: links are delayed, reset, silenced or cut one way, processes are
 // paused, killed and told to stop, servers fail in part, the store is away or
-// stale, settings change. In the calm after it, settings change, the store shows
-// older ones, all servers reject what comes, a server leaves and a process is
-// told to stop, one after the other and each under load.
+// stale or comes back from a copy, settings change. In the calm after it, settings
+// change, the store shows older ones, all servers reject what comes, a server
+// leaves and a process is told to stop, one after the other and each under load.
 //
 // What callers and servers saw is written down as it happens, and judged in the
 // end (judge.go): what must hold always is judged over the whole
