Let a request be an overdue trial although extra attempts were denied

Cause: no request was a trial for half a second after an extra attempt was denied at its ingress, and under load one is denied every so often.

Change: such requests are trials of a server whose trial is 0.3 s overdue, by the process beside it and by the choice.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -74,6 +74,8 @@
 	firstTrialAfter = 400 * time.Millisecond
 	trialGrowth     = 1.5
 	maxTrialAfter   = time.Second
+	// TrialOverdue is how long after a trial was due a scarce request may be one.
+	TrialOverdue = 300 * time.Millisecond
 	// maxTrials is how many trials may run at once after a first success.
 	maxTrials = 3
 	// successesNeeded in a row close the breaker; each opening within
@@ -135,6 +137,9 @@
 	// Careful requests must not be trials: they cannot be repeated, or no further
 	// attempt is left to them.
 	Careful bool
+	// Scarce requests may be repeated, but extra attempts were denied a moment ago: they are a
+	// trial only where one is overdue.
+	Scarce bool
 	// LastResort requests have no healthy server to go to.
 	LastResort bool
 	// Bears is how much suspicion a careful request bears: a hanging server would
@@ -142,6 +147,9 @@
 	Bears float64
 }
 
+// Guarded reports whether the request keeps off servers that look sick.
+func (a Ask) Guarded() bool { return a.Careful || a.Scarce }
+
 // bears returns how much suspicion the request bears. Also as a last resort it
 // keeps off a server that nearly surely hangs: it would be lost, and hold a slot
 // until its time is over.
@@ -156,11 +164,13 @@
 func (b *Breaker) Allow(now time.Time, ask Ask) bool {
 	switch {
 	case b.state == StateClosed:
-		return !ask.Careful || b.Suspicion(now) <= ask.bears()
+		return !ask.Guarded() || b.Suspicion(now) <= ask.bears()
 	case ask.LastResort && b.share >= UsefulShare:
 		return true
 	case ask.Careful:
 		return false
+	case ask.Scarce:
+		return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter+TrialOverdue
 	case b.state == StateHalfOpen, ask.LastResort:
 		return b.trials < maxTrials
 	}
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -173,3 +173,20 @@
 		})
 	}
 }
+
+// TestScarceTrial: a request that may find no second attempt is a trial only where one is overdue.
+func TestScarceTrial(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := breaker.New()
+	for i := range 2 {
+		id := fmt.Sprint("id-", i)
+		b.Start(now, id, "r", 0)
+		b.End(now, id, breaker.ResultError)
+	}
+	assert.Equal(t, b.State(), breaker.StateOpen)
+	due := now.Add(b.RetryAfter(now))
+	assert.Assert(t, b.Allow(due, breaker.Ask{}))
+	assert.Assert(t, !b.Allow(due, breaker.Ask{Scarce: true}))
+	assert.Assert(t, b.Allow(due.Add(breaker.TrialOverdue), breaker.Ask{Scarce: true}))
+	assert.Assert(t, !b.Allow(due.Add(breaker.TrialOverdue), breaker.Ask{Scarce: true, Careful: true}))
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,6 +65,8 @@
 	// told is the newest state, as it was told at toldAt.
 	told   Told
 	toldAt time.Time
+	// trialAt is when a trial of it became due, or will.
+	trialAt time.Time
 	// success is when this ingress last got a whole answer from it.
 	success time.Time
 	// knownAt is when this ingress heard of the server, askedAt when it last asked it for
@@ -257,8 +259,7 @@
 	if server == nil {
 		return
 	}
-	server.told = told
-	server.toldAt = now
+	server.tell(now, told)
 	server.sentSince = 0
 	server.silence = 0
 	server.avoid = time.Time{}
@@ -271,8 +272,16 @@
 	if server == nil || !at.After(server.toldAt) {
 		return
 	}
-	server.told = told
-	server.toldAt = at
+	server.tell(at, told)
+}
+
+// tell notes a state that was told at a time. A trial that was due already and was not made is
+// due since then.
+func (server *Server) tell(at time.Time, told Told) {
+	if trialAt := at.Add(told.TrialIn); !server.told.Sick || told.TrialIn > 0 || server.trialAt.After(trialAt) {
+		server.trialAt = trialAt
+	}
+	server.told, server.toldAt = told, at
 }
 
 // Succeeded notes a whole answer of a server.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -32,6 +32,15 @@
 		first   string
 		without []string
 	}{
+		"a scarce request asks a sick server whose trial is overdue, however often it says so": {
+			hear: func(s *choice.Service) {
+				for _, at := range []time.Duration{0, 100 * ms, 200 * ms, 300 * ms} {
+					s.Heard(start.Add(at-300*ms), "near-1", choice.Told{Sick: true})
+				}
+				s.Heard(start, "near-2", choice.Told{Sick: true})
+			},
+			ask: breaker.Ask{Scarce: true}, without: []string{"near-2"},
+		},
 		"a full server makes the far ones cheaper": {
 			hear: func(s *choice.Service) {
 				s.Heard(start, "near-1", choice.Told{Load: 5, Slots: 4})
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -85,23 +85,31 @@
 		return PassFull
 	case want.Extra && server.told.Spent && age < spentPause:
 		return PassSpent
-	case server.told.Sick && !server.trialDue(age, want):
+	case server.told.Sick && !server.trialDue(now, want):
 		return PassSick
 	}
 	return PassNone
 }
 
-// trialDue reports whether a sick server may be asked that long after it said so.
-func (server *Server) trialDue(age time.Duration, want Want) bool {
+// trialDue reports whether a sick server may be asked.
+func (server *Server) trialDue(now time.Time, want Want) bool {
+	age := now.Sub(server.toldAt)
 	switch {
 	case want.LastResort:
-		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !want.Careful && age >= lastResortPause
+		return server.told.SuccessShare >= breaker.UsefulShare || age >= sickPause || !want.Guarded() && age >= lastResortPause
 	case want.Careful:
 		return age >= max(server.told.TrialIn, sickPause)
+	case want.Scarce:
+		return server.trialOverdue(now)
 	}
 	return age >= server.told.TrialIn
 }
 
+// trialOverdue reports whether a trial of a sick server should have been made a while ago.
+func (server *Server) trialOverdue(now time.Time) bool {
+	return now.Sub(server.trialAt) >= breaker.TrialOverdue
+}
+
 // pause returns how long a server that was full is not asked again.
 func (t *Told) pause() time.Duration {
 	return min(max(t.SlotIn/2, fullPause), mostFullPause)
@@ -126,7 +134,7 @@
 	if now.Sub(server.toldAt) < loadMemory {
 		cost += suspectCost * min(server.told.Suspicion, mostSuspicion)
 	}
-	if want.Careful && now.Sub(server.success) > recentSuccess {
+	if want.Guarded() && now.Sub(server.success) > recentSuccess {
 		cost += quietCost
 	}
 	return cost
@@ -148,7 +156,8 @@
 // of the requests that may be one. All processes near it hear that it waits, and a few
 // requests are enough.
 func (s *Service) trialRelief(now time.Time, server *Server, want Want) float64 {
-	if want.Careful || !server.told.TrialDue || s.random.Float64() >= trialShare {
+	due := server.told.TrialDue && (!want.Scarce || server.trialOverdue(now))
+	if want.Careful || !due || s.random.Float64() >= trialShare {
 		return 0
 	}
 	return server.sickness(now, want)
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -102,7 +102,7 @@
 		Begun:    r.GetBegun(),
 		// Its slots are held until the requests in them have no time left, up to ten
 		// seconds, although the server may be well again.
-		Beyond:   !r.GetCareful() && in.breaker.Stuck(in.slots.Slots()),
+		Beyond:   !askOf(r).Guarded() && in.breaker.Stuck(in.slots.Slots()),
 		Deadline: now.Add(time.Duration(r.GetRemainingMs()) * time.Millisecond),
 		StartBy:  now.Add(time.Duration(r.GetPatienceMs()) * time.Millisecond),
 	}
@@ -133,6 +133,13 @@
 	return r.GetServer()
 }
 
+// askOf returns what kind of request a reservation is for.
+func askOf(r *slatewindv1.Reservation) breaker.Ask {
+	return breaker.Ask{
+		Careful: r.GetCareful(), Scarce: r.GetScarce(), LastResort: r.GetLastResort(), Bears: float64(r.GetBearableTenths()) / tenths,
+	}
+}
+
 // refuses returns why the server may not get a request now, or nil. The lock is
 // held.
 func (in *Inbound) refuses(now time.Time, r *slatewindv1.Reservation) *slatewindv1.Refusal {
@@ -146,7 +153,7 @@
 	case in.stop != nil && !in.stop.MayLend(now, time.Duration(r.GetExpectedMs())*time.Millisecond):
 		// Shorter requests may still come, so this says nothing of the server.
 		return in.refusal(CauseLate, stops, 0)
-	case !in.judge(now).Allow(now, breaker.Ask{Careful: r.GetCareful(), LastResort: r.GetLastResort(), Bears: float64(r.GetBearableTenths()) / tenths}):
+	case !in.judge(now).Allow(now, askOf(r)):
 		return in.refusal(CauseSick, "", in.breaker.RetryAfter(now))
 	case r.GetExtra() && !in.extras.Left(now):
 		return in.refusal(CauseBudget, "", 0)
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -160,16 +160,19 @@
 	d.active++
 	d.tries++
 	to := aim{
-		tried: maps.Clone(d.tried), ask: breaker.Ask{Careful: !d.mayTry()}, extra: d.tries > 1, again: d.arrivals > 0,
+		tried: maps.Clone(d.tried), ask: d.ask(), extra: d.tries > 1, again: d.arrivals > 0,
 		sent: func(server string) { d.sent <- server },
 	}
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, to) }()
 }
 
-// mayTry reports whether the attempt that begins may be a trial of a server that
-// looks sick: it must be the first, and another attempt must be left after it.
-func (d *dispatch) mayTry() bool {
-	return d.rq.repeatable() && d.tries <= 1 && d.rq.attempts() >= 2 && !d.rq.shard.deniedWithin(time.Now(), denyMemory)
+// ask says whether the attempt that begins may be a trial of a server that looks sick: it
+// must be the first, and another attempt must be left after it.
+func (d *dispatch) ask() breaker.Ask {
+	return breaker.Ask{
+		Careful: !d.rq.repeatable() || d.tries > 1 || d.rq.attempts() < 2,
+		Scarce:  d.rq.shard.deniedWithin(time.Now(), denyMemory),
+	}
 }
 
 // Causes for which an extra attempt is not made.
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -82,7 +82,7 @@
 	return &slatewindv1.Reservation{
 		Service: rq.service, Route: rq.route.GetName(), Workspace: rq.workspace.GetName(), Repeatable: rq.repeatable(), Rank: rq.rank(),
 		RemainingMs: uint32(max(rq.remaining(now), 0).Milliseconds()), PatienceMs: uint32(max(until.Sub(now), 0).Milliseconds()),
-		Careful: to.ask.Careful, LastResort: to.ask.LastResort, BearableTenths: uint32(min(to.ask.Bears, bearsAll) * tenths),
+		Careful: to.ask.Careful, Scarce: to.ask.Scarce, LastResort: to.ask.LastResort, BearableTenths: uint32(min(to.ask.Bears, bearsAll) * tenths),
 		Begun: rq.call != nil, Extra: to.extra, Repeat: rq.call != nil && rq.call.Repeat,
 		ExpectedMs: uint32(rq.expected().Milliseconds()), First: !rq.announced.Swap(true),
 	}
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -38,8 +38,8 @@
 }
 
 const (
-	// denyMemory is how long after a denied extra attempt no first attempt is made a
-	// trial of a sick server, since it could not be repeated.
+	// denyMemory is how long after a denied extra attempt a first attempt is made a trial
+	// of a sick server only where one is overdue, since it may not be repeated.
 	denyMemory = 500 * time.Millisecond
 	// scarceMemory is how long after it extra attempts are taken to be scarce.
 	scarceMemory = 2 * time.Second
