Hand a server no more time than the process beside it has

Ruled out: the ingress's own course, which was open.

Change: a run that begins while the process stops is handed the time until that process can still pass on an answer, as calls are, so that its server ends it itself and its own answer reaches the caller. TestRunCutByStop failed before (1,999 ms handed, 1,579 ms left) and holds now.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -93,6 +93,9 @@
 // Ends returns when the last connection is closed.
 func (c Course) Ends() time.Time { return c.share(endShare) }
 
+// LastAnswer returns when a server must end a request by itself for its answer to be passed on.
+func (c Course) LastAnswer() time.Time { return c.WorkEnds().Add(-answerTime) }
+
 // LastStart returns until when a request may be sent to a server that is likely to work
 // on it for so long. Later it would be given up half done.
 func (c Course) LastStart(expected time.Duration) time.Time {
@@ -118,7 +121,7 @@
 	if !r.Call || !c.MayStart(now, r.Expected) {
 		return r.Deadline, false
 	}
-	if last := c.WorkEnds().Add(-answerTime); now.Sub(c.Began) > excusedTime && r.Deadline.After(last) {
+	if last := c.LastAnswer(); now.Sub(c.Began) > excusedTime && r.Deadline.After(last) {
 		// Should it take longer, its server ends it by itself. Refused, it would fail the
 		// request that the server already works on.
 		return last, true
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -38,9 +40,16 @@
 
 func newPlace(t *testing.T) *place {
 	server := standin.NewStamped("s-1", platform.Servers())
+	p := newPlaceOf(t, server)
+	p.server = server
+	return p
+}
+
+// newPlaceOf returns a place whose server is a handler.
+func newPlaceOf(t *testing.T, server http.Handler) *place {
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
-	p := &place{server: server}
+	p := &place{}
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Dialect: platform.Servers(),
 	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil))
@@ -158,6 +167,22 @@
 	}
 }
 
+// TestRunCutByStop: a server that is given a request while the process beside it stops is handed no more time than that process has.
+func TestRunCutByStop(t *testing.T) {
+	handed := make(chan string, 1)
+	p := newPlaceOf(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handed <- r.Header.Get(platform.Servers().Deadline)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}))
+	course := drain.Course{Began: time.Now().Add(-time.Second), Grace: 3 * time.Second}
+	p.Drain(course, nobody)
+	p.run(reservation(), "id")
+	left := time.Until(course.WorkEnds())
+	milliseconds, err := strconv.Atoi(<-handed)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Duration(milliseconds)*time.Millisecond < left, "%d ms, the process ends in %s", milliseconds, left)
+}
+
 // TestOutcomes: what becomes of one request, by how the server behaves, and
 // whether the server ran it.
 func TestOutcomes(t *testing.T) {
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -24,7 +24,7 @@
 		return u.refuse(CauseLeaving, why)
 	}
 	now := time.Now()
-	remaining := min(time.Duration(request.GetRemainingNanos()), u.expires.Sub(u.in.clock.Now()))
+	remaining := min(time.Duration(request.GetRemainingNanos()), u.expires.Sub(u.in.clock.Now()), u.in.timeLeft(now))
 	if remaining <= 0 {
 		u.release()
 		return u.refuse(CauseLate, "its time was over before the start")
--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"math"
 	"time"
 
 	"slatewind.example/slatewind/drain"
@@ -35,6 +36,17 @@
 	return in.stop.GivesSlots(now, in.slots.Mean(), in.early > 0 || in.callers())
 }
 
+// timeLeft returns how long the server may work on a request that begins now: where the process
+// stops, an answer that comes too late would be lost with it.
+func (in *Inbound) timeLeft(now time.Time) time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.stop == nil {
+		return math.MaxInt64
+	}
+	return in.stop.LastAnswer().Sub(now)
+}
+
 // InHand returns how many reservations have no final reply yet. One whose request has run
 // frees its slot before the answer is on its way.
 func (in *Inbound) InHand() int {
