--- a/discovery/known.go
+++ b/discovery/known.go
@@ -78,6 +78,18 @@
 	for _, ended := range p.Ended {
 		w.ended(ended, p.Revision)
 	}
+	w.takeServers(now, p, begins)
+	if p.Whole && !p.Relayed {
+		w.revision = p.Revision
+	}
+	w.revision = w.revision.Later(p.Revision)
+	if seen := w.clock.Now().Add(-p.Age); seen.After(w.seen) {
+		w.seen = seen
+	}
+}
+
+// takeServers takes the entries of a publication, which may begin an era.
+func (w *Watcher) takeServers(now time.Time, p slatewind.Publication, begins bool) {
 	stated := w.mostStateStarts(p)
 	for _, entry := range p.Servers {
 		switch {
@@ -94,13 +106,6 @@
 	if stated {
 		w.dropUnstated(now, p.Revision)
 	}
-	if p.Whole && !p.Relayed {
-		w.revision = p.Revision
-	}
-	w.revision = w.revision.Later(p.Revision)
-	if seen := w.clock.Now().Add(-p.Age); seen.After(w.seen) {
-		w.seen = seen
-	}
 }
 
 // put takes an entry that was heard of at a revision.
--- a/discovery/restored_test.go
+++ b/discovery/restored_test.go
@@ -268,7 +268,7 @@
 }
 
 func (m *model) ask() {
-	p := m.reader.Since(m.other.Watcher.after())
+	p := m.reader.Since(m.other.after())
 	p.Relayed = true
 	m.other.take(m.now, p)
 }
--- a/gossip/spread_test.go
+++ b/gossip/spread_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"slatewind.example/slatewind"
 )
 
 // TestSpread2200 has one reader see a new revision in a fleet of the target
