Explain a request from several processes and from log files

A request's filter selects its calls too, by the separator rule that the processes use to recognise them; it is the only change in the daemon, and only its operators' interface uses it.

--- a/call.go
+++ b/call.go
@@ -1,5 +1,11 @@
 package slatewind
 
+import (
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
 // Call is a request that the server of this VM makes while it runs another: part
 // of work that has begun.
 type Call struct {
@@ -16,3 +22,14 @@
 	// Call reports whether the request with an id is such a call.
 	Call(id string) (Call, bool)
 }
+
+// CallOf reports whether an id is that of a call which a server made for the request with the
+// other id: the call's extends it by a separator and something more.
+func CallOf(id, request string) bool {
+	rest, extends := strings.CutPrefix(id, request)
+	if !extends || rest == "" || request == "" {
+		return false
+	}
+	separator, _ := utf8.DecodeRuneInString(rest)
+	return !unicode.IsLetter(separator) && !unicode.IsDigit(separator)
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -16,7 +15,6 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/zeebo/errs"
 
-	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/measure"
@@ -71,7 +69,7 @@
 	}{
 		{"check", "check settings files", "Checks operators' files, or with --process the settings of processes, and prints every finding as file:line:column: message (check).", &checkCommand{out: out}},
 		{"state", "dump the state of a process", "Prints what a process knows and does, as text or JSON. ADDR is its admin address.", &stateCommand{out: out}},
-		{"explain", "explain decisions", "Prints the journal of a process: why a server was judged sick, why a request was refused. ADDR is its admin address.", &explainCommand{out: out}},
+		{"explain", "explain decisions", "Prints the journals of processes: why a server was judged sick, why a request was refused, in the order of time. Decisions about calls that a server made for a request are indented. SOURCE is the admin address of a process or, with --logs, a log file.", &explainCommand{out: out}},
 		{"settings", "show which settings are in force where", "Prints for each process which revision is in force and since when.", &settingsCommand{out: out}},
 		{"ready", "wait until processes are ready", "Waits until every process serves callers.", &readyCommand{out: out}},
 		{"record", "fetch recent events as a trace", "Prints the recent events of a process as a trace for slatewind replay.", &recordCommand{out: out}},
@@ -214,42 +212,6 @@
 	return strings.Join(words, " ")
 }
 
-type explainCommand struct {
-	out     io.Writer
-	Service string     `long:"service" description:"only decisions about this service" value-name:"NAME"`
-	Server  string     `long:"server" description:"only decisions about this server" value-name:"NAME"`
-	Request string     `long:"request" description:"only decisions about the request with this Slatewind-Request id" value-name:"ID"`
-	Args    oneAddress `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *explainCommand) Execute([]string) error {
-	query := url.Values{}
-	query.Set("service", c.Service)
-	query.Set("server", c.Server)
-	query.Set("request", c.Request)
-	text, err := fetch(c.Args.Address, "/journal?"+query.Encode())
-	if err != nil {
-		return err
-	}
-	decisions, err := decode[[]slatewind.Decision](text)
-	if err != nil {
-		return err
-	}
-	if len(decisions) == 0 {
-		_, err := fmt.Fprintln(c.out, "the journal holds no such decision")
-		return err
-	}
-	for _, d := range decisions {
-		_, err := fmt.Fprintf(c.out, "%s %s %s: %s [%s]\n", d.Time.Format("15:04:05.000"), d.Kind,
-			strings.TrimSpace(d.Service+" "+d.Server+" "+d.Request), d.Reason, d.Evidence)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 type settingsCommand struct {
 	out  io.Writer
 	Args struct {
--- a/cli/report.go
+++ b/cli/report.go
@@ -24,7 +24,7 @@
 	collector := logreport.NewCollector()
 	var group errs.Group
 	for _, log := range c.Args.Logs {
-		group.Add(ErrUnreached.Wrap(readLog(collector, log)))
+		group.Add(ErrUnreached.Wrap(eachLine(log, collector.Add)))
 	}
 	report := collector.Report()
 	group.Add(report.WriteText(c.out))
@@ -37,8 +37,8 @@
 	return group.Err()
 }
 
-// readLog gives the lines of a file to the collector.
-func readLog(collector *logreport.Collector, file string) error {
+// eachLine hands every line of a file with its place to take.
+func eachLine(file string, take func(place logreport.Place, text string)) error {
 	f, err := os.Open(file)
 	if err != nil {
 		return err
@@ -47,7 +47,7 @@
 	reader := bufio.NewReader(f)
 	for number := 1; ; number++ {
 		text, err := reader.ReadString('\n')
-		collector.Add(logreport.Place{File: file, Line: number}, text)
+		take(logreport.Place{File: file, Line: number}, text)
 		if err == io.EOF {
 			return nil
 		}
--- a/history/history.go
+++ b/history/history.go
@@ -76,17 +76,19 @@
 type Filter struct {
 	Service string
 	Server  string
+	// Request matches the calls too that a server made for the request.
 	Request string
 }
 
-func (f Filter) matches(d slatewind.Decision) bool {
+// Matches reports whether the filter selects a decision.
+func (f Filter) Matches(d slatewind.Decision) bool {
 	if f.Service != "" && f.Service != d.Service {
 		return false
 	}
 	if f.Server != "" && f.Server != d.Server {
 		return false
 	}
-	return f.Request == "" || f.Request == d.Request
+	return f.Request == "" || f.Request == d.Request || slatewind.CallOf(d.Request, f.Request)
 }
 
 // Find returns the matching decisions, oldest first.
@@ -95,7 +97,7 @@
 	defer j.mu.Unlock()
 	var found []slatewind.Decision
 	for _, d := range j.ordered() {
-		if f.matches(d) {
+		if f.Matches(d) {
 			found = append(found, d)
 		}
 	}
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// TestFilterOfRequest: a request's calls belong to it, ids that only begin alike don't.
+func TestFilterOfRequest(t *testing.T) {
+	tests := map[string]struct {
+		id   string
+		want bool
+	}{
+		"itself":                {"r-1", true},
+		"call":                  {"r-1/2", true},
+		"call of a call":        {"r-1/2.1", true},
+		"digit behind it":       {"r-10", false},
+		"letter behind it":      {"r-1é", false},
+		"request it belongs to": {"r", false},
+		"no id":                 {"", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			filter := history.Filter{Request: "r-1"}
+			assert.Equal(t, filter.Matches(slatewind.Decision{Request: test.id}), test.want)
+		})
+	}
+}
+
 // TestResize: a journal of another size keeps the newest decisions, in their order.
 func TestResize(t *testing.T) {
 	tests := map[string]struct {
--- a/logreport/collector.go
+++ b/logreport/collector.go
@@ -102,7 +102,7 @@
 // take counts one line by its message.
 func (c *Collector) take(l line) error {
 	switch l.fields["msg"] {
-	case "decision":
+	case decisionMessage:
 		return c.decision(l)
 	case "lines left out":
 		return c.leftOut(l)
--- a/logreport/line.go
+++ b/logreport/line.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-logfmt/logfmt"
 	"github.com/zeebo/errs"
+
+	"slatewind.example/slatewind"
 )
 
 // Error is the class of errors of this package.
@@ -59,6 +61,9 @@
 	fields map[string]string
 }
 
+// decisionMessage is that of the lines that tell a decision.
+const decisionMessage = "decision"
+
 // firstKeys are the keys with which lines of processes begin.
 var firstKeys = []string{"time=", "level="}
 
@@ -95,6 +100,20 @@
 	return l, nil
 }
 
+// Decision returns the decision that a line of a log tells, and the process that made it.
+// Lines that tell of something else are not found.
+func Decision(file, text string) (process string, d slatewind.Decision, found bool, err error) {
+	l, err := parseLine(file, text)
+	if err != nil || l.fields["msg"] != decisionMessage {
+		return "", slatewind.Decision{}, false, err
+	}
+	return l.source, slatewind.Decision{
+		Time: l.at, Kind: slatewind.DecisionKind(l.fields["kind"]),
+		Service: l.fields["service"], Server: l.fields["server"], Request: l.fields["request"],
+		Reason: l.fields["reason"], Evidence: l.fields["evidence"],
+	}, true, nil
+}
+
 // beginOf returns where a key begins a word, or -1.
 func beginOf(text, key string) int {
 	if strings.HasPrefix(text, key) {
