--- a/choice/choice.go
+++ b/choice/choice.go
@@ -214,7 +214,7 @@
 // sickShare returns the share of the servers that are expected to be sick among those of
 // which nothing was heard lately, by those of which something was. A sick server is idle,
 // so that at no cost it would be asked before all that are busy with the requests that it
-// does not take: while two servers in five were sick, 17 of 20 that a request asked were.
+// does not take.
 func (s *Service) sickShare(now time.Time) float64 {
 	heard, sick := 0, 0
 	for _, server := range s.servers {
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -12,10 +12,7 @@
 
 // How far the heap may grow, in percent of what lives, before garbage is collected. Memory is
 // paid for by its peak, so a process that has processor time to spare collects early. One that
-// is short of it collects seldom. With 93 processes on VMs of 0.16 to 0.8 of a core, which an
-// overload keeps at 0.05 of a core each, 200 percent takes 0.76 of the processor time that 30
-// takes, and 1.5 times the memory; the share of the requests' value that is served rises from
-// 0.69 to 0.81 (processor seconds and memory over time of all processes, 13 s of load).
+// is short of it collects seldom, at the price of more memory.
 const (
 	leastGCPercent = 30
 	mostGCPercent  = 200
--- a/discovery/elect.go
+++ b/discovery/elect.go
@@ -35,8 +35,8 @@
 }
 
 // electorate ranks the processes of each data centre. It is made when servers come or
-// go, and not for each question to a reader: sorting 21,000 servers took 47 ms of every
-// 450, and finding the readers among ranked ones takes 0.1 ms (BenchmarkElect).
+// go, and not for each question to a reader: sorting all servers is far more work than
+// finding the readers among ranked ones (BenchmarkElect).
 type electorate struct {
 	// ranked holds the candidates of each data centre by their hashes.
 	ranked map[string][]candidate
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -44,11 +44,9 @@
 	// hand then counts as unusually long.
 	stragglerFactor = 2
 	// lendShare is the share of the grace time until which slots are given out for that
-	// reason. A slot that was given out after three quarters of it had its request cut by
-	// the end of the process.
+	// reason. A request that starts later may be cut off by the end of the process.
 	lendShare = 0.65
-	// drainTime is how long what is in hand at the close mostly takes: of 53 stops half
-	// ended 0.02 s after it and all within 1.1 s.
+	// drainTime is how long what is in hand at the close mostly takes.
 	drainTime = 500 * time.Millisecond
 	// startTime is how long it takes from the end of a process until the next one is ready.
 	startTime = 800 * time.Millisecond
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -94,9 +94,8 @@
 	item := admission.Item{
 		ID:       fmt.Sprint(in.nextID),
 		Priority: slatewind.PriorityInteractive,
-		// Within a rank, the workspace with the fewest requests in slots goes first. Without it
-		// workspaces that sent what fits were served 0.70 beside one that floods, as that one;
-		// with it 1.00 (package overload, one-workspace-floods).
+		// Within a rank, the workspace with the fewest requests in slots goes first, so that one
+		// that floods does not crowd out the others (package overload, one-workspace-floods).
 		Customer: r.GetWorkspace(),
 		Rank:     r.GetRank(),
 		Begun:    r.GetBegun(),
--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -8,8 +8,7 @@
 )
 
 // Drain begins the end of the process. The server is well, so its slots are given out as
-// long as the stop is open: a process that refused all from its SIGTERM on left its server
-// without work for 2.8 s and more.
+// long as the stop is open; else it would be without work for the whole stop.
 // callers reports whether the process has requests of callers in hand.
 func (in *Inbound) Drain(course drain.Course, callers func() bool) {
 	in.mu.Lock()
--- a/retry/denials.go
+++ b/retry/denials.go
@@ -2,11 +2,10 @@
 
 // A search for an extra attempt asks one server after the other whether it may get one,
 // and ends after so many denials: calmDenials where none was denied lately, scarceDenials
-// where some were. While all servers reject half of their requests, each extra attempt that
-// a server earns is found at once by one of the many searches: 2, 24 or 60 denials a search
-// serve the same 0.72 of the requests, with 2.0, 9.4 and 21 reservations a request
-// (package overload, all-shed-half). At other times the few servers that have earned an
-// attempt have to be found. Lower ranks ask fewer, leastDenials at the least.
+// where some were. While attempts are scarce, each one that a server earns is found at once
+// by one of the many searches, and longer ones only cost messages (package overload,
+// all-shed-half). At other times the few servers that have earned an attempt have to be
+// found. Lower ranks ask fewer, leastDenials at the least.
 const (
 	calmDenials   = 24
 	scarceDenials = 6
--- a/search/search.go
+++ b/search/search.go
@@ -41,7 +41,7 @@
 	// than bytes between data centres.
 	widenShare = 0.15
 	// firstPause is the pause before the servers are asked anew; it doubles up to
-	// maxPause. Asking them every 40 ms filled the network under overload.
+	// maxPause, since questions fill the network under overload.
 	firstPause = 20 * time.Millisecond
 	maxPause   = 80 * time.Millisecond
 )
@@ -52,7 +52,7 @@
 	leastBears = 0.7
 	// bearsPerCost is how much more it bears for each full server that the next choice is
 	// dearer by: a near server that is perhaps silent is borne before the bytes of a far
-	// one are paid for. At 0.8 those cost more than was gained.
+	// one are paid for.
 	bearsPerCost = 3.0
 	// mostBears bounds it: beyond, most servers that are so silent hang, and each request
 	// that they take holds one of their slots until its time is over.
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -10,7 +10,7 @@
 const (
 	// probeTick is how often due probes are looked for.
 	probeTick = 250 * time.Millisecond
-	// probeTimeout bounds one probe; the brief states 25 ms for one.
+	// probeTimeout bounds one probe; one that answers takes milliseconds.
 	probeTimeout = time.Second
 	// drainReason is the reason of a drain that the server asked for itself.
 	drainReason = "the server says that it drains"
