--- a/cli/cli.go
+++ b/cli/cli.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -68,13 +67,14 @@
 		data              any
 	}{
 		{"check", "check settings files", "Checks operators' files, or with --process the settings of processes, and prints every finding as file:line:column: message (check).", &checkCommand{out: out}},
-		{"state", "dump the state of a process", "Prints what a process knows and does, as text or JSON. ADDR is its admin address.", &stateCommand{out: out}},
+		{"state", "dump the state of a process", "Prints what a process knows and does, as text or JSON, once or again and again. ADDR is its admin address.", &stateCommand{out: out}},
 		{"explain", "explain decisions", "Prints the journals of processes: why a server was judged sick, why a request was refused, in the order of time. Decisions about calls that a server made for a request are indented. SOURCE is the admin address of a process or, with --logs, a log file.", &explainCommand{out: out}},
 		{"settings", "show which settings are in force where", "Prints for each process which revision is in force and since when.", &settingsCommand{out: out}},
 		{"ready", "wait until processes are ready", "Waits until every process serves callers.", &readyCommand{out: out}},
 		{"record", "fetch recent events as a trace", "Prints the recent events of a process as a trace for slatewind replay.", &recordCommand{out: out}},
 		{"measure", "measure the policy", "Runs the policy and two baselines through scenarios in virtual time and prints detection time, false ejections and what callers get.", &measureCommand{out: out}},
 		{"report", "sum up logs", "Reads the log files of processes and prints by service and kind of route what went unserved and why, which breakers opened, extra attempts, servers not asked, and stops. With --html also as a page with plots.", &reportCommand{out: out}},
+		{"completion", "print a script for a shell that completes command lines", "Prints a script that a shell reads to complete command lines of slatewind. SHELL is bash, zsh or fish.", &completionCommand{out: out}},
 		{"digest", "digest keys of workspaces", "Reads keys from the standard input, one in a line, and prints the digest of each for the settings of its workspace.", &digestCommand{out: out}},
 		{"replay", "replay traces", "Plays traces through the decision code and compares with their stated outcomes.", &replayCommand{out: out}},
 	}
@@ -147,71 +147,6 @@
 	Address string `positional-arg-name:"ADDR" required:"yes"`
 }
 
-type stateCommand struct {
-	out  io.Writer
-	JSON bool       `long:"json" description:"print JSON"`
-	Args oneAddress `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *stateCommand) Execute([]string) error {
-	text, err := fetch(c.Args.Address, "/state")
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		_, err := c.out.Write(text)
-		return err
-	}
-	state, err := decode[admin.State](text)
-	if err != nil {
-		return err
-	}
-	return writeState(c.out, state)
-}
-
-func writeState(out io.Writer, s admin.State) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	line := func(format string, values ...any) { _, _ = fmt.Fprintf(w, format+"\n", values...) }
-	line("vm\t%s\tdata centre %s", s.VM, s.DataCentre)
-	line("settings\trevision %d\tsince %s", s.Settings.Revision, s.Settings.Since.Format(time.RFC3339))
-	line("platform\tseen %s ago\treader %t", s.PlatformAge, s.Reader)
-	if s.Known != nil {
-		line("servers\tknown until revision %s", s.Known)
-	}
-	for _, service := range s.Ingress.Services {
-		line("service\t%s\tcapacity %d\tfloor %d", service.Name, service.Capacity, service.Floor)
-		for _, server := range service.Servers {
-			line("\t%s\t%s\tweight %.2f\tload %.0f\t%s\t%s", server.Name, server.State, server.Weight, server.Load, server.Score, remarks(server.Leaving, server.Unreachable))
-		}
-	}
-	for _, door := range s.Sidecar.Servers {
-		line("own server\t%s\tslots %d/%d\tqueued %d\toutcomes %d\t%s", door.Server, door.InUse, door.Slots, door.Queued, door.Outcomes, door.Leaving)
-	}
-	line("once\t%d records\t%d bytes of answers", s.Sidecar.OnceRecords, s.Sidecar.AnswerBytes)
-	for _, u := range s.Limits {
-		line("limit\t%s\t%s\t%g a second, burst %g\t%.1f tokens left", u.Workspace, u.Role, u.Rate, u.Burst, u.Level)
-	}
-	for _, r := range s.Suspects {
-		line("suspect\trequest %s\t%d servers ended\trefused %t\ttrial in %s", r.Digest, r.Ends, r.Refused, time.Duration(r.TrialInMs)*time.Millisecond)
-	}
-	for _, m := range s.Members {
-		line("member\t%s\t%s\t%s\tby %s\t%s ago", m.VM, m.DataCentre, m.State, m.Source, s.Time.Sub(m.Updated).Round(time.Second))
-	}
-	return w.Flush()
-}
-
-func remarks(leaving, unreachable bool) string {
-	var words []string
-	if leaving {
-		words = append(words, "leaving")
-	}
-	if unreachable {
-		words = append(words, "unreachable")
-	}
-	return strings.Join(words, " ")
-}
-
 type settingsCommand struct {
 	out  io.Writer
 	Args struct {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -70,29 +70,31 @@
 		output string
 		code   int
 	}{
-		"check":               {[]string{"check", "../examples/dakar/fleet.yaml", "../examples/svealand/fleet.yaml"}, "2 file(s) without findings", cli.ExitOK},
-		"check findings":      {[]string{"check", wrong}, wrong + ":1:11: file describes no service (SW1004)", cli.ExitFindings},
-		"check nothing":       {[]string{"check"}, "no FILE given", cli.ExitUsage},
-		"check no such file":  {[]string{"check", "nowhere.yaml"}, "no such file", cli.ExitUnreached},
-		"explain a check":     {[]string{"check", "--explain", "SW1006"}, "A floor is at most the number of servers", cli.ExitOK},
-		"explain no check":    {[]string{"check", "--explain", "SW9"}, `no check is named "SW9"`, cli.ExitUsage},
-		"state":               {[]string{"state", address}, "kassa-2     ejected", cli.ExitOK},
-		"state as JSON":       {[]string{"state", "--json", address}, `"state": "ejected"`, cli.ExitOK},
-		"explain a server":    {[]string{"explain", address, "--server", "kassa-2"}, "eject kassa kassa-2: its score reached the threshold [chart=slow]", cli.ExitOK},
-		"explain a request":   {[]string{"explain", address, "--request", "r-1"}, "refuse kassa  r-1: the queue is full", cli.ExitOK},
-		"explain nothing":     {[]string{"explain", address, "--request", "r-9"}, "holds no such decision", cli.ExitOK},
-		"settings":            {[]string{"settings", address}, "vm-1  revision 7", cli.ExitOK},
-		"settings, one away":  {[]string{"settings", address, "127.0.0.1:1"}, "connection refused", cli.ExitUnreached},
-		"record":              {[]string{"record", address}, "name: recorded", cli.ExitOK},
-		"ready":               {[]string{"ready", address}, "1 process(es) ready", cli.ExitOK},
-		"not ready":           {[]string{"ready", "--within", "1ms", "127.0.0.1:1"}, "connection refused", cli.ExitUnreached},
-		"replay":              {[]string{"replay", "../testdata/traces/kassa-hang.yaml"}, "pass kassa-hang", cli.ExitOK},
-		"replay missed":       {[]string{"replay", missed}, "1 stated outcome(s) missed", cli.ExitFindings},
-		"measure unknown":     {[]string{"measure", "nothing"}, `no scenario is named "nothing"`, cli.ExitUsage},
-		"measure":             {[]string{"measure", "--seeds", "1", "--ours", "--csv", "hang"}, "hang,kassa,slatewind,false,", cli.ExitOK},
-		"list scenarios":      {[]string{"measure", "--list"}, "held-retry-storm", cli.ExitOK},
-		"unknown option":      {[]string{"state", "--nothing", address}, "unknown flag", cli.ExitUsage},
-		"help of one command": {[]string{"explain", "--help"}, "why a server was judged sick", cli.ExitOK},
+		"check":                {[]string{"check", "../examples/dakar/fleet.yaml", "../examples/svealand/fleet.yaml"}, "2 file(s) without findings", cli.ExitOK},
+		"check findings":       {[]string{"check", wrong}, wrong + ":1:11: file describes no service (SW1004)", cli.ExitFindings},
+		"check nothing":        {[]string{"check"}, "no FILE given", cli.ExitUsage},
+		"check no such file":   {[]string{"check", "nowhere.yaml"}, "no such file", cli.ExitUnreached},
+		"explain a check":      {[]string{"check", "--explain", "SW1006"}, "A floor is at most the number of servers", cli.ExitOK},
+		"explain no check":     {[]string{"check", "--explain", "SW9"}, `no check is named "SW9"`, cli.ExitUsage},
+		"state":                {[]string{"state", address}, "kassa-2     ejected", cli.ExitOK},
+		"state, watched":       {[]string{"state", "--watch", "--every", "1ms", "--times", "2", address}, "ejected", cli.ExitOK},
+		"state, never watched": {[]string{"state", "--watch", "--every", "0s", address}, "no time to wait", cli.ExitUsage},
+		"state as JSON":        {[]string{"state", "--json", address}, `"state": "ejected"`, cli.ExitOK},
+		"explain a server":     {[]string{"explain", address, "--server", "kassa-2"}, "eject kassa kassa-2: its score reached the threshold [chart=slow]", cli.ExitOK},
+		"explain a request":    {[]string{"explain", address, "--request", "r-1"}, "refuse kassa  r-1: the queue is full", cli.ExitOK},
+		"explain nothing":      {[]string{"explain", address, "--request", "r-9"}, "holds no such decision", cli.ExitOK},
+		"settings":             {[]string{"settings", address}, "vm-1  revision 7", cli.ExitOK},
+		"settings, one away":   {[]string{"settings", address, "127.0.0.1:1"}, "connection refused", cli.ExitUnreached},
+		"record":               {[]string{"record", address}, "name: recorded", cli.ExitOK},
+		"ready":                {[]string{"ready", address}, "1 process(es) ready", cli.ExitOK},
+		"not ready":            {[]string{"ready", "--within", "1ms", "127.0.0.1:1"}, "connection refused", cli.ExitUnreached},
+		"replay":               {[]string{"replay", "../testdata/traces/kassa-hang.yaml"}, "pass kassa-hang", cli.ExitOK},
+		"replay missed":        {[]string{"replay", missed}, "1 stated outcome(s) missed", cli.ExitFindings},
+		"measure unknown":      {[]string{"measure", "nothing"}, `no scenario is named "nothing"`, cli.ExitUsage},
+		"measure":              {[]string{"measure", "--seeds", "1", "--ours", "--csv", "hang"}, "hang,kassa,slatewind,false,", cli.ExitOK},
+		"list scenarios":       {[]string{"measure", "--list"}, "held-retry-storm", cli.ExitOK},
+		"unknown option":       {[]string{"state", "--nothing", address}, "unknown flag", cli.ExitUsage},
+		"help of one command":  {[]string{"explain", "--help"}, "why a server was judged sick", cli.ExitOK},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -102,3 +104,23 @@
 		})
 	}
 }
+
+// TestStateIsWatched: each dump begins on a cleared screen, and a process that is away is told of in its place.
+func TestStateIsWatched(t *testing.T) {
+	tests := map[string]struct {
+		address string
+		dump    string
+		code    int
+	}{
+		"there": {fakeProcess(t), "kassa-2     ejected", cli.ExitOK},
+		"away":  {"127.0.0.1:1", "connection refused", cli.ExitUnreached},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			out, code := execute(t, "state", "--watch", "--every", "1ms", "--times", "3", test.address)
+			assert.Equal(t, code, test.code, out)
+			assert.Equal(t, strings.Count(out, "\x1b[2J"), 3)
+			assert.Equal(t, strings.Count(out, test.dump), 3)
+		})
+	}
+}
--- /dev/null
+++ b/cli/state.go
@@ -0,0 +1,122 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"slatewind.example/slatewind/admin"
+)
+
+type stateCommand struct {
+	out   io.Writer
+	JSON  bool          `long:"json" description:"print JSON"`
+	Watch bool          `long:"watch" description:"print it again and again, until interrupted"`
+	Every time.Duration `long:"every" description:"with --watch, the time between two dumps" default:"1s" value-name:"TIME"`
+	Times int           `long:"times" description:"with --watch, how many dumps to print; 0 has no end" value-name:"N"`
+	Args  oneAddress    `positional-args:"yes"`
+}
+
+// clearScreen makes a terminal begin at its first line.
+const clearScreen = "\x1b[H\x1b[2J"
+
+// Execute implements flags.Commander.
+func (c *stateCommand) Execute([]string) error {
+	if !c.Watch {
+		return c.print()
+	}
+	if c.Every <= 0 {
+		return errs.New("slatewind state: --every %s is no time to wait", c.Every)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	return c.watch(ctx)
+}
+
+// watch prints the state again and again. A process that does not answer is told of in place
+// of its state: it may be there again the next time.
+func (c *stateCommand) watch(ctx context.Context) error {
+	for printed := 1; ; printed++ {
+		if _, err := io.WriteString(c.out, clearScreen); err != nil {
+			return err
+		}
+		err := c.print()
+		if c.Times > 0 && printed >= c.Times {
+			return err
+		}
+		if err != nil {
+			_, _ = fmt.Fprintln(c.out, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(c.Every):
+		}
+	}
+}
+
+// print prints the state once.
+func (c *stateCommand) print() error {
+	text, err := fetch(c.Args.Address, "/state")
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		_, err := c.out.Write(text)
+		return err
+	}
+	state, err := decode[admin.State](text)
+	if err != nil {
+		return err
+	}
+	return writeState(c.out, state)
+}
+
+func writeState(out io.Writer, s admin.State) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line := func(format string, values ...any) { _, _ = fmt.Fprintf(w, format+"\n", values...) }
+	line("vm\t%s\tdata centre %s", s.VM, s.DataCentre)
+	line("settings\trevision %d\tsince %s", s.Settings.Revision, s.Settings.Since.Format(time.RFC3339))
+	line("platform\tseen %s ago\treader %t", s.PlatformAge, s.Reader)
+	if s.Known != nil {
+		line("servers\tknown until revision %s", s.Known)
+	}
+	for _, service := range s.Ingress.Services {
+		line("service\t%s\tcapacity %d\tfloor %d", service.Name, service.Capacity, service.Floor)
+		for _, server := range service.Servers {
+			line("\t%s\t%s\tweight %.2f\tload %.0f\t%s\t%s", server.Name, server.State, server.Weight, server.Load, server.Score, remarks(server.Leaving, server.Unreachable))
+		}
+	}
+	for _, door := range s.Sidecar.Servers {
+		line("own server\t%s\tslots %d/%d\tqueued %d\toutcomes %d\t%s", door.Server, door.InUse, door.Slots, door.Queued, door.Outcomes, door.Leaving)
+	}
+	line("once\t%d records\t%d bytes of answers", s.Sidecar.OnceRecords, s.Sidecar.AnswerBytes)
+	for _, u := range s.Limits {
+		line("limit\t%s\t%s\t%g a second, burst %g\t%.1f tokens left", u.Workspace, u.Role, u.Rate, u.Burst, u.Level)
+	}
+	for _, r := range s.Suspects {
+		line("suspect\trequest %s\t%d servers ended\trefused %t\ttrial in %s", r.Digest, r.Ends, r.Refused, time.Duration(r.TrialInMs)*time.Millisecond)
+	}
+	for _, m := range s.Members {
+		line("member\t%s\t%s\t%s\tby %s\t%s ago", m.VM, m.DataCentre, m.State, m.Source, s.Time.Sub(m.Updated).Round(time.Second))
+	}
+	return w.Flush()
+}
+
+func remarks(leaving, unreachable bool) string {
+	var words []string
+	if leaving {
+		words = append(words, "leaving")
+	}
+	if unreachable {
+		words = append(words, "unreachable")
+	}
+	return strings.Join(words, " ")
+}
