--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,18 @@
-# Targets: build, test, soak, soak-all, run, bench, capacity, measure, generate, lint, format.
-.PHONY: build test soak soak-all run bench capacity measure generate lint format
+# Targets: build, release, test, soak, soak-all, run, bench, capacity, measure, generate, lint, format.
+.PHONY: build release test soak soak-all run bench capacity measure generate lint format
 
 GOLANGCI = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 build:
 	go build -o bin/ ./cmd/...
 
+# Static programs that state their version, with checksums, in dist/.
+VERSION ?= $(shell git describe --tags --always --dirty)
+release:
+	rm -rf dist
+	CGO_ENABLED=0 go build -trimpath -ldflags='-X slatewind.example/slatewind/daemon.Version=$(VERSION)' -o dist/ ./cmd/slatewind ./cmd/slatewindd
+	cd dist && sha256sum slatewind slatewindd >SHA256SUMS
+
 # SKIP passes over tests, as CI does with those of KNOWN-RED.txt.
 SKIP ?=
 test:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,8 +36,8 @@
 	"slatewind.example/slatewind/timer"
 )
 
-// Version is the program's version.
-const Version = "0.1"
+// Version is the program's version; a release sets its own when it is linked.
+var Version = "0.1"
 
 // Error is the class of errors of this package.
 var Error = errs.Class("daemon")
