Count servers' own error answers in the report of logs

Operators saw fewer unserved requests in slatewind report than callers had: kind=server-error lines, one for each error answer that a caller gets, were read and dropped, and the page said that logs don't hold them. They count as unserved with the outcome answer now, by status; what came of a last attempt behind it is cut off, since it differs from request to request. TestText/server-errors failed before: its two lines were missing.

--- a/logreport/cause.go
+++ b/logreport/cause.go
@@ -37,8 +37,12 @@
 // maxCause bounds a cause that is told as it stands, in bytes.
 const maxCause = 80
 
+// lastAttempt stands before what came of a further attempt than the one that a reason is about.
+const lastAttempt = "; the last attempt: "
+
 // causeOf returns the cause in a reason, without what differs from request to request.
 func causeOf(reason string) string {
+	reason, _, _ = strings.Cut(reason, lastAttempt)
 	reason = allRefusals.ReplaceAllString(reason, "")
 	for _, word := range refusals {
 		if strings.HasPrefix(reason, string(word)+": ") {
--- a/logreport/collector.go
+++ b/logreport/collector.go
@@ -130,6 +130,8 @@
 		return c.unserved(l, slatewind.OutcomeNotRun)
 	case slatewind.DecisionUnknown:
 		return c.unserved(l, slatewind.OutcomeUnknown)
+	case slatewind.DecisionError:
+		return c.unserved(l, slatewind.OutcomeAnswer)
 	case slatewind.DecisionRetry, slatewind.DecisionHedge:
 		c.extra(l, kind)
 	case slatewind.DecisionEject:
@@ -174,7 +176,7 @@
 	}
 }
 
-// unserved counts a request that ended without a server's answer.
+// unserved counts a request that no server served.
 func (c *Collector) unserved(l line, outcome slatewind.Outcome) error {
 	evidence := pairsOf(l.fields["evidence"])
 	kind := slatewind.Kind(orUnnamed(evidence["kind"]))
--- a/logreport/logreport.go
+++ b/logreport/logreport.go
@@ -54,9 +54,10 @@
 	Searches Searches
 }
 
-// Unserved counts the requests that ended without a server's answer for one cause.
+// Unserved counts the requests that no server served for one cause.
 type Unserved struct {
-	// Outcome says whether they are proved not to have run.
+	// Outcome says whether they are proved not to have run; OutcomeAnswer is a server's own
+	// error answer.
 	Outcome slatewind.Outcome
 	Cause   string
 	Count   int
--- a/logreport/logreport_test.go
+++ b/logreport/logreport_test.go
@@ -36,10 +36,11 @@
 // TestText compares the reports of recorded logs with what they should tell.
 func TestText(t *testing.T) {
 	tests := map[string][]string{
-		"one-process": {"vm-1.log"},
-		"merged":      {"merged.log"},
-		"all":         {"vm-1.log", "merged.log", "damaged.log"},
-		"nothing":     nil,
+		"one-process":   {"vm-1.log"},
+		"merged":        {"merged.log"},
+		"server-errors": {"server-errors.log"},
+		"all":           {"vm-1.log", "merged.log", "damaged.log"},
+		"nothing":       nil,
 	}
 	for name, files := range tests {
 		t.Run(name, func(t *testing.T) {
