Count requests that hang until their deadline as failed in the replay of load

Cause: a request at a hanging server was given a time that ended just at its deadline, and only one past it was an error; so all of them counted as served, and as good evidence for their server.

Change: an answer at the deadline is an error. The log line of a pattern also tells the share served within the objective.

--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -262,6 +262,9 @@
 		rq.from.service.Succeeded(w.now, name)
 		rq.done = true
 		w.served++
+		if w.now.Sub(rq.began) <= w.Objective {
+			w.inTime++
+		}
 		w.answered[rq.sender.Name]++
 		return
 	}
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -103,7 +103,9 @@
 // tally counts what came of a pattern.
 type tally struct {
 	requests, served, refused, failed int
-	reservations, first, extra        int
+	// inTime counts those that were served within their objective.
+	inTime                     int
+	reservations, first, extra int
 	// sick, full and denied count refused reservations, waits those that were queued.
 	sick, full, denied, waits int
 	held                      []time.Duration
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -47,8 +47,8 @@
 			reservations := float64(got.reservations) / float64(got.requests)
 			extra := float64(got.extra) / float64(max(got.first, 1))
 			held := percentile90(got.held)
-			t.Logf("%d requests: served %.3f, refused %d, failed %d, held %s; %.3f extra arrivals; %.2f reservations a request, of all %d sick, %d full, %d denied, %d that waited",
-				got.requests, served, got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.sick, got.full, got.denied, got.waits)
+			t.Logf("%d requests: served %.3f (%.3f in time), refused %d, failed %d, held %s; %.3f extra arrivals; %.2f reservations a request, of all %d sick, %d full, %d denied, %d that waited",
+				got.requests, served, float64(got.inTime)/float64(got.requests), got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.sick, got.full, got.denied, got.waits)
 			assert.Equal(t, got.served+got.refused+got.failed, got.requests, "each request has one outcome")
 			assert.Check(t, served >= p.Want.Served, "served %.3f", served)
 			assert.Check(t, reservations <= p.Want.Reservations, "%.2f reservations a request", reservations)
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -184,7 +184,7 @@
 			took, result = promptly, breaker.ResultBroken
 		}
 	}
-	if left := rq.deadline.Sub(s.w.now); took > left {
+	if left := rq.deadline.Sub(s.w.now); took >= left {
 		took, result = left, breaker.ResultError
 	}
 	s.w.after(took, func() {
