--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -2,22 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind/internal/overlay"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/soak"
 )
 
 // brokenBuild is the daemon without one safeguard.
 type brokenBuild struct {
-	edits []edit
+	edits []overlay.Edit
 	// promise is what the soak then finds broken.
 	promise soak.Promise
 	// part is the part of a run that finds it, and fault the way in which servers have
@@ -26,41 +23,38 @@
 	fault standin.StampedMode
 }
 
-// edit replaces a text that stands just once in a source file.
-type edit struct{ file, from, to string }
-
 // brokenBuilds has at least one build for each promise.
 var brokenBuilds = map[string]brokenBuild{
 	"single requests are sent again": {
 		promise: soak.PromiseOnce,
 		part:    soak.PartStorm,
 		fault:   standin.StampedLost,
-		edits: []edit{{
-			file: "outbound/dispatch.go",
-			from: "if d.rq.repeatable() || r.outcome == slatewind.OutcomeNotRun {",
-			to:   "if true {",
+		edits: []overlay.Edit{{
+			File: "outbound/dispatch.go",
+			From: "if d.rq.repeatable() || r.outcome == slatewind.OutcomeNotRun {",
+			To:   "if true {",
 		}},
 	},
 	"what is unknown is called not run": {
 		promise: soak.PromiseNotRun,
 		part:    soak.PartStorm,
 		fault:   standin.StampedLost,
-		edits: []edit{{
-			file: "outbound/reply.go",
-			from: "	return http.StatusBadGateway",
-			to:   "	return http.StatusServiceUnavailable",
+		edits: []overlay.Edit{{
+			File: "outbound/reply.go",
+			From: "	return http.StatusBadGateway",
+			To:   "	return http.StatusServiceUnavailable",
 		}},
 	},
 	"a broken answer passes for whole": {
 		promise: soak.PromiseOwnAnswer,
 		part:    soak.PartStorm,
 		fault:   standin.StampedCut,
-		edits: []edit{{
-			file: "inbound/answer.go",
-			from: `	if err != nil {
+		edits: []overlay.Edit{{
+			File: "inbound/answer.go",
+			From: `	if err != nil {
 		return u.fail(ctx, true, err)
 	}`,
-			to: `	if ctx.Err() != nil {
+			To: `	if ctx.Err() != nil {
 		return u.fail(ctx, true, err)
 	}`,
 		}},
@@ -68,128 +62,128 @@
 	"a stop does not wait": {
 		promise: soak.PromiseNoCut,
 		part:    soak.PartStops,
-		edits: []edit{{
-			file: "daemon/nodestop.go",
-			from: `	n.waitUntilOver(ctx, course)
+		edits: []overlay.Edit{{
+			File: "daemon/nodestop.go",
+			From: `	n.waitUntilOver(ctx, course)
 	n.outbound.End()
 	n.callers.SetKeepAlivesEnabled(false)`,
-			to: `	n.callers.SetKeepAlivesEnabled(false)
+			To: `	n.callers.SetKeepAlivesEnabled(false)
 	_ = n.callers.Close()`,
 		}},
 	},
 	"a stop does not end": {
 		promise: soak.PromiseEnds,
 		part:    soak.PartStops,
-		edits: []edit{{
-			file: "cmd/slatewindd/main.go",
-			from: "return app.Stop(stopping)",
-			to:   "signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)\n\tdefer func() { <-stopping.Done() }()\n\treturn app.Stop(stopping)",
+		edits: []overlay.Edit{{
+			File: "cmd/slatewindd/main.go",
+			From: "return app.Stop(stopping)",
+			To:   "signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)\n\tdefer func() { <-stopping.Done() }()\n\treturn app.Stop(stopping)",
 		}},
 	},
 	"a stop takes what it cannot finish": {
 		promise: soak.PromiseFinish,
 		part:    soak.PartStops,
-		edits: []edit{
-			{file: "drain/drain.go", from: "	if c.Open(now) {\n\t\treturn r.Deadline", to: "	if true {\n\t\treturn r.Deadline"},
-			{file: "drain/drain.go", from: "return !now.After(c.LastStart(expected))", to: "return true"},
-			{file: "drain/drain.go", from: "return c.Finishes().Add(-expected)", to: "return c.Ends()"},
-			{file: "drain/drain.go", from: "return idle && !c.Open(now) || ", to: "return idle && false || "},
+		edits: []overlay.Edit{
+			{File: "drain/drain.go", From: "	if c.Open(now) {\n\t\treturn r.Deadline", To: "	if true {\n\t\treturn r.Deadline"},
+			{File: "drain/drain.go", From: "return !now.After(c.LastStart(expected))", To: "return true"},
+			{File: "drain/drain.go", From: "return c.Finishes().Add(-expected)", To: "return c.Ends()"},
+			{File: "drain/drain.go", From: "return idle && !c.Open(now) || ", To: "return idle && false || "},
 		},
 	},
 	"a call to the store waits for ever": {
 		promise: soak.PromiseSilentStore,
 		part:    soak.PartSilentStore,
-		edits: []edit{{
-			file: "platform/platform.go",
-			from: "silence := time.AfterFunc(wait+callTimeout, cancel)",
-			to:   "silence := time.AfterFunc(wait+time.Minute, cancel)",
+		edits: []overlay.Edit{{
+			File: "platform/platform.go",
+			From: "silence := time.AfterFunc(wait+callTimeout, cancel)",
+			To:   "silence := time.AfterFunc(wait+time.Minute, cancel)",
 		}},
 	},
 	"a silent process is waited for": {
 		promise: soak.PromiseSilentPeer,
 		part:    soak.PartSilentPeers,
-		edits: []edit{{
-			file: "link/heartbeat.go",
-			from: "if m.quiet() >= quietTime && !m.answers() && m.answersElsewhere() {",
-			to:   "if false {",
+		edits: []overlay.Edit{{
+			File: "link/heartbeat.go",
+			From: "if m.quiet() >= quietTime && !m.answers() && m.answersElsewhere() {",
+			To:   "if false {",
 		}},
 	},
 	"the store's word that a server leaves is not heard": {
 		promise: soak.PromiseLeaving,
 		part:    soak.PartCalm,
-		edits:   []edit{{file: "platform/entry.go", from: "entry.Leaving = f.leaving(fieldState)", to: "f.leaving(fieldState)"}},
+		edits:   []overlay.Edit{{File: "platform/entry.go", From: "entry.Leaving = f.leaving(fieldState)", To: "f.leaving(fieldState)"}},
 	},
 	"only the first settings are taken": {
 		promise: soak.PromiseSettings,
 		part:    soak.PartCalm,
-		edits:   []edit{{file: "discovery/feed.go", from: newerInDiscovery, to: "f.settings == nil"}},
+		edits:   []overlay.Edit{{File: "discovery/feed.go", From: newerInDiscovery, To: "f.settings == nil"}},
 	},
 	"older settings are taken": {
 		promise: soak.PromiseForward,
 		part:    soak.PartCalm,
-		edits: []edit{
-			{file: "discovery/feed.go", from: newerInDiscovery, to: "true"},
+		edits: []overlay.Edit{
+			{File: "discovery/feed.go", From: newerInDiscovery, To: "true"},
 			{
-				file: "config/store.go",
-				from: "	return version.Newer(current.Version) && !copied",
-				to:   "	return version != current.Version || copied",
+				File: "config/store.go",
+				From: "	return version.Newer(current.Version) && !copied",
+				To:   "	return version != current.Version || copied",
 			},
 		},
 	},
 	"a limit is not kept": {
 		promise: soak.PromiseLimit,
 		part:    soak.PartWorkspaces,
-		edits:   []edit{{file: "ratelimit/bucket.go", from: "if b.level < tokens {", to: "if false {"}},
+		edits:   []overlay.Edit{{File: "ratelimit/bucket.go", From: "if b.level < tokens {", To: "if false {"}},
 	},
 	"a key that was taken away is taken": {
 		promise: soak.PromiseKey,
 		part:    soak.PartWorkspaces,
-		edits: []edit{{
-			file: "workspace/workspace.go",
-			from: "	return nil, ErrUnknownKey",
-			to:   "	for _, w := range d.byName {\n\t\treturn w, nil\n\t}\n\treturn nil, ErrUnknownKey",
+		edits: []overlay.Edit{{
+			File: "workspace/workspace.go",
+			From: "	return nil, ErrUnknownKey",
+			To:   "	for _, w := range d.byName {\n\t\treturn w, nil\n\t}\n\treturn nil, ErrUnknownKey",
 		}},
 	},
 	"a claimed name is passed on": {
 		promise: soak.PromiseKey,
 		part:    soak.PartWorkspaces,
-		edits:   []edit{{file: "outbound/request.go", from: "o.dialect.Key, o.dialect.Workspace)", to: "o.dialect.Key)"}},
+		edits:   []overlay.Edit{{File: "outbound/request.go", From: "o.dialect.Key, o.dialect.Workspace)", To: "o.dialect.Key)"}},
 	},
 	"requests under which servers ended are sent on": {
 		promise: soak.PromiseQuarantine,
 		part:    soak.PartDeadly,
-		edits: []edit{
-			{file: "inbound/quarantine.go", from: "verdict := u.in.suspects.Begin(now, u.digest, u.in.turn())", to: "verdict := quarantine.Verdict{}"},
-			{file: "outbound/quarantine.go", from: "return o.suspects.Check(now, rq.digest).Refused", to: "return false"},
+		edits: []overlay.Edit{
+			{File: "inbound/quarantine.go", From: "verdict := u.in.suspects.Begin(now, u.digest, u.in.turn())", To: "verdict := quarantine.Verdict{}"},
+			{File: "outbound/quarantine.go", From: "return o.suspects.Check(now, rq.digest).Refused", To: "return false"},
 		},
 	},
 	"the store's era is not read": {
 		promise: soak.PromiseSettings,
 		part:    soak.PartRestores,
-		edits:   []edit{{file: "platform/platform.go", from: `if text == "" {`, to: "if true {"}},
+		edits:   []overlay.Edit{{File: "platform/platform.go", From: `if text == "" {`, To: "if true {"}},
 	},
 	"a restore is told by a lost history alone": {
 		promise: soak.PromiseSettings,
 		part:    soak.PartRestores,
-		edits:   []edit{{file: "platform/platform.go", from: "if err == nil && era != after.Era {", to: "if false {"}},
+		edits:   []overlay.Edit{{File: "platform/platform.go", From: "if err == nil && era != after.Era {", To: "if false {"}},
 	},
 	"a copy brings a leaving server back": {
 		promise: soak.PromiseLeaving,
 		part:    soak.PartRestores,
-		edits:   []edit{{file: "discovery/known.go", from: "entry.Leaving || revision.Era > k.left.Era", to: "entry.Leaving"}},
+		edits:   []overlay.Edit{{File: "discovery/known.go", From: "entry.Leaving || revision.Era > k.left.Era", To: "entry.Leaving"}},
 	},
 	"a copy brings a removed server back": {
 		promise: soak.PromiseLeaving,
 		part:    soak.PartRestores,
-		edits:   []edit{{file: "discovery/known.go", from: "case p.Whole && w.broughtBack(entry, p.Revision):", to: "case false:"}},
+		edits:   []overlay.Edit{{File: "discovery/known.go", From: "case p.Whole && w.broughtBack(entry, p.Revision):", To: "case false:"}},
 	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
-		edits: []edit{{
-			file: "inbound/slots.go",
-			from: "r.GetExtra() && !in.extras.Left(now)",
-			to:   "false",
+		edits: []overlay.Edit{{
+			File: "inbound/slots.go",
+			From: "r.GetExtra() && !in.extras.Left(now)",
+			To:   "false",
 		}},
 	},
 }
@@ -212,7 +206,9 @@
 	for name, test := range brokenBuilds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			program := build(t, overlay(t, test.edits))
+			list, err := overlay.Write("..", t.TempDir(), test.edits)
+			assert.NilError(t, err)
+			program := build(t, list)
 			found := map[soak.Promise]int{}
 			for seed := *firstSeed; seed < *firstSeed+brokenSeeds && found[test.promise] == 0; seed++ {
 				report, err := soak.Run(context.Background(), test.options(program, seed))
@@ -244,30 +240,3 @@
 	}
 	return o
 }
-
-// overlay writes changed copies of source files and what tells the compiler to
-// use them.
-func overlay(t *testing.T, edits []edit) string {
-	t.Helper()
-	dir := t.TempDir()
-	replace := map[string]string{}
-	for i, e := range edits {
-		source, err := filepath.Abs(filepath.Join("..", e.file))
-		assert.NilError(t, err)
-		from := source
-		if earlier, ok := replace[source]; ok {
-			from = earlier
-		}
-		text, err := os.ReadFile(from)
-		assert.NilError(t, err)
-		assert.Equal(t, strings.Count(string(text), e.from), 1, "%s must hold once: %s", e.file, e.from)
-		changed := filepath.Join(dir, fmt.Sprint("changed-", i, ".go"))
-		assert.NilError(t, os.WriteFile(changed, []byte(strings.Replace(string(text), e.from, e.to, 1)), 0o600))
-		replace[source] = changed
-	}
-	list, err := json.Marshal(map[string]any{"Replace": replace})
-	assert.NilError(t, err)
-	path := filepath.Join(dir, "overlay.json")
-	assert.NilError(t, os.WriteFile(path, list, 0o600))
-	return path
-}
