Replay load without one mechanism after the other

make ablation takes each of 28 mechanisms out of the decisions by an overlay of the sources and replays the patterns of package overload.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Targets: build, release, test, soak, soak-all, run, bench, capacity, measure, generate, lint, format.
-.PHONY: build release test soak soak-all run bench capacity measure generate lint format
+# Targets: build, release, test, soak, soak-all, run, bench, capacity, ablation, measure, generate, lint, format.
+.PHONY: build release test soak soak-all run bench capacity ablation measure generate lint format
 
 GOLANGCI = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
@@ -41,6 +41,10 @@
 	go test -run='^$$' -bench=. -benchmem ./capacity
 	go test -count=1 -tags capacity -run TestSpread2200 -v ./gossip
 
+# What each mechanism is worth by the replay of load (docs/ACERVO.md); some minutes.
+ablation:
+	go test -count=1 -timeout=0 -tags ablation -run TestAblation -v ./overload
+
 # The table of docs/POLICY.md; some minutes.
 measure: build
 	bin/slatewind measure --seeds 60
--- /dev/null
+++ b/overload/ablation_test.go
@@ -0,0 +1,137 @@
+//go:build ablation
+
+package overload
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/internal/overlay"
+)
+
+const (
+	breakerFile = "breaker/breaker.go"
+	costFile    = "choice/cost.go"
+	queueFile   = "choice/queue.go"
+	searchFile  = "search/search.go"
+	orderFile   = "admission/order.go"
+	ingressFile = "overload/ingress_test.go"
+	serverFile  = "overload/server_test.go"
+)
+
+// mechanisms are the edits that take each one away. Those that a replay lacks are not among
+// them: hedges, costs of bytes and of warming up, readers, pings.
+var mechanisms = map[string][]overlay.Edit{
+	"nothing": nil,
+	"breaker": {
+		{File: breakerFile, From: "case b.state == StateClosed:\n\t\treturn !ask", To: "case true, b.state == StateClosed:\n\t\treturn true || !ask"},
+	},
+	"slow evidence": {
+		{File: breakerFile, From: "slowWeight   = 0.5", To: "slowWeight   = 0.0"},
+	},
+	"silence opens": {
+		{File: breakerFile, From: "b.Suspicion(now) >= hangSuspicion", To: "false"},
+	},
+	"silence borne": {
+		{File: breakerFile, From: "return !ask.Guarded() || b.Suspicion(now) <= ask.bears()", To: "return true"},
+	},
+	"trials of scarce": {
+		{File: breakerFile, From: "return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter+TrialOverdue", To: "return false"},
+		{File: costFile, From: "return now.Sub(server.trialAt) >= breaker.TrialOverdue", To: "return false"},
+	},
+	"trials first": {
+		{File: costFile, From: "trialShare = 0.3", To: "trialShare = 0.0"},
+	},
+	"trials side by side": {
+		{File: breakerFile, From: "maxTrials = 3", To: "maxTrials = 1"},
+	},
+	"last resort": {
+		{File: searchFile, From: "s.request.Ask.LastResort = true", To: "s.request.Ask.LastResort = false"},
+	},
+	"retries": {
+		{File: ingressFile, From: "const attempts = 2", To: "const attempts = 1"},
+	},
+	"bound": {
+		{File: serverFile, From: "case r.extra() && !s.extras.Left(now):", To: "case false:"},
+		{File: serverFile, From: "r.payment == retry.PaidNothing", To: "false"},
+	},
+	"own data centre first": {
+		{File: costFile, From: "remoteCost     = 1.0", To: "remoteCost     = 0.0"},
+	},
+	"cost of sickness": {
+		{File: costFile, From: "sickCost = 3.0", To: "sickCost = 0.0"},
+	},
+	"sick passed over": {
+		{File: costFile, From: "case server.told.Sick && !server.trialDue(now, want):", To: "case false:"},
+	},
+	"full passed over": {
+		{File: costFile, From: "case server.told.Full && age < server.told.pause():", To: "case false:"},
+	},
+	"spent passed over": {
+		{File: costFile, From: "case want.Extra && server.told.Spent && age < spentPause:", To: "case false:"},
+	},
+	"cost of suspicion": {
+		{File: costFile, From: "suspectCost   = 0.1", To: "suspectCost   = 0.0"},
+	},
+	"cost of rejections": {
+		{File: costFile, From: "shedCost = 1.5", To: "shedCost = 0.0"},
+	},
+	"cost of silence": {
+		{File: costFile, From: "silentCost = 10.0", To: "silentCost = 0.0"},
+	},
+	"cost of quiet": {
+		{File: costFile, From: "quietCost = 0.2", To: "quietCost = 0.0"},
+	},
+	"sick share of unheard": {
+		{File: queueFile, From: "return float64(sick) / (", To: "return 0 / ("},
+	},
+	"queue at three": {
+		{File: searchFile, From: "maxQueued = 3", To: "maxQueued = 1"},
+	},
+	"widening": {
+		{File: searchFile, From: "return s.queued > 0\n", To: "return false\n"},
+	},
+	"gap of waits": {
+		{File: searchFile, From: "waitGap = 0.75", To: "waitGap = 100.0"},
+	},
+	"denied enough": {
+		{File: searchFile, From: "return s.denied() && s.queued == 0 && s.denials >=", To: "return false && s.denials >="},
+	},
+	"rank": {
+		{File: orderFile, From: "if a.Rank != b.Rank {", To: "if false {"},
+		{File: orderFile, From: "l == own && q.Rank <= it.Rank", To: "l == own"},
+		{File: orderFile, From: "l == own && s.queue[i].Rank > it.Rank", To: "false"},
+		{File: orderFile, From: "l == lowest && q.Rank >= s.queue[last].Rank", To: "l == lowest"},
+	},
+	"fair among workspaces": {
+		{File: orderFile, From: "return s.running[a.Customer] < s.running[b.Customer]", To: "return false"},
+		{File: orderFile, From: "return s.crowding(it, own)", To: "return -1"},
+	},
+	"jitter": {
+		{File: costFile, From: "jitter = 0.15", To: "jitter = 0.0"},
+	},
+}
+
+// TestAblation replays all patterns without one mechanism after the other and prints what comes
+// of them. It judges nothing: patterns need not keep their bounds then.
+func TestAblation(t *testing.T) {
+	for name, edits := range mechanisms {
+		t.Run(name, func(t *testing.T) {
+			list, err := overlay.Write("..", t.TempDir(), edits)
+			assert.NilError(t, err)
+			replay := exec.Command("go", "test", "-overlay", list, "-count=1", "-v", "-run", "TestPatterns", ".")
+			replay.Stderr = os.Stderr
+			output, err := replay.Output()
+			assert.Assert(t, strings.Contains(string(output), "requests: served"), "%v: %s", err, output)
+			for line := range strings.Lines(string(output)) {
+				if strings.Contains(line, "requests: served") {
+					t.Log(strings.TrimSpace(line))
+				}
+			}
+		})
+	}
+}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -39,7 +39,8 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(files) > 0)
 	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml"), func(t *testing.T) {
+		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := load(t, file)
 			got := replay(p, 1)
@@ -47,8 +48,8 @@
 			reservations := float64(got.reservations) / float64(got.requests)
 			extra := float64(got.extra) / float64(max(got.first, 1))
 			held := percentile90(got.held)
-			t.Logf("%d requests: served %.3f (%.3f in time), refused %d, failed %d, held %s; %.3f extra arrivals; %.2f reservations a request, of all %d sick, %d full, %d denied, %d that waited",
-				got.requests, served, float64(got.inTime)/float64(got.requests), got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.sick, got.full, got.denied, got.waits)
+			t.Logf("%s: %d requests: served %.3f (%.3f in time), refused %d, failed %d, held %s; %.3f extra arrivals; %.2f reservations a request, of all %d sick, %d full, %d denied, %d that waited",
+				name, got.requests, served, float64(got.inTime)/float64(got.requests), got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.sick, got.full, got.denied, got.waits)
 			assert.Equal(t, got.served+got.refused+got.failed, got.requests, "each request has one outcome")
 			assert.Check(t, served >= p.Want.Served, "served %.3f", served)
 			assert.Check(t, reservations <= p.Want.Reservations, "%.2f reservations a request", reservations)
