Have the idle program of the soak's tests end at a hang-up under nohup

Cause: nohup has programs ignore SIGHUP, and those that they start inherit it; a shell can't take it back. It has nothing to do with load: `nohup go test -run TestReloadSparesStart ./soak` failed at once, without nohup it passed. The daemon catches the signal itself and is not concerned.

Change: the test catches the signal while its program runs, so that the program starts with the usual reaction. After it the test passes both ways. The check is unchanged.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +21,10 @@
 // newIdleFleet returns a fleet with one node whose process does nothing.
 func newIdleFleet(t *testing.T) *fleet {
 	t.Helper()
+	// Programs that nohup starts ignore the signal, and so would those that they start.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangUps) })
 	program := filepath.Join(t.TempDir(), "idle")
 	assert.NilError(t, os.WriteFile(program, []byte(idle), 0o700))
 	f, err := newFleet(Options{Program: program, Nodes: 2, Patience: 5 * time.Second})
