Show settings late behind two silent processes by failing tests

Cause: a process that hears of a version asks another one near by for it, and then the one that told. One that is frozen, cut off or gone takes a second to be given up (link), and the patience of a second before the store is asked counts between rounds only (discovery): two silent ones cost two seconds.

Failing: TestSettingsLateBehindSilentPeers (settings in force within the 2 s of the shortest bound), TestSettingsOfSilentProcess.

--- a/discovery/fleet_test.go
+++ b/discovery/fleet_test.go
@@ -27,7 +27,9 @@
 	// cut processes do not reach the store, frozen ones do not answer. Answers of
 	// the store stay with a process for the time that held names.
 	cut, frozen map[string]bool
-	held        map[string]time.Duration
+	// mute says that processes are silent when they are asked for settings.
+	mute bool
+	held map[string]time.Duration
 	// busy is how long every process takes to answer another.
 	busy time.Duration
 	// forgets names processes whose next question finds the history gone.
@@ -142,9 +144,9 @@
 // Settings implements SettingsPeers.
 func (f *fleet) Settings(ctx context.Context, address string, version uint64) (*slatewind.PublishedSettings, error) {
 	f.mu.Lock()
-	feed, outgoing, frozen := f.feeds[address], f.outgoing[address], f.frozen[address]
+	feed, outgoing, silent := f.feeds[address], f.outgoing[address], f.frozen[address] || f.mute
 	f.mu.Unlock()
-	if frozen || feed == nil {
+	if silent || feed == nil {
 		sleep(ctx, time.Second)
 		return nil, errors.New("silent")
 	}
--- a/discovery/share_test.go
+++ b/discovery/share_test.go
@@ -148,6 +148,24 @@
 	})
 }
 
+// TestSettingsLateBehindSilentPeers: two processes that were silent one after the other kept a third from asking the store.
+func TestSettingsLateBehindSilentPeers(t *testing.T) {
+	for phase := range 8 {
+		inFleet(t, 12, func(t *testing.T, _ context.Context, f *fleet) {
+			f.publishVersion(1)
+			settle(5*time.Second + time.Duration(phase)*100*time.Millisecond)
+			f.mu.Lock()
+			f.mute = true
+			f.mu.Unlock()
+			f.publishVersion(2)
+			settle(leastConfigTime)
+			for name, feed := range f.feeds {
+				assert.Check(t, feed.Version() == 2, "phase %d: %s has version %d", phase, name, feed.Version())
+			}
+		})
+	}
+}
+
 // TestShortOutage: entries that ran out in an outage of the store stay for a heartbeat
 // after it, also at processes that did not notice the outage but were told by one that
 // did.
--- a/link/settings_test.go
+++ b/link/settings_test.go
@@ -91,3 +91,16 @@
 	assert.ErrorContains(t, err, "canceled")
 	assert.NilError(t, ctx.Err())
 }
+
+// TestSettingsOfSilentProcess: a process that does not begin to answer was waited for a whole second.
+func TestSettingsOfSilentProcess(t *testing.T) {
+	news := &spoiledNews{hang: make(chan struct{})}
+	address := serveNews(t, news)
+	defer close(news.hang)
+	pool := link.NewPool(nil)
+	defer func() { _ = pool.Close() }()
+	asked := time.Now()
+	_, err := pool.Settings(t.Context(), address, 1)
+	assert.ErrorContains(t, err, "canceled")
+	assert.Assert(t, time.Since(asked) < 800*time.Millisecond, time.Since(asked))
+}
