Ask the store for settings once patience is over, not after another process

Callers got 404 on a route that had been acknowledged 2.6 s before (CONFIG). Cause: the patience after which the store is asked was looked at between rounds, so that a second silent process was asked when it was over already. Change: it is looked at before each question.

--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -192,23 +192,34 @@
 // store. It asks any process first: the one that told of them has many to serve,
 // and each that has them soon serves others.
 func (f *Feed) fetch(ctx context.Context) error {
-	for began := time.Now(); time.Since(began) < fetchPatience && ctx.Err() == nil; sleep(ctx, fetchPause) {
+	for patience := time.Now().Add(fetchPatience); time.Now().Before(patience) && ctx.Err() == nil; sleep(ctx, fetchPause) {
 		for _, address := range f.askable() {
-			asked := time.Now()
-			settings, err := f.peers.Settings(ctx, address, f.Version())
-			if err != nil {
-				f.sink.NotHanded(time.Now(), address, err)
-				continue
-			}
-			if settings != nil {
-				f.take(settings, address, time.Since(asked))
+			if f.fetchFrom(ctx, address) {
 				return nil
 			}
+			if !time.Now().Before(patience) {
+				break
+			}
 		}
 	}
 	return f.read(ctx, 0)
 }
 
+// fetchFrom asks one process for newer settings. It reports whether that one had some.
+func (f *Feed) fetchFrom(ctx context.Context, address string) bool {
+	asked := time.Now()
+	settings, err := f.peers.Settings(ctx, address, f.Version())
+	if err != nil {
+		f.sink.NotHanded(time.Now(), address, err)
+		return false
+	}
+	if settings == nil {
+		return false
+	}
+	f.take(settings, address, time.Since(asked))
+	return true
+}
+
 // askable returns whom to ask for settings: a process near by, and one that is said
 // to have them.
 func (f *Feed) askable() []string {
