Give a silent process 0.4 s to begin handing settings over

Callers got 404 on a route that had been acknowledged 2.6 s before (CONFIG). Cause: a process that is frozen, cut off or gone was waited for as long as for the next part of a long answer, a second, before another one was asked. Change: the first part has 0.4 s, the others still a second, since other callers' bytes may go before them.

--- a/link/settings.go
+++ b/link/settings.go
@@ -22,6 +22,8 @@
 const (
 	// partBytes is the size of the parts in which packed settings travel.
 	partBytes = 16 << 10
+	// firstPartTimeout is how long a process may take to begin its answer.
+	firstPartTimeout = 400 * time.Millisecond
 	// partTimeout is how long the next part may take: the bytes of some other
 	// callers go first.
 	partTimeout = time.Second
@@ -42,7 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(partTimeout, cancel)
+	silence := time.AfterFunc(firstPartTimeout, cancel)
 	defer silence.Stop()
 	stream, err := slatewindv1.NewNewsClient(conn).Settings(ctx, &slatewindv1.SettingsRequest{Version: version})
 	if err != nil {
--- a/link/settings_test.go
+++ b/link/settings_test.go
@@ -76,7 +76,7 @@
 }
 
 // TestSettingsSpoiled: settings that are not what was sent are an error, and so is
-// a process that goes silent, a second later.
+// a process that goes silent, after a while.
 func TestSettingsSpoiled(t *testing.T) {
 	news := &spoiledNews{hang: make(chan struct{})}
 	address := serveNews(t, news)
