--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -25,7 +25,7 @@
 		code int
 	}{
 		"request":          {append(logs("vm-1.log", "vm-2.log"), "--request", "r-1"), cli.ExitOK},
-		"call":             {append(logs("vm-1.log", "vm-2.log"), "--request", "r-1/2"), cli.ExitOK},
+		"call":             {append(logs("vm-1.log", "vm-2.log"), "--request", "r-1.2"), cli.ExitOK},
 		"server":           {append(logs("vm-1.log", "vm-2.log"), "--server", "stock-1"), cli.ExitOK},
 		"one-log":          {append(logs("vm-1.log"), "--request", "r-1"), cli.ExitOK},
 		"damaged-log":      {append(logs("vm-1.log", "damaged.log"), "--request", "r-1"), cli.ExitFindings},
