Lend no slots of a server that looks sick from a stop that has closed

Cause: a stop that has closed lends its server's slots while earlier work takes unusually long. What takes unusually long is mostly a server that hangs, and one that hangs does not keep to the deadline that it is handed. So the request was cut at the end of the lending process, before its own process's wait was over.

Ruled out: a deadline that is handed too late.

Change: such slots go only to requests that a single one may take too: breaker closed, suspicion of 2.5 at most.

--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/drain"
 )
 
@@ -30,9 +31,18 @@
 	}
 }
 
-// givesSlots reports whether the stop gives out slots. The lock is held.
+// lentBears is how much suspicion of the server is borne where a closed stop lends its slots.
+// One in twelve moments of a well server shows more.
+const lentBears = 2.5
+
+// givesSlots reports whether the stop gives out slots. A closed one lends none of a server that
+// looks sick: what that does not finish is cut by the end of the process. The lock is held.
 func (in *Inbound) givesSlots(now time.Time) bool {
-	return in.stop.GivesSlots(now, in.slots.Mean(), in.early > 0 || in.callers())
+	if in.stop.Open(now) {
+		return true
+	}
+	well := in.judge(now).Allow(now, breaker.Ask{Careful: true, Bears: lentBears})
+	return well && in.stop.GivesSlots(now, in.slots.Mean(), in.early > 0 || in.callers())
 }
 
 // timeLeft returns how long the server may work on a request that begins now: where the process
