Use no slot of a stopping process from one that stops and lasts longer

Cause: a process that stops waits for what it sent on until five sixths of its grace time, as operators ask, but the process beside the server waits by its own stop's course. Whatever that cuts, be it the request of a server that hangs or one that takes long at a well one, is lost to a caller who could have waited.

Ruled out: asking for a minimum in the reservation. A stop that begins while the request waits in the queue would not be covered; the granted state tells it at the moment it is needed.

Change: the state of a server says how long its stopping process lasts; a process that stops gives a slot back that would not last as long as its own wait, and asks others.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -91,6 +91,15 @@
 // Ends returns when the last connection is closed.
 func (c Course) Ends() time.Time { return c.share(endShare) }
 
+// Lasts returns how long the process still waits for answers of servers.
+func (c Course) Lasts(now time.Time) time.Duration { return c.WorkEnds().Sub(now) }
+
+// Outlasts reports whether the process has to wait for answers longer than another one does that
+// stops too.
+func (c Course) Outlasts(now time.Time, other time.Duration) bool {
+	return c.Finishes().Sub(now) > other
+}
+
 // LastAnswer returns when a server must end a request by itself for its answer to be passed on.
 func (c Course) LastAnswer() time.Time { return c.WorkEnds().Add(-answerTime) }
 
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -27,6 +27,7 @@
 		Leaving:        in.away != "",
 		FailurePercent: uint32(math.Round(percent * (1 - judgement.Share()))), ShedPercent: uint32(math.Round(percent * judgement.Shed())),
 		SuspicionTenths: uint32(min(judgement.Suspicion(now), mostTold) * tenths),
+		LastsMs:         in.lastsMs(now),
 	}
 }
 
--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -56,6 +56,15 @@
 	return in.stop.LastAnswer().Sub(now)
 }
 
+// lastsMs is how long the process still waits for answers, as it is told to others. The lock is
+// held.
+func (in *Inbound) lastsMs(now time.Time) uint32 {
+	if in.stop == nil {
+		return 0
+	}
+	return uint32(max(in.stop.Lasts(now).Milliseconds(), 1))
+}
+
 // InHand returns how many reservations have no final reply yet. One whose request has run
 // frees its slot before the answer is on its way.
 func (in *Inbound) InHand() int {
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -196,9 +196,22 @@
 
 // left ends a reservation that was granted after its server began to leave.
 func (l *look) left(e event) {
+	l.decline(e, inbound.CauseLeaving, "the server began to leave while the request waited for its slot")
+}
+
+// endsBefore ends a reservation that was granted by a process which ends before this one.
+func (l *look) endsBefore(e event) {
+	told := toldOf(e.reply.GetGranted())
+	told.Stopping, told.BackIn = true, time.Duration(e.reply.GetGranted().GetLastsMs())*time.Millisecond
+	l.heard(e.of.server().ID(), told)
+	l.decline(e, inbound.CauseStopping, "the process beside the server ends before this one")
+}
+
+// decline ends a reservation that was granted and is not used, as if it had been refused.
+func (l *look) decline(e event, cause inbound.Cause, why string) {
 	l.end(e.of)
-	l.refusals[inbound.CauseLeaving]++
-	l.last, l.lastServer = string(inbound.CauseLeaving)+": the server began to leave while the request waited for its slot", e.of.server().Name
+	l.refusals[cause]++
+	l.last, l.lastServer = fmt.Sprintf("%s: %s", cause, why), e.of.server().Name
 	l.askIf(l.search.Ended())
 }
 
--- a/outbound/stop.go
+++ b/outbound/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/drain"
 )
 
@@ -47,6 +48,16 @@
 	return until
 }
 
+// outlasts reports whether this process stops and has to wait for answers longer than the process
+// beside a server does, which stops too. That one would cut at its end what this one waits for.
+func (o *Outbound) outlasts(now time.Time, state *slatewindv1.SlotState) bool {
+	stop := o.stop.Load()
+	if stop == nil || state.GetLastsMs() == 0 {
+		return false
+	}
+	return stop.Outlasts(now, time.Duration(state.GetLastsMs())*time.Millisecond)
+}
+
 // mayStart reports whether a request may be sent to a server now.
 func (o *Outbound) mayStart(rq *request) bool {
 	stop := o.stop.Load()
