Begin a server's time when its request is sent, not when its slot is granted

Cause: the judgement beside a server counted from the grant of a slot on, so that it held against the server the time in which a slow process at the other end had its grant and did not use it. While 12 VMs are slow (10.3 to 17 s), openings name requests that were sent 0.10 to 0.30 s after their grant or not at all; at 12.70 s the breaker beside i-ceffc49ce6 opened for two granted requests of 0.21 s, neither of which was ever sent. Of 34 openings for slowness in that time, 27 have a request that was granted and not sent, 7 one that was sent 0.1 s or more after its grant. The ticks of the judging process were late by more than 2 ms at 2 of the 34.

Change: breaker.Grant and breaker.Start; a trial counts from its grant on as before. The replay of load can have processes lag.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -204,10 +204,10 @@
 	return max(b.RetryAfter(now), trialRunning)
 }
 
-// Start notes that the server gets a request, which its sender expects to take so
-// long; zero is unknown.
-func (b *Breaker) Start(now time.Time, id, route string, expected time.Duration) {
-	r := &running{route: route, expected: expected, since: now, trial: b.state != StateClosed}
+// Grant notes that the server is to get a request, which its sender expects to take so
+// long; zero is unknown. The time until Start is not the server's: its sender may be slow.
+func (b *Breaker) Grant(now time.Time, id, route string, expected time.Duration) {
+	r := &running{route: route, expected: expected, paused: true, trial: b.state != StateClosed}
 	if r.trial {
 		b.trials++
 		b.lastTrial = now
@@ -215,6 +215,9 @@
 	b.running[id] = r
 }
 
+// Start notes that the server gets a request that was granted.
+func (b *Breaker) Start(now time.Time, id string) { b.Resume(now, id) }
+
 // End notes what became of a request. It reports whether the state changed.
 func (b *Breaker) End(now time.Time, id string, result Result) bool {
 	r := b.running[id]
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -30,7 +30,8 @@
 	for _, s := range steps {
 		now = now.Add(s.after)
 		if s.start != "" {
-			b.Start(now, s.start, "route", s.expected)
+			b.Grant(now, s.start, "route", s.expected)
+			b.Start(now, s.start)
 		}
 		if s.end != "" {
 			b.End(now, s.end, s.result)
@@ -180,7 +181,8 @@
 	b := breaker.New()
 	for i := range 2 {
 		id := fmt.Sprint("id-", i)
-		b.Start(now, id, "r", 0)
+		b.Grant(now, id, "r", 0)
+		b.Start(now, id)
 		b.End(now, id, breaker.ResultError)
 	}
 	assert.Equal(t, b.State(), breaker.StateOpen)
--- a/breaker/silence_test.go
+++ b/breaker/silence_test.go
@@ -39,7 +39,8 @@
 			suspected++
 		}
 		id := fmt.Sprint(i)
-		b.Start(now, id, "route", 0)
+		b.Grant(now, id, "route", 0)
+		b.Start(now, id)
 		ends[id] = now.Add(exponential(mean))
 	}
 	return float64(suspected) / float64(asked)
--- a/inbound/pause_test.go
+++ b/inbound/pause_test.go
@@ -36,7 +36,8 @@
 			now := woken.Add(-silence)
 			in.tick(now)
 			for _, id := range []string{"a", "b", "c", "d"} {
-				in.breaker.Start(now, id, "route", work)
+				in.breaker.Grant(now, id, "route", work)
+				in.breaker.Start(now, id)
 				in.parents[id] = &parent{item: id}
 			}
 			for !test.paused && now.Before(woken) {
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -49,11 +49,13 @@
 	return u.pass(ctx, answer)
 }
 
-// arrive counts an extra arrival before the request goes to the server: its answer may come
-// much later, in another window of the bound. One that cannot be sent then counts too.
+// arrive begins the server's time. It counts an extra arrival before the request goes to the
+// server: its answer may come much later, in another window of the bound. One that cannot be
+// sent then counts too.
 func (u *use) arrive(now time.Time) {
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
+	u.in.judge(now).Start(now, u.item.ID)
 	switch r := u.reservation; {
 	case r.GetExtra():
 		u.in.extras.Arrived(now, u.payment)
--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -29,6 +29,7 @@
 // ingress is one process's view of all servers.
 type ingress struct {
 	w          *world
+	index      int
 	dataCentre string
 	service    *choice.Service
 	// denied is when an extra attempt was last denied.
@@ -36,7 +37,7 @@
 }
 
 func newIngress(w *world, index int) *ingress {
-	in := &ingress{w: w, dataCentre: fmt.Sprint("dc-", index%w.DataCentres)}
+	in := &ingress{w: w, index: index, dataCentre: fmt.Sprint("dc-", index%w.DataCentres)}
 	in.service = choice.NewService(in.dataCentre, w.random.Uint64())
 	for _, s := range w.servers {
 		in.service.Put(w.now, s.entry)
@@ -154,7 +155,7 @@
 	rq.open[r] = true
 	w.reservations++
 	rq.from.service.Reserved(w.now, question.Server.ID())
-	w.after(w.delay(rq.from.dataCentre, r.server.entry.DataCentre), func() { r.server.reserve(r) })
+	r.toServer(func() { r.server.reserve(r) })
 	w.after(search.SilentAfter, func() { rq.in(look, func() { rq.nextIf(look.Silent(w.now)) }) })
 }
 
@@ -197,10 +198,21 @@
 	}
 }
 
+// toServer has a message of the ingress come to the process beside the server, toIngress one back.
+func (r *reservation) toServer(do func()) {
+	w := r.request.from.w
+	w.after(w.delay(r.request.from.dataCentre, r.server.entry.DataCentre)+w.lag(r.server.index), do)
+}
+
+func (r *reservation) toIngress(do func()) {
+	w := r.request.from.w
+	w.after(w.delay(r.server.entry.DataCentre, r.request.from.dataCentre)+w.lag(r.request.from.index), do)
+}
+
 // reply has something come to the request's ingress, with the server's state.
 func (r *reservation) reply(told choice.Told, do func()) {
 	in := r.request.from
-	in.w.after(in.w.delay(r.server.entry.DataCentre, in.dataCentre), func() {
+	r.toIngress(func() {
 		in.service.Heard(in.w.now, r.server.entry.ID(), told)
 		if r.request.open[r] {
 			r.request.look.Heard(r.question)
@@ -240,7 +252,7 @@
 	rq := r.request
 	r.granted = true
 	in := rq.from
-	in.w.after(in.w.delay(r.server.entry.DataCentre, in.dataCentre), func() {
+	r.toIngress(func() {
 		in.service.Heard(in.w.now, r.server.entry.ID(), r.server.told())
 		if rq.done || rq.slot != nil || !rq.open[r] {
 			r.server.leave(r)
@@ -248,7 +260,7 @@
 		}
 		rq.slot = r
 		rq.leaveOthers()
-		in.w.after(in.w.delay(in.dataCentre, r.server.entry.DataCentre), func() { r.server.run(r) })
+		r.toServer(func() { r.server.run(r) })
 	})
 }
 
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -79,6 +79,8 @@
 	// takes at a slow server.
 	Chance float64 `yaml:"chance"`
 	Times  float64 `yaml:"times"`
+	// Delay is how long a process that lags takes for a message, on average.
+	Delay time.Duration `yaml:"delay"`
 }
 
 // Kinds of faults.
@@ -87,6 +89,9 @@
 	faultHang  = "hang"
 	faultShed  = "shed"
 	faultReset = "reset"
+	// faultLag befalls processes: each message that comes to one takes long. The servers beside
+	// them are well.
+	faultLag = "lag"
 )
 
 // bounds are what has to come of a pattern.
@@ -155,6 +160,13 @@
 
 // replay plays a pattern and counts what came of it.
 func replay(p pattern, seed uint64) tally {
+	w := newWorld(p, seed)
+	w.play()
+	return w.tally
+}
+
+// newWorld returns a replay that has not begun.
+func newWorld(p pattern, seed uint64) *world {
 	w := &world{pattern: p, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1))}
 	w.began = w.now
 	w.sent, w.answered = map[string]int{}, map[string]int{}
@@ -164,13 +176,17 @@
 	for i := range p.Servers {
 		w.ingresses = append(w.ingresses, newIngress(w, i))
 	}
+	return w
+}
+
+// play plays the replay to its end.
+func (w *world) play() {
 	w.arrive()
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.do()
 	}
-	return w.tally
 }
 
 // arrive has the next request come to some ingress, and so on until the end.
@@ -185,19 +201,34 @@
 
 func (w *world) over() bool { return w.now.Sub(w.began) >= w.Length }
 
+// strikes reports whether a fault befalls a VM at a time after the begin. Each fault strikes VMs
+// of its own, spread over all.
+func (w *world) strikes(number, index int, age time.Duration) bool {
+	f := w.Faults[number]
+	place := math.Mod(float64(index)*math.Phi+float64(number)*math.Sqrt2, 1)
+	return place < f.Share && age >= f.From && age < f.From+f.For
+}
+
 // meets returns the fault that a request meets at a server now, if any.
 func (w *world) meets(index int) (fault, bool) {
-	age := w.now.Sub(w.began)
 	for i, f := range w.Faults {
-		// Each fault strikes servers of its own, spread over all.
-		place := math.Mod(float64(index)*math.Phi+float64(i)*math.Sqrt2, 1)
-		if place < f.Share && age >= f.From && age < f.From+f.For && w.random.Float64() < f.Chance {
+		if f.Kind != faultLag && w.strikes(i, index, w.now.Sub(w.began)) && w.random.Float64() < f.Chance {
 			return f, true
 		}
 	}
 	return fault{}, false
 }
 
+// lag draws how long the process of a VM takes for a message that comes to it now.
+func (w *world) lag(index int) time.Duration {
+	for i, f := range w.Faults {
+		if f.Kind == faultLag && w.strikes(i, index, w.now.Sub(w.began)) {
+			return time.Duration(float64(f.Delay) * w.random.ExpFloat64())
+		}
+	}
+	return 0
+}
+
 // delay is how long a message takes one way.
 func (w *world) delay(from, to string) time.Duration {
 	if from == to {
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -30,6 +30,8 @@
 	// waiting holds, by the item's id, the reservations that wait.
 	waiting map[string]*reservation
 	nextID  int
+	// arrivals are when the server got requests.
+	arrivals []time.Time
 }
 
 func newServer(w *world, index int) *server {
@@ -125,7 +127,7 @@
 					continue
 				}
 			}
-			s.breaker.Start(s.w.now, d.Item.ID, "route", 3*s.w.Mean/2)
+			s.breaker.Grant(s.w.now, d.Item.ID, "route", 3*s.w.Mean/2)
 			r.grant()
 			continue
 		}
@@ -165,6 +167,7 @@
 // run has the server run a request, and tells its ingress what came of it.
 func (s *server) run(r *reservation) {
 	rq := r.request
+	s.breaker.Start(s.w.now, r.item.ID)
 	if rq.arrivals == 0 {
 		s.w.first++
 	} else {
@@ -187,10 +190,14 @@
 	if left := rq.deadline.Sub(s.w.now); took >= left {
 		took, result = left, breaker.ResultError
 	}
+	s.arrivals = append(s.arrivals, s.w.now)
 	s.w.after(took, func() {
-		s.end(r, result, took)
-		told := s.told()
-		s.w.after(s.w.delay(s.entry.DataCentre, rq.from.dataCentre), func() { rq.answered(r, result, told) })
+		// The process may read the answer late.
+		s.w.after(s.w.lag(s.index), func() {
+			s.end(r, result, took)
+			told := s.told()
+			r.toIngress(func() { rq.answered(r, result, told) })
+		})
 	})
 }
 
