Do not hold it against a server that its answers wait to be read

Cause: a process that has no time to read an answer counted on as if the server had not answered. Ruled out: the time of late ticks, which is next to nothing there, since timers run before input is read.

Change: of requests that take longer than the mean it is asked whether bytes of their answers wait to be read (a peek at the socket); while they do, the time is not the server's, and its silence has ended.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -68,16 +68,21 @@
 	done bool
 }
 
-// Do sends one request. sent is false only if no byte of it was written.
+// Do sends one request. sent is false only if no byte of it was written. sending, which may be
+// nil, is called before the first byte is written; unread then tells at any time whether bytes of
+// the answer wait to be read.
 // A success is returned only with the server's stamp. The error is ctx's own
 // where that ended first, ErrNotAnAnswer, ErrCrossed, ErrNoStamp, or one of the
 // network.
-func (p *Pool) Do(ctx context.Context, request *http.Request) (answer *Answer, sent bool, err error) {
+func (p *Pool) Do(ctx context.Context, request *http.Request, sending func(unread func() bool)) (answer *Answer, sent bool, err error) {
 	c, err := p.connection(ctx)
 	if err != nil {
 		return nil, false, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	if sending != nil {
+		sending(func() bool { return unread(c.Conn) })
+	}
 	written := make(chan struct{})
 	writer := &countingWriter{w: c}
 	go func() {
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,7 +108,7 @@
 func do(pool *backend.Pool, id string) (body string, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	answer, sent, err := pool.Do(ctx, newRequest(id))
+	answer, sent, err := pool.Do(ctx, newRequest(id), nil)
 	if err != nil {
 		return "", sent, err
 	}
@@ -215,7 +216,7 @@
 	pool := backend.NewPool(server.address, dialect)
 	request := newRequest("id-1")
 	request.Method, request.Body, request.ContentLength = http.MethodPost, lateEnd{strings.NewReader("body")}, 4
-	answer, _, err := pool.Do(t.Context(), request)
+	answer, _, err := pool.Do(t.Context(), request, nil)
 	assert.NilError(t, err)
 	_, err = io.ReadAll(answer.Body)
 	assert.NilError(t, err)
@@ -279,7 +280,7 @@
 	long := newRequest("id-1")
 	long.Method, long.ContentLength = http.MethodPost, 32<<20
 	long.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", 32<<20)))
-	answer, _, err := pool.Do(context.Background(), long)
+	answer, _, err := pool.Do(context.Background(), long, nil)
 	assert.NilError(t, err)
 	_, _ = io.ReadAll(answer.Body)
 	answer.Close()
@@ -303,7 +304,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	failed := make(chan error, 1)
 	go func() {
-		_, _, err := pool.Do(ctx, newRequest("id-1"))
+		_, _, err := pool.Do(ctx, newRequest("id-1"), nil)
 		failed <- err
 	}()
 	await(t, func() bool { n, _ := server.seen(); return n == 1 })
@@ -313,3 +314,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "body", "on a new connection")
 }
+
+// TestUnread: whether bytes of an answer wait to be read is told from the sending on.
+func TestUnread(t *testing.T) {
+	const length = 1 << 20
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n", length)
+	server := newFakeServer(t, script{head + strings.Repeat("x", length)})
+	pool := backend.NewPool(server.address, dialect)
+	var unread func() bool
+	answer, _, err := pool.Do(t.Context(), newRequest("id"), func(f func() bool) { unread = f })
+	assert.NilError(t, err)
+	for !unread() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, !unread())
+	answer.Close()
+	pool.CloseIdle()
+	assert.Assert(t, !unread(), "the connection is closed")
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -134,6 +134,24 @@
 	return idleTime
 }
 
+// unread reports whether bytes wait to be read on a connection, also while it is read from.
+func unread(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	err = control.Control(func(descriptor uintptr) {
+		var one [1]byte
+		waiting, _, _ = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && waiting > 0
+}
+
 // untouched reports whether nothing arrived on an idle connection, neither
 // bytes, which would belong to no request, nor its end.
 func untouched(c net.Conn) bool {
--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -229,12 +229,14 @@
 		b.trials--
 	}
 	took := r.took(now)
-	if result == ResultOK && (r.overdue || b.tooLong(r, took)) {
+	if result == ResultOK && !r.unread && (r.overdue || b.tooLong(r, took)) {
 		return !r.overdue && b.fail(now, slowWeight)
 	}
 	switch result {
 	case ResultOK:
-		b.learn(r.route, took)
+		if !r.unread {
+			b.learn(r.route, took)
+		}
 		if b.state != StateClosed && !r.trial {
 			// It began before the server became sick and tells nothing of now.
 			return false
@@ -255,7 +257,7 @@
 func (b *Breaker) Tick(now time.Time) bool {
 	changed := false
 	for _, r := range b.running {
-		if r.overdue || !b.tooLong(r, r.took(now)) {
+		if r.overdue || r.unread || !b.tooLong(r, r.took(now)) {
 			continue
 		}
 		r.overdue = true
@@ -276,9 +278,7 @@
 func (b *Breaker) succeed(now time.Time) bool {
 	b.share += shareWeight * (1 - b.share)
 	b.shed -= shareWeight * b.shed
-	for _, r := range b.running {
-		r.answered = r.took(now)
-	}
+	b.endSilence(now)
 	if b.state == StateClosed {
 		b.score = max(b.score-successWeight, 0)
 		return false
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -18,8 +18,9 @@
 	expected time.Duration
 	end      string
 	result   breaker.Result
-	// pause and resume name a request whose call begins or ends.
-	pause, resume string
+	// pause and resume name a request whose call begins or ends, unread and read one whose answer
+	// comes and is read.
+	pause, resume, unread, read string
 }
 
 const ms = time.Millisecond
@@ -42,6 +43,12 @@
 		if s.resume != "" {
 			b.Resume(now, s.resume)
 		}
+		if s.unread != "" {
+			b.SetUnread(now, s.unread, true)
+		}
+		if s.read != "" {
+			b.SetUnread(now, s.read, false)
+		}
 		b.Tick(now)
 	}
 	return b, now
@@ -133,6 +140,23 @@
 				step{after: 400 * ms, resume: "a"}, step{resume: "b"}, step{after: 400 * ms}),
 			breaker.StateOpen, false, false, true,
 		},
+		"answers that wait to be read": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{after: 120 * ms, unread: "a"}, step{unread: "b"}, step{after: 400 * ms}),
+			breaker.StateClosed, true, true, true,
+		},
+		"one of them, while another request runs": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{after: 120 * ms, unread: "a"}, step{after: 50 * ms}),
+			breaker.StateClosed, true, true, true,
+		},
+		"answers that hang once their begin is read": {
+			append(served(5, 100*ms), step{start: "a"}, step{start: "b"}, step{after: 120 * ms, unread: "a"}, step{unread: "b"},
+				step{after: 10 * ms, read: "a"}, step{read: "b"}, step{after: 400 * ms}),
+			breaker.StateOpen, false, false, true,
+		},
+		"an answer that is read late": {
+			append(served(5, 100*ms), step{start: "a"}, step{after: 120 * ms, unread: "a"}, step{after: 400 * ms, end: "a", result: breaker.ResultOK}),
+			breaker.StateClosed, true, true, true,
+		},
 		"nearly all fail": {
 			append(broken,
 				step{after: 410 * ms, start: "t"}, step{after: ms, end: "t", result: breaker.ResultBroken},
--- a/breaker/running.go
+++ b/breaker/running.go
@@ -34,6 +34,8 @@
 	own    time.Duration
 	since  time.Time
 	paused bool
+	// unread says that its answer has come and is not read yet.
+	unread bool
 	// answered is how long it had been worked on at the server's last success.
 	answered time.Duration
 }
@@ -62,11 +64,46 @@
 
 // Resume ends a Pause.
 func (b *Breaker) Resume(now time.Time, id string) {
-	if r := b.running[id]; r != nil && r.paused {
+	if r := b.running[id]; r != nil && r.paused && !r.unread {
 		r.since, r.paused = now, false
 	}
 }
 
+// Late returns the requests that take longer than they do on average, and those whose answers
+// were unread. SetUnread tells whether that is the server's doing.
+func (b *Breaker) Late(now time.Time) (ids []string) {
+	for id, r := range b.running {
+		if mean := b.meanFor(r); r.unread || !r.paused && mean > 0 && r.took(now) > mean {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// SetUnread notes whether bytes of the answer to a request wait to be read. While they do, the time
+// is not the server's own: the process beside it is slow.
+func (b *Breaker) SetUnread(now time.Time, id string, unread bool) {
+	r := b.running[id]
+	if r == nil || r.unread == unread {
+		return
+	}
+	if unread {
+		b.Pause(now, id)
+		r.unread = true
+		b.endSilence(now)
+		return
+	}
+	r.unread = false
+	b.Resume(now, id)
+}
+
+// endSilence notes that the server has just answered something.
+func (b *Breaker) endSilence(now time.Time) {
+	for _, r := range b.running {
+		r.answered = r.took(now)
+	}
+}
+
 // Unwatched notes that nobody watched the server for some time until now: the process
 // beside it did not run, and answers may wait unread. That time tells nothing of the server,
 // so it does not count as its own.
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -120,6 +120,10 @@
 	waiting map[string]chan admission.Decision
 	// parents holds, by their callers' ids, the requests that the server runs.
 	parents map[string]*parent
+	// unread holds, by the item's id, what tells whether bytes of an answer wait to be read, and
+	// looked is when they were last asked.
+	unread map[string]func() bool
+	looked time.Time
 	// away says why the server takes no work.
 	away string
 	// stop is the course of the process's stop, nil before it; callers reports whether it
@@ -152,6 +156,7 @@
 		extras:  retry.NewWindow(time.Now(), extrasShare*bounds.RetryRatio, bounds.RetryWindow),
 		waiting: map[string]chan admission.Decision{},
 		parents: map[string]*parent{},
+		unread:  map[string]func() bool{},
 		idle:    newIdleTime(time.Now()),
 	}
 	in.crashes = crash.New(in.pool.Probe, func() bool { return in.leaving() != "" })
@@ -168,6 +173,7 @@
 	defer in.mu.Unlock()
 	in.closeInTime(now)
 	in.deliver(in.slots.Advance(now))
+	in.lookForAnswers(now)
 	if in.judge(now).Tick(now) {
 		in.noteBreaker(now, "requests run for far longer than their route's mean")
 	}
--- a/inbound/pause_test.go
+++ b/inbound/pause_test.go
@@ -79,3 +79,30 @@
 	assert.Assert(t, known)
 	in.tick(now)
 }
+
+// TestAnswersReadLate: a server is not set aside for answers that have come and that this process, which is slow, has not read.
+func TestAnswersReadLate(t *testing.T) {
+	const work = 100 * time.Millisecond
+	tests := map[string]struct {
+		come bool
+		want breaker.State
+	}{
+		"answers that have come": {true, breaker.StateClosed},
+		"answers that have not":  {false, breaker.StateOpen},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil))
+			began := time.Now()
+			for _, id := range []string{"a", "b"} {
+				in.breaker.Grant(began, id, "route", work)
+				in.breaker.Start(began, id)
+				in.watch(id, func() bool { return test.come })
+			}
+			for now := began; now.Before(began.Add(10 * work)); now = now.Add(tickInterval) {
+				in.tick(now)
+			}
+			assert.Equal(t, in.breaker.State(), test.want)
+		})
+	}
+}
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -41,7 +41,7 @@
 	u.in.begin(u.id, &u.parent)
 	u.arrive(now)
 	u.began = time.Now()
-	answer, sent, err := u.in.pool.Do(ctx, toServer)
+	answer, sent, err := u.in.pool.Do(ctx, toServer, func(unread func() bool) { u.in.watch(u.item.ID, unread) })
 	if err != nil {
 		return u.fail(ctx, sent, err)
 	}
@@ -141,6 +141,7 @@
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
 	delete(u.in.parents, u.id)
+	delete(u.in.unread, u.item.ID)
 	if result == breaker.ResultError && u.parent.blameless() {
 		result = breaker.ResultNone
 	}
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -153,7 +153,7 @@
 	case in.stop != nil && !in.stop.MayLend(now, time.Duration(r.GetExpectedMs())*time.Millisecond):
 		// Shorter requests may still come, so this says nothing of the server.
 		return in.refusal(CauseLate, stops, 0)
-	case !in.judge(now).Allow(now, askOf(r)):
+	case !in.allows(now, askOf(r)):
 		return in.refusal(CauseSick, "", in.breaker.RetryAfter(now))
 	case r.GetExtra() && !in.extras.Left(now):
 		return in.refusal(CauseBudget, "", 0)
--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -173,6 +173,7 @@
 // refused gives the request up.
 func (rq *request) refused() {
 	rq.end()
+	rq.note(false)
 	w := rq.from.w
 	if rq.arrivals > 0 {
 		w.failed++
@@ -273,6 +274,7 @@
 	if result == breaker.ResultOK {
 		rq.from.service.Succeeded(w.now, name)
 		rq.done = true
+		rq.note(true)
 		w.served++
 		if w.now.Sub(rq.began) <= w.Objective {
 			w.inTime++
@@ -286,9 +288,15 @@
 		return
 	}
 	rq.done = true
+	rq.note(false)
 	w.failed++
 }
 
+// note writes down what came of the request.
+func (rq *request) note(served bool) {
+	rq.from.w.outcomes = append(rq.from.w.outcomes, outcome{rq.began, served})
+}
+
 // count counts a refused reservation.
 func (t *tally) count(cause refusal) {
 	switch cause {
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -116,6 +116,16 @@
 	held                      []time.Duration
 	// sent and answered count requests and served ones by workspace.
 	sent, answered map[string]int
+	// setAside counts the servers that were set aside while they were well.
+	setAside int
+	// outcomes are what came of the requests.
+	outcomes []outcome
+}
+
+// outcome is what came of one request, which began at a time.
+type outcome struct {
+	began  time.Time
+	served bool
 }
 
 // event is something that happens at a time; seq keeps those of one time in order.
@@ -219,6 +229,16 @@
 	return fault{}, false
 }
 
+// fails reports whether a fault befalls a server now, not its process.
+func (w *world) fails(index int) bool {
+	for i, f := range w.Faults {
+		if f.Kind != faultLag && w.strikes(i, index, w.now.Sub(w.began)) {
+			return true
+		}
+	}
+	return false
+}
+
 // lag draws how long the process of a VM takes for a message that comes to it now.
 func (w *world) lag(index int) time.Duration {
 	for i, f := range w.Faults {
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -30,8 +30,10 @@
 	// waiting holds, by the item's id, the reservations that wait.
 	waiting map[string]*reservation
 	nextID  int
-	// arrivals are when the server got requests.
+	// arrivals are when the server got requests, unread are those whose answers its process has
+	// not read yet.
 	arrivals []time.Time
+	unread   map[string]bool
 }
 
 func newServer(w *world, index int) *server {
@@ -39,7 +41,7 @@
 		w: w, index: index, slots: admission.NewServer(w.Slots), breaker: breaker.New(),
 		// The process has run for long when the pattern begins.
 		extras:  retry.NewWindow(w.now.Add(-time.Minute), w.Ratio, 10*time.Second),
-		waiting: map[string]*reservation{},
+		waiting: map[string]*reservation{}, unread: map[string]bool{},
 		entry: slatewind.ServerEntry{
 			Name: fmt.Sprint("s-", index), Service: "svc", DataCentre: fmt.Sprint("dc-", index%w.DataCentres), Slots: w.Slots,
 		},
@@ -55,12 +57,36 @@
 // onTick looks at the queue and the judgement, as each tick does.
 func (s *server) onTick() {
 	s.deliver(s.slots.Advance(s.w.now))
-	s.breaker.Tick(s.w.now)
+	s.lookForAnswers()
+	s.noteOpening(s.breaker.Tick(s.w.now))
 	if !s.w.over() || len(s.waiting) > 0 {
 		s.w.after(tick, s.onTick)
 	}
 }
 
+// lookForAnswers tells the judgement which requests are late since their answers are not read yet.
+func (s *server) lookForAnswers() {
+	for _, id := range s.breaker.Late(s.w.now) {
+		s.breaker.SetUnread(s.w.now, id, s.unread[id])
+	}
+}
+
+// allows reports whether the judgement lets a reservation through.
+func (s *server) allows(r *reservation) bool {
+	if s.breaker.Allow(s.w.now, r.ask()) {
+		return true
+	}
+	s.lookForAnswers()
+	return s.breaker.Allow(s.w.now, r.ask())
+}
+
+// noteOpening counts a server that is set aside while it is well.
+func (s *server) noteOpening(changed bool) {
+	if changed && s.breaker.State() == breaker.StateOpen && !s.w.fails(s.index) {
+		s.w.setAside++
+	}
+}
+
 // report tells the ingresses of the data centre that the server is sick.
 func (s *server) report() {
 	if s.w.over() {
@@ -91,7 +117,7 @@
 	switch {
 	case rq.slot != nil || rq.done:
 		return
-	case !s.breaker.Allow(now, r.ask()):
+	case !s.allows(r):
 		r.refuse(refusedSick, s.breaker.RetryAfter(now))
 		return
 	case r.extra() && !s.extras.Left(now):
@@ -152,7 +178,7 @@
 
 // end gives a slot back.
 func (s *server) end(r *reservation, result breaker.Result, took time.Duration) {
-	s.breaker.End(s.w.now, r.item.ID, result)
+	s.noteOpening(s.breaker.End(s.w.now, r.item.ID, result))
 	s.deliver(s.slots.Done(s.w.now, r.item, took))
 }
 
@@ -192,8 +218,9 @@
 	}
 	s.arrivals = append(s.arrivals, s.w.now)
 	s.w.after(took, func() {
-		// The process may read the answer late.
+		s.unread[r.item.ID] = true
 		s.w.after(s.w.lag(s.index), func() {
+			delete(s.unread, r.item.ID)
 			s.end(r, result, took)
 			told := s.told()
 			r.toIngress(func() { rq.answered(r, result, told) })
