Keep the bound on extra attempts also for loads that move between servers

Cause: a server without a share of the slack counted the span that held the most of its own requests, and other servers another one, while the operators count one span for all. Bound: a rule of a server alone that keeps the bound for every load has to weigh its requests in the span, in the one before and in the one half a span before by parts that add up to one. A request at a span's end is in the first only, one just before the span in the others only, so that an attempt shortly after a request is worth half at most. So what a rule of a server alone can grant of a fresh burst is half.

Change: such a server counts half of its requests in the span and half of those in the one before, which adds up over servers exactly. TestBudget of package outbound asks for half of the bound without any slack, in whole attempts at each of five servers, which half in parts does not give; so where operators allow no slack at all, servers count as before.

Even loads earn in full.

TestManyServers and TestTwoBursts hold, the latter without slack too.

--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -202,6 +202,7 @@
 // shareSlack takes the server's share of the slack. The lock is held.
 func (in *Inbound) shareSlack() {
 	slack := in.bounds.RetrySlack
+	in.extras.SetBare(slack == 0)
 	in.extras.SetSlack(in.sharer.Share(max(extrasShare*slack, min(slack, leastSlack))))
 }
 
--- a/retry/earned.go
+++ b/retry/earned.go
@@ -17,8 +17,14 @@
 
 // earned keeps a server from spending in one span what another one earned. The operators' bound
 // counts, for each span, the requests of it, of the one before, or of the one half a span earlier,
-// whichever holds the most. So does a server for its own requests; loads that rise and fall at all
-// servers of a service alike, as bursts do, then add up to no more than the bound allows.
+// whichever holds the most. A server that knows of no others' requests may count half of its own in
+// the span and half of those in the one before: over all servers these add up to no more than the
+// bound allows, wherever the load goes. An even load earns in full, a fresh burst half.
+//
+// Where the operators allow no slack, half would leave next to nothing to small services. There a
+// server counts as the operators do, whichever span holds the most of its own requests. Loads that
+// rise and fall at all servers alike, as bursts do, then keep the bound, and loads that move between
+// servers may exceed it.
 type earned struct {
 	firsts int
 	// parts holds how many requests had come when each part of the last spans began, oldest
@@ -51,31 +57,36 @@
 }
 
 // covers reports whether each span that begins with an attempt of the last one holds no more of them
-// than its requests earn, one that is paid for now included.
-func (e *earned) covers(now time.Time, ratio float64, span time.Duration) bool {
+// than its requests earn, one that is paid for now included. bare says that there is no slack.
+func (e *earned) covers(now time.Time, ratio float64, span time.Duration, bare bool) bool {
 	for len(e.spent) > 0 && now.Sub(e.spent[0].at) > span {
 		e.spent = e.spent[1:]
 	}
+	counted := e.halves
+	if bare {
+		counted = e.most
+	}
 	for i, begin := range e.spent {
 		extras := len(e.spent) - i + 1
-		if needed := float64(extras) / ratio; !e.spanHolds(now, begin, needed, span) {
+		if counted(now, begin, span) < float64(extras)/ratio {
 			return false
 		}
 	}
-	return true
+	return bare || counted(now, mark{now, e.firsts}, span) >= 1/ratio
 }
 
-// spanHolds reports whether the span that begins at a mark, the one before it or the one half a span
-// earlier holds so many requests.
-func (e *earned) spanHolds(now time.Time, begin mark, needed float64, span time.Duration) bool {
-	if float64(e.firsts-begin.firsts) >= needed {
-		return true
-	}
-	if float64(begin.firsts-e.atMost(begin.at.Add(-span))) >= needed {
-		return true
-	}
+// halves returns half of the requests of the span that begins at a mark and half of those before it.
+func (e *earned) halves(_ time.Time, begin mark, span time.Duration) float64 {
+	return float64(e.firsts-e.atMost(begin.at.Add(-span))) / 2
+}
+
+// most returns the requests of the span that begins at a mark, of the one before it or of the one
+// half a span earlier, whichever holds the most.
+func (e *earned) most(now time.Time, begin mark, span time.Duration) float64 {
+	within := e.firsts - begin.firsts
+	before := begin.firsts - e.atMost(begin.at.Add(-span))
 	around := e.atLeast(begin.at.Add(span/2), now) - e.atMost(begin.at.Add(-span/2))
-	return float64(around) >= needed
+	return float64(max(within, before, around))
 }
 
 // atMost returns how many requests had come at a time, or some more.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -20,10 +20,12 @@
 //   - Slack is divided in whole attempts (Sharer). Where there are more servers than
 //     attempts, those without a share keep what they earned for an eighth of a span only.
 //     They grant nothing where fewer than the requests for one attempt come in it.
-//   - These servers keep the bound together where the load of all rises and falls alike, since
-//     each keeps it for the requests that it is asked for first (earned). Where the load moves
-//     from some of them to others within a span, those let them exceed it by up to one attempt
-//     each (TestLoadThatMoves).
+//   - These servers may count half of their own requests in a span and half of those in the one
+//     before (earned), so that a fresh burst earns them half. No rule of a server alone that
+//     keeps the bound for all loads earns more.
+//   - Where the operators allow no slack at all, all servers are without a share. They keep the
+//     bound together where the load of all rises and falls alike; loads that move between them
+//     within a span may exceed it (TestLoadThatMovesWithoutSlack).
 //   - A change of the servers moves shares at once, while some of the old ones are spent.
 //     The host keeps a part of the bound back for it.
 package retry
--- a/retry/window.go
+++ b/retry/window.go
@@ -19,8 +19,10 @@
 	since time.Time
 	// earning is when the ratio that is saved began to be earned.
 	earning time.Time
-	// earned bounds what is spent of the ratio where there is no slack to cover it.
+	// earned bounds what is spent of the ratio where there is no slack to cover it, and bare says
+	// that no server of the service has any.
 	earned earned
+	bare   bool
 }
 
 // mostSaved bounds how much of the ratio is saved up, in attempts. More would
@@ -65,6 +67,9 @@
 	w.saved = min(w.saved, w.maySave())
 }
 
+// SetBare states whether the operators allow the service no slack at all.
+func (w *Window) SetBare(bare bool) { w.bare = bare }
+
 // mostSaved returns how much of the ratio may be saved: one attempt at least, for a moment
 // where the slack allows none.
 func (w *Window) mostSaved() float64 { return max(min(w.slack, mostSaved), 1) }
@@ -93,7 +98,7 @@
 // savedLeft reports whether an attempt can be paid from what is saved.
 func (w *Window) savedLeft(now time.Time) bool {
 	w.lapse(now)
-	return w.saved >= 1 && (w.slack >= 1 || w.earned.covers(now, w.ratio, w.span))
+	return w.saved >= 1 && (w.slack >= 1 || w.earned.covers(now, w.ratio, w.span, w.bare))
 }
 
 // Left reports whether an extra arrival would be paid for.
