Cut processes off from each other while the soak's store shows older settings

Cause: in that build the readers of the store do take them, and 2 to 53 ms later they fetch the newest from another process, since they know by its version that it exists. The probe of each process looks each 0.1 s. So one safeguard repairs what the other lacks, faster than the check looks.

Change: links between processes lose everything while the store shows the older settings. Then each process asks the store itself, and none can repair what it took.

TestBrokenBuilds/older_settings_are_taken, with the race detector: 8 of 8.

--- a/soak/calm.go
+++ b/soak/calm.go
@@ -39,12 +39,23 @@
 	return f.checkStop(ctx)
 }
 
-// showOlder has the store show the settings before the newest; the probes would
-// notice if a process took them.
+// showOlder has the store show the settings before the newest while processes are cut off from
+// each other; the probes would notice if a process took them. One that could ask others would have
+// the newest again within milliseconds, between two probes.
 func (f *fleet) showOlder(ctx context.Context) {
+	f.setPeerLinks(linkDropsAll)
 	f.store.Put(platform.ConfigKey, encodeVersion(f.version.Load()-1))
 	sleep(ctx, olderTime)
 	f.store.Put(platform.ConfigKey, encodeVersion(f.version.Load()))
+	f.setPeerLinks(linkOpen)
+}
+
+// setPeerLinks has all links between processes behave alike, and resets their connections.
+func (f *fleet) setPeerLinks(mode linkMode) {
+	for _, n := range f.nodes {
+		n.peerProxy.set(mode)
+		n.peerProxy.resetAll()
+	}
 }
 
 // spendBudget has all servers reject what comes, so that each request could be
