Try a server again although its trials hang

Cause: a server that is set aside gets one trial at a time, three after a first success, and a trial counted as under way until its request was over. Where it hangs, or waits for a call that does, that is its whole time, up to ten seconds, whatever becomes of the server meanwhile. At 18.24 s the server beside sala-centro-12 had got nothing for 4.2 s, its last trial was as old, nine trials were under way for up to 5.7 s, all overdue, and 89 repeatable requests had asked in vain.

Ruled out for that time: too few requests that may be trials. Before 10 s that is so at some servers (one such request asked in 4.2 s, 88 single ones); then others have room, and nothing is refused.

Change: only trials count that are awaited: not those that take too long, which have shown what they had to, nor those that wait for a call.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -107,11 +107,9 @@
 	needed    int
 	// changed is when the breaker last opened or closed.
 	changed time.Time
-	// trialAfter is the pause between lastTrial and the next trial, trials how
-	// many run now.
+	// trialAfter is the pause between lastTrial and the next trial.
 	trialAfter time.Duration
 	lastTrial  time.Time
-	trials     int
 	// running holds the server's requests by id, means the routes' by name.
 	running map[string]*running
 	means   map[string]mean
@@ -170,11 +168,11 @@
 	case ask.Careful:
 		return false
 	case ask.Scarce:
-		return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter+TrialOverdue
+		return b.trials() == 0 && now.Sub(b.lastTrial) >= b.trialAfter+TrialOverdue
 	case b.state == StateHalfOpen, ask.LastResort:
-		return b.trials < maxTrials
+		return b.trials() < maxTrials
 	}
-	return b.trials == 0 && now.Sub(b.lastTrial) >= b.trialAfter
+	return b.trials() == 0 && now.Sub(b.lastTrial) >= b.trialAfter
 }
 
 // Shed returns the share of the newest requests that the server rejected.
@@ -209,14 +207,18 @@
 func (b *Breaker) Grant(now time.Time, id, route string, expected time.Duration) {
 	r := &running{route: route, expected: expected, paused: true, trial: b.state != StateClosed}
 	if r.trial {
-		b.trials++
 		b.lastTrial = now
 	}
 	b.running[id] = r
 }
 
 // Start notes that the server gets a request that was granted.
-func (b *Breaker) Start(now time.Time, id string) { b.Resume(now, id) }
+func (b *Breaker) Start(now time.Time, id string) {
+	b.Resume(now, id)
+	if r := b.running[id]; r != nil {
+		r.started = true
+	}
+}
 
 // End notes what became of a request. It reports whether the state changed.
 func (b *Breaker) End(now time.Time, id string, result Result) bool {
@@ -225,9 +227,6 @@
 		return false
 	}
 	delete(b.running, id)
-	if r.trial {
-		b.trials--
-	}
 	took := r.took(now)
 	if result == ResultOK && !r.unread && (r.overdue || b.tooLong(r, took)) {
 		return !r.overdue && b.fail(now, slowWeight)
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -177,6 +177,32 @@
 	}
 }
 
+// TestTrialsThatHang: a server whose trials hang, or wait for calls that do, is tried again, since it may be well long before their time is over.
+func TestTrialsThatHang(t *testing.T) {
+	halfOpen := append(served(5, 100*ms), step{start: "x"}, step{after: ms, end: "x", result: breaker.ResultBroken},
+		step{after: 410 * ms, start: "t"}, step{after: 50 * ms, end: "t", result: breaker.ResultOK})
+	tests := map[string]struct {
+		steps []step
+		trial bool
+	}{
+		"three that have just begun": {append(halfOpen, step{start: "a"}, step{start: "b"}, step{start: "c"}, step{after: 200 * ms}), false},
+		"three that hang":            {append(halfOpen, step{start: "a"}, step{start: "b"}, step{start: "c"}, step{after: 1500 * ms}), true},
+		"three that wait for calls": {
+			append(halfOpen, step{start: "a", pause: "a"}, step{start: "b", pause: "b"}, step{start: "c", pause: "c"}, step{after: 1500 * ms}), true,
+		},
+		"three that go on after calls": {
+			append(halfOpen, step{start: "a", pause: "a"}, step{start: "b", pause: "b"}, step{start: "c", pause: "c"},
+				step{after: 100 * ms, resume: "a"}, step{resume: "b"}, step{resume: "c"}, step{after: 100 * ms}), false,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, now := run(test.steps)
+			assert.Equal(t, b.Allow(now, breaker.Ask{}), test.trial)
+		})
+	}
+}
+
 // TestTrialIn states how long it is until a server gets a trial.
 func TestTrialIn(t *testing.T) {
 	open := []step{{start: "a"}, {after: 10 * ms, end: "a", result: breaker.ResultBroken}}
--- a/breaker/running.go
+++ b/breaker/running.go
@@ -34,6 +34,8 @@
 	own    time.Duration
 	since  time.Time
 	paused bool
+	// started says that the server has it.
+	started bool
 	// unread says that its answer has come and is not read yet.
 	unread bool
 	// answered is how long it had been worked on at the server's last success.
@@ -48,6 +50,22 @@
 	return r.own + now.Sub(r.since)
 }
 
+// awaited reports whether it is a trial that will show soon how the server is. One that takes too
+// long has shown it, and one that waits for a call shows nothing until that is over.
+func (r *running) awaited() bool {
+	return r.trial && !r.overdue && (!r.started || !r.paused || r.unread)
+}
+
+// trials returns how many trials are awaited.
+func (b *Breaker) trials() (n int) {
+	for _, r := range b.running {
+		if r.awaited() {
+			n++
+		}
+	}
+	return n
+}
+
 // mean is the mean duration of a route's successes.
 type mean struct {
 	value   time.Duration
