Lend slots of a closing stop to requests that end before what holds it

Cause: a stop closes after 2.2 s so that it ends soon. Where requests take a second and more, what is in hand holds it to 5.2 s all the same, and meanwhile its server got nothing: slots were lent once two mean service times were over, which is after the time until which they may be lent.

Ruled out: more time for long requests (spareFactor): what they do not finish is cut. Change: while work from before the close is in hand, a slot goes to a request that is expected to end before that is expected to, by the mean service time and how many there are. What waits when the stop closes is refused once, and not at each tick.

TestStopLendsWhatEndsBefore failed before ("stopping"); TestGivesSlots keeps its six cases and has four more.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -6,8 +6,8 @@
 // it is unready, and its server is well. Then it closes: new requests are refused unsent,
 // with the time after which the next process is likely to be there, and the process ends
 // as soon as what it has in hand is done. So a server is without its process only for the
-// time of the last requests and the start of the next process. Where some of what was in
-// hand at the close takes unusually long, the server's slots are given out meanwhile.
+// time of the last requests and the start of the next process. While what was in hand at the
+// close holds the process, the server's slots are given to requests that end before.
 //
 // Calls of requests that the server beside the process runs are part of what is in hand,
 // and are taken while the stop is closing too.
@@ -43,8 +43,8 @@
 	// stragglerFactor is how many times the mean service time after the close what was in
 	// hand then counts as unusually long.
 	stragglerFactor = 2
-	// lendShare is the share of the grace time until which slots are given out for that
-	// reason. A request that starts later may be cut off by the end of the process.
+	// lendShare is the share of the grace time until which a closed stop gives out slots. A
+	// request that starts later may be cut off by the end of the process.
 	lendShare = 0.65
 	// drainTime is how long what is in hand at the close mostly takes.
 	drainTime = 500 * time.Millisecond
@@ -136,14 +136,36 @@
 	return r.Deadline, true
 }
 
-// GivesSlots reports whether slots of the server beside the process are given out. mean is
-// its mean service time, or zero where it is not known, and held says that work from before
-// the close is in hand.
-func (c Course) GivesSlots(now time.Time, mean time.Duration, held bool) bool {
-	if c.Open(now) {
+// Work is what holds a stop that has closed.
+type Work struct {
+	// Held is how many requests from before the close are in hand.
+	Held int
+	// Mean is the mean service time of the server beside the process, or zero where it is not
+	// known.
+	Mean time.Duration
+}
+
+// lasts returns how long it takes on average until all that is held has ended, where requests take
+// times with an exponential distribution.
+func (w Work) lasts() time.Duration {
+	sum := 0.0
+	for n := range w.Held {
+		sum += 1 / float64(n+1)
+	}
+	return time.Duration(sum * float64(w.Mean))
+}
+
+// GivesSlots reports whether a slot of the server beside the process is given to a request that is
+// expected to take so long. Once the stop has closed, only those get one that are likely to end
+// before what holds the stop anyway, and any where that takes unusually long.
+func (c Course) GivesSlots(now time.Time, expected time.Duration, w Work) bool {
+	switch {
+	case c.Open(now):
 		return true
+	case w.Held == 0 || w.Mean <= 0 || !now.Before(c.share(lendShare)):
+		return false
 	}
-	return held && mean > 0 && now.Sub(c.Closes()) >= stragglerFactor*mean && now.Before(c.share(lendShare))
+	return expected <= w.lasts() || now.Sub(c.Closes()) >= stragglerFactor*w.Mean
 }
 
 // BackIn returns after what time the next process is likely to be ready.
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -168,25 +168,33 @@
 }
 
 // TestGivesSlots: the server beside the process gets work until the stop closes, and again
-// while something from before holds the process for unusually long.
+// while something from before holds the process for longer.
 func TestGivesSlots(t *testing.T) {
 	course := drain.Course{Began: began, Grace: 6 * time.Second}
 	const mean = 400 * time.Millisecond
+	// usual is what a request is expected to take at most servers.
+	const usual = 3 * mean / 2
 	tests := map[string]struct {
-		after time.Duration
-		held  bool
-		gives bool
+		after    time.Duration
+		expected time.Duration
+		held     int
+		gives    bool
 	}{
-		"while it is open":               {2199 * time.Millisecond, false, true},
-		"with nothing from before":       {4 * time.Second, false, false},
-		"with the usual work in hand":    {2900 * time.Millisecond, true, false},
-		"while something takes long":     {3 * time.Second, true, true},
-		"while something takes longer":   {3900 * time.Millisecond, true, false},
-		"when that has ended, once more": {3500 * time.Millisecond, false, false},
+		"while it is open":                       {2199 * time.Millisecond, usual, 0, true},
+		"with nothing from before":               {4 * time.Second, usual, 0, false},
+		"with the usual work in hand":            {2900 * time.Millisecond, usual, 1, false},
+		"while something takes long":             {3 * time.Second, usual, 1, true},
+		"while something takes longer":           {3900 * time.Millisecond, usual, 1, false},
+		"when that has ended, once more":         {3500 * time.Millisecond, usual, 0, false},
+		"to a request that ends before the rest": {2200 * time.Millisecond, mean, 1, true},
+		"while much is in hand":                  {2200 * time.Millisecond, usual, 3, true},
+		"to one that takes longer than that":     {2200 * time.Millisecond, 2 * mean, 3, false},
+		"to a short one late":                    {3900 * time.Millisecond, mean, 3, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, course.GivesSlots(began.Add(test.after), mean, test.held), test.gives)
+			work := drain.Work{Held: test.held, Mean: mean}
+			assert.Equal(t, course.GivesSlots(began.Add(test.after), test.expected, work), test.gives)
 		})
 	}
 }
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -130,6 +130,8 @@
 	// has callers' requests in hand.
 	stop    *drain.Course
 	callers func() bool
+	// closed says that what waited when the stop closed was refused.
+	closed bool
 	// inHand counts the reservations that have no final reply yet, early those of them
 	// that got their slot before the stop closed.
 	inHand, early int
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -148,9 +148,9 @@
 		return in.refusal(CauseMoved, "the server here belongs to service "+in.server.Service, 0)
 	case in.away != "":
 		return in.refusal(CauseLeaving, whyLeaving(in.away), 0)
-	case in.stop != nil && !in.givesSlots(now):
+	case in.stop != nil && !in.givesSlots(now, expectedOf(r)):
 		return in.refusal(CauseStopping, stops, in.stop.BackIn(now))
-	case in.stop != nil && !in.stop.MayLend(now, time.Duration(r.GetExpectedMs())*time.Millisecond):
+	case in.stop != nil && !in.stop.MayLend(now, expectedOf(r)):
 		// Shorter requests may still come, so this says nothing of the server.
 		return in.refusal(CauseLate, stops, 0)
 	case !in.allows(now, askOf(r)):
@@ -161,6 +161,11 @@
 	return nil
 }
 
+// expectedOf returns how long a request is expected to take.
+func expectedOf(r *slatewindv1.Reservation) time.Duration {
+	return time.Duration(r.GetExpectedMs()) * time.Millisecond
+}
+
 // serverName returns the name of the server that runs here.
 func (in *Inbound) serverName() string {
 	in.mu.Lock()
--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -23,26 +23,39 @@
 // stops is why a process that is about to end refuses reservations.
 const stops = "the process beside the server stops"
 
-// closeInTime refuses what waits for a slot while the stop gives out none. The lock is
-// held.
+// closeInTime refuses what waits for a slot when the stop closes, and while it gives out none. The
+// lock is held.
 func (in *Inbound) closeInTime(now time.Time) {
-	if in.stop != nil && !in.givesSlots(now) {
-		in.deliver(in.slots.RefuseAll(stops))
+	if in.stop == nil || in.stop.Open(now) || in.closed && in.givesSlots(now, 0) {
+		return
 	}
+	in.closed = true
+	in.deliver(in.slots.RefuseAll(stops))
 }
 
 // lentBears is how much suspicion of the server is borne where a closed stop lends its slots.
 // One in twelve moments of a well server shows more.
 const lentBears = 2.5
 
-// givesSlots reports whether the stop gives out slots. A closed one lends none of a server that
-// looks sick: what that does not finish is cut by the end of the process. The lock is held.
-func (in *Inbound) givesSlots(now time.Time) bool {
+// givesSlots reports whether the stop gives a slot to a request that is expected to take so long. A
+// closed one lends none of a server that looks sick: what that does not finish is cut by the end of
+// the process. The lock is held.
+func (in *Inbound) givesSlots(now time.Time, expected time.Duration) bool {
 	if in.stop.Open(now) {
 		return true
 	}
 	well := in.judge(now).Allow(now, breaker.Ask{Careful: true, Bears: lentBears})
-	return well && in.stop.GivesSlots(now, in.slots.Mean(), in.early > 0 || in.callers())
+	return well && in.stop.GivesSlots(now, expected, in.work())
+}
+
+// work returns what holds the stop: the server's requests from before its close, and the callers'.
+// The lock is held.
+func (in *Inbound) work() drain.Work {
+	held := in.early
+	if in.callers() {
+		held++
+	}
+	return drain.Work{Held: held, Mean: in.slots.Mean()}
 }
 
 // timeLeft returns how long the server may work on a request that begins now: where the process
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -101,8 +101,7 @@
 		if u.reservation.GetExtra() {
 			u.payment = u.in.extras.Take(u.granted)
 		}
-		expected := time.Duration(u.reservation.GetExpectedMs()) * time.Millisecond
-		u.in.judge(u.granted).Grant(u.granted, u.item.ID, u.reservation.GetRoute(), expected)
+		u.in.judge(u.granted).Grant(u.granted, u.item.ID, u.reservation.GetRoute(), expectedOf(u.reservation))
 	}
 	u.in.mu.Unlock()
 	if refusal != nil {
