Lend slots of a closing stop as long as what gets them can be finished

The danger of that time: a request that is cut at the end of the lending process counts as lost where its own process stops too, and such a process uses no slot any more that ends before itself.

Change: no such share; twice the expected time has to be left until five sixths of the grace time, as for all slots of a stop.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -43,9 +43,6 @@
 	// stragglerFactor is how many times the mean service time after the close what was in
 	// hand then counts as unusually long.
 	stragglerFactor = 2
-	// lendShare is the share of the grace time until which a closed stop gives out slots. A
-	// request that starts later may be cut off by the end of the process.
-	lendShare = 0.65
 	// drainTime is how long what is in hand at the close mostly takes.
 	drainTime = 500 * time.Millisecond
 	// startTime is how long it takes from the end of a process until the next one is ready.
@@ -162,7 +159,7 @@
 	switch {
 	case c.Open(now):
 		return true
-	case w.Held == 0 || w.Mean <= 0 || !now.Before(c.share(lendShare)):
+	case w.Held == 0 || w.Mean <= 0 || !c.MayLend(now, expected):
 		return false
 	}
 	return expected <= w.lasts() || now.Sub(c.Closes()) >= stragglerFactor*w.Mean
