Ask the store for settings as soon as patience with other processes is over

A process that fetches settings paused 50 ms more after that, in a loop whose end was read in its condition.

--- a/discovery/feed.go
+++ b/discovery/feed.go
@@ -192,15 +192,20 @@
 // store. It asks any process first: the one that told of them has many to serve,
 // and each that has them soon serves others.
 func (f *Feed) fetch(ctx context.Context) error {
-	for patience := time.Now().Add(fetchPatience); time.Now().Before(patience) && ctx.Err() == nil; sleep(ctx, fetchPause) {
+	patience := time.Now().Add(fetchPatience)
+	for ctx.Err() == nil {
 		for _, address := range f.askable() {
 			if f.fetchFrom(ctx, address) {
 				return nil
 			}
 			if !time.Now().Before(patience) {
-				break
+				return f.read(ctx, 0)
 			}
 		}
+		if time.Until(patience) < fetchPause {
+			break
+		}
+		sleep(ctx, fetchPause)
 	}
 	return f.read(ctx, 0)
 }
