--- a/call.go
+++ b/call.go
@@ -31,5 +31,9 @@
 		return false
 	}
 	separator, _ := utf8.DecodeRuneInString(rest)
-	return !unicode.IsLetter(separator) && !unicode.IsDigit(separator)
+	return SeparatesCall(separator)
 }
+
+// SeparatesCall reports whether a character may stand in a call's id between that of its request
+// and what follows: it is neither a letter nor a digit.
+func SeparatesCall(r rune) bool { return !unicode.IsLetter(r) && !unicode.IsDigit(r) }
--- a/inbound/calls.go
+++ b/inbound/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"time"
-	"unicode"
 	"unicode/utf8"
 
 	"slatewind.example/slatewind"
@@ -58,10 +57,7 @@
 	for end := len(id); end > 0; {
 		separator, width := utf8.DecodeLastRuneInString(id[:end])
 		end -= width
-		if unicode.IsLetter(separator) || unicode.IsDigit(separator) {
-			continue
-		}
-		if p := in.parents[id[:end]]; p != nil {
+		if p := in.parents[id[:end]]; p != nil && slatewind.SeparatesCall(separator) {
 			return p
 		}
 	}
