--- a/ingress/request.go
+++ b/ingress/request.go
@@ -49,8 +49,6 @@
 	maxKeyLength = 255
 	// defaultRetryAfter is told where nothing better is known.
 	defaultRetryAfter = time.Second
-	// bodyTime bounds how long a caller may take to send its request.
-	bodyTime = 30 * time.Second
 )
 
 // request is one caller's request with all that its decisions need.
@@ -257,9 +255,7 @@
 
 func (rq *request) readBody(w http.ResponseWriter, r *http.Request) error {
 	limit := int64(rq.route.GetMaxBodyBytes())
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	body, err := link.ReadBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &badRequest{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body is over the route's limit of %d bytes", limit)}
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -28,8 +27,6 @@
 	objectivePart = 2
 	// defaultBodyBytes bounds a body where settings state no limit, in bytes.
 	defaultBodyBytes = 64 << 20
-	// bodyTime bounds how long a caller may take to send its body.
-	bodyTime = 30 * time.Second
 	// leastRetryAfter keeps refused callers from coming back at once.
 	leastRetryAfter = 50 * time.Millisecond
 	// unreadyRetryAfter is told before settings are known.
@@ -270,9 +267,7 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	body, err := link.ReadBody(w, r, limit)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body is over the limit of %d bytes", limit)}
