--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -57,7 +57,7 @@
 // table. Run it with -benchtime=1x: a play repeats itself.
 func BenchmarkWays(b *testing.B) {
 	for name, way := range ways {
-		for _, c := range plays() {
+		for _, c := range append(plays(), largePlays()...) {
 			b.Run(name+"/"+c.name, func(b *testing.B) {
 				var o outcome
 				for b.Loop() {
@@ -132,6 +132,36 @@
 	}
 }
 
+// largePlays are of fleets in which most workspaces send far less than a request a second to each
+// process.
+func largePlays() []namedPlay {
+	const lasts = 8 * time.Second
+	from, to := 2*time.Second, 6*time.Second
+	of := func(processes, workspaces int, rate float64, faults ...fault) func(func(*model) way) play {
+		return func(w func(*model) way) play {
+			loads := flooded(flooded(zipf(workspaces, rate), 0, 7.5, from, to), workspaces/2, 12, from, to)
+			return play{processes: processes, loads: loads, faults: faults, lasts: lasts, seed: 7, way: w}
+		}
+	}
+	return []namedPlay{
+		{"300 processes, 3,000 workspaces, two flood", of(300, 3000, 5000)},
+		{"300 processes, two flood, a third is killed", of(300, 3000, 5000, fault{at: 3 * time.Second, lasts: 800 * time.Millisecond, share: 0.33, what: troubleKill})},
+		{"1,000 processes, 10,000 workspaces, two flood", of(1000, 10000, 20000)},
+	}
+}
+
+// TestLimitInLargeFleets: the same bound where there are many processes and workspaces.
+func TestLimitInLargeFleets(t *testing.T) {
+	t.Parallel()
+	for _, c := range largePlays()[:2] {
+		t.Run(c.name, func(t *testing.T) {
+			o := c.play(newTokens).run()
+			t.Log(o)
+			assert.Assert(t, o.over <= 1, "%v", o)
+		})
+	}
+}
+
 // rolling kills homes one after the other.
 func rolling(n int, from, pause, lasts time.Duration) (faults []fault) {
 	for i := range n {
