Let stopping processes use slots that last as long as their request may

A process that stops used no slot of another one that ends before itself, also for a request whose own time is over sooner. Many requests have a second or two, so that in series of stops such processes found fewer servers than they could have used, for nothing: no wait is longer than the request's time.

TestStopOutlastsServersProcess has a case for it, which failed before (503); its others hold.

--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -217,7 +217,7 @@
 	case e.reply.GetGranted() != nil && !l.rq.shard.takes(e.of.server().ID()):
 		// The process beside the server may be cut off and not know.
 		l.left(e)
-	case e.reply.GetGranted() != nil && l.o.outlasts(time.Now(), e.reply.GetGranted()):
+	case e.reply.GetGranted() != nil && l.o.outlasts(time.Now(), l.rq, e.reply.GetGranted()):
 		l.endsBefore(e)
 	case e.reply.GetGranted() != nil:
 		delete(l.open, e.of)
--- a/outbound/stop.go
+++ b/outbound/stop.go
@@ -48,14 +48,15 @@
 	return until
 }
 
-// outlasts reports whether this process stops and has to wait for answers longer than the process
+// outlasts reports whether this process stops and has to wait for an answer longer than the process
 // beside a server does, which stops too. That one would cut at its end what this one waits for.
-func (o *Outbound) outlasts(now time.Time, state *slatewindv1.SlotState) bool {
+func (o *Outbound) outlasts(now time.Time, rq *request, state *slatewindv1.SlotState) bool {
 	stop := o.stop.Load()
 	if stop == nil || state.GetLastsMs() == 0 {
 		return false
 	}
-	return stop.Outlasts(now, time.Duration(state.GetLastsMs())*time.Millisecond)
+	lasts := time.Duration(state.GetLastsMs()) * time.Millisecond
+	return stop.Outlasts(now, lasts) && rq.remaining(now)+answerSlack > lasts
 }
 
 // mayStart reports whether a request may be sent to a server now.
--- a/outbound/stop_test.go
+++ b/outbound/stop_test.go
@@ -5,31 +5,45 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/drain"
 )
 
 // TestStopOutlastsServersProcess: a process that stops sends no request to a server whose own process ends before it, since that would cut a request for which the caller's process could wait longer.
 func TestStopOutlastsServersProcess(t *testing.T) {
-	const grace = 6 * time.Second
+	const (
+		grace = 6 * time.Second
+		// long is more than a stop lasts.
+		long = 10 * time.Second
+	)
 	tests := map[string]struct {
 		// server and caller are how long ago the processes beside the server and of the caller
 		// were told to stop; a negative one goes on.
 		server, caller time.Duration
-		status         int
+		// allowed is the time that the request has.
+		allowed time.Duration
+		status  int
 	}{
-		"neither stops":                  {-1, -1, http.StatusOK},
-		"the server's stops":             {time.Second, -1, http.StatusOK},
-		"the caller's stops":             {-1, time.Second, http.StatusOK},
-		"both since the same time":       {time.Second, time.Second, http.StatusOK},
-		"the caller's stops for longer":  {500 * time.Millisecond, time.Second, http.StatusOK},
-		"the server's stops for longer":  {time.Second, 500 * time.Millisecond, http.StatusServiceUnavailable},
-		"the server's is about to close": {2 * time.Second, 0, http.StatusServiceUnavailable},
+		"neither stops":                  {-1, -1, long, http.StatusOK},
+		"the server's stops":             {time.Second, -1, long, http.StatusOK},
+		"the caller's stops":             {-1, time.Second, long, http.StatusOK},
+		"both since the same time":       {time.Second, time.Second, long, http.StatusOK},
+		"the caller's stops for longer":  {500 * time.Millisecond, time.Second, long, http.StatusOK},
+		"the server's stops for longer":  {time.Second, 500 * time.Millisecond, long, http.StatusServiceUnavailable},
+		"a request that is over before":  {time.Second, 500 * time.Millisecond, time.Second, http.StatusOK},
+		"the server's is about to close": {2 * time.Second, 0, long, http.StatusServiceUnavailable},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			m := newMesh(t, "a")
+			m.publish(2, &slatewindv1.Route{
+				Name: "long", Host: "h.example", PathPrefix: "/long/", Kind: string(slatewind.KindSingle), Service: "svc",
+				Timeout: durationpb.New(time.Minute), Objective: durationpb.New(400 * time.Millisecond),
+			})
 			now := time.Now()
 			if test.server >= 0 {
 				m.places["a"].Drain(drain.Course{Began: now.Add(-test.server), Grace: grace}, func() bool { return false })
@@ -37,7 +51,7 @@
 			if test.caller >= 0 {
 				m.Drain(drain.Course{Began: now.Add(-test.caller), Grace: grace})
 			}
-			got := m.send(http.MethodPost, "/pay/1", "id", "", time.Second)
+			got := m.send(http.MethodPost, "/long/1", "id", "", test.allowed)
 			assert.Equal(t, got.status, test.status, got.body)
 			assert.Equal(t, m.runs("id") > 0, test.status == http.StatusOK)
 		})
