--- a/backend/pool.go
+++ b/backend/pool.go
@@ -136,16 +136,12 @@
 
 // unread reports whether bytes wait to be read on a connection, also while it is read from.
 func unread(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
+	control := controlOf(c)
+	if control == nil {
 		return false
 	}
 	waiting := 0
-	err = control.Control(func(descriptor uintptr) {
+	err := control.Control(func(descriptor uintptr) {
 		var one [1]byte
 		waiting, _, _ = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
@@ -155,16 +151,12 @@
 // untouched reports whether nothing arrived on an idle connection, neither
 // bytes, which would belong to no request, nor its end.
 func untouched(c net.Conn) bool {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
+	control := controlOf(c)
+	if control == nil {
 		return false
 	}
 	quiet := false
-	err = control.Read(func(descriptor uintptr) bool {
+	err := control.Read(func(descriptor uintptr) bool {
 		var one [1]byte
 		_, readErr := syscall.Read(int(descriptor), one[:])
 		quiet = errors.Is(readErr, syscall.EAGAIN)
@@ -172,3 +164,16 @@
 	})
 	return err == nil && quiet
 }
+
+// controlOf returns what reaches the socket of a connection, or nil where it is closed.
+func controlOf(c net.Conn) syscall.RawConn {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	control, err := socket.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return control
+}
