Do not count a trial whose slot is given back unused

Cause: a trial counted from its grant on, used or not. The replies of a process on a slow VM come late, and a request takes the first slot that it is granted; so each trial there was granted in vain, and the next one had to wait for up to a second for it. The servers beside rufisque-4, -11, -12 and -20 got nothing from 10.5 to 15.9, 11.0 to 16.2, 11.4 to 16.4 and 11.1 to 17.9 s, with no slot in use, 164 to 323 reservations refused as sick, and one or two grants that ran out; all were set aside at 10 to 11.2 s, when the VMs became slow. Ruled out: that nobody asked, by these refusals; that trials hang, by the slots in use.

Change: the end of a trial that was never sent puts the time of the last trial back. TestTrialGivenBack failed before.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -205,9 +205,9 @@
 // Grant notes that the server is to get a request, which its sender expects to take so
 // long; zero is unknown. The time until Start is not the server's: its sender may be slow.
 func (b *Breaker) Grant(now time.Time, id, route string, expected time.Duration) {
-	r := &running{route: route, expected: expected, paused: true, trial: b.state != StateClosed}
+	r := &running{route: route, expected: expected, granted: now, paused: true, trial: b.state != StateClosed}
 	if r.trial {
-		b.lastTrial = now
+		r.trialBefore, b.lastTrial = b.lastTrial, now
 	}
 	b.running[id] = r
 }
@@ -227,6 +227,9 @@
 		return false
 	}
 	delete(b.running, id)
+	if result == ResultNone {
+		b.unused(r)
+	}
 	took := r.took(now)
 	if result == ResultOK && !r.unread && (r.overdue || b.tooLong(r, took)) {
 		return !r.overdue && b.fail(now, slowWeight)
@@ -251,6 +254,13 @@
 	return false
 }
 
+// unused takes back that there was a trial, where its request was never sent.
+func (b *Breaker) unused(r *running) {
+	if r.trial && !r.started && b.lastTrial.Equal(r.granted) {
+		b.lastTrial = r.trialBefore
+	}
+}
+
 // Tick counts requests that run for too long, each and all together. It reports
 // whether the state changed.
 func (b *Breaker) Tick(now time.Time) bool {
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -203,6 +203,24 @@
 	}
 }
 
+// TestTrialGivenBack: a trial whose slot is given back unused is none, and the next one may come at once.
+func TestTrialGivenBack(t *testing.T) {
+	b, now := run([]step{{start: "x"}, {after: ms, end: "x", result: breaker.ResultBroken}, {after: 410 * ms}})
+	for _, id := range []string{"a", "b"} {
+		assert.Assert(t, b.Allow(now, breaker.Ask{}))
+		b.Grant(now, id, "route", 0)
+		assert.Assert(t, !b.Allow(now, breaker.Ask{}), "one trial at a time")
+		now = now.Add(100 * ms)
+		b.End(now, id, breaker.ResultNone)
+	}
+	assert.Assert(t, b.Allow(now, breaker.Ask{}))
+	assert.Assert(t, !b.Allow(now, breaker.Ask{Scarce: true}))
+	assert.Assert(t, b.Allow(now.Add(breaker.TrialOverdue), breaker.Ask{Scarce: true}), "it is overdue since the first")
+	b.Grant(now, "c", "route", 0)
+	b.End(now, "c", breaker.ResultBroken)
+	assert.Assert(t, !b.Allow(now, breaker.Ask{}), "one for which no connection opened is a failed trial")
+}
+
 // TestTrialIn states how long it is until a server gets a trial.
 func TestTrialIn(t *testing.T) {
 	open := []step{{start: "a"}, {after: 10 * ms, end: "a", result: breaker.ResultBroken}}
--- a/breaker/running.go
+++ b/breaker/running.go
@@ -27,8 +27,11 @@
 	route string
 	// expected is how long its sender expects it to take, or zero.
 	expected time.Duration
-	trial    bool
-	overdue  bool
+	// granted is when it got its slot, trialBefore when the trial before it did, if it is one.
+	granted, trialBefore time.Time
+
+	trial   bool
+	overdue bool
 	// own is how long the server worked on it until since, without the time in
 	// which it waited for calls of its own; paused says that it waits now.
 	own    time.Duration
