--- a/inbound/idle.go
+++ b/inbound/idle.go
@@ -21,15 +21,17 @@
 	since time.Time
 	// noted is the age at which the idle time was last written down.
 	noted time.Duration
-	// refused counts the refused reservations by their cause.
+	// refused counts the refused reservations by their cause, unused the granted slots that were
+	// given back.
 	refused map[Cause]int
+	unused  int
 }
 
 func newIdleTime(now time.Time) idleTime { return idleTime{since: now, refused: map[Cause]int{}} }
 
 // end begins the next idle time, with a request that is sent.
 func (i *idleTime) end(now time.Time) {
-	i.since, i.noted = now, 0
+	i.since, i.noted, i.unused = now, 0, 0
 	clear(i.refused)
 }
 
@@ -45,7 +47,7 @@
 
 // describe says how long the idle time has lasted and what was refused in it.
 func (i *idleTime) describe(now time.Time) string {
-	words := []string{fmt.Sprintf("for=%.1fs", now.Sub(i.since).Seconds())}
+	words := []string{fmt.Sprintf("for=%.1fs unused=%d", now.Sub(i.since).Seconds(), i.unused)}
 	for _, cause := range slices.Sorted(maps.Keys(i.refused)) {
 		words = append(words, fmt.Sprintf("%s=%d", cause, i.refused[cause]))
 	}
--- a/inbound/idle_test.go
+++ b/inbound/idle_test.go
@@ -20,8 +20,9 @@
 	}
 	assert.DeepEqual(t, noted, []float64{1, 2, 4})
 	l.refused[CauseSick], l.refused[CauseFull] = 2, 1
-	assert.Equal(t, l.describe(start.Add(4*time.Second)), "for=4.0s full=1 sick=2")
+	l.unused = 3
+	assert.Equal(t, l.describe(start.Add(4*time.Second)), "for=4.0s unused=3 full=1 sick=2")
 	l.end(start.Add(5 * time.Second))
 	assert.Assert(t, !l.due(start.Add(5900*time.Millisecond)))
-	assert.Equal(t, l.describe(start.Add(6*time.Second)), "for=1.0s")
+	assert.Equal(t, l.describe(start.Add(6*time.Second)), "for=1.0s unused=0")
 }
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -121,6 +121,7 @@
 	defer u.in.mu.Unlock()
 	u.in.judge(now).End(now, u.item.ID, breaker.ResultNone)
 	u.in.extras.Return(u.payment)
+	u.in.idle.unused++
 	u.in.release(now, u.item)
 }
 
