--- a/inbound/pause_test.go
+++ b/inbound/pause_test.go
@@ -96,8 +96,7 @@
 			began := time.Now()
 			for _, id := range []string{"a", "b"} {
 				in.breaker.Grant(began, id, "route", work)
-				in.breaker.Start(began, id)
-				in.watch(id, func() bool { return test.come })
+				in.sending(id, func() bool { return test.come })
 			}
 			for now := began; now.Before(began.Add(10 * work)); now = now.Add(tickInterval) {
 				in.tick(now)
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -41,7 +41,7 @@
 	u.in.begin(u.id, &u.parent)
 	u.arrive(now)
 	u.began = time.Now()
-	answer, sent, err := u.in.pool.Do(ctx, toServer, func(unread func() bool) { u.in.watch(u.item.ID, unread) })
+	answer, sent, err := u.in.pool.Do(ctx, toServer, func(unread func() bool) { u.in.sending(u.item.ID, unread) })
 	if err != nil {
 		return u.fail(ctx, sent, err)
 	}
@@ -49,13 +49,11 @@
 	return u.pass(ctx, answer)
 }
 
-// arrive begins the server's time. It counts an extra arrival before the request goes to the
-// server: its answer may come much later, in another window of the bound. One that cannot be
-// sent then counts too.
+// arrive counts an extra arrival before the request goes to the server: its answer may come
+// much later, in another window of the bound. One that cannot be sent then counts too.
 func (u *use) arrive(now time.Time) {
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
-	u.in.judge(now).Start(now, u.item.ID)
 	switch r := u.reservation; {
 	case r.GetExtra():
 		u.in.extras.Arrived(now, u.payment)
--- a/inbound/unread.go
+++ b/inbound/unread.go
@@ -10,10 +10,13 @@
 // system call for each request that is late.
 const lookPause = 10 * time.Millisecond
 
-// watch keeps what tells whether bytes of the answer to a request wait to be read.
-func (in *Inbound) watch(item string, unread func() bool) {
+// sending begins the server's time, with the first byte of a request, and keeps what tells whether
+// bytes of the answer wait to be read.
+func (in *Inbound) sending(item string, unread func() bool) {
+	now := time.Now()
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.judge(now).Start(now, item)
 	in.unread[item] = unread
 }
 
