--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -30,6 +30,9 @@
 	StampedHang StampedMode = "hang"
 	// StampedHeldError holds each request like StampedHang and then answers with status 500.
 	StampedHeldError StampedMode = "held-error"
+	// StampedOverdue holds each request until the deadline that it was handed and the delay of
+	// SetDelay after it, and then answers with status 504.
+	StampedOverdue StampedMode = "overdue"
 	// StampedCut truncates each answer in the middle of its body.
 	StampedCut StampedMode = "cut"
 )
@@ -142,6 +145,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if mode == StampedOverdue {
+		delay += s.remaining(r)
+	}
 	if delay > 0 {
 		time.Sleep(delay)
 	}
@@ -161,6 +167,15 @@
 	}
 }
 
+// remaining returns how long the server may work on a request, as stated by its sender.
+func (s *Stamped) remaining(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(s.headerNames.Deadline))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (s *Stamped) answer(w http.ResponseWriter, r *http.Request, mode StampedMode, body []byte) {
 	switch mode {
 	case StampedReset, StampedLost:
@@ -173,8 +188,11 @@
 	}
 	w.Header().Set(s.headerNames.Stamp, s.name+"-stamp")
 	text := fmt.Sprintf("%s %s %s", s.name, r.RequestURI, body)
-	if mode == StampedError || mode == StampedHeldError {
+	switch mode {
+	case StampedError, StampedHeldError:
 		w.WriteHeader(http.StatusInternalServerError)
+	case StampedOverdue:
+		w.WriteHeader(http.StatusGatewayTimeout)
 	}
 	if mode == StampedCut {
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
