Wait to the end of a stop for servers that answer after their deadline

Cause: a server that gets a request while the process beside it stops is handed a deadline of 0.86 of the grace time less 250 ms, so that its own answer comes in time. The process ended the run 100 ms after that deadline, as after a request's own, 0.57 s before it exits. A server that takes the request from its own queue shortly before the deadline answers later than that. At the deadline of the request itself the caller's time is over; at the one that was shortened for the stop it isn't.

Change: the run lasts until the request's own deadline, and all runs end together 50 ms before the process closes its connections, with the reason "the process beside the server exits", so that logs tell this end from a passed deadline. Its sender gets the reason in place of a broken stream.

TestEnd is new.

--- a/daemon/nodestop.go
+++ b/daemon/nodestop.go
@@ -29,6 +29,8 @@
 	n.stopping.Store(true)
 	n.outbound.Drain(schedule)
 	n.inbound.Drain(schedule, n.outbound.HasCallers)
+	end := time.AfterFunc(time.Until(schedule.PeersEnd()), n.inbound.End)
+	defer end.Stop()
 	n.waitUntilOver(ctx, schedule)
 	n.outbound.End()
 	n.callers.SetKeepAlivesEnabled(false)
--- a/daemon/stoporder_test.go
+++ b/daemon/stoporder_test.go
@@ -34,13 +34,14 @@
 		delay  time.Duration
 		status int
 	}{
-		"only the server":      {200 * ms, 0, never, standin.StampedOverdue, 220 * ms, http.StatusGatewayTimeout},
-		"server, sent, caller": {200 * ms, 0, 500 * ms, standin.StampedOverdue, 220 * ms, http.StatusGatewayTimeout},
-		"server, caller, sent": {500 * ms, 0, 300 * ms, standin.StampedOK, 0, http.StatusServiceUnavailable},
-		"sent, server, caller": {0, 200 * ms, 400 * ms, standin.StampedOK, 2700 * ms, http.StatusOK},
-		"sent, caller, server": {0, 400 * ms, 200 * ms, standin.StampedOK, 2500 * ms, http.StatusOK},
-		"caller, sent, server": {200 * ms, 400 * ms, 0, standin.StampedOK, 2100 * ms, http.StatusOK},
-		"caller, server, sent": {400 * ms, 200 * ms, 0, standin.StampedOK, 1800 * ms, http.StatusOK},
+		"only the server":         {200 * ms, 0, never, standin.StampedOverdue, 220 * ms, http.StatusGatewayTimeout},
+		"server, sent, caller":    {200 * ms, 0, 500 * ms, standin.StampedOverdue, 220 * ms, http.StatusGatewayTimeout},
+		"only the server, silent": {200 * ms, 0, never, standin.StampedHang, 0, http.StatusBadGateway},
+		"server, caller, sent":    {500 * ms, 0, 300 * ms, standin.StampedOK, 0, http.StatusServiceUnavailable},
+		"sent, server, caller":    {0, 200 * ms, 400 * ms, standin.StampedOK, 2700 * ms, http.StatusOK},
+		"sent, caller, server":    {0, 400 * ms, 200 * ms, standin.StampedOK, 2500 * ms, http.StatusOK},
+		"caller, sent, server":    {200 * ms, 400 * ms, 0, standin.StampedOK, 2100 * ms, http.StatusOK},
+		"caller, server, sent":    {400 * ms, 200 * ms, 0, standin.StampedOK, 1800 * ms, http.StatusOK},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -32,6 +32,9 @@
 	finishShare = 5.0 / 6
 	workShare   = 0.86
 	endShare    = 0.93
+	// peerReplyTime is the time allowed for telling the senders of other processes' requests that
+	// these were ended.
+	peerReplyTime = 50 * time.Millisecond
 	// mayAbandonTime is the time from the start of a shutdown during which the operators allow it
 	// to accept requests that it may have to abandon at its end.
 	mayAbandonTime = 3 * time.Second
@@ -93,6 +96,9 @@
 // Ends returns when the last connection is closed.
 func (c Schedule) Ends() time.Time { return c.share(endShare) }
 
+// PeersEnd returns when the requests of other processes that the server has not answered are ended.
+func (c Schedule) PeersEnd() time.Time { return c.Ends().Add(-peerReplyTime) }
+
 // RemainingWait returns how long the process still waits for the answers of servers.
 func (c Schedule) RemainingWait(now time.Time) time.Duration { return c.WorkEnds().Sub(now) }
 
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -140,6 +140,9 @@
 	// those that got their slot before the shutdown stopped admission.
 	inFlight, beforeClose int
 	nextID                uint64
+	// ended is done, and cancelled by end, when the runs in progress must end.
+	ended context.Context
+	end   context.CancelFunc
 	// idle is the time since the server last got a request.
 	idle idleTime
 	// clock also counts the time during which the VM was suspended.
@@ -165,6 +168,7 @@
 		unread:  map[string]func() bool{},
 		idle:    newIdleTime(time.Now()),
 	}
+	in.ended, in.end = context.WithCancel(context.Background())
 	in.crashes = crash.New(in.pool.Probe, func() bool { return in.leaving() != "" })
 	return in
 }
@@ -235,8 +239,9 @@
 	return in.slots.InUse()
 }
 
-// Close closes the idle connections to the server.
+// Close ends the runs in progress and closes the idle connections to the server.
 func (in *Inbound) Close() {
+	in.end()
 	in.pool.CloseIdle()
 }
 
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -25,7 +25,8 @@
 		return u.refuse(CauseLeaving, why)
 	}
 	now := time.Now()
-	remaining := min(time.Duration(request.GetRemainingNanos()), u.expires.Sub(u.in.clock.Now()), u.in.timeLeft(now))
+	allowed := min(time.Duration(request.GetRemainingNanos()), u.expires.Sub(u.in.clock.Now()))
+	remaining := min(allowed, u.in.timeLeft(now))
 	if remaining <= 0 {
 		u.release()
 		return u.refuse(CauseLate, "the deadline of the request passed before it was sent to the server")
@@ -34,7 +35,7 @@
 		u.release()
 		return u.refuseQuarantined(now, verdict)
 	}
-	ctx, cancel := u.context(remaining)
+	ctx, cancel := u.context(allowed)
 	defer cancel()
 	toServer := u.serverRequest(ctx, request, body, remaining)
 	u.parent = parent{item: u.item.ID, repeat: u.reservation.GetExtra() || u.reservation.GetRepeat(), workspace: u.reservation.GetWorkspace()}
@@ -68,15 +69,21 @@
 // deadline was exceeded.
 const serverSlack = 100 * time.Millisecond
 
-// context returns the context of the run. A repeatable request is cancelled when its sender
-// disconnects. Any other request is left to run: cancelling it gains nothing, since it counts as
-// run.
-func (u *use) context(remaining time.Duration) (context.Context, context.CancelFunc) {
+// errExiting is the cause of the end of a run that outlasts this process.
+var errExiting = Error.New("the process beside the server exits")
+
+// context returns the context of the run of a request with the given time until its deadline. A
+// repeatable request is cancelled when its sender disconnects. Any other request is left to run:
+// cancelling it gains nothing, since it counts as run.
+func (u *use) context(allowed time.Duration) (context.Context, context.CancelFunc) {
 	ctx := u.stream.Context()
 	if !u.reservation.GetRepeatable() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return context.WithTimeout(ctx, remaining+serverSlack)
+	ctx, cancel := context.WithTimeout(ctx, allowed+serverSlack)
+	ctx, exit := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(u.in.ended, func() { exit(errExiting) })
+	return ctx, func() { stop(); cancel(); exit(nil) }
 }
 
 // serverRequest builds the request to the server. The target is sent unchanged.
@@ -113,6 +120,9 @@
 	if ctx.Err() != nil {
 		result = breaker.ResultNone
 	}
+	if errors.Is(context.Cause(ctx), errExiting) {
+		err = errExiting
+	}
 	suspect := u.recordServerExit(ctx, sent, err)
 	u.endRun(result, "no answer: "+err.Error())
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -50,6 +50,12 @@
 	return well && in.shutdown.GrantsSlot(now, expected, in.pendingWork())
 }
 
+// End ends all runs in progress, and those that still begin: their senders are told that the outcome
+// is unknown. It is called just before the process exits.
+func (in *Inbound) End() {
+	in.end()
+}
+
 // pendingWork returns the work that delays the exit of the process: the server's requests granted
 // before admission stopped, and the requests of callers, which count as one. in.mu must be held.
 func (in *Inbound) pendingWork() drain.Work {
@@ -61,7 +67,8 @@
 }
 
 // timeLeft returns how long the server may work on a request that starts now. During a shutdown,
-// an answer that arrives too late would be lost when the process exits.
+// an answer that arrives too late would be lost when the process exits; the time after timeLeft is
+// for servers that answer late.
 func (in *Inbound) timeLeft(now time.Time) time.Duration {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/inbound/stop_test.go
+++ b/inbound/stop_test.go
@@ -11,6 +11,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/internal/standin"
 )
 
 // TestShutdownGrantsNoSlotOfUnhealthyServer: a shutdown that has stopped admission and waits for
@@ -68,3 +69,25 @@
 	assert.Equal(t, p.run(longReservation(1000), "longer"), string(inbound.CauseStopping))
 	assert.Equal(t, p.run(longReservation(100), "short"), "200 s-1 /x b")
 }
+
+// TestEnd checks that a run that outlasts the process ends with a reason that its sender can tell
+// from a passed deadline, and that the server then has no request in flight.
+func TestEnd(t *testing.T) {
+	p := newFixture(t)
+	p.server.SetMode(standin.StampedHang)
+	use, reply := p.reserve(t.Context(), reservation())
+	assert.Assert(t, reply.GetGranted() != nil, reply)
+	go func() {
+		for p.server.Arrivals() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		p.End()
+	}()
+	reply, err := request(use, "id")
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetFailure().GetOutcome(), string(slatewind.OutcomeUnknown))
+	assert.Equal(t, reply.GetFailure().GetReason(), "inbound: the process beside the server exits")
+	for p.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
