Send no long request beyond a server's slots from a stopping process

A server whose slots are held by hanging requests gets one request beyond them as a trial. The server keeps it in its own queue, silent, until one of the others ends.

Found by the exploration of orders (TestOrdersOfStops): what stays lost of requests sent during a stop needs a server that is silent for over 0.5 s after its deadline, and requests in a server's own queue are.

Change: such a slot is refused as "late" if the request's deadline lies after the end of the process. What the trial would tell is lost with the process anyway. Shorter requests still get it.

TestShutdownQueuesNoLongRequestAtServer: two of four cases failed before (granted), none now.

--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -154,6 +154,8 @@
 	case in.shutdown != nil && !in.shutdown.MayGrant(now, expectedTime(r)):
 		// Shorter requests may still be granted, so the whole server is not reported as stopping.
 		return in.refusal(CauseLate, stoppingReason, 0)
+	case in.overcommitted() && in.mayOutlast(now, r):
+		return in.refusal(CauseLate, stoppingReason, 0)
 	case !in.allows(now, constraintsOf(r)):
 		return in.refusal(CauseUnhealthy, "", in.breaker.RetryAfter(now))
 	case r.GetExtra() && !in.extras.Left(now):
--- a/inbound/stop.go
+++ b/inbound/stop.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/drain"
 )
@@ -56,6 +57,16 @@
 	in.end()
 }
 
+// overcommitted reports whether more requests hold slots than the server has. in.mu must be held.
+func (in *Inbound) overcommitted() bool { return in.slots.InUse() > in.slots.Slots() }
+
+// mayOutlast reports whether the deadline of a request lies after the end of this process. in.mu must
+// be held.
+func (in *Inbound) mayOutlast(now time.Time, r *slatewindv1.Reservation) bool {
+	remaining := time.Duration(r.GetRemainingMs()) * time.Millisecond
+	return in.shutdown != nil && now.Add(remaining).After(in.shutdown.PeersEnd())
+}
+
 // pendingWork returns the work that delays the exit of the process: the server's requests granted
 // before admission stopped, and the requests of callers, which count as one. in.mu must be held.
 func (in *Inbound) pendingWork() drain.Work {
--- a/inbound/stop_test.go
+++ b/inbound/stop_test.go
@@ -91,3 +91,39 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestShutdownQueuesNoLongRequestAtServer checks that a stopping process sends a hanging server no
+// request beyond its slots that may outlast the process. The server would keep it in its own queue
+// for as long as the hanging ones last, without an answer, and the process would cut it.
+func TestShutdownQueuesNoLongRequestAtServer(t *testing.T) {
+	tests := map[string]struct {
+		stopping  bool
+		remaining time.Duration
+		granted   bool
+	}{
+		"no shutdown":                 {false, time.Minute, true},
+		"over before the process":     {true, 4 * time.Second, true},
+		"may outlast the process":     {true, time.Minute, false},
+		"over just after the process": {true, 5600 * time.Millisecond, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newFixture(t)
+			p.hang(t)
+			p.awaitTrial(t)
+			if test.stopping {
+				p.Drain(shutdownStartedAgo(0), noCallers)
+			}
+			r := reservation()
+			r.RemainingMs, r.PatienceMs = uint32(test.remaining.Milliseconds()), 500
+			use, reply := p.reserve(t.Context(), r)
+			for reply.GetQueued() != nil {
+				var err error
+				reply, err = use.Recv()
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, reply.GetGranted() != nil, test.granted, "%v", reply)
+		})
+	}
+}
