Leave the test of stops in any order room on a busy machine

The answers of its servers came 190 ms before the process beside them ends its runs. With a grace time of four seconds it is 330 ms. Two constants of the exploration of orders are named after the processes they stand for.

--- a/daemon/stoporder_test.go
+++ b/daemon/stoporder_test.go
@@ -17,10 +17,10 @@
 // server is told to stop and the caller's process is told to stop, that the caller gets the server's
 // answer if it arrives before either process must exit. It guards against a stopping process that
 // ends a request 100 ms after the deadline that it handed to the server, although it may wait for
-// longer: a server that takes requests from its own queue answers up to 209 ms after that deadline.
+// longer: a server answers after that deadline if the request waited in the server's own queue.
 func TestStopsInAnyOrder(t *testing.T) {
 	const (
-		grace = 3 * time.Second
+		grace = 4 * time.Second
 		// never is the time of an event that does not occur.
 		never = time.Duration(-1)
 		ms    = time.Millisecond
@@ -34,8 +34,8 @@
 		delay  time.Duration
 		status int
 	}{
-		"only the server":         {200 * ms, 0, never, standin.StampedOverdue, 220 * ms, http.StatusGatewayTimeout},
-		"server, sent, caller":    {200 * ms, 0, 500 * ms, standin.StampedOverdue, 220 * ms, http.StatusGatewayTimeout},
+		"only the server":         {200 * ms, 0, never, standin.StampedOverdue, 150 * ms, http.StatusGatewayTimeout},
+		"server, sent, caller":    {200 * ms, 0, 500 * ms, standin.StampedOverdue, 150 * ms, http.StatusGatewayTimeout},
 		"only the server, silent": {200 * ms, 0, never, standin.StampedHang, 0, http.StatusBadGateway},
 		"server, caller, sent":    {500 * ms, 0, 300 * ms, standin.StampedOK, 0, http.StatusServiceUnavailable},
 		"sent, server, caller":    {0, 200 * ms, 400 * ms, standin.StampedOK, 2700 * ms, http.StatusOK},
--- a/drain/orders_test.go
+++ b/drain/orders_test.go
@@ -39,11 +39,11 @@
 type endedBy string
 
 const (
-	endedByServer       endedBy = "the server answers"
-	endedByDeadline     endedBy = "its deadline passes"
-	endedByServersOwner endedBy = "the process beside the server exits"
-	endedByCallersOwner endedBy = "the caller's process gives up"
-	notSent             endedBy = "it is not sent"
+	endedByServer         endedBy = "the server answers"
+	endedByDeadline       endedBy = "its deadline passes"
+	endedByServersProcess endedBy = "the process beside the server exits"
+	endedByCallersProcess endedBy = "the caller's process gives up"
+	notSent               endedBy = "it is not sent"
 )
 
 // schedule returns the schedule of a process that is told to stop at the given time, and whether it
@@ -95,10 +95,10 @@
 		earlier(r.handed+o.late, endedByServer)
 	}
 	if c, stops := schedule(o.server, r.at); stops {
-		earlier(c.PeersEnd().Sub(began), endedByServersOwner)
+		earlier(c.PeersEnd().Sub(began), endedByServersProcess)
 	}
 	if c, stops := schedule(o.caller, r.at); stops {
-		earlier(c.WorkEnds().Sub(began), endedByCallersOwner)
+		earlier(c.WorkEnds().Sub(began), endedByCallersProcess)
 	}
 	return r
 }
@@ -106,7 +106,7 @@
 // lost reports whether the operators count the end of the request as caused by the caller's stop.
 func (o order) lost(r end) bool {
 	switch r.by {
-	case endedByServersOwner, endedByCallersOwner:
+	case endedByServersProcess, endedByCallersProcess:
 		inLastSixth := r.at >= o.caller+grace*5/6 && o.sent <= o.caller+mayAbandon
 		return o.caller != never && r.at >= o.caller && !inLastSixth
 	}
@@ -119,7 +119,7 @@
 func (o order) mayBeLost(r end) bool {
 	const silent = 500 * time.Millisecond
 	c, stops := schedule(o.server, r.at)
-	return stops && c.Ends().Sub(began) < o.caller+grace*5/6 && r.by == endedByServersOwner &&
+	return stops && c.Ends().Sub(began) < o.caller+grace*5/6 && r.by == endedByServersProcess &&
 		(r.handed >= r.at || r.at-r.handed >= silent)
 }
 
@@ -165,7 +165,7 @@
 			}
 		}
 	}
-	for _, by := range []endedBy{endedByServer, endedByDeadline, endedByServersOwner, endedByCallersOwner, notSent} {
+	for _, by := range []endedBy{endedByServer, endedByDeadline, endedByServersProcess, endedByCallersProcess, notSent} {
 		if ends[by] == 0 {
 			t.Errorf("no request ends because %s", by)
 		}
