--- a/daemon/stopping_test.go
+++ b/daemon/stopping_test.go
@@ -125,8 +125,7 @@
 				f.await("the server to hang", func() bool { return f.nodes[0].inbound.InUse() > 0 })
 			}
 			// Now the server beside the stopping node is the only one in use.
-			f.enter(0, true)
-			f.await("the drain is known", func() bool { return f.nodes[0].inbound.View().Leaving != "" })
+			f.useOnlyServer(1)
 			over := make(chan struct{})
 			pressed := make(chan map[string]int, 1)
 			began := time.Now()
@@ -177,8 +176,7 @@
 	const grace = 8 * time.Second
 	f := newNodes(t, 2)
 	f.nodes[1].settings.Bounds.Grace = durationpb.New(grace)
-	f.enter(0, true)
-	f.await("the drain is known", func() bool { return f.nodes[0].inbound.View().Leaving != "" })
+	f.useOnlyServer(1)
 	// The request ends after the node has given its waiting callers a final reply and before the
 	// end of the schedule.
 	f.servers[1].SetDelay(grace * 89 / 100)
--- a/logreport/cause.go
+++ b/logreport/cause.go
@@ -27,6 +27,7 @@
 	{"no route for ", "no route"},
 	{" cannot be reached: ", "process beside the server not reached"},
 	{"no reply from the process beside the server", "no reply from the process beside the server"},
+	{"the process beside the server exits", "process beside the server exited"},
 	{"connection reset by peer", "connection reset"},
 	{"connection refused", "connection refused"},
 	{"broken pipe", "connection broken"},
--- a/logreport/cause_test.go
+++ b/logreport/cause_test.go
@@ -44,6 +44,7 @@
 		"the process beside s-1 cannot be reached: link: rpc error: connection refused": "process beside the server not reached",
 		"backend: read tcp 10.0.0.1:1->10.0.0.1:2: read: connection reset by peer":      "connection reset",
 		"backend: EOF": "connection closed",
+		"inbound: the process beside the server exits":                                          "process beside the server exited",
 		"no reply from the process beside the server: rpc error: code = Unavailable desc = EOF": "no reply from the process beside the server",
 		"the server answered with status 500":                                                   "the server answered with status 500",
 		"no answer in the request's time":                                                       "no answer in the request's time",
