--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -9,6 +9,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/history"
@@ -57,7 +58,7 @@
 		Service: process.GetLocalServer().GetService(),
 		Address: process.GetLocalServer().GetAddress(),
 		Headers: platform.Servers(),
-	}, boundsOf(process), j, n.suspects)
+	}, boundsOf(process), j, n.suspects, bodylimit.NewBudget(int64(process.GetLimits().GetRequestBytes())))
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -21,6 +21,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/backend"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/drain"
@@ -153,12 +154,14 @@
 	// servers were running when they exited.
 	crashes  *crash.Detector
 	suspects *quarantine.Table
+	// bodies bounds the memory of the request bodies that are held for the server.
+	bodies *bodylimit.Budget
 }
 
 // New returns an Inbound for a server. The table of suspects is shared by the whole process.
-func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table) *Inbound {
+func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table, bodies *bodylimit.Budget) *Inbound {
 	in := &Inbound{
-		server: server, bounds: bounds, journal: journal, suspects: suspects,
+		server: server, bounds: bounds, journal: journal, suspects: suspects, bodies: bodies,
 		pool:    backend.NewPool(server.Address, server.Headers),
 		slots:   admission.NewServer(defaultSlots),
 		breaker: breaker.New(),
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -17,6 +17,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
@@ -47,12 +48,17 @@
 
 // newFixtureFor returns a fixture with the given server.
 func newFixtureFor(t *testing.T, server http.Handler) *fixture {
+	return newFixtureWithMemory(t, bodylimit.NewBudget(0), server)
+}
+
+// newFixtureWithMemory returns a fixture with the given server and budget for bodies.
+func newFixtureWithMemory(t *testing.T, bodies *bodylimit.Budget, server http.Handler) *fixture {
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	p := &fixture{}
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Headers: platform.Servers(),
-	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil))
+	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodies)
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 	return p
@@ -63,7 +69,7 @@
 func newFixtureWithoutServer() *fixture {
 	return &fixture{Inbound: inbound.New(inbound.Server{
 		Service: "svc", Address: "127.0.0.1:1", Headers: platform.Servers(),
-	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil))}
+	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))}
 }
 
 // reservation returns a reservation for a repeatable request, which may be used as a trial.
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -18,6 +18,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
@@ -167,7 +168,7 @@
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	entry := slatewind.ServerEntry{Name: name, Service: service, Address: strings.TrimPrefix(web.URL, "http://"), DataCentre: "dc", Slots: 2}
-	in := inbound.New(inbound.Server{Service: service, Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects)
+	in := inbound.New(inbound.Server{Service: service, Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, bodylimit.NewBudget(0))
 	t.Cleanup(in.Close)
 	in.Published(time.Now(), &entry)
 	m.mu.Lock()
