Let a body take longer than its slot's grant, as long as it arrives, within a bound on memory

Callers with large bodies on slow links were refused after their body had been sent almost whole: the second for which a granted slot is kept counted for the whole body. Now it counts for the request's first part and for each pause after it; the deadline bounds the rest. A slot whose sender stalls is released after one second, as before. A body that is longer than stated was cut and run; it is refused. Waiting for memory is part of the second, so that no slot is held for it.

Ruled out: streaming the body to the server. A stall of the sender would then hold the server's slot, and a request that the sidecar refuses could have run.

--- a/inbound/use.go
+++ b/inbound/use.go
@@ -1,11 +1,13 @@
 package inbound
 
 import (
+	"context"
 	"errors"
 	"time"
 
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
@@ -31,6 +33,8 @@
 	// id is the caller's ID of the request, parent the state of its nested calls.
 	id     string
 	parent parent
+	// body is the memory of the request's body.
+	body bodyLease
 	// payment is the part of the budget from which an extra attempt was paid.
 	payment retry.Payment
 	// digest returns the digest of the request for quarantine. trial reports that a quarantined
@@ -45,6 +49,7 @@
 // not an error; an error means that the stream failed, that its messages were invalid or that the
 // answer broke off.
 func (u *use) serve() error {
+	defer u.body.release()
 	granted, err := u.reserve()
 	if !granted || err != nil {
 		return err
@@ -52,8 +57,8 @@
 	request, body, err := u.receive()
 	if err != nil {
 		u.release()
-		if errors.Is(err, errGrantExpired) {
-			return u.refuse(CauseLate, "the granted slot was not used in time")
+		if errors.Is(err, errGrantExpired) || errors.Is(err, bodylimit.ErrExhausted) {
+			return u.refuse(CauseLate, err.Error())
 		}
 		return err
 	}
@@ -164,51 +169,82 @@
 	return u.sendRefusal(refusal)
 }
 
-// errGrantExpired is returned if the request arrives after its granted slot has expired.
-var errGrantExpired = Error.New("the request arrived after its granted slot had expired")
+// errGrantExpired is returned if a granted slot expires before its request has arrived.
+var errGrantExpired = Error.New("the request did not arrive before its granted slot expired")
 
-// receive waits for the request that uses the granted slot.
+// received is a request with its body.
+type received struct {
+	request *slatewindv1.SlotRequest
+	body    []byte
+}
+
+// receive waits for the request that uses the granted slot, and for its body. The request must begin
+// to arrive within grantTime. Its body may take until the request's deadline, but is given up if
+// nothing arrives for grantTime: a slot must not be held for a sender that has stopped, nor for a
+// body for which there is no memory.
 func (u *use) receive() (*slatewindv1.SlotRequest, []byte, error) {
-	type received struct {
-		request *slatewindv1.SlotRequest
-		body    []byte
-		err     error
-	}
-	result := make(chan received, 1)
-	go func() {
-		request, body, err := u.read()
-		result <- received{request, body, err}
-	}()
-	timeout := time.NewTimer(grantTime)
-	defer timeout.Stop()
-	select {
-	case r := <-result:
-		if r.err == nil && u.in.clock.Now().After(u.grantExpires) {
+	result := make(chan error, 1)
+	progress := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(u.stream.Context())
+	defer cancel()
+	var r received
+	go func() { result <- u.read(ctx, &r, progress) }()
+	idle := time.NewTimer(grantTime)
+	defer idle.Stop()
+	for {
+		select {
+		case err := <-result:
+			if err == nil && u.in.clock.Now().After(u.grantExpires) {
+				err = errGrantExpired
+			}
+			return r.request, r.body, err
+		case <-progress:
+			if u.in.clock.Now().After(u.grantExpires) {
+				return nil, nil, errGrantExpired
+			}
+			u.grantExpires = u.in.clock.Now().Add(grantTime)
+			idle.Reset(grantTime)
+		case <-idle.C:
 			return nil, nil, errGrantExpired
 		}
-		return r.request, r.body, r.err
-	case <-timeout.C:
-		return nil, nil, errGrantExpired
 	}
 }
 
-// read reads the request and its body from the stream.
-func (u *use) read() (*slatewindv1.SlotRequest, []byte, error) {
+// read reads the request and its body from the stream into r. It sends to progress whenever a part
+// has arrived.
+func (u *use) read(ctx context.Context, r *received, progress chan<- struct{}) error {
 	message, err := u.stream.Recv()
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
 	request := message.GetRequest()
 	if request == nil || request.GetBodyLength() > maxBody {
-		return nil, nil, Error.New("invalid request after the grant: want a request with a body of at most %d bytes", maxBody)
+		return Error.New("invalid request after the grant: want a request with a body of at most %d bytes", maxBody)
+	}
+	if err := u.body.acquire(ctx, u.in.bodies, request.GetBodyLength()); err != nil {
+		return err
 	}
-	body := request.GetBody()
+	body := make([]byte, 0, max(request.GetBodyLength(), int64(len(request.GetBody()))))
+	body = append(body, request.GetBody()...)
 	for int64(len(body)) < request.GetBodyLength() {
 		message, err := u.stream.Recv()
 		if err != nil {
-			return nil, nil, err
+			return err
 		}
 		body = append(body, message.GetChunk()...)
+		reportProgress(progress)
+	}
+	if int64(len(body)) > request.GetBodyLength() {
+		return Error.New("invalid request: its body is longer than the stated %d bytes", request.GetBodyLength())
+	}
+	r.request, r.body = request, body
+	return nil
+}
+
+// reportProgress sends to progress unless a value is waiting there.
+func reportProgress(progress chan<- struct{}) {
+	select {
+	case progress <- struct{}{}:
+	default:
 	}
-	return request, body, nil
 }
