Bound the memory of callers' bodies and of answers that callers do not read

Uploads: 200 bodies of up to 360 KB at once are 72 MB, more than a process may use, and nothing bounded them. A body is read only when there is memory for it (16 MB by default, limits.request_bytes); until then it stays with its caller, for as long as the request may wait for a slot, and is then refused with 503 and not run. One that is larger than the bound is held alone. A body may take as long as its request has time, 30 s at most; it was 30 s whatever the deadline, and the refusal was 400, which says that the request is at fault. It is 408 now, and the request has not run. A stated length over the limit is refused before a byte is read.

Slow readers: an answer that its caller did not read stayed in memory without a bound in number or time. The answers that are being written share a bound (16 MB, limits.answer_bytes); beyond it the oldest is cut off, as its caller had the most time. A caller that takes nothing for 30 s is cut off too. The state dump shows both, and the number cut.

Weighed for bodies: reading on and refusing when memory is short (the bytes are paid for and the caller has to send them again); spooling to disk (there is none).

--- a/bodylimit/bodylimit.go
+++ b/bodylimit/bodylimit.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/semaphore"
@@ -22,6 +23,7 @@
 type Budget struct {
 	capacity int64
 	left     *semaphore.Weighted
+	inUse    atomic.Int64
 }
 
 // NewBudget returns a budget of a number of bytes; zero or less means DefaultRequestBytes.
@@ -46,17 +48,25 @@
 	if err := b.left.Acquire(ctx, bytes); err != nil {
 		return nil, ErrExhausted
 	}
+	b.inUse.Add(bytes)
 	return &Lease{b, bytes}, nil
 }
 
+// InUse returns the memory that is taken, in bytes.
+func (b *Budget) InUse() int64 { return b.inUse.Load() }
+
 // Grow takes memory for further bytes, without waiting: bodies that each hold memory and wait for
 // more could wait for each other. The error is ErrExhausted if there is too little.
 func (l *Lease) Grow(bytes int64) error {
 	bytes = min(bytes, l.budget.capacity-l.bytes)
-	if bytes > 0 && !l.budget.left.TryAcquire(bytes) {
+	if bytes <= 0 {
+		return nil
+	}
+	if !l.budget.left.TryAcquire(bytes) {
 		return ErrExhausted
 	}
-	l.bytes += max(bytes, 0)
+	l.bytes += bytes
+	l.budget.inUse.Add(bytes)
 	return nil
 }
 
@@ -65,6 +75,7 @@
 	if l == nil {
 		return
 	}
+	l.budget.inUse.Add(-l.bytes)
 	l.budget.left.Release(l.bytes)
 	l.bytes = 0
 }
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -62,7 +62,7 @@
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
-		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter, n.suspects,
+		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter, n.suspects, memoryOf(process),
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
 	n.source = discovery.NewSharedSource(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
@@ -72,3 +72,12 @@
 	n.source.Attach(n.watcher, n.settingsWatcher, process.GetDataCentre())
 	return n
 }
+
+// memoryOf returns the bounds on the memory of bodies at the ingress.
+func memoryOf(process *slatewindv1.Process) outbound.Memory {
+	limits := process.GetLimits()
+	return outbound.Memory{
+		Requests: bodylimit.NewBudget(int64(limits.GetRequestBytes())),
+		Answers:  bodylimit.NewAnswers(int64(limits.GetAnswerBytes())),
+	}
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -263,7 +263,7 @@
 // limit, status 400 if the body cannot be read.
 func (rq *request) readBody(w http.ResponseWriter, r *http.Request) error {
 	limit := int64(rq.route.GetMaxBodyBytes())
-	body, err := link.ReadBody(w, r, limit)
+	body, err := link.ReadBody(w, r, link.BodyLimits{Bytes: limit, Deadline: time.Now().Add(link.MaxBodyTime)})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body exceeds the route's limit of %d bytes", limit)}
--- a/link/body.go
+++ b/link/body.go
@@ -1,20 +1,71 @@
 package link
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 )
 
-// bodyReadTimeout limits how long a caller may take to send its body.
-const bodyReadTimeout = 30 * time.Second
+// MaxBodyTime limits how long a caller may take to send its body.
+const MaxBodyTime = 30 * time.Second
 
-// ReadBody reads a caller's request body of at most limit bytes within bodyReadTimeout. If
-// the body is longer, the error is an *http.MaxBytesError.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// bodyStep is how much of a body without a stated length is read at a time, in bytes.
+const bodyStep = 32 << 10
+
+// ErrBodyLate is returned if a body has not arrived in time.
+var ErrBodyLate = Error.New("the request body did not arrive in time")
+
+// BodyLimits bounds the body of a caller's request.
+type BodyLimits struct {
+	// Bytes is the maximum size.
+	Bytes int64
+	// Deadline is when the whole body must have arrived.
+	Deadline time.Time
+	// Grow, which may be nil, is called before further bytes of a body without a stated length
+	// are held; it returns an error if there is no memory for them.
+	Grow func(bytes int64) error
+}
+
+// ReadBody reads the body of a caller's request. If the body is too large, the error is an
+// *http.MaxBytesError; a body whose stated length is too large is not read at all. If it arrives
+// too late, the error is ErrBodyLate.
+func ReadBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) ([]byte, error) {
+	if r.ContentLength > limits.Bytes {
+		return nil, &http.MaxBytesError{Limit: limits.Bytes}
+	}
 	connection := http.NewResponseController(w)
 	// Only response writers of tests do not support deadlines, so errors are ignored.
-	_ = connection.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	_ = connection.SetReadDeadline(limits.Deadline)
 	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, limits.Bytes), r.ContentLength, limits.Grow)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = ErrBodyLate
+	}
+	return body, err
+}
+
+// readBody reads a body of a stated length, or up to its end if length is negative.
+func readBody(from io.Reader, length int64, grow func(int64) error) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(from, body)
+		return body, err
+	}
+	var body bytes.Buffer
+	for {
+		if grow != nil {
+			if err := grow(bodyStep); err != nil {
+				return nil, err
+			}
+		}
+		switch _, err := io.CopyN(&body, from, bodyStep); {
+		case errors.Is(err, io.EOF):
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, err
+		}
+	}
 }
--- a/outbound/modeldecision_test.go
+++ b/outbound/modeldecision_test.go
@@ -52,7 +52,7 @@
 
 // runDispatch runs the real dispatch. Attempts that it starts find no server.
 func runDispatch(kind slatewind.Kind, key decisionKey, r attemptResult) decision {
-	o := New(Self{}, slatewind.CallerHeaders{}, nil, discard{}, nil, nil, discard{}, nil, nil, quarantine.NewTable(nil, nil))
+	o := New(Self{}, slatewind.CallerHeaders{}, nil, discard{}, nil, nil, discard{}, nil, nil, quarantine.NewTable(nil, nil), Memory{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if key.over {
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -92,6 +92,7 @@
 	clock timer.Clock
 	// suspects holds the requests during which servers exited.
 	suspects *quarantine.Table
+	memory   Memory
 
 	// mu guards shards, servers, nameByAddress and superseded.
 	mu sync.RWMutex
@@ -120,10 +121,10 @@
 }
 
 // New returns an ingress without any known servers. It takes its settings from store.
-func New(self Self, headerNames slatewind.CallerHeaders, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.NestedCalls, meter Meter, reports Reports, limiter slatewind.Limiter, suspects *quarantine.Table) *Outbound {
+func New(self Self, headerNames slatewind.CallerHeaders, store *config.Store, journal slatewind.Journal, links Opener, calls slatewind.NestedCalls, meter Meter, reports Reports, limiter slatewind.Limiter, suspects *quarantine.Table, memory Memory) *Outbound {
 	ended, end := context.WithCancel(context.Background())
 	return &Outbound{
-		self: self, headerNames: headerNames, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, limiter: limiter, suspects: suspects, ended: ended, end: end,
+		self: self, headerNames: headerNames, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, limiter: limiter, suspects: suspects, memory: memory.withDefaults(), ended: ended, end: end,
 		shards: map[string]*shard{}, servers: map[string]knownServer{}, nameByAddress: map[string]string{}, superseded: map[string]slatewind.ServerEntry{}, splits: map[string]*splitter{},
 	}
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -55,6 +55,8 @@
 
 	// bounds apply to all processes beside servers.
 	bounds inbound.Bounds
+	// callerLimits are part of the settings.
+	callerLimits *slatewindv1.CallerLimits
 
 	mu         sync.Mutex
 	linkFaults map[string]linkFault
@@ -144,15 +146,21 @@
 }
 
 func newBoundedMesh(t *testing.T, bounds inbound.Bounds, names ...string) *mesh {
+	return newMeshWith(t, bounds, outbound.Memory{}, names...)
+}
+
+// newMeshWith returns a mesh with a limit on extra attempts and with bounds on the ingress's memory.
+func newMeshWith(t *testing.T, bounds inbound.Bounds, memory outbound.Memory, names ...string) *mesh {
 	m := &mesh{
-		bounds:     bounds,
-		linkFaults: map[string]linkFault{}, servers: map[string]*standin.Stamped{}, inbounds: map[string]*inbound.Inbound{}, addresses: map[string]string{},
+		bounds:       bounds,
+		callerLimits: &slatewindv1.CallerLimits{BodyBytes: 100},
+		linkFaults:   map[string]linkFault{}, servers: map[string]*standin.Stamped{}, inbounds: map[string]*inbound.Inbound{}, addresses: map[string]string{},
 		history: history.New(0, nil), suspects: quarantine.NewTable(nil, nil),
 	}
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
 		outbound.Self{DataCentre: "dc", Service: "caller"},
-		platform.Callers(), m.store, m.history, m, m, m, m, m, m.suspects,
+		platform.Callers(), m.store, m.history, m, m, m, m, m, m.suspects, memory,
 	)
 	for _, name := range names {
 		m.add(t, name, "svc")
@@ -197,7 +205,7 @@
 	}
 	m.store.Adopt(time.Now(), "test", &slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
 		Routes:       append([]*slatewindv1.Route{route("/look/", slatewind.KindRepeatable), route("/pay/", slatewind.KindSingle)}, more...),
-		CallerLimits: &slatewindv1.CallerLimits{BodyBytes: 100},
+		CallerLimits: m.callerLimits,
 	}})
 }
 
@@ -416,7 +424,7 @@
 func TestBeforeSettings(t *testing.T) {
 	m := newMesh(t, "a")
 	empty := config.NewStore(m.history)
-	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m, m, m.suspects)
+	o := outbound.New(outbound.Self{}, platform.Callers(), empty, m.history, m, m, m, m, m, m.suspects, outbound.Memory{})
 	w := httptest.NewRecorder()
 	o.ServeHTTP(w, httptest.NewRequest("GET", "http://h.example/look/1", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
--- a/outbound/places_test.go
+++ b/outbound/places_test.go
@@ -38,7 +38,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			o := outbound.New(outbound.Self{}, slatewind.CallerHeaders{}, nil, nil, nil, nil, nil, nil, nil, nil)
+			o := outbound.New(outbound.Self{}, slatewind.CallerHeaders{}, nil, nil, nil, nil, nil, nil, nil, nil, outbound.Memory{})
 			for _, event := range test.updates {
 				event(o)
 			}
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -147,12 +147,14 @@
 	if f.answer.readRest == nil {
 		header.Set("Content-Length", strconv.Itoa(len(f.answer.body)))
 	}
+	caller := o.newAnswerWriter(w, len(f.answer.body))
+	defer caller.close()
 	w.WriteHeader(int(f.answer.head.GetStatus()))
-	_, err := w.Write(f.answer.body)
+	_, err := caller.Write(f.answer.body)
 	for err == nil && f.answer.readRest != nil {
 		var chunk []byte
 		if chunk, err = f.answer.readRest(); err == nil {
-			_, err = w.Write(chunk)
+			_, err = caller.Write(chunk)
 		}
 	}
 	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyNotAllowed) {
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
@@ -24,12 +24,12 @@
 	defaultTimeout = 5 * time.Second
 	// defaultObjectiveDivisor sets the objective of routes without one: half of the request's time.
 	defaultObjectiveDivisor = 2
-	// defaultBodyBytes limits the size of a body, in bytes, if the settings set no limit.
-	defaultBodyBytes = 64 << 20
 	// minRetryAfter keeps refused callers from retrying immediately.
 	minRetryAfter = 50 * time.Millisecond
 	// noSettingsRetryAfter is sent to callers until the first settings are in force.
 	noSettingsRetryAfter = 500 * time.Millisecond
+	// noMemoryRetryAfter is sent to callers for whose body there was no memory in time.
+	noMemoryRetryAfter = time.Second
 )
 
 // request is a caller's request with the data on which decisions about it are based.
@@ -45,6 +45,8 @@
 	host     string
 	headers  []*slatewindv1.Header
 	body     []byte
+	// bodyLease is the memory of the body; nil if there is none.
+	bodyLease *bodylimit.Lease
 	// digest returns the digest of the request's content.
 	digest   func() quarantine.Digest
 	began    time.Time
@@ -117,6 +119,7 @@
 		return
 	}
 	res := o.handle(r.Context(), rq)
+	rq.bodyLease.Release()
 	endCall(call, res.served())
 	o.meter.Request(rq.route.GetName(), res.outcome, time.Since(rq.began))
 	o.answer(w, rq, res)
@@ -191,7 +194,8 @@
 	rq.service = o.split(rq)
 	rq.shard = o.shard(rq.service)
 	rq.headers = o.headers(r, rq.workspace)
-	if err := rq.readBody(w, r); err != nil {
+	if err := o.readBody(rq, w, r); err != nil {
+		rq.bodyLease.Release()
 		return nil, err
 	}
 	rq.digest = sync.OnceValue(quarantine.Content{
@@ -257,27 +261,6 @@
 	return allowed
 }
 
-// readBody reads the caller's body, within the size and time limits.
-func (rq *request) readBody(w http.ResponseWriter, r *http.Request) error {
-	limit := int64(rq.snapshot.Fleet.GetCallerLimits().GetBodyBytes())
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	body, err := link.ReadBody(w, r, limit)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body is over the limit of %d bytes", limit)}
-	}
-	if err != nil {
-		return &rejection{status: http.StatusBadRequest, reason: "reading the request body failed: " + err.Error()}
-	}
-	rq.body = body
-	return nil
-}
-
 // remaining returns the time left until the deadline. Time during which this VM was suspended counts
 // too, since the caller kept waiting.
 func (rq *request) remaining(now time.Time) time.Duration {
--- a/outbound/view.go
+++ b/outbound/view.go
@@ -17,11 +17,12 @@
 	InFlight int           `json:"in_flight"`
 	Leaving  bool          `json:"leaving"`
 	Services []ServiceView `json:"services"`
+	Memory   MemoryView    `json:"memory"`
 }
 
 // View returns the ingress's part of a state dump.
 func (o *Outbound) View(now time.Time) View {
-	v := View{InFlight: o.InFlight(), Leaving: o.stop.Load() != nil}
+	v := View{InFlight: o.InFlight(), Leaving: o.stop.Load() != nil, Memory: o.memory.view()}
 	o.mu.RLock()
 	defer o.mu.RUnlock()
 	for name, sh := range o.shards {
