Read evacuations, and tell every process of them

The readers' watch of the settings now covers all that operators publish, so no further call is made. A list of the evacuated data centres is ordered by a revision of the store at which it was current; a process adopts a newer one from the store or from any process that it polls or that polls it. Servers there count as not accepting work at both ends: no ingress asks them, and the process beside each refuses what others still send. What runs goes on.

Weighed: evacuation as part of the settings' version (it has none), a flag in each server's entry (972 bytes for a change that needs 20, and no entry for a server that comes later), a watch of its own (twice the calls).

Servers that warm up: a server that has started, or lost its caches, fails under more than a few requests a second, and nothing bounded them. It assumes that the server warms up when its entry says so, another start of it is seen, it refused connections, its data centre is taken back, or the process itself has just begun; before the settings are known it admits ten a second. What no process can know is left: a server that turns cold between two of its entries.

Both in one commit, since a data centre that is taken back needs the second. The state dump and slatewind state show both.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -38,6 +38,8 @@
 	Inbound  *inbound.View  `json:"inbound,omitempty"`
 	// Known is the revision of the store up to which the process knows all servers.
 	Known *slatewind.Revision `json:"known_revision,omitempty"`
+	// Evacuated are the data centres whose servers get no requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Limits are the workspaces whose rate limit tokens this process grants to the fleet.
 	Limits []ratelimit.Use `json:"limits,omitempty"`
 	// Suspects are the requests during which servers crashed.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,10 +122,23 @@
 	}
 }
 
-// Takes reports whether a start of a server is known and, by its entry, not leaving.
+// Takes reports whether a start of a server is known and, by its entry, accepts work.
 func (s *Service) Takes(id string) bool {
 	server := s.servers[id]
-	return server != nil && !server.Leaving
+	return server != nil && server.AcceptsWork()
+}
+
+// Evacuated reports that no known server accepts work, and that evacuation is the reason for at least
+// one: unlike leaving servers, evacuated ones are not about to be replaced.
+func (s *Service) Evacuated() bool {
+	evacuated := false
+	for _, server := range s.servers {
+		if server.AcceptsWork() {
+			return false
+		}
+		evacuated = evacuated || server.ServerEntry.Evacuated
+	}
+	return evacuated
 }
 
 // Addresses returns the addresses of all known servers, in no particular order.
--- a/choice/survey.go
+++ b/choice/survey.go
@@ -119,7 +119,7 @@
 		return dispositionAsked
 	}
 	switch reason := server.skipReason(now, request); {
-	case reason == DispositionLeaving && !server.Leaving:
+	case reason == DispositionLeaving && server.AcceptsWork():
 		return dispositionReportedLeaving
 	case reason != DispositionNone:
 		return reason
--- a/cli/state.go
+++ b/cli/state.go
@@ -89,6 +89,9 @@
 	if s.Known != nil {
 		line("servers\tknown until revision %s", s.Known)
 	}
+	for _, dataCentre := range s.Evacuated {
+		line("evacuated\tdata centre %s", dataCentre)
+	}
 	for _, service := range s.Ingress.Services {
 		line("service\t%s\tcapacity %d\tfloor %d", service.Name, service.Capacity, service.Floor)
 		for _, server := range service.Servers {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -47,6 +47,7 @@
 	source          *discovery.SharedSource
 	watcher         *discovery.Watcher
 	services        *discovery.ServiceFilter
+	evacuations     *discovery.EvacuationFilter
 	settingsWatcher *discovery.SettingsWatcher
 	// limiter enforces the rate limits of workspaces.
 	limiter *ratelimit.Limiter
@@ -162,5 +163,6 @@
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
 		Settings: settingsInForce(n.settings.GetVm(), n.store), Reader: n.source.IsReader(), Outbound: &out, Inbound: &in, Known: &known,
 		Limits: n.limiter.Uses(now), Suspects: n.suspects.Views(now),
+		Evacuated: n.evacuations.Evacuated().DataCentres,
 	}
 }
--- a/daemon/nodepeers.go
+++ b/daemon/nodepeers.go
@@ -37,7 +37,7 @@
 		return slatewind.ServerUpdate{}, err
 	}
 	own := p.node.inbound.Report()
-	update, reply, err := p.node.pool.Since(ctx, peer, after, version, link.Observations{Reports: append(reports, own), Suspects: p.node.suspectsToSend()})
+	update, reply, err := p.node.pool.Since(ctx, peer, after, version, p.node.settingsWatcher.EvacuationsSince(slatewind.Revision{}), link.Observations{Reports: append(reports, own), Suspects: p.node.suspectsToSend()})
 	p.node.applyReports(append(reply.Reports, own))
 	if err == nil {
 		p.node.mergeSuspects(reply.Suspects)
@@ -67,11 +67,14 @@
 }
 
 // since returns what changed after a revision, for another node. version is that of the other
-// node's settings: a newer one than that of this node is fetched.
-func (n *Node) since(after slatewind.Revision, version uint64) slatewind.ServerUpdate {
+// node's settings: a newer one than that of this node is fetched. evacuations is its list, which
+// is adopted if it is newer.
+func (n *Node) since(after slatewind.Revision, version uint64, evacuations slatewind.Evacuations) slatewind.ServerUpdate {
 	n.settingsWatcher.ObserveVersion(version, "")
+	n.settingsWatcher.ObserveEvacuations(evacuations)
 	update := n.watcher.Since(after)
 	update.Version = n.settingsWatcher.Version()
+	update.Evacuations = n.settingsWatcher.EvacuationsSince(evacuations.Revision)
 	return update
 }
 
--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -3,20 +3,46 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/warmup"
 )
 
 // Settings implements discovery.SettingsSink.
 func (n *Node) Settings(now time.Time, settings *slatewind.PublishedSettings, from string, took time.Duration) {
 	n.services.ApplySettings(now, settings.Fleet)
+	n.inbound.SetWarmup(warmupOf(settings.Fleet, n.settings.GetLocalServer().GetService()))
 	n.store.Adopt(now, fmt.Sprintf("%s took=%s revision=%s", sourceName(from), took.Round(time.Millisecond), settings.Revision), settings)
 }
 
+// warmupOf returns the limits for servers of a service that warm up.
+func warmupOf(fleet *slatewindv1.Fleet, service string) warmup.Limits {
+	for _, s := range fleet.GetServices() {
+		if s.GetName() == service {
+			return warmup.Limits{Time: s.GetWarmupTime().AsDuration(), Rate: s.GetWarmupRate()}
+		}
+	}
+	return warmup.Limits{}
+}
+
+// Evacuations implements discovery.SettingsSink.
+func (n *Node) Evacuations(now time.Time, list slatewind.Evacuations) {
+	reason := "no data centre is evacuated any more"
+	if len(list.DataCentres) > 0 {
+		reason = "the servers of evacuated data centres get no requests: " + strings.Join(list.DataCentres, ", ")
+	}
+	n.history.Add(slatewind.Decision{
+		Time: now, Kind: slatewind.DecisionEvacuation, Reason: reason, Evidence: "revision=" + list.Revision.String(),
+	})
+	n.evacuations.Evacuate(now, list)
+}
+
 // sourceName returns the name of a source of updates in log lines and evidence. An empty address
 // stands for the store.
 func sourceName(from string) string {
--- /dev/null
+++ b/discovery/evacuations.go
@@ -0,0 +1,137 @@
+package discovery
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"slatewind.example/slatewind"
+)
+
+// EvacuationSink receives the list of evacuated data centres.
+type EvacuationSink interface {
+	// Evacuations delivers a list that differs from the one before.
+	Evacuations(now time.Time, list slatewind.Evacuations)
+}
+
+// evacuationList keeps the newest known list of evacuated data centres. A list is ordered by a
+// revision at which it was current, so lists may arrive from anywhere and in any order. It is safe
+// for concurrent use.
+type evacuationList struct {
+	sink EvacuationSink
+
+	// mu guards the fields below. It is held while the sink is called, so that the sink gets
+	// lists in order.
+	mu   sync.Mutex
+	list slatewind.Evacuations
+	// used reports that any data centre was ever evacuated. Until then there is nothing that
+	// other processes must know.
+	used bool
+}
+
+// apply applies changes that a store reported up to a revision.
+func (l *evacuationList) apply(now time.Time, revision slatewind.Revision, changes slatewind.EvacuationChanges) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision.IsZero() || l.list.Revision.After(revision) {
+		return
+	}
+	names := map[string]bool{}
+	if !changes.Complete {
+		for _, name := range l.list.DataCentres {
+			names[name] = true
+		}
+	}
+	for _, name := range changes.Began {
+		names[name] = true
+	}
+	for _, name := range changes.Ended {
+		delete(names, name)
+	}
+	l.set(now, slatewind.Evacuations{Revision: revision, DataCentres: slices.Sorted(maps.Keys(names))})
+}
+
+// observe adopts a list of another process if it is newer.
+func (l *evacuationList) observe(now time.Time, list slatewind.Evacuations) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if list.Revision.After(l.list.Revision) {
+		l.set(now, list)
+	}
+}
+
+// set replaces the list and notifies the sink if it differs. l.mu is held.
+func (l *evacuationList) set(now time.Time, list slatewind.Evacuations) {
+	changed := !slices.Equal(l.list.DataCentres, list.DataCentres)
+	l.list = list
+	l.used = l.used || len(list.DataCentres) > 0
+	if changed {
+		l.sink.Evacuations(now, list)
+	}
+}
+
+// newerThan returns the list for a process that knows one of the given revision; its revision is
+// zero if there is nothing to send.
+func (l *evacuationList) newerThan(revision slatewind.Revision) slatewind.Evacuations {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.used || !l.list.Revision.After(revision) {
+		return slatewind.Evacuations{}
+	}
+	return l.list
+}
+
+// EvacuationFilter is a Sink that marks the servers of evacuated data centres before it forwards
+// them to another one.
+type EvacuationFilter struct {
+	Sink
+
+	// mu guards the fields below and serializes the calls to the sink.
+	mu        sync.Mutex
+	evacuated slatewind.Evacuations
+	entries   map[string]slatewind.ServerEntry
+}
+
+// NewEvacuationFilter returns a filter that forwards to sink. No data centre is evacuated yet.
+func NewEvacuationFilter(sink Sink) *EvacuationFilter {
+	return &EvacuationFilter{Sink: sink, entries: map[string]slatewind.ServerEntry{}}
+}
+
+// Server implements Sink.
+func (f *EvacuationFilter) Server(now time.Time, entry slatewind.ServerEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry.Evacuated = f.evacuated.Contains(entry.DataCentre)
+	f.entries[entry.Name] = entry
+	f.Sink.Server(now, entry)
+}
+
+// ServerGone implements Sink.
+func (f *EvacuationFilter) ServerGone(now time.Time, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.entries, name)
+	f.Sink.ServerGone(now, name)
+}
+
+// Evacuate replaces the list of evacuated data centres and forwards the servers that it affects.
+func (f *EvacuationFilter) Evacuate(now time.Time, list slatewind.Evacuations) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated = list
+	for name, entry := range f.entries {
+		if evacuated := list.Contains(entry.DataCentre); evacuated != entry.Evacuated {
+			entry.Evacuated = evacuated
+			f.entries[name] = entry
+			f.Sink.Server(now, entry)
+		}
+	}
+}
+
+// Evacuated returns the list of evacuated data centres.
+func (f *EvacuationFilter) Evacuated() slatewind.Evacuations {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated
+}
--- a/discovery/fleet_test.go
+++ b/discovery/fleet_test.go
@@ -51,6 +51,8 @@
 	// settingsCalls counts the polls for settings.
 	settingsCalls int
 	published     slatewind.ServerUpdate
+	// evacuations is the list at the store.
+	evacuations slatewind.Evacuations
 }
 
 // fleetStore is the store as seen by one process.
@@ -93,6 +95,7 @@
 	for end := time.Now().Add(wait); ; sleep(ctx, pollInterval) {
 		s.f.mu.Lock()
 		unreachable, settings, incoming := s.f.unreachable[s.self], s.f.settings, s.f.incoming[s.self]
+		evacuations := s.f.evacuations
 		s.f.mu.Unlock()
 		switch {
 		case unreachable:
@@ -101,6 +104,8 @@
 		case settings != nil && settings.Revision.After(after):
 			err := incoming.transfer(ctx, routeBytes*len(settings.Fleet.GetRoutes()))
 			return slatewind.SettingsUpdate{Settings: settings, Revision: settings.Revision}, err
+		case evacuations.Revision.After(after):
+			return slatewind.SettingsUpdate{Revision: evacuations.Revision, Evacuations: slatewind.EvacuationChanges{Complete: true, Began: evacuations.DataCentres}}, nil
 		case ctx.Err() != nil || !time.Now().Before(end):
 			return slatewind.SettingsUpdate{}, ctx.Err()
 		}
@@ -138,6 +143,7 @@
 	settingsWatcher.ObserveVersion(version, "")
 	p := watcher.Since(after)
 	p.Version = settingsWatcher.Version()
+	p.Evacuations = settingsWatcher.EvacuationsSince(slatewind.Revision{})
 	return p, outgoing.transfer(ctx, entryBytes)
 }
 
@@ -260,6 +266,14 @@
 	f.settings = settings
 }
 
+// evacuate publishes a list of evacuated data centres.
+func (f *fleet) evacuate(dataCentres ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.published.Revision.Number++
+	f.evacuations = slatewind.Evacuations{Revision: f.published.Revision, DataCentres: dataCentres}
+}
+
 // checkVersion checks that every process received exactly one version.
 func (f *fleet) checkVersion(t *testing.T, version uint64) {
 	t.Helper()
--- a/discovery/settings.go
+++ b/discovery/settings.go
@@ -49,6 +49,8 @@
 	SettingsReachable(now time.Time, reachable bool, cause error)
 	// PeerFetchFailed reports that a process could not be asked for its settings.
 	PeerFetchFailed(now time.Time, from string, cause error)
+
+	EvacuationSink
 }
 
 // SettingsWatcher keeps the operators' settings up to date. Settings may be large: a megabyte, on
@@ -60,6 +62,8 @@
 	peers  SettingsPeers
 	source *SharedSource
 	sink   SettingsSink
+	// evacuations are published and polled together with the settings.
+	evacuations *evacuationList
 	// wake ends the wait of a process that has nothing to do.
 	wake chan struct{}
 
@@ -81,7 +85,7 @@
 // NewSettingsWatcher returns a watcher that has no settings yet. source determines whether this
 // process is a reader.
 func NewSettingsWatcher(store slatewind.SettingsSource, peers SettingsPeers, source *SharedSource, sink SettingsSink) *SettingsWatcher {
-	return &SettingsWatcher{store: store, peers: peers, source: source, sink: sink, wake: make(chan struct{}, 1)}
+	return &SettingsWatcher{store: store, peers: peers, source: source, sink: sink, evacuations: &evacuationList{sink: sink}, wake: make(chan struct{}, 1)}
 }
 
 // Start polls for settings until ctx ends.
@@ -181,6 +185,7 @@
 	w.cancelPoll = nil
 	w.revision = w.revision.Later(update.Revision)
 	w.mu.Unlock()
+	w.evacuations.apply(time.Now(), update.Revision, update.Evacuations)
 	if update.Err != nil {
 		w.sink.InvalidData(time.Now(), update.Err)
 	}
@@ -324,3 +329,14 @@
 	}
 	return 0
 }
+
+// ObserveEvacuations records the list of evacuated data centres that another process knows.
+func (w *SettingsWatcher) ObserveEvacuations(list slatewind.Evacuations) {
+	w.evacuations.observe(time.Now(), list)
+}
+
+// EvacuationsSince returns the list of evacuated data centres for another process whose list is of a
+// revision. Its revision is zero if that process needs none.
+func (w *SettingsWatcher) EvacuationsSince(revision slatewind.Revision) slatewind.Evacuations {
+	return w.evacuations.newerThan(revision)
+}
--- a/discovery/sharedsource.go
+++ b/discovery/sharedsource.go
@@ -316,6 +316,7 @@
 		return p, false
 	}
 	s.settings.ObserveVersion(p.Version, address)
+	s.settings.ObserveEvacuations(p.Evacuations)
 	p.Relayed, p.From = true, address
 	// The peer may have been paused after it determined the age of its update.
 	p.Age += s.clock.Since(began)
--- a/discovery/watcher_test.go
+++ b/discovery/watcher_test.go
@@ -15,10 +15,11 @@
 
 // recordingSink is a Sink and SettingsSink that records what it receives.
 type recordingSink struct {
-	versions  []uint64
-	servers   map[string]bool
-	invalid   int
-	reachable []bool
+	evacuations [][]string
+	versions    []uint64
+	servers     map[string]bool
+	invalid     int
+	reachable   []bool
 	// settingsReachable holds the changes of whether settings could be polled.
 	settingsReachable []bool
 	slowPolls         []SlowPoll
@@ -41,7 +42,10 @@
 	}
 }
 func (s *recordingSink) ServerGone(_ time.Time, name string) { delete(s.servers, name) }
-func (s *recordingSink) InvalidData(time.Time, error)        { s.invalid++ }
+func (s *recordingSink) Evacuations(_ time.Time, list slatewind.Evacuations) {
+	s.evacuations = append(s.evacuations, list.DataCentres)
+}
+func (s *recordingSink) InvalidData(time.Time, error) { s.invalid++ }
 func (s *recordingSink) SourceReachable(_ time.Time, reachable bool, _ error) {
 	s.reachable = append(s.reachable, reachable)
 }
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -22,6 +22,7 @@
 
 // forwardAnswer forwards the server's answer to the sender.
 func (u *use) forwardAnswer(ctx context.Context, answer *backend.Answer) error {
+	u.answered()
 	u.updateSlots(answer.Header.Get(u.in.server.Headers.Load))
 	if answer.Header.Get(u.in.server.Headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
 		return u.notExecuted(answer)
@@ -51,6 +52,13 @@
 	return nil
 }
 
+// answered records that the server is running.
+func (u *use) answered() {
+	u.in.mu.Lock()
+	defer u.in.mu.Unlock()
+	u.in.warmup.Answered(time.Now())
+}
+
 // completed ends a run whose complete answer was received. Any answer, an error included, shows
 // that the server did not exit while it ran the request.
 func (u *use) completed(status int) {
--- a/inbound/entry.go
+++ b/inbound/entry.go
@@ -27,10 +27,20 @@
 	}
 	in.entryRemoved = false
 	in.setIdentity(now, entry.Name, entry.Start)
+	in.warmup.Stated(now, entry.Warming)
+	if in.evacuated && !entry.Evacuated {
+		// The server may have lost its caches in the meantime.
+		in.warmup.Restarted(now)
+	}
+	in.evacuated = entry.Evacuated
 	if entry.Leaving {
 		in.startLeaving(now, "its entry is marked as leaving")
 		return
 	}
+	if entry.Evacuated {
+		in.startLeaving(now, "its data centre is evacuated")
+		return
+	}
 	in.leavingReason = ""
 	in.setSlots(entry.Slots)
 	in.deliver(in.slots.Advance(now))
@@ -69,6 +79,7 @@
 		in.breaker.Reset()
 		in.slots.ResetSlots()
 		in.pool.CloseIdle()
+		in.warmup.Restarted(now)
 		in.journal.Add(slatewind.Decision{
 			Time: now, Kind: slatewind.DecisionMember, Service: in.server.Service, Server: name,
 			Reason: "another start of the server is beside this process", Evidence: "before=" + before + " now=" + after,
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -29,6 +29,7 @@
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
 	"slatewind.example/slatewind/timer"
+	"slatewind.example/slatewind/warmup"
 )
 
 // Error is the class of errors of this package.
@@ -62,6 +63,8 @@
 	CauseMoved Cause = "moved"
 	// CauseBudget: the retry budget of this server does not allow another extra attempt.
 	CauseBudget Cause = "budget"
+	// CauseWarming: the server warms up and gets no further request at present.
+	CauseWarming Cause = "warming"
 	// CauseQuarantined: servers exited while they were running this request.
 	CauseQuarantined Cause = "quarantined"
 	// CauseLate: the request's deadline has passed, its granted slot has expired, or it cannot
@@ -107,6 +110,8 @@
 	// are zero until they are known.
 	name  string
 	start int64
+	// evacuated reports that the server's data centre is evacuated.
+	evacuated bool
 	// entryRemoved reports that the server's entry was removed.
 	entryRemoved bool
 	// olderEntry is the entry of another server at the address whose start time is earlier, or
@@ -154,6 +159,8 @@
 	// servers were running when they exited.
 	crashes  *crash.Detector
 	suspects *quarantine.Table
+	// warmup limits the requests while the server warms up.
+	warmup *warmup.Limiter
 	// bodies bounds the memory of the request bodies that are held for the server.
 	bodies *bodylimit.Budget
 }
@@ -169,6 +176,7 @@
 		waiting: map[string]chan admission.Decision{},
 		parents: map[string]*parent{},
 		unread:  map[string]func() bool{},
+		warmup:  warmup.NewLimiter(time.Now()),
 		idle:    newIdleTime(time.Now()),
 	}
 	in.ended, in.end = context.WithCancel(context.Background())
@@ -212,6 +220,13 @@
 	in.updateSlack()
 }
 
+// SetWarmup sets the operators' limits for a server that warms up.
+func (in *Inbound) SetWarmup(limits warmup.Limits) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.warmup.SetLimits(limits)
+}
+
 // updateSlack updates the server's share of the slack. in.mu must be held.
 func (in *Inbound) updateSlack() {
 	slack := in.bounds.RetrySlack
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -26,6 +26,7 @@
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/timer"
+	"slatewind.example/slatewind/warmup"
 )
 
 // fixture is a server with the Inbound of the process beside it.
@@ -59,6 +60,7 @@
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Headers: platform.Servers(),
 	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodies)
+	p.SetWarmup(warmup.Limits{})
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 	return p
@@ -67,9 +69,11 @@
 // newFixtureWithoutServer returns a fixture for tests of reservations only: nothing listens at
 // its server's address.
 func newFixtureWithoutServer() *fixture {
-	return &fixture{Inbound: inbound.New(inbound.Server{
+	p := &fixture{Inbound: inbound.New(inbound.Server{
 		Service: "svc", Address: "127.0.0.1:1", Headers: platform.Servers(),
 	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))}
+	p.SetWarmup(warmup.Limits{})
+	return p
 }
 
 // reservation returns a reservation for a repeatable request, which may be used as a trial.
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -125,19 +125,21 @@
 	}
 	suspect := u.recordServerExit(ctx, sent, err)
 	u.endRun(result, "no answer: "+err.Error())
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		u.in.connectionRefused()
+	if !sent && ctx.Err() == nil {
+		u.in.connectFailed(errors.Is(err, syscall.ECONNREFUSED))
 	}
 	return u.sendFailure(outcome, err.Error(), suspect)
 }
 
-// connectionRefused records that the server's address refuses connections. During a shutdown of
-// this process the server then counts as leaving: when a VM is removed, the server exits before its
-// sidecar, which has no slots to grant from then on.
-func (in *Inbound) connectionRefused() {
+// connectFailed records that no connection to the server could be opened: when it answers again, it
+// has restarted. If its address refuses connections during a shutdown of this process, the server
+// also counts as leaving: when a VM is removed, the server exits before its sidecar, which has no
+// slots to grant from then on.
+func (in *Inbound) connectFailed(refused bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.shutdown != nil {
+	in.warmup.Down()
+	if refused && in.shutdown != nil {
 		in.startLeaving(time.Now(), "its address accepts no connections while the process beside it stops")
 	}
 }
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -161,6 +161,9 @@
 	case r.GetExtra() && !in.extras.Left(now):
 		return in.refusal(CauseBudget, "", 0)
 	}
+	if wait := in.warmup.Wait(now); wait > 0 {
+		return in.refusal(CauseWarming, "the server warms up", wait)
+	}
 	return nil
 }
 
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -105,6 +105,7 @@
 		u.in.release(u.granted, u.item)
 	} else {
 		u.recordGrant()
+		u.in.warmup.Admit(u.granted)
 		if u.reservation.GetExtra() {
 			u.payment = u.in.extras.Take(u.granted)
 		}
--- a/inbound/view.go
+++ b/inbound/view.go
@@ -1,6 +1,8 @@
 package inbound
 
 import (
+	"time"
+
 	"slatewind.example/slatewind/breaker"
 )
 
@@ -17,6 +19,8 @@
 	InUse    int           `json:"in_use"`
 	Queued   int           `json:"queued"`
 	Slots    int           `json:"slots"`
+	// WarmingUp reports that the server gets only the requests that it bears while it warms up.
+	WarmingUp bool `json:"warming_up,omitempty"`
 	// Connections is the total number of connections that were opened to the server.
 	Connections uint64 `json:"connections_opened"`
 }
@@ -28,6 +32,6 @@
 	return View{
 		Service: in.server.Service, Server: in.name, Address: in.server.Address, Leaving: in.leavingReason, Stopping: in.shutdown != nil,
 		Breaker: in.breaker.State(), Score: in.breaker.Score(),
-		InUse: in.slots.InUse(), Queued: in.slots.Queued(), Slots: in.slots.Slots(), Connections: in.pool.Opened(),
+		InUse: in.slots.InUse(), Queued: in.slots.Queued(), Slots: in.slots.Slots(), Connections: in.pool.Opened(), WarmingUp: in.warmup.WarmingUp(time.Now()),
 	}
 }
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -134,9 +134,9 @@
 	if len(s.refusals) == 0 {
 		return s.lastReason
 	}
-	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d stopping, %d moved, %d budget)", s.lastReason,
+	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d stopping, %d moved, %d budget, %d warming)", s.lastReason,
 		s.refusals[inbound.CauseFull], s.refusals[inbound.CauseUnhealthy], s.refusals[inbound.CauseLeaving],
-		s.refusals[inbound.CauseStopping], s.refusals[inbound.CauseMoved], s.refusals[inbound.CauseBudget])
+		s.refusals[inbound.CauseStopping], s.refusals[inbound.CauseMoved], s.refusals[inbound.CauseBudget], s.refusals[inbound.CauseWarming])
 }
 
 // refusal returns the result of a search that found no slot.
@@ -162,6 +162,10 @@
 // round asks the servers one after another, in ascending order of cost, until one grants a slot. If
 // none does, slot is nil, and over reports that another round would be useless.
 func (s *slotSearch) round(deadline <-chan time.Time) (slot *grantedSlot, over bool) {
+	if s.rq.shard.evacuated() {
+		s.lastReason = "all servers of the service are in evacuated data centres"
+		return nil, true
+	}
 	s.opts.constraints = s.search.Constraints()
 	s.search.Begin(s.rq.shard.order(time.Now(), s.rq, s.opts))
 	s.events = make(chan event, eventBuffer)
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -27,6 +27,7 @@
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/quarantine"
+	"slatewind.example/slatewind/warmup"
 )
 
 // linkFault is a fault of the connection to a process beside a server, or of that process.
@@ -177,6 +178,7 @@
 	t.Cleanup(web.Close)
 	entry := slatewind.ServerEntry{Name: name, Service: service, Address: strings.TrimPrefix(web.URL, "http://"), DataCentre: "dc", Slots: 2}
 	in := inbound.New(inbound.Server{Service: service, Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, bodylimit.NewBudget(0))
+	in.SetWarmup(warmup.Limits{})
 	t.Cleanup(in.Close)
 	in.Published(time.Now(), &entry)
 	m.mu.Lock()
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -154,7 +154,7 @@
 func refusalStateOf(refusal *slatewindv1.Refusal) choice.Status {
 	state := stateOf(refusal.GetState())
 	switch inbound.Cause(refusal.GetCause()) {
-	case inbound.CauseFull:
+	case inbound.CauseFull, inbound.CauseWarming:
 		state.Full = true
 		state.SlotIn = time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
 	case inbound.CauseStopping:
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -37,6 +37,13 @@
 	return sh.choice.Takes(server)
 }
 
+// evacuated reports whether all servers of the service are evacuated (choice.Service.Evacuated).
+func (sh *shard) evacuated() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.choice.Evacuated()
+}
+
 const (
 	// trialPauseAfterDenial is how long after a denied extra attempt a first attempt is used as a
 	// trial of an unhealthy server only if that trial is overdue: if the trial fails, the request
--- a/publish.go
+++ b/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,11 +63,17 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Warming is the remaining time for which the server is slow after its start.
 	Warming time.Duration `json:"warming,omitempty"`
+	// Evacuated reports that the server's data centre is evacuated (Evacuations). It is set by the
+	// receiving process and not part of the published entry.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Created is the number of the source's revision at which the entry was created: it did not
 	// exist at the revisions just before.
 	Created uint64 `json:"created,omitempty"`
 }
 
+// AcceptsWork reports whether the server may get new requests, by its entry.
+func (e ServerEntry) AcceptsWork() bool { return !e.Leaving && !e.Evacuated }
+
 // ID returns the identity of one start of a server. State that is known of one start does not
 // apply to another.
 func (e ServerEntry) ID() string { return ServerID(e.Name, e.Start) }
@@ -96,6 +103,28 @@
 	Fleet    *slatewindv1.Fleet
 }
 
+// Evacuations is the list of evacuated data centres: their servers must get no new requests.
+type Evacuations struct {
+	// Revision is a revision of the source at which the list was current; zero if none is known.
+	Revision Revision `json:"revision"`
+	// DataCentres are sorted.
+	DataCentres []string `json:"data_centres"`
+}
+
+// Contains reports whether a data centre is evacuated.
+func (e Evacuations) Contains(dataCentre string) bool {
+	_, found := slices.BinarySearch(e.DataCentres, dataCentre)
+	return found
+}
+
+// EvacuationChanges are the changes of Evacuations that one poll brought.
+type EvacuationChanges struct {
+	// Complete reports that Began lists all evacuated data centres.
+	Complete bool
+	// Began and Ended are the data centres whose evacuation began or ended.
+	Began, Ended []string
+}
+
 // ServerUpdate is the state of all servers at a source, or the changes since a revision.
 // Server updates are small and urgent, whereas settings may be large: settings are sent
 // separately (SettingsUpdate), so that no server update is delayed by them.
@@ -123,6 +152,9 @@
 	// itself. It has the state from other processes, and servers near it may be missing only
 	// because they cannot reach the platform either.
 	PlatformUnreachable bool
+	// Evacuations is the newest list that the sender knows, if the update came from another
+	// process; its revision is zero if that list is not newer than the receiver's.
+	Evacuations Evacuations
 	// Age is the time since this was the platform's state; zero means current.
 	Age time.Duration
 	// EntryErrors describe entries that could not be decoded, each with its key.
@@ -146,14 +178,16 @@
 	// start here even if the settings did not change: changes to other data increase the
 	// revision too, and a source discards old changes.
 	Revision Revision
+	// Evacuations are the changes up to Revision.
+	Evacuations EvacuationChanges
 	// Err reports, with their key, settings that were written and cannot be decoded.
 	Err error
 }
 
-// SettingsSource reads the settings that the platform publishes.
+// SettingsSource reads the settings and the evacuations that the platform publishes.
 type SettingsSource interface {
-	// Settings is a long poll: it returns as soon as settings are written at a revision above
-	// after, or when wait expires. A large answer may take longer than wait, as long as data
+	// Settings is a long poll: it returns as soon as settings are written or the evacuations
+	// change at a revision above after, or when wait expires. A large answer may take longer than wait, as long as data
 	// keeps arriving.
 	Settings(ctx context.Context, after Revision, wait time.Duration) (SettingsUpdate, error)
 }
--- a/slatewind.go
+++ b/slatewind.go
@@ -238,6 +238,8 @@
 	DecisionAway            DecisionKind = "away"
 	DecisionSuspicion       DecisionKind = "suspicion"
 	DecisionIdle            DecisionKind = "idle"
+	// DecisionEvacuation: data centres were evacuated or taken back.
+	DecisionEvacuation DecisionKind = "evacuation"
 	// DecisionServerError: an error answer of the server itself is passed on to the caller.
 	DecisionServerError DecisionKind = "server-error"
 	// DecisionServerEnded: a server exited unexpectedly while it was running a request.
