Keep requests in their region, and let large ones leave it only after a refusal

Cause: a server in another region counted like one in another data centre, and a request whose near servers queued it waited at three servers, or after 0.15 of its objective at six, wherever they were; a service with two servers in a region thus sent its uploads abroad.

The settings name the region of each data centre (data_centres; the platform's template fills them in). A server in another region costs three times what one in another data centre does, up to 12 full servers for a large request, and the widening of a wait stops at five: that covers each data centre of the region, and other regions for small requests. A refusal still lets any server be asked. TestRegions and TestWidenStaysInRegion; settings are checked for names that are missing or stand twice.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -83,17 +83,30 @@
 // Service orders the servers of one service. It is not safe for concurrent use; its owner
 // guards it by a lock.
 type Service struct {
-	dataCentre string
-	random     *rand.Rand
+	from   Place
+	random *rand.Rand
 	// servers holds the servers by the ids of their starts; starts holds the id of the newest
 	// start by server name. Anything reported about another start is discarded.
 	servers map[string]*Server
 	starts  map[string]string
 }
 
-// NewService returns a service without servers, as seen from a data centre.
-func NewService(dataCentre string, seed uint64) *Service {
-	return &Service{dataCentre: dataCentre, random: rand.New(rand.NewPCG(seed, ^seed)), servers: map[string]*Server{}, starts: map[string]string{}}
+// Place is where an ingress is.
+type Place struct {
+	DataCentre string
+	// Regions holds the region of each data centre. Data centres that are not listed belong to
+	// the region "".
+	Regions map[string]string
+}
+
+// sameRegion reports whether a data centre is in the region of the place.
+func (p Place) sameRegion(dataCentre string) bool {
+	return p.Regions[dataCentre] == p.Regions[p.DataCentre]
+}
+
+// NewService returns a service without servers, as seen from a place.
+func NewService(from Place, seed uint64) *Service {
+	return &Service{from: from, random: rand.New(rand.NewPCG(seed, ^seed)), servers: map[string]*Server{}, starts: map[string]string{}}
 }
 
 // Put adds or updates a server. A newer start of a known server replaces the older one and
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -210,7 +210,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
-				s := choice.NewService("near", seed)
+				s := choice.NewService(choice.Place{DataCentre: "near"}, seed)
 				for _, name := range []string{"near-1", "near-2"} {
 					s.Put(start, entry(name, "near"))
 				}
@@ -236,11 +236,43 @@
 	}
 }
 
+// TestRegions checks how many more requests than slots the servers of a region must have before a
+// request goes to another region, by its size.
+func TestRegions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	place := choice.Place{DataCentre: "a-1", Regions: map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"}}
+	tests := map[string]struct {
+		bytes float64
+		// load is the occupancy of the servers of the own region, in slots.
+		load  float64
+		first string
+	}{
+		"idle":                      {0, 0, "a-1"},
+		"full":                      {0, 1, "a-1"},
+		"long queues":               {0, 4, "b-1"},
+		"a large request":           {60_000, 4, "a-1"},
+		"a large request, far more": {60_000, 13, "b-1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := choice.NewService(place, 1)
+			for _, dataCentre := range []string{"a-1", "a-2", "b-1"} {
+				s.Put(now, slatewind.ServerEntry{Name: dataCentre, DataCentre: dataCentre, Slots: 10})
+			}
+			for _, name := range []string{"a-1", "a-2"} {
+				s.Replied(now, name, choice.Status{Slots: 10, Load: 10 * test.load})
+			}
+			s.Replied(now, "b-1", choice.Status{Slots: 10})
+			assert.Equal(t, s.Order(now, choice.Request{Bytes: test.bytes})[0].Name, test.first)
+		})
+	}
+}
+
 // TestReservationsAddToLoad checks that the own open reservations of an ingress count as load
 // until the next status.
 func TestReservationsAddToLoad(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := choice.NewService("dc", 1)
+	s := choice.NewService(choice.Place{DataCentre: "dc"}, 1)
 	for _, name := range []string{"a", "b"} {
 		s.Put(now, slatewind.ServerEntry{Name: name, DataCentre: "dc", Slots: 2})
 		s.Replied(now, name, choice.Status{Slots: 2})
@@ -266,7 +298,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			s := choice.NewService("near", 1)
+			s := choice.NewService(choice.Place{DataCentre: "near"}, 1)
 			s.Put(now, slatewind.ServerEntry{Name: "a", Service: "s", DataCentre: "near", Slots: 4})
 			s.Replied(now, "a", choice.Status{Stopping: true, BackIn: test.backIn})
 			assert.Equal(t, s.Skipped(now.Add(test.age), "a", choice.Request{}), test.skipped)
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -16,6 +16,9 @@
 	remoteCost     = 1.0
 	remoteByteCost = 0.25 / 1024
 	maxRemoteCost  = 4.0
+	// regionFactor multiplies that cost for a server in another region: traffic between
+	// regions is several times as slow and as dear.
+	regionFactor = 3.0
 	// unhealthyCost is added for a server that was recently reported unhealthy.
 	unhealthyCost = 3.0
 	// successDiscount is the share of unhealthyCost that is deducted if the unhealthy server
@@ -121,9 +124,7 @@
 // cost returns the cost of a server without jitter.
 func (s *Service) cost(now time.Time, server *Server, request Request) float64 {
 	cost := server.occupancy(now)
-	if server.DataCentre != s.dataCentre {
-		cost += min(remoteCost+remoteByteCost*request.Bytes, maxRemoteCost)
-	}
+	cost += s.distanceCost(server.DataCentre, request.Bytes)
 	if now.Sub(server.statusAt) < shedTTL {
 		cost += shedCost * server.status.ShedShare
 	}
@@ -143,6 +144,18 @@
 	return cost
 }
 
+// distanceCost returns the cost of sending a number of bytes to a data centre and back.
+func (s *Service) distanceCost(dataCentre string, bytes float64) float64 {
+	if dataCentre == s.from.DataCentre {
+		return 0
+	}
+	cost := min(remoteCost+remoteByteCost*bytes, maxRemoteCost)
+	if !s.from.sameRegion(dataCentre) {
+		cost *= regionFactor
+	}
+	return cost
+}
+
 // healthCost returns the cost of a reported unhealthy state.
 func (server *Server) healthCost(now time.Time, request Request) float64 {
 	ttl := unhealthyTTL
--- a/choice/restart_test.go
+++ b/choice/restart_test.go
@@ -31,7 +31,7 @@
 		"an entry of the older start":      func(c *choice.Service) { c.Put(now, older) },
 		"the older start's removal":        func(c *choice.Service) { c.Remove(id) },
 	}
-	fresh := choice.NewService("dc", 1)
+	fresh := choice.NewService(choice.Place{DataCentre: "dc"}, 1)
 	fresh.Put(now, newer)
 	want := fresh.Views(now)
 	for name, change := range tests {
@@ -41,7 +41,7 @@
 			"both":   func(c *choice.Service) { c.Put(now, older); change(c); c.Put(now, newer); change(c) },
 		} {
 			t.Run(name+" "+order, func(t *testing.T) {
-				c := choice.NewService("dc", 1)
+				c := choice.NewService(choice.Place{DataCentre: "dc"}, 1)
 				run(c)
 				assert.DeepEqual(t, c.Views(now), want)
 				candidates := c.Order(now, choice.Request{})
--- a/choice/sharer_test.go
+++ b/choice/sharer_test.go
@@ -19,7 +19,7 @@
 	entry := func(i int) slatewind.ServerEntry {
 		return slatewind.ServerEntry{Name: fmt.Sprint("s-", i), Service: "svc", Address: fmt.Sprintf("10.0.0.%d:1", i)}
 	}
-	one, other := choice.NewService("dc", 1), choice.NewService("elsewhere", 2)
+	one, other := choice.NewService(choice.Place{DataCentre: "dc"}, 1), choice.NewService(choice.Place{DataCentre: "elsewhere"}, 2)
 	for i := range servers {
 		one.Put(time.Now(), entry(i))
 		other.Put(time.Now(), entry(servers-1-i))
--- a/choice/survey_test.go
+++ b/choice/survey_test.go
@@ -14,7 +14,7 @@
 // TestSurvey checks that each server of a service is counted once, by why it was not asked.
 func TestSurvey(t *testing.T) {
 	start := time.Unix(1000, 0)
-	s := choice.NewService("near", 1)
+	s := choice.NewService(choice.Place{DataCentre: "near"}, 1)
 	names := []string{"asked", "tried", "leaving", "told-leaving", "stopping", "full", "sick", "spent", "silent", "left"}
 	for _, name := range names {
 		s.Put(start, slatewind.ServerEntry{Name: name, Service: "s", DataCentre: "near", Slots: 4, Leaving: name == "leaving"})
--- a/config/check.go
+++ b/config/check.go
@@ -260,6 +260,10 @@
 	if level := process.GetLogLevel(); level != "" && !slices.Contains(logLevels, slatewind.LogLevel(level)) {
 		c.add("SW1015", fmt.Sprintf("log level %q is not debug, info, warn or error", level), "log_level")
 	}
+	names := map[string]bool{}
+	for i, dataCentre := range process.GetDataCentres() {
+		c.checkName("data centre", dataCentre.GetName(), names, "data_centres", i)
+	}
 	if share := process.GetLimits().GetProcessorShare(); share < 0 {
 		c.add("SW1018", fmt.Sprintf("processor_share %g is below 0", share), "limits", "processor_share")
 	}
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -28,6 +28,10 @@
 		"negative slack":             {"retry_slack: 56", "retry_slack: -1", "retry_slack -1 is below 0 (SW1014)"},
 		"log level":                  {"seed_peers: []", "log_level: warn", ""},
 		"unknown log level":          {"seed_peers: []", "log_level: loud", `:25:12: log level "loud" is not debug, info, warn or error (SW1015)`},
+		"limits on memory":           {"journal_entries: 1024", "journal_entries: 1024\n  request_bytes: 16777216\n  answer_bytes: 8388608", ""},
+		"negative limit on memory":   {"journal_entries: 1024", "request_bytes: -1", "(SW1002)"},
+		"a data centre twice":        {"dkr-rufisque", "dkr-plateau", `data centre name "dkr-plateau" is used twice (SW1004)`},
+		"a data centre without name": {"- name: dkr-rufisque", "- name: ''", "data centre has no name (SW1004)"},
 		"a misspelt field":           {"retry_slack", "retry_slak", "(SW1002)"},
 	}
 	for name, test := range tests {
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -10,6 +10,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/bodylimit"
+	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/history"
@@ -61,7 +62,7 @@
 	}, boundsOf(process), j, n.suspects, bodylimit.NewBudget(int64(process.GetLimits().GetRequestBytes())))
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
-		outbound.Self{DataCentre: process.GetDataCentre(), Service: process.GetLocalServer().GetService()},
+		outbound.Self{Place: placeOf(process), Service: process.GetLocalServer().GetService()},
 		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter, n.suspects, memoryOf(process),
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
@@ -82,3 +83,12 @@
 		Answers:  bodylimit.NewAnswers(int64(limits.GetAnswerBytes())),
 	}
 }
+
+// placeOf returns where the process is.
+func placeOf(process *slatewindv1.Process) choice.Place {
+	place := choice.Place{DataCentre: process.GetDataCentre(), Regions: map[string]string{}}
+	for _, dataCentre := range process.GetDataCentres() {
+		place.Regions[dataCentre.GetName()] = dataCentre.GetRegion()
+	}
+	return place
+}
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -21,6 +21,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
@@ -71,7 +72,7 @@
 
 // Self identifies the ingress.
 type Self struct {
-	DataCentre string
+	choice.Place
 	// Service is the service of the servers on this VM. Servers receive it as the calling service.
 	Service string
 }
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -19,6 +19,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/bodylimit"
+	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
@@ -160,7 +161,7 @@
 	}
 	m.store = config.NewStore(m.history)
 	m.Outbound = outbound.New(
-		outbound.Self{DataCentre: "dc", Service: "caller"},
+		outbound.Self{Place: choice.Place{DataCentre: "dc"}, Service: "caller"},
 		platform.Callers(), m.store, m.history, m, m, m, m, m, m.suspects, memory,
 	)
 	for _, name := range names {
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -118,7 +118,7 @@
 	if sh := o.shards[service]; sh != nil {
 		return sh
 	}
-	sh = &shard{choice: choice.NewService(o.self.DataCentre, rand.Uint64()), means: map[string]routeMeans{}}
+	sh = &shard{choice: choice.NewService(o.self.Place, rand.Uint64()), means: map[string]routeMeans{}}
 	o.shards[service] = sh
 	return sh
 }
--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -38,7 +38,7 @@
 
 func newIngress(w *simulation, index int) *ingress {
 	in := &ingress{w: w, index: index, dataCentre: fmt.Sprint("dc-", index%w.DataCentres)}
-	in.service = choice.NewService(in.dataCentre, w.random.Uint64())
+	in.service = choice.NewService(choice.Place{DataCentre: in.dataCentre}, w.random.Uint64())
 	for _, s := range w.servers {
 		in.service.Put(w.now, s.entry)
 	}
--- a/search/bench_test.go
+++ b/search/bench_test.go
@@ -21,7 +21,7 @@
 	for _, servers := range []int{73, 178, 1900} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			now := time.Unix(1000, 0)
-			service := choice.NewService("dc-0", 1)
+			service := choice.NewService(choice.Place{DataCentre: "dc-0"}, 1)
 			for i := range servers {
 				entry := slatewind.ServerEntry{
 					Name: fmt.Sprint("s-", i), Service: "svc", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
--- a/search/search.go
+++ b/search/search.go
@@ -40,6 +40,10 @@
 	// before it asks as many others. The first ones are mostly near: a short wait there is cheaper than
 	// traffic between data centres.
 	widenShare = 0.15
+	// widenGap is how much higher, in full servers, the cost of the first of these may be than that
+	// of the queues that the request waits in: it covers all data centres of a region, and for a
+	// small request other regions too.
+	widenGap = 5.0
 	// minRoundPause is the first pause between rounds. It doubles up to maxRoundPause, since
 	// reservations saturate the network under overload.
 	minRoundPause = 20 * time.Millisecond
@@ -175,14 +179,15 @@
 	s.queue.Replied(r.Server.DataCentre, false)
 	s.queued++
 	s.maxWaitCost = max(s.maxWaitCost, r.Server.Cost)
-	return s.queued < s.queueLimit && s.nextIsCheapEnough()
+	_, left := s.queue.Next()
+	return left && s.queued < s.queueLimit && !s.nextExceeds(waitGap)
 }
 
-// nextIsCheapEnough reports whether the cost of the next server is within waitGap of those at
-// which the request waits.
-func (s *Search) nextIsCheapEnough() bool {
+// nextExceeds reports whether the cost of the next server, if there is one, exceeds the cost of those
+// at which the request waits by more than gap.
+func (s *Search) nextExceeds(gap float64) bool {
 	next, left := s.queue.Next()
-	return left && next.Cost <= s.maxWaitCost+waitGap
+	return left && next.Cost > s.maxWaitCost+gap
 }
 
 // Refused records a refusal. more reports that another server is to be asked.
@@ -224,7 +229,7 @@
 // reports that one is to be asked.
 func (s *Search) Widen() (more bool) {
 	s.queueLimit += maxQueued
-	return s.queued > 0
+	return s.queued > 0 && !s.nextExceeds(widenGap)
 }
 
 // NextRound reports whether another round follows, after a pause, on one that found no slot.
--- a/search/search_test.go
+++ b/search/search_test.go
@@ -82,6 +82,29 @@
 	}
 }
 
+// TestWidenStaysInRegion checks how far a request that has waited in vain goes: to any data centre of
+// its region, and with a small body to another region, but not with a large one.
+func TestWidenStaysInRegion(t *testing.T) {
+	tests := map[string]struct {
+		costs []float64
+		more  bool
+	}{
+		"another data centre":                  {[]float64{0.5, 1.5}, true},
+		"another data centre, a large request": {[]float64{0.5, 4.5}, true},
+		"another region":                       {[]float64{0.5, 3.5}, true},
+		"another region, a large request":      {[]float64{0.5, 12.5}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := begin(search.Request{}, test.costs...)
+			first := nextReservation(t, s)
+			assert.Assert(t, !s.Queued(first))
+			assert.Equal(t, s.Widen(), test.more)
+			assert.Assert(t, s.Refused(first, search.Refusal{}), "after a refusal the next server is asked, wherever it is")
+		})
+	}
+}
+
 // TestWidenWithoutQueue checks that a request that waits at no server is not sent to further
 // ones by the widening timer.
 func TestWidenWithoutQueue(t *testing.T) {
