--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -177,6 +177,26 @@
 		part:    soak.PartRestores,
 		edits:   []overlay.Edit{{File: "discovery/servers.go", From: "case p.Complete && w.resurrected(entry, p.Revision):", To: "case false:"}},
 	},
+	"evacuations are not read": {
+		promise: soak.PromiseEvacuation,
+		part:    soak.PartEvacuations,
+		edits:   []overlay.Edit{{File: "platform/wire.go", From: "update.Evacuations.Began = append(update.Evacuations.Began, dataCentre)", To: "_ = dataCentre"}},
+	},
+	"a server that was down is taken for warm": {
+		promise: soak.PromiseWarmup,
+		part:    soak.PartWarmup,
+		edits:   []overlay.Edit{{File: "warmup/warmup.go", From: "return l.down || !l.known || now.Before(l.until)", To: "return false"}},
+	},
+	"a slot is not kept for a body that still arrives": {
+		promise: soak.PromiseUpload,
+		part:    soak.PartUploads,
+		edits:   []overlay.Edit{{File: "inbound/use.go", From: "			idle.Reset(grantTime)\n", To: ""}},
+	},
+	"unread answers are not bounded": {
+		promise: soak.PromiseUnread,
+		part:    soak.PartUnread,
+		edits:   []overlay.Edit{{File: "bodylimit/answers.go", From: "a.bytes > a.capacity && oldest != added", To: "false && oldest != added"}},
+	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
@@ -230,7 +250,8 @@
 // options returns the options of a run of a broken build. It ends at the first breach, unless
 // the flag soak.whole is set.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
-	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly)
+	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly,
+		soak.PartEvacuations, soak.PartWarmup, soak.PartUploads, soak.PartUnread)
 	if *whole {
 		return o
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -106,7 +106,9 @@
 	r.Host = host
 	r.Header = header
 	r.Header.Set(platform.Callers().RequestID, id)
-	r.Header.Set(platform.Callers().Deadline, fmt.Sprint(requestTimeout.Milliseconds()))
+	if r.Header.Get(platform.Callers().Deadline) == "" {
+		r.Header.Set(platform.Callers().Deadline, fmt.Sprint(requestTimeout.Milliseconds()))
+	}
 	// The cause of an error is not needed: the caller has no complete answer.
 	response, err := client.Do(r)
 	if err != nil {
--- a/soak/record.go
+++ b/soak/record.go
@@ -59,6 +59,8 @@
 	// limits are the limits of the flooding workspace, keys the revoked keys.
 	limits []limitSpan
 	keys   []keySpan
+	// evacuated holds the servers of data centres that were evacuated.
+	evacuated []evacuated
 	// broken holds the breaches that are detected during the run.
 	broken []Breach
 	// failures are errors of the run itself.
@@ -101,6 +103,9 @@
 // addKeyEnd records a key that was revoked.
 func (r *record) addKeyEnd(k keySpan) { add(r, &r.keys, k) }
 
+// addEvacuation records a server whose data centre was evacuated.
+func (r *record) addEvacuation(e evacuated) { add(r, &r.evacuated, e) }
+
 // addHeaderBreaches checks the header fields with which a request arrived at a server and
 // records the breaches.
 func (r *record) addHeaderBreaches(id string, header http.Header) {
@@ -135,9 +140,9 @@
 }
 
 // verify returns all breaches; countRuns returns how often servers have begun to run each
-// request. It is called after r.mu is taken, when the list of requests is fixed, so that the
+// request, restarts are the starts of servers that had to warm up. countRuns is called after r.mu is taken, when the list of requests is fixed, so that the
 // runs of every answered request are counted.
-func (r *record) verify(countRuns func() map[string]int) []Breach {
+func (r *record) verify(countRuns func() map[string]int, restarts []restart) []Breach {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := countRuns()
@@ -151,6 +156,8 @@
 	}
 	breaches = append(breaches, verifyLeaving(r.leaving, r.arrivals)...)
 	breaches = append(breaches, verifyKeys(r.keys, r.sent, runs)...)
+	breaches = append(breaches, verifyEvacuations(r.evacuated, r.arrivals)...)
+	breaches = append(breaches, verifyWarmup(restarts, r.arrivals)...)
 	breaches = append(breaches, verifyLimit(r.limits, r.sent, r.arrivals)...)
 	return append(breaches, verifyBudget(r.sent, r.arrivals)...)
 }
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -12,7 +12,7 @@
 	"slatewind.example/slatewind/platform"
 )
 
-// service is the only service of a fleet, in one data centre; host is the host that its callers
+// service is the only service of a fleet, in one data centre unless dataCentreOf says otherwise; host is the host that its callers
 // request.
 const (
 	service    = "till"
@@ -39,7 +39,7 @@
 func (f *fleet) putEntry(i int, leaving bool) {
 	value, err := platform.EncodeServer(slatewind.ServerEntry{
 		Service: service, Address: f.address(linkBase, i, portServer),
-		DataCentre: dataCentre, Slots: serverSlots, Leaving: leaving,
+		DataCentre: f.dataCentreOf(i), Slots: serverSlots, Leaving: leaving,
 	})
 	if err != nil {
 		panic(err) // Only a bug in this package causes an error.
@@ -104,12 +104,13 @@
 local_server: {service: %s, address: %q}
 store: {address: %q, reads_per_second: 2000, history: 20s}
 bounds: {drain: 2s, grace: %s, settings: 2s, retry_ratio: %g, retry_window: %s, retry_slack: %g, address_reuse: 2s}
+limits: {answer_bytes: %d}
 seed_peers: [%q, %q]
 `,
-		i, dataCentre,
+		i, f.dataCentreOf(i),
 		f.address(ownBase, i, portCallers), f.address(ownBase, i, portReady),
 		f.address(ownBase, i, portPeers), f.address(ownBase, i, portAdmin),
 		service, f.address(linkBase, i, portServer), f.address(storeBase, i, portStore),
-		graceTime, budgetRatio, budgetWindow, budgetSlack,
+		graceTime, budgetRatio, budgetWindow, budgetSlack, answerLimit,
 		f.address(linkBase, 0, portPeers), f.address(linkBase, 1, portPeers))
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,14 @@
 	PartRestores Part = "restores"
 	// PartDeadly: a request that crashes servers is sent again and again.
 	PartDeadly Part = "deadly"
+	// PartEvacuations: a data centre is evacuated and taken back, again and again.
+	PartEvacuations Part = "evacuations"
+	// PartWarmup: servers restart under load and warm up.
+	PartWarmup Part = "warm-up"
+	// PartUploads: large bodies are sent over slow links.
+	PartUploads Part = "uploads"
+	// PartUnread: callers do not read their answers.
+	PartUnread Part = "unread answers"
 )
 
 // Options configure a run.
@@ -123,7 +131,7 @@
 	cancelParts()
 	callers.stop()
 	f.settle()
-	report.Breaches = f.record.verify(f.runs)
+	report.Breaches = f.record.verify(f.runs, f.restartedServers())
 	return report, errs.Combine(err, f.record.failed())
 }
 
@@ -142,6 +150,10 @@
 		{PartStops, func() error { return f.checkStops(ctx, random) }},
 		{PartRestores, func() error { return f.checkRestores(ctx, random) }},
 		{PartDeadly, func() error { return f.checkDeadly(ctx, random) }},
+		{PartEvacuations, func() error { return f.checkEvacuations(ctx, random) }},
+		{PartWarmup, func() error { return f.checkWarmup(ctx, random) }},
+		{PartUploads, func() error { return f.checkUploads(ctx) }},
+		{PartUnread, func() error { return f.checkUnread(ctx) }},
 	}
 	for _, part := range parts {
 		if !f.includes(part.name) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,6 +83,30 @@
 	runSeeds(t, soak.PartDeadly)
 }
 
+// TestEvacuations evacuates a data centre while processes fail.
+func TestEvacuations(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartEvacuations)
+}
+
+// TestWarmup lets servers restart under load while processes fail.
+func TestWarmup(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartWarmup)
+}
+
+// TestUploads sends large bodies over slow links.
+func TestUploads(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartUploads)
+}
+
+// TestUnread opens connections of callers that do not read their answers.
+func TestUnread(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartUnread)
+}
+
 // TestSilentPeers makes connections between processes drop everything until they are closed.
 func TestSilentPeers(t *testing.T) {
 	t.Parallel()
--- a/soak/stoponbreach.go
+++ b/soak/stoponbreach.go
@@ -15,7 +15,7 @@
 		return
 	}
 	for partsCtx.Err() == nil {
-		for _, b := range f.record.verify(f.runs) {
+		for _, b := range f.record.verify(f.runs, f.restartedServers()) {
 			if b.Promise == f.options.StopOn {
 				cancelParts()
 			}
--- a/soak/verify.go
+++ b/soak/verify.go
@@ -46,6 +46,15 @@
 	PromiseLimit Promise = "limit of a workspace"
 	// PromiseQuarantine: a request that crashes servers is kept from the remaining servers.
 	PromiseQuarantine Promise = "quarantine of a request"
+	// PromiseEvacuation: a server of an evacuated data centre receives no requests, and callers on
+	// all VMs are served by the others.
+	PromiseEvacuation Promise = "nothing for an evacuated data centre"
+	// PromiseWarmup: a server that warms up receives no more requests than it bears.
+	PromiseWarmup Promise = "few requests for a server that warms up"
+	// PromiseUpload: a large request on a slow link is served whole.
+	PromiseUpload Promise = "uploads are served"
+	// PromiseUnread: unread answers stay within their bound, and other callers are served.
+	PromiseUnread Promise = "bound on unread answers"
 	// PromiseBudget: the fleet as a whole keeps to the budget of extra arrivals.
 	PromiseBudget Promise = "budget of extra arrivals"
 )
