Test large messages between processes on slow links

Found by the soak's uploads: a connection on which a large request is on its way receives nothing for over 0.35 s, the response to its heartbeat waits behind the request, and the peer answers on a new connection. So the working connection is closed, and with it every call on it; an upload of 500 KB at 270 KB/s ends with 502 each time. TestLargeMessagesOnSlowLink fails in both directions.

--- a/link/heartbeat_test.go
+++ b/link/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,8 @@
 type blackholeProxy struct {
 	net.Listener
 	to string
+	// bytesPerSecond, if not 0, is the rate at which each direction of a connection forwards data.
+	bytesPerSecond int
 
 	mu   sync.Mutex
 	open []*atomic.Bool
@@ -61,10 +64,32 @@
 
 // forward copies data until its source is closed.
 func (s *blackholeProxy) forward(from, to net.Conn, silent *atomic.Bool) {
+	if s.bytesPerSecond > 0 {
+		to = throttledConn{to, s.bytesPerSecond}
+	}
 	_, _ = io.Copy(droppingWriter{to, silent, &s.frozen}, from)
 	_ = to.Close()
 }
 
+// throttledConn forwards data at a limited rate.
+type throttledConn struct {
+	net.Conn
+	bytesPerSecond int
+}
+
+// Write implements io.Writer.
+func (c throttledConn) Write(b []byte) (written int, err error) {
+	for part := range slices.Chunk(b, c.bytesPerSecond/100) {
+		time.Sleep(10 * time.Millisecond)
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // droppingWriter drops what is written once silent is set.
 type droppingWriter struct {
 	io.Writer
@@ -169,6 +194,42 @@
 	assert.Equal(t, proxy.count(), 1)
 }
 
+// TestLargeMessagesOnSlowLink: a large message in either direction does not make a connection count as
+// dead while the message is on its way.
+func TestLargeMessagesOnSlowLink(t *testing.T) {
+	const size = 400_000
+	tests := map[string]struct{ request, reply []byte }{
+		"a request": {request: make([]byte, size)},
+		"a reply":   {reply: make([]byte, size)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			server := grpc.NewServer(link.ServerOptions()...)
+			slatewindv1.RegisterSlotsServer(server, link.SlotsServer{Serve: func(stream link.UseStream) error {
+				request, err := stream.Recv()
+				assert.Check(t, err)
+				assert.Check(t, len(request.GetChunk()) == len(test.request))
+				return stream.Send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Chunk{Chunk: test.reply}})
+			}})
+			go func() { _ = server.Serve(listener) }()
+			t.Cleanup(server.Stop)
+			proxy := newBlackholeProxy(t, listener.Addr().String())
+			proxy.bytesPerSecond = size / 3
+			pool := link.NewPool(nil)
+			t.Cleanup(func() { _ = pool.Close() })
+			use, err := pool.Use(t.Context(), proxy.Addr().String(), false)
+			assert.NilError(t, err)
+			assert.NilError(t, use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Chunk{Chunk: test.request}}))
+			reply, err := use.Recv()
+			assert.NilError(t, err)
+			assert.Equal(t, len(reply.GetChunk()), len(test.reply))
+		})
+	}
+}
+
 // TestSilentConnectionOfShortCalls: calls whose timeout is shorter than the detection of a
 // dead connection do not delay the detection.
 func TestSilentConnectionOfShortCalls(t *testing.T) {
