Keep a connection between processes while what was sent on it may be in transit

Callers whose uploads crossed a slow link got 502. What arrives is now counted on the socket, with the window updates and acknowledgements of HTTP/2, and not by whole messages; and a connection is not checked while what was sent on it may still be in transit at 128 KB/s, five seconds at most. The connection is dialled with the TCP user timeout that gRPC sets only on connections of its own type.

Ruled out: a longer timeout for all (silent connections would be found later under every load), smaller chunks (the response waits behind all of them). Price: a silent connection is found later by 8 ms for each KB sent just before.

--- a/link/heartbeat.go
+++ b/link/heartbeat.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -25,6 +28,11 @@
 	heartbeatTimeout = 300 * time.Millisecond
 	// minCheckInterval is the minimum time between two checks of a connection.
 	minCheckInterval = 10 * time.Millisecond
+	// minSendRate is the rate in bytes per second at which a slow link still transfers what is
+	// sent; maxTransit is the longest time that sent data is assumed to be in transit. A response
+	// to a heartbeat cannot arrive earlier.
+	minSendRate = 128 << 10
+	maxTransit  = 5 * time.Second
 )
 
 // monitor closes the connection to one peer when calls are in progress on it and nothing is
@@ -36,8 +44,9 @@
 type monitor struct {
 	address string
 	conn    *grpc.ClientConn
-	// lastReceived is when the peer last sent anything, in Unix nanoseconds.
-	lastReceived atomic.Int64
+	// lastReceived is when anything last arrived from the peer, and inTransitUntil is until when
+	// data sent to it may be in transit, both in Unix nanoseconds.
+	lastReceived, inTransitUntil atomic.Int64
 
 	mu sync.Mutex
 	// calls is the number of calls in progress, guarded by mu like the fields below.
@@ -54,19 +63,65 @@
 
 // dial connects to the peer and records the connection, so that the monitor can close it.
 func (m *monitor) dial(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dialer := net.Dialer{Control: setUserTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.connectErr = err
 	if err != nil {
 		return nil, err
 	}
+	conn := &monitoredConn{raw, m}
 	m.lastReceived.Store(time.Now().UnixNano())
+	m.inTransitUntil.Store(0)
 	m.current = conn
 	return conn, nil
 }
 
+// setUserTimeout makes the kernel close a connection whose data is not acknowledged for
+// keepaliveTimeout. gRPC does so only for connections that it dials itself.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(keepaliveTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// monitoredConn reports to a monitor what is received and sent on a connection, whatever call it
+// belongs to.
+type monitoredConn struct {
+	net.Conn
+	monitor *monitor
+}
+
+// Read implements net.Conn.
+func (c *monitoredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.monitor.lastReceived.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *monitoredConn) Write(b []byte) (int, error) {
+	c.monitor.recordSent(len(b))
+	return c.Conn.Write(b)
+}
+
+// recordSent extends the time for which sent data may be in transit.
+func (m *monitor) recordSent(bytes int) {
+	now := time.Now().UnixNano()
+	transit := int64(bytes) * int64(time.Second) / minSendRate
+	m.inTransitUntil.Store(min(max(m.inTransitUntil.Load(), now)+transit, now+int64(maxTransit)))
+}
+
+// inTransit returns how much longer sent data may be in transit.
+func (m *monitor) inTransit() time.Duration {
+	return time.Until(time.Unix(0, m.inTransitUntil.Load()))
+}
+
 // dialError returns the error of the newest attempt to connect, or nil if it succeeded.
 func (m *monitor) dialError() error {
 	m.mu.Lock()
@@ -80,14 +135,6 @@
 // isHeartbeat reports whether a call is a heartbeat.
 func isHeartbeat(ctx context.Context) bool { return ctx.Value(heartbeatKey{}) != nil }
 
-// recordReceived updates lastReceived on anything received, for calls and for heartbeats.
-func (m *monitor) recordReceived(event stats.RPCStats) {
-	switch event.(type) {
-	case *stats.InHeader, *stats.InPayload, *stats.InTrailer:
-		m.lastReceived.Store(time.Now().UnixNano())
-	}
-}
-
 // countCall counts the calls in progress and starts watch with the first.
 func (m *monitor) countCall(event stats.RPCStats) {
 	m.mu.Lock()
@@ -108,9 +155,9 @@
 // watch closes the connection when it is dead. It returns when isDone reports true.
 func (m *monitor) watch() {
 	for !m.isDone() {
-		time.Sleep(max(idleThreshold-m.idleTime(), minCheckInterval))
+		time.Sleep(max(idleThreshold-m.idleTime(), m.inTransit(), minCheckInterval))
 		dead := m.connection()
-		if m.idleTime() >= idleThreshold && !m.responds() && m.respondsOnNewConn() {
+		if m.idleTime() >= idleThreshold && m.inTransit() <= 0 && !m.responds() && m.respondsOnNewConn() {
 			m.closeConn(dead)
 		}
 	}
--- a/link/heartbeat_test.go
+++ b/link/heartbeat_test.go
@@ -33,10 +33,16 @@
 
 // newBlackholeProxy starts a proxy for an address.
 func newBlackholeProxy(t *testing.T, to string) *blackholeProxy {
+	t.Helper()
+	return newSlowProxy(t, to, 0)
+}
+
+// newSlowProxy is newBlackholeProxy with a rate (blackholeProxy.bytesPerSecond).
+func newSlowProxy(t *testing.T, to string, bytesPerSecond int) *blackholeProxy {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &blackholeProxy{Listener: listener, to: to}
+	s := &blackholeProxy{Listener: listener, to: to, bytesPerSecond: bytesPerSecond}
 	t.Cleanup(func() { _ = listener.Close() })
 	go s.serve()
 	return s
@@ -216,8 +222,7 @@
 			}})
 			go func() { _ = server.Serve(listener) }()
 			t.Cleanup(server.Stop)
-			proxy := newBlackholeProxy(t, listener.Addr().String())
-			proxy.bytesPerSecond = size / 3
+			proxy := newSlowProxy(t, listener.Addr().String(), size/3)
 			pool := link.NewPool(nil)
 			t.Cleanup(func() { _ = pool.Close() })
 			use, err := pool.Use(t.Context(), proxy.Addr().String(), false)
--- a/link/link.go
+++ b/link/link.go
@@ -191,7 +191,6 @@
 func (statsHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
 
 func (w statsHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	w.monitor.recordReceived(s)
 	if isHeartbeat(ctx) {
 		return
 	}
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -104,7 +104,7 @@
 		part:    soak.PartSilentPeers,
 		edits: []overlay.Edit{{
 			File: "link/heartbeat.go",
-			From: "if m.idleTime() >= idleThreshold && !m.responds() && m.respondsOnNewConn() {",
+			From: "if m.idleTime() >= idleThreshold && m.inTransit() <= 0 && !m.responds() && m.respondsOnNewConn() {",
 			To:   "if false {",
 		}},
 	},
