--- a/daemon/node.go
+++ b/daemon/node.go
@@ -114,7 +114,7 @@
 
 // listen opens the four listeners.
 func (n *Node) listen() error {
-	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: n.unused.track}
+	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: n.unused.track, ConnContext: limitWriteBuffer}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	n.peers = grpc.NewServer(link.ServerOptions()...)
@@ -129,6 +129,19 @@
 	})
 }
 
+// callerWriteBuffer is the size in bytes of the kernel's buffer for what a caller has not read yet.
+// The memory of buffers that the kernel chooses would not be bounded by limits.answer_bytes.
+const callerWriteBuffer = 64 << 10
+
+// limitWriteBuffer is the http.Server.ConnContext hook: it limits the write buffer of a connection.
+func limitWriteBuffer(ctx context.Context, conn net.Conn) context.Context {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// An error leaves the kernel's choice in force.
+		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	}
+	return ctx
+}
+
 // serveReady is the readiness check of the platform: it answers 200 if the node can serve callers.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath || !n.isReady() {
