--- a/choice/choice.go
+++ b/choice/choice.go
@@ -149,7 +149,7 @@
 		if server.AcceptsWork() {
 			return false
 		}
-		evacuated = evacuated || server.ServerEntry.Evacuated
+		evacuated = evacuated || server.Evacuated
 	}
 	return evacuated
 }
--- a/config/check.go
+++ b/config/check.go
@@ -125,6 +125,10 @@
 		message := fmt.Sprintf("caution %g is outside %d to %d nats", caution, minCaution, maxCaution)
 		c.add("SW1009", message, "services", i, "caution")
 	}
+	if rate := service.GetWarmupRate(); rate < 0 {
+		c.add("SW1017", fmt.Sprintf("warmup_rate %g is below 0", rate), "services", i, "warmup_rate")
+	}
+	c.checkDuration(service.GetWarmupTime(), "services", i, "warmup_time")
 	c.checkDuration(service.GetKeyLifetime(), "services", i, "key_lifetime")
 	c.checkDuration(service.GetProbeInterval(), "services", i, "probe_interval")
 	if path := service.GetProbePath(); path != "" && !strings.HasPrefix(path, "/") {
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -87,7 +87,7 @@
 type EvacuationFilter struct {
 	Sink
 
-	// mu guards the fields below and serializes the calls to the sink.
+	// mu guards the fields below and serialises the calls to the sink.
 	mu        sync.Mutex
 	evacuated slatewind.Evacuations
 	entries   map[string]slatewind.ServerEntry
