--- a/link/heartbeat.go
+++ b/link/heartbeat.go
@@ -64,14 +64,13 @@
 // dial connects to the peer and records the connection, so that the monitor can close it.
 func (m *monitor) dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Control: setUserTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := m.monitored(dialer.DialContext(ctx, "tcp", address))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.connectErr = err
 	if err != nil {
 		return nil, err
 	}
-	conn := &monitoredConn{raw, m}
 	m.lastReceived.Store(time.Now().UnixNano())
 	m.inTransitUntil.Store(0)
 	m.current = conn
@@ -88,28 +87,6 @@
 	return errors.Join(err, failed)
 }
 
-// monitoredConn reports to a monitor what is received and sent on a connection, whatever call it
-// belongs to.
-type monitoredConn struct {
-	net.Conn
-	monitor *monitor
-}
-
-// Read implements net.Conn.
-func (c *monitoredConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.monitor.lastReceived.Store(time.Now().UnixNano())
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *monitoredConn) Write(b []byte) (int, error) {
-	c.monitor.recordSent(len(b))
-	return c.Conn.Write(b)
-}
-
 // recordSent extends the time for which sent data may be in transit.
 func (m *monitor) recordSent(bytes int) {
 	now := time.Now().UnixNano()
