--- a/overload/ingress_test.go
+++ b/overload/ingress_test.go
@@ -38,7 +38,7 @@
 
 func newIngress(w *simulation, index int) *ingress {
 	in := &ingress{w: w, index: index, dataCentre: fmt.Sprint("dc-", index%w.DataCentres)}
-	in.service = choice.NewService(choice.Place{DataCentre: in.dataCentre}, w.random.Uint64())
+	in.service = choice.NewService(choice.Place{DataCentre: in.dataCentre, Regions: w.regions()}, w.random.Uint64())
 	for _, s := range w.servers {
 		in.service.Put(w.now, s.entry)
 	}
@@ -97,7 +97,7 @@
 
 // choiceRequest returns the properties of the request by which a server is chosen.
 func (rq *request) choiceRequest() choice.Request {
-	return choice.Request{Constraints: rq.slotSearch.Constraints(), Extra: rq.arrivals > 0}
+	return choice.Request{Constraints: rq.slotSearch.Constraints(), Extra: rq.arrivals > 0, Bytes: rq.from.w.Bytes}
 }
 
 // startSearch starts a search for a slot that ends at a time.
@@ -273,6 +273,9 @@
 	rq.from.service.Replied(w.now, name, status)
 	rq.arrivals++
 	rq.tried[name] = true
+	if w.region(r.server.entry.DataCentre) != w.region(rq.from.dataCentre) {
+		w.abroad++
+	}
 	if result == breaker.ResultOK {
 		rq.from.service.Succeeded(w.now, name)
 		rq.done = true
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -7,8 +7,11 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"slatewind.example/slatewind/breaker"
@@ -20,6 +23,10 @@
 	About       string        `yaml:"about"`
 	Length      time.Duration `yaml:"length"`
 	DataCentres int           `yaml:"data_centres"`
+	// Regions is the number of regions over which the data centres are spread; zero is one.
+	Regions int `yaml:"regions"`
+	// Bytes is the size of a request and its answer.
+	Bytes float64 `yaml:"bytes"`
 	// Servers is the number of servers; each has an ingress beside it.
 	Servers int `yaml:"servers"`
 	Slots   int `yaml:"slots"`
@@ -101,6 +108,8 @@
 	Reservations float64       `yaml:"reservations"`
 	Held         time.Duration `yaml:"held"`
 	Extra        float64       `yaml:"extra"`
+	// Abroad is the highest share of requests that run in another region.
+	Abroad float64 `yaml:"abroad"`
 }
 
 // tally counts the results of a pattern.
@@ -109,6 +118,8 @@
 	// inTime counts requests that were served within their objective.
 	inTime                     int
 	reservations, first, extra int
+	// abroad counts requests that ran in another region than their ingress.
+	abroad int
 	// unhealthy, full and denied count refused reservations, queued those that were queued.
 	unhealthy, full, denied, queued int
 	held                            []time.Duration
@@ -247,6 +258,22 @@
 	return 0
 }
 
+// region returns the region of a data centre.
+func (w *simulation) region(dataCentre string) string {
+	number, _ := strconv.Atoi(strings.TrimPrefix(dataCentre, "dc-"))
+	return fmt.Sprint("region-", number%max(w.Regions, 1))
+}
+
+// regions returns the regions of all data centres.
+func (w *simulation) regions() map[string]string {
+	regions := map[string]string{}
+	for i := range w.DataCentres {
+		dataCentre := fmt.Sprint("dc-", i)
+		regions[dataCentre] = w.region(dataCentre)
+	}
+	return regions
+}
+
 // delay returns how long a message takes one way.
 func (w *simulation) delay(from, to string) time.Duration {
 	if from == to {
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -55,6 +55,9 @@
 			assert.Check(t, reservations <= p.Want.Reservations, "%.2f reservations per request", reservations)
 			assert.Check(t, extra <= p.Want.Extra, "%.3f extra arrivals", extra)
 			assert.Check(t, held <= p.Want.Held, "held %s", held)
+			abroad := float64(got.abroad) / float64(got.requests)
+			t.Logf("%s: %.3f ran in another region", name, abroad)
+			assert.Check(t, abroad <= p.Want.Abroad, "%.3f ran in another region", abroad)
 			for _, load := range p.Workspaces {
 				share := float64(got.answered[load.Name]) / float64(max(got.sent[load.Name], 1))
 				t.Logf("%s: %d requests, served %.3f", load.Name, got.sent[load.Name], share)
