Test evacuations before settings of a peer, and empty bodies behind large ones

A process that gets settings from a peer goes on from their revision and so never hears of an evacuation that began before they were written; worse, it then takes its own list for newer than those of others. And a request without a body waits at a sidecar behind bodies that wait for memory.

--- a/bodylimit/bodylimit_test.go
+++ b/bodylimit/bodylimit_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// TestEmptyBodiesDoNotWait checks that a request without a body does not wait behind large ones.
+func TestEmptyBodiesDoNotWait(t *testing.T) {
+	b := bodylimit.NewBudget(100)
+	held, err := acquire(b, 100)
+	assert.NilError(t, err)
+	waiting := make(chan error)
+	go func() {
+		lease, err := b.Acquire(t.Context(), 50)
+		lease.Release()
+		waiting <- err
+	}()
+	time.Sleep(shortWait)
+	_, err = acquire(b, 0)
+	assert.NilError(t, err)
+	held.Release()
+	assert.NilError(t, <-waiting)
+}
+
 // TestBudgetUnderLoad checks that bodies of many goroutines never exceed the budget and that all of
 // them get their turn.
 func TestBudgetUnderLoad(t *testing.T) {
--- a/discovery/evacuations_test.go
+++ b/discovery/evacuations_test.go
@@ -170,3 +170,30 @@
 		})
 	}
 }
+
+// recordingSettings is a store that records from which revisions it is polled.
+type recordingSettings struct {
+	polledFrom []slatewind.Revision
+	update     slatewind.SettingsUpdate
+}
+
+func (s *recordingSettings) Settings(_ context.Context, after slatewind.Revision, _ time.Duration) (slatewind.SettingsUpdate, error) {
+	s.polledFrom = append(s.polledFrom, after)
+	return s.update, nil
+}
+
+// TestEvacuationBeforeSettingsOfPeer checks that a process that got settings from a peer still asks
+// the store for the evacuations that began before these settings were written.
+func TestEvacuationBeforeSettingsOfPeer(t *testing.T) {
+	store := &recordingSettings{update: slatewind.SettingsUpdate{Revision: at(10), Evacuations: slatewind.EvacuationChanges{Complete: true}}}
+	sink := newRecordingSink()
+	w := NewSettingsWatcher(store, nil, NewSharedSource(nil, nil, "own:1", nil), sink)
+	assert.NilError(t, w.pollStore(t.Context(), 0))
+	w.apply(&slatewind.PublishedSettings{Version: 1, Revision: at(30)}, "peer:1", 0)
+	store.update = slatewind.SettingsUpdate{Revision: at(40), Evacuations: slatewind.EvacuationChanges{Began: []string{"b"}}}
+	assert.NilError(t, w.pollStore(t.Context(), 0))
+	store.update = slatewind.SettingsUpdate{Revision: at(50)}
+	assert.NilError(t, w.pollStore(t.Context(), 0))
+	assert.DeepEqual(t, store.polledFrom, []slatewind.Revision{{}, at(10), at(40)})
+	assert.DeepEqual(t, sink.evacuations, [][]string{{"b"}})
+}
