Poll for evacuations from where the list of them ends, and let empty bodies pass

A process polls the store from the older of two revisions, that of its settings and that of its list of evacuated data centres. So that this is not far back where it has not read the store itself, the list's revision is told to others also if the list is empty: some ten bytes with each poll of a reader. A body of no bytes takes no memory and does not wait for any; one without a stated length waits for its first 32 KB instead of being refused behind others. The end of an answer that is still buffered is written before the answer counts as read, so that its caller has a bound too.

Before: TestEvacuationBeforeSettingsOfPeer and TestEmptyBodiesDoNotWait fail; after: pass. TestEvacuationsSent required that nothing is sent before the first evacuation; it requires now what is sent in that case.

--- a/bodylimit/bodylimit.go
+++ b/bodylimit/bodylimit.go
@@ -45,6 +45,9 @@
 // it is held alone.
 func (b *Budget) Acquire(ctx context.Context, bytes int64) (*Lease, error) {
 	bytes = min(bytes, b.capacity)
+	if bytes <= 0 {
+		return &Lease{budget: b}, nil
+	}
 	if err := b.left.Acquire(ctx, bytes); err != nil {
 		return nil, ErrExhausted
 	}
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -25,12 +25,10 @@
 	// lists in order.
 	mu   sync.Mutex
 	list slatewind.Evacuations
-	// used reports that any data centre was ever evacuated. Until then there is nothing that
-	// other processes must know.
-	used bool
 }
 
-// apply applies changes that a store reported up to a revision.
+// apply applies changes that a store reported up to a revision, since a revision that is not later
+// than that of the list.
 func (l *evacuationList) apply(now time.Time, revision slatewind.Revision, changes slatewind.EvacuationChanges) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -65,18 +63,25 @@
 func (l *evacuationList) set(now time.Time, list slatewind.Evacuations) {
 	changed := !slices.Equal(l.list.DataCentres, list.DataCentres)
 	l.list = list
-	l.used = l.used || len(list.DataCentres) > 0
 	if changed {
 		l.sink.Evacuations(now, list)
 	}
 }
 
+// revision returns the revision of the list.
+func (l *evacuationList) revision() slatewind.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list.Revision
+}
+
 // newerThan returns the list for a process that knows one of the given revision; its revision is
-// zero if there is nothing to send.
+// zero if that process knows as much. A list that only has a later revision is sent too: a process
+// that then polls the store needs no older changes.
 func (l *evacuationList) newerThan(revision slatewind.Revision) slatewind.Evacuations {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.used || !l.list.Revision.After(revision) {
+	if !l.list.Revision.After(revision) {
 		return slatewind.Evacuations{}
 	}
 	return l.list
--- a/discovery/evacuations_test.go
+++ b/discovery/evacuations_test.go
@@ -102,7 +102,8 @@
 		known   uint64
 		want    slatewind.Evacuations
 	}{
-		"never evacuated":            {[]slatewind.EvacuationChanges{{Complete: true}, {}}, 0, slatewind.Evacuations{}},
+		"nothing is known":           {nil, 0, slatewind.Evacuations{}},
+		"never evacuated":            {[]slatewind.EvacuationChanges{{Complete: true}, {}}, 1, slatewind.Evacuations{Revision: at(2)}},
 		"evacuated":                  {[]slatewind.EvacuationChanges{began}, 0, slatewind.Evacuations{Revision: at(1), DataCentres: []string{"a"}}},
 		"evacuated, which is known":  {[]slatewind.EvacuationChanges{began}, 1, slatewind.Evacuations{}},
 		"taken back":                 {[]slatewind.EvacuationChanges{began, ended}, 1, slatewind.Evacuations{Revision: at(2)}},
--- a/discovery/settings.go
+++ b/discovery/settings.go
@@ -175,8 +175,12 @@
 func (w *SettingsWatcher) pollStore(parent context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	// Settings from peers may be newer than the list of evacuated data centres.
+	after := w.evacuations.revision()
 	w.mu.Lock()
-	after := w.revision
+	if after.After(w.revision) {
+		after = w.revision
+	}
 	w.cancelPoll = cancel
 	w.mu.Unlock()
 	began := time.Now()
--- a/link/body.go
+++ b/link/body.go
@@ -12,8 +12,8 @@
 // MaxBodyTime limits how long a caller may take to send its body.
 const MaxBodyTime = 30 * time.Second
 
-// bodyStep is how much of a body without a stated length is read at a time, in bytes.
-const bodyStep = 32 << 10
+// BodyStep is how much of a body without a stated length is read at a time, in bytes.
+const BodyStep = 32 << 10
 
 // ErrBodyLate is returned if a body has not arrived in time.
 var ErrBodyLate = Error.New("the request body did not arrive in time")
@@ -24,8 +24,8 @@
 	Bytes int64
 	// Deadline is when the whole body must have arrived.
 	Deadline time.Time
-	// Grow, which may be nil, is called before further bytes of a body without a stated length
-	// are held; it returns an error if there is no memory for them.
+	// Grow, which may be nil, is called before each step of a body without a stated length after
+	// the first is held; it returns an error if there is no memory for it.
 	Grow func(bytes int64) error
 }
 
@@ -56,16 +56,17 @@
 	}
 	var body bytes.Buffer
 	for {
-		if grow != nil {
-			if err := grow(bodyStep); err != nil {
-				return nil, err
-			}
-		}
-		switch _, err := io.CopyN(&body, from, bodyStep); {
+		switch _, err := io.CopyN(&body, from, BodyStep); {
 		case errors.Is(err, io.EOF):
 			return body.Bytes(), nil
 		case err != nil:
 			return nil, err
 		}
+		if grow == nil {
+			continue
+		}
+		if err := grow(BodyStep); err != nil {
+			return nil, err
+		}
 	}
 }
--- a/outbound/answerwriter.go
+++ b/outbound/answerwriter.go
@@ -76,6 +76,17 @@
 	return written, nil
 }
 
+// flush writes what is still buffered, so that its caller has unreadTimeout to read it too.
+func (a *answerWriter) flush() error {
+	if !a.extend() {
+		return errUnreadMemory
+	}
+	if err := a.connection.Flush(); err != nil {
+		return a.cause(err)
+	}
+	return nil
+}
+
 // cause returns the error of a failed write, with the reason if it was the time that ended it.
 func (a *answerWriter) cause(err error) error {
 	a.mu.Lock()
--- a/outbound/memory.go
+++ b/outbound/memory.go
@@ -76,7 +76,11 @@
 func (o *Outbound) acquireBody(rq *request, r *http.Request) error {
 	ctx, cancel := context.WithTimeout(r.Context(), search.MaxSlotWait(rq.remaining(time.Now()), rq.objective(), rq.call != nil))
 	defer cancel()
-	lease, err := o.memory.Requests.Acquire(ctx, max(r.ContentLength, 0))
+	bytes := r.ContentLength
+	if bytes < 0 {
+		bytes = link.BodyStep
+	}
+	lease, err := o.memory.Requests.Acquire(ctx, bytes)
 	if err != nil {
 		return bodyRejection(err)
 	}
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -157,7 +157,10 @@
 			_, err = caller.Write(chunk)
 		}
 	}
-	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyNotAllowed) {
+	if err == nil || errors.Is(err, io.EOF) {
+		err = caller.flush()
+	}
+	if err == nil || errors.Is(err, http.ErrBodyNotAllowed) {
 		return
 	}
 	o.journal.Add(slatewind.Decision{
