--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,6 +59,8 @@
 	id string
 	// hash is the hash of its address.
 	hash uint64
+	// abroad reports that it is in another region than the ingress.
+	abroad bool
 	// status is the newest status, statusAt when the sidecar reported it.
 	status   Status
 	statusAt time.Time
@@ -124,6 +126,7 @@
 	}
 	server.ServerEntry = &entry
 	server.hash = xxhash.Sum64String(entry.Address)
+	server.abroad = !s.from.sameRegion(entry.DataCentre)
 	server.warmUntil = now.Add(entry.Warming)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -268,6 +268,33 @@
 	}
 }
 
+// TestAskedAgainLaterAbroad checks how long after a refusal a server is asked again, in the region of the
+// ingress and in another one.
+func TestAskedAgainLaterAbroad(t *testing.T) {
+	now := time.Unix(1000, 0)
+	place := choice.Place{DataCentre: "a-1", Regions: map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"}}
+	tests := map[string]struct {
+		status      choice.Status
+		constraints breaker.Constraints
+		near, far   time.Duration
+	}{
+		"full":                   {status: choice.Status{Full: true, SlotIn: 400 * time.Millisecond}, near: 200 * time.Millisecond, far: 600 * time.Millisecond},
+		"unhealthy, last resort": {status: choice.Status{Unhealthy: true}, constraints: breaker.Constraints{LastResort: true, Careful: true}, near: 300 * time.Millisecond, far: 900 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := choice.NewService(place, 1)
+			for dataCentre, pause := range map[string]time.Duration{"a-1": test.near, "a-2": test.near, "b-1": test.far} {
+				s.Put(now, slatewind.ServerEntry{Name: dataCentre, DataCentre: dataCentre, Slots: 10})
+				s.Replied(now, dataCentre, test.status)
+				request := choice.Request{Constraints: test.constraints}
+				assert.Assert(t, s.Skipped(now.Add(pause-time.Millisecond), dataCentre, request), dataCentre)
+				assert.Assert(t, !s.Skipped(now.Add(pause), dataCentre, request), dataCentre)
+			}
+		})
+	}
+}
+
 // TestReservationsAddToLoad checks that the own open reservations of an ingress count as load
 // until the next status.
 func TestReservationsAddToLoad(t *testing.T) {
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -86,7 +86,7 @@
 		return DispositionLeaving
 	case server.status.Stopping && age < min(server.status.BackIn, maxFullPause):
 		return DispositionStopping
-	case server.status.Full && age < server.status.pause():
+	case server.status.Full && age < server.askAgainAfter(server.status.pause()):
 		return DispositionFull
 	case request.Extra && server.status.Spent && age < spentPause:
 		return DispositionSpent
@@ -102,7 +102,8 @@
 	age := now.Sub(server.statusAt)
 	switch {
 	case request.LastResort:
-		return server.status.SuccessShare >= breaker.MinUsefulShare || age >= unhealthyPause || !request.RiskAverse() && age >= lastResortPause
+		return server.status.SuccessShare >= breaker.MinUsefulShare || age >= server.askAgainAfter(unhealthyPause) ||
+			!request.RiskAverse() && age >= server.askAgainAfter(lastResortPause)
 	case request.Careful:
 		return age >= max(server.status.TrialIn, unhealthyPause)
 	case request.Scarce:
@@ -116,6 +117,16 @@
 	return now.Sub(server.trialAt) >= breaker.TrialOverdue
 }
 
+// askAgainAfter returns the pause before a server that refused is asked again: that of a near server,
+// or several times as long in another region, since a request that is short of slots asks many
+// servers again and again.
+func (server *Server) askAgainAfter(near time.Duration) time.Duration {
+	if server.abroad {
+		return time.Duration(regionFactor * float64(near))
+	}
+	return near
+}
+
 // pause returns how long a full server is not asked again.
 func (t *Status) pause() time.Duration {
 	return min(max(t.SlotIn/2, minFullPause), maxFullPause)
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -20,7 +20,9 @@
 
 // pattern is a pattern of load with its required results.
 type pattern struct {
-	About       string        `yaml:"about"`
+	About string `yaml:"about"`
+	// Seeds is the number of runs whose results are added up; zero is one.
+	Seeds       int           `yaml:"seeds"`
 	Length      time.Duration `yaml:"length"`
 	DataCentres int           `yaml:"data_centres"`
 	// Regions is the number of regions over which the data centres are spread; zero is one.
@@ -184,6 +186,40 @@
 	return w.tally
 }
 
+// simulateSeeds runs a pattern with as many seeds as it states and returns the sums of the results.
+// The outcomes of single requests are left out.
+func simulateSeeds(p pattern) tally {
+	sum := tally{sent: map[string]int{}, answered: map[string]int{}}
+	for seed := range max(p.Seeds, 1) {
+		sum.add(simulate(p, uint64(seed+1)))
+	}
+	return sum
+}
+
+// add adds the results of another run.
+func (t *tally) add(o tally) {
+	t.requests += o.requests
+	t.served += o.served
+	t.refused += o.refused
+	t.failed += o.failed
+	t.inTime += o.inTime
+	t.reservations += o.reservations
+	t.first += o.first
+	t.extra += o.extra
+	t.abroad += o.abroad
+	t.unhealthy += o.unhealthy
+	t.full += o.full
+	t.denied += o.denied
+	t.queued += o.queued
+	t.held = append(t.held, o.held...)
+	for name, n := range o.sent {
+		t.sent[name] += n
+	}
+	for name, n := range o.answered {
+		t.answered[name] += n
+	}
+}
+
 // newSimulation returns a simulation that has not started.
 func newSimulation(p pattern, seed uint64) *simulation {
 	w := &simulation{pattern: p, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1))}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := load(t, file)
-			got := simulate(p, 1)
+			got := simulateSeeds(p)
 			served := float64(got.served) / float64(got.requests)
 			reservations := float64(got.reservations) / float64(got.requests)
 			extra := float64(got.extra) / float64(max(got.first, 1))
