Test a server that crashed and was not tried while it was down

Its process had found the crash, its breaker was open while the server was down, so that no connection was tried, and the trials after that found a server that answers. It was taken for warm.

--- a/inbound/warmup_test.go
+++ b/inbound/warmup_test.go
@@ -120,6 +120,17 @@
 	assert.Assert(t, p.View().WarmingUp)
 }
 
+// TestServerThatCrashed: a server that ended while it ran a request warms up once it answers again, also
+// if nothing was sent to it while it was down.
+func TestServerThatCrashed(t *testing.T) {
+	p, _ := newCrashingFixture(t, true)
+	p.SetWarmup(warmup.Limits{Rate: 16})
+	p.SetWarmup(warmup.Limits{Time: time.Minute, Rate: 16})
+	assert.Assert(t, !p.View().WarmingUp)
+	p.run(reservation(), "deadly")
+	assert.Assert(t, p.View().WarmingUp)
+}
+
 func evacuate(e *slatewind.ServerEntry) { e.Evacuated = true }
 
 // flood sends requests one after another and returns their results.
