Let a server warm up after a crash that its process has found

The detector of crashes tells the limit too; before, only a connection that could not be opened did. Looked for elsewhere: a hang or a reset is no restart, and an entry of another start has its own way. TestServerThatCrashed failed before and passes.

--- a/inbound/quarantine.go
+++ b/inbound/quarantine.go
@@ -60,6 +60,7 @@
 	if !ok {
 		return nil
 	}
+	u.in.serverDown()
 	u.in.journal.Add(end.Decision(now, slatewind.Decision{Service: u.in.server.Service, Server: u.in.serverName(), Request: u.id}))
 	u.in.suspects.ServerCrashed(now, end)
 	return link.SuspectOf(u.in.suspects.Record(now, u.digest()))
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -131,19 +131,25 @@
 	return u.sendFailure(outcome, err.Error(), suspect)
 }
 
-// connectFailed records that no connection to the server could be opened: when it answers again, it
-// has restarted. If its address refuses connections during a shutdown of this process, the server
+// connectFailed records that no connection to the server could be opened. If its address refuses connections during a shutdown of this process, the server
 // also counts as leaving: when a VM is removed, the server exits before its sidecar, which has no
 // slots to grant from then on.
 func (in *Inbound) connectFailed(refused bool) {
+	in.serverDown()
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.warmup.Down()
 	if refused && in.shutdown != nil {
 		in.startLeaving(time.Now(), "its address accepts no connections while the process beside it stops")
 	}
 }
 
+// serverDown records that the server does not run: it has to warm up when it answers again.
+func (in *Inbound) serverDown() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.warmup.Down()
+}
+
 func (u *use) sendFailure(outcome slatewind.Outcome, reason string, suspect *slatewindv1.Suspect) error {
 	failure := &slatewindv1.Failure{Outcome: string(outcome), Reason: reason, State: u.state(), Suspect: suspect}
 	return u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Failure{Failure: failure}})
