--- a/link/monitoredconn_test.go
+++ b/link/monitoredconn_test.go
@@ -20,6 +20,9 @@
 	const peers, ends, maxBytes = 64, 2, 32 << 10
 	server := grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSlotsServer(server, link.SlotsServer{Serve: func(stream link.UseStream) error {
+		if _, err := stream.Recv(); err != nil {
+			return err
+		}
 		return stream.Send(&slatewindv1.UseReply{})
 	}})
 	t.Cleanup(server.Stop)
