Let reports count refusals by the budget again

Found by reading the change: the count of refusals for a warm-up stood behind that of the budget in a reason, where reports look for the budget at the end, so that slatewind report counted none. TestDeniedIn has a reason of this build and one of an older one; with the old order its first case gives 0 (by the expression, not run).

--- a/logreport/cause_test.go
+++ b/logreport/cause_test.go
@@ -26,7 +26,7 @@
 func TestRefusals(t *testing.T) {
 	for _, cause := range []inbound.Cause{
 		inbound.CauseFull, inbound.CauseUnhealthy, inbound.CauseLeaving, inbound.CauseStopping, inbound.CauseMoved,
-		inbound.CauseBudget, inbound.CauseLate,
+		inbound.CauseBudget, inbound.CauseLate, inbound.CauseWarming,
 	} {
 		t.Run(string(cause), func(t *testing.T) {
 			assert.Equal(t, causeOf(string(cause)+": details"), string(cause))
@@ -57,6 +57,21 @@
 	}
 }
 
+// TestDeniedIn checks that the refusals by the budget are found in the reasons of this build and of older
+// ones.
+func TestDeniedIn(t *testing.T) {
+	tests := map[string]int{
+		"full: details (of all refusals: 1 full, 0 sick, 0 leaving, 0 stopping, 0 moved, 2 warming, 7 budget)": 7,
+		"full: details (of all refusals: 1 full, 0 sick, 0 leaving, 0 moved, 3 budget)":                        3,
+		"full: details": 0,
+	}
+	for reason, denied := range tests {
+		t.Run(reason, func(t *testing.T) {
+			assert.Equal(t, deniedIn(reason), denied)
+		})
+	}
+}
+
 // TestOpeningCause checks that only reasons for opening a breaker have a cause.
 func TestOpeningCause(t *testing.T) {
 	tests := map[string]struct {
