Test servers that get more requests than the limit they state

What callers saw: LIMIT on the tills, two servers with limits of 1.8 and 1 a second got 24 and 20 requests in 4 s. The stand-in of a server can state a limit and that it leaves; nothing reads it.

--- /dev/null
+++ b/inbound/limit_test.go
@@ -0,0 +1,47 @@
+package inbound_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/internal/standin"
+)
+
+// runFor sends requests without a pause for a span of time.
+func (p *fixture) runFor(span time.Duration) {
+	for i, end := 0, time.Now().Add(span); time.Now().Before(end); i++ {
+		p.run(reservation(), fmt.Sprint("run-", i))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestServerGetsMoreThanItsLimit guards against requests beyond the limit that a server states in
+// its answers, whatever kind of answer states it.
+func TestServerGetsMoreThanItsLimit(t *testing.T) {
+	const (
+		span  = 2 * time.Second
+		limit = 2
+	)
+	modes := map[string]standin.StampedMode{
+		"answers":    standin.StampedOK,
+		"errors":     standin.StampedError,
+		"rejections": standin.StampedShed,
+	}
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newFixture(t)
+			p.server.SetMode(mode)
+			p.server.SetLimit(fmt.Sprint(limit, ".0"))
+			p.run(reservation(), "states the limit")
+			before := p.server.Arrivals()
+			assert.Equal(t, before, 1)
+			p.runFor(span)
+			got := p.server.Arrivals() - before
+			assert.Assert(t, got <= limit*int(span.Seconds())+1, "%d requests in %s", got, span)
+		})
+	}
+}
--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -48,6 +48,9 @@
 	mu    sync.Mutex
 	mode  StampedMode
 	delay time.Duration
+	// limit and leaving are what the server states about itself in its answers.
+	limit   string
+	leaving bool
 	// runs counts the runs by request id, arrivals all requests, run or not. headers holds the
 	// header of the latest arrival by request id.
 	runs     map[string]int
@@ -97,6 +100,32 @@
 	s.delay = delay
 }
 
+// SetLimit sets the limit that the server states in its answers; empty means none.
+func (s *Stamped) SetLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// SetLeaving sets whether the server states in its answers that it is leaving.
+func (s *Stamped) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// state adds what the server states about itself to an answer.
+func (s *Stamped) state(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" {
+		header.Set(s.headerNames.Limit, s.limit)
+	}
+	if s.leaving {
+		header.Set(s.headerNames.Leaving, slatewind.LeavingValue)
+	}
+}
+
 // Runs returns the number of runs by request id.
 func (s *Stamped) Runs() map[string]int {
 	s.mu.Lock()
@@ -177,6 +206,7 @@
 }
 
 func (s *Stamped) answer(w http.ResponseWriter, r *http.Request, mode StampedMode, body []byte) {
+	s.state(w.Header())
 	switch mode {
 	case StampedReset, StampedLost:
 		resetConnection(w)
--- /dev/null
+++ b/outbound/limit_test.go
@@ -0,0 +1,50 @@
+package outbound_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/bodylimit"
+	"slatewind.example/slatewind/inbound"
+	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/warmup"
+)
+
+// restartProcess replaces the process beside a server by a new one, which knows the server's entry
+// and nothing else.
+func (m *mesh) restartProcess(t *testing.T, name string) {
+	m.mu.Lock()
+	address := m.addresses[name]
+	m.mu.Unlock()
+	in := inbound.New(inbound.Server{Service: "svc", Address: address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, bodylimit.NewBudget(0))
+	in.SetWarmup(warmup.Limits{})
+	t.Cleanup(in.Close)
+	in.Published(time.Now(), &slatewind.ServerEntry{Name: name, Service: "svc", Address: address, DataCentre: "dc", Slots: meshSlots})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inbounds[name] = in
+}
+
+// TestRestartForgetsLimit guards against requests beyond the limit that a server stated before the
+// process beside it was restarted.
+func TestRestartForgetsLimit(t *testing.T) {
+	const limit, restarts = 2, 4
+	m := newMesh(t, "a")
+	m.servers["a"].SetLimit(fmt.Sprint(limit))
+	m.servers["a"].SetDelay(100 * time.Millisecond)
+	assert.Equal(t, m.send("POST", "/pay/1", "states the limit", "", time.Second).status, 200)
+	began := time.Now()
+	for i := range restarts {
+		m.restartProcess(t, "a")
+		for j := range 2 * meshSlots {
+			m.send("POST", "/pay/1", fmt.Sprint(i, "-", j), "", 200*time.Millisecond)
+		}
+	}
+	got := m.servers["a"].Arrivals() - 1
+	allowed := int(limit*time.Since(began).Seconds()) + 1
+	assert.Assert(t, got <= allowed, "%d requests in %s, allowed %d", got, time.Since(began), allowed)
+}
--- a/publish.go
+++ b/publish.go
@@ -223,4 +223,12 @@
 	Identity string
 	// Load is the server's load: running requests, queued requests and slots.
 	Load string
+	// Limit is the number of requests a second that the server takes from the whole fleet, a
+	// decimal number. A server states it in all answers while it applies.
+	Limit string
+	// Leaving marks the answers of a server that is leaving, with the value LeavingValue.
+	Leaving string
 }
+
+// LeavingValue is the value of ServerHeaders.Leaving in the answers of a leaving server.
+const LeavingValue = "1"
