Keep the requests to a server within the limit that it states

Servers in need stated limits of 1.8 and 1 requests a second and got 24 and 20 in 4 s.

Ruled out: requests granted or queued before (the rate stays as before for as long as the limit stands), and a limit kept by each ingress (no line, no code).

Change: the process beside the server, which all requests pass, keeps a token bucket at the stated rate (package serverlimit). Ingresses remember the limit with the server's start and say it in their reservations, so that a process that restarts knows it. Refusals say when the next request may come. kind=server-limit and the state dump show the limit.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,13 @@
 	Full bool
 	// SlotIn is the time until a full server probably has a free slot.
 	SlotIn time.Duration
+	// Limited reports that a reservation was refused by the limit that the server states; it is
+	// then Full, and SlotIn is exact.
+	Limited bool
+	// Limit is the limit that the server states, unless LimitUnknown reports that its sidecar does
+	// not know.
+	Limit        slatewind.ServerLimit
+	LimitUnknown bool
 	// Stopping reports that the sidecar refused because it is about to stop; its successor
 	// is probably ready after BackIn.
 	Stopping bool
@@ -64,6 +71,8 @@
 	// status is the newest status, statusAt when the sidecar reported it.
 	status   Status
 	statusAt time.Time
+	// limit is the limit that it stated, as far as any sidecar knew.
+	limit slatewind.ServerLimit
 	// trialAt is when a trial became due or becomes due.
 	trialAt time.Time
 	// lastSuccess is when this ingress last got a complete answer from it.
@@ -309,6 +318,17 @@
 		server.trialAt = trialAt
 	}
 	server.status, server.statusAt = status, at
+	if !status.LimitUnknown {
+		server.limit = status.Limit
+	}
+}
+
+// Limit returns the limit that a start of a server stated, as far as is known.
+func (s *Service) Limit(id string) slatewind.ServerLimit {
+	if server := s.servers[id]; server != nil {
+		return server.limit
+	}
+	return slatewind.ServerLimit{}
 }
 
 // Succeeded records a complete answer of a server.
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -67,6 +67,8 @@
 	unhealthyPause = 300 * time.Millisecond
 	minFullPause   = 60 * time.Millisecond
 	maxFullPause   = 300 * time.Millisecond
+	// maxLimitedPause bounds the pause before a server that is at its limit is asked again.
+	maxLimitedPause = time.Second
 	// spentPause is the pause before an extra attempt asks a server whose budget was spent.
 	spentPause = 250 * time.Millisecond
 	// lastResortPause is the least age of that report at which a LastResort request that is
@@ -129,6 +131,9 @@
 
 // pause returns how long a full server is not asked again.
 func (t *Status) pause() time.Duration {
+	if t.Limited {
+		return min(max(t.SlotIn, minFullPause), maxLimitedPause)
+	}
 	return min(max(t.SlotIn/2, minFullPause), maxFullPause)
 }
 
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -24,7 +24,8 @@
 func (u *use) forwardAnswer(ctx context.Context, answer *backend.Answer) error {
 	u.answered()
 	u.updateSlots(answer.Header.Get(u.in.server.Headers.Load))
-	if answer.Header.Get(u.in.server.Headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest {
+	u.recordLimit(answer)
+	if u.rejected(answer) || answer.StatusCode == http.StatusMisdirectedRequest {
 		return u.notExecuted(answer)
 	}
 	// If the server's answer is truncated while it is still buffered here, the request counts as
@@ -33,7 +34,7 @@
 	if err != nil {
 		return u.fail(ctx, true, err)
 	}
-	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header)}
+	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header), State: u.statement()}
 	if len(body) <= link.MaxBufferedBytes {
 		answer.Close()
 		u.completed(answer.StatusCode)
@@ -52,6 +53,11 @@
 	return nil
 }
 
+// rejected reports whether the server states that it did not execute the request.
+func (u *use) rejected(answer *backend.Answer) bool {
+	return answer.Header.Get(u.in.server.Headers.NotExecuted) != ""
+}
+
 // answered records that the server is running.
 func (u *use) answered() {
 	u.in.mu.Lock()
--- a/inbound/entry.go
+++ b/inbound/entry.go
@@ -68,7 +68,8 @@
 }
 
 // setIdentity records which start of which server is running here. State about the previous start
-// is discarded: the breaker, the slots held by its requests and the idle connections. in.mu must
+// is discarded: the breaker, the slots held by its requests, the idle connections and
+// the limit that it stated. in.mu must
 // be held.
 func (in *Inbound) setIdentity(now time.Time, name string, start int64) {
 	before, after := slatewind.ServerID(in.name, in.start), slatewind.ServerID(name, start)
@@ -80,6 +81,7 @@
 		in.slots.ResetSlots()
 		in.pool.CloseIdle()
 		in.warmup.Restarted(now)
+		in.limit.Reset()
 		in.journal.Add(slatewind.Decision{
 			Time: now, Kind: slatewind.DecisionMember, Service: in.server.Service, Server: name,
 			Reason: "another start of the server is beside this process", Evidence: "before=" + before + " now=" + after,
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -28,6 +28,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
+	"slatewind.example/slatewind/serverlimit"
 	"slatewind.example/slatewind/timer"
 	"slatewind.example/slatewind/warmup"
 )
@@ -65,6 +66,8 @@
 	CauseBudget Cause = "budget"
 	// CauseWarming: the server warms up and gets no further request at present.
 	CauseWarming Cause = "warming"
+	// CauseLimited: the server gets no further request at present, by the limit that it states.
+	CauseLimited Cause = "limited"
 	// CauseQuarantined: servers exited while they were running this request.
 	CauseQuarantined Cause = "quarantined"
 	// CauseLate: the request's deadline has passed, its granted slot has expired, or it cannot
@@ -161,6 +164,8 @@
 	suspects *quarantine.Table
 	// warmup limits the requests while the server warms up.
 	warmup *warmup.Limiter
+	// limit keeps the requests within the limit that the server states.
+	limit serverlimit.Limiter
 	// bodies bounds the memory of the request bodies that are held for the server.
 	bodies *bodylimit.Budget
 }
--- /dev/null
+++ b/inbound/limit.go
@@ -0,0 +1,80 @@
+package inbound
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/backend"
+	"slatewind.example/slatewind/link"
+)
+
+// recordLimit records the limit that the server states in an answer. An answer with status 421 comes
+// from another server.
+func (u *use) recordLimit(answer *backend.Answer) {
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	limit := limitOf(answer.Header.Get(u.in.server.Headers.Limit))
+	now := time.Now()
+	u.in.mu.Lock()
+	defer u.in.mu.Unlock()
+	record := u.in.limit.Answered
+	if u.rejected(answer) {
+		record = u.in.limit.Rejected
+	}
+	if record(now, u.began, limit) {
+		u.in.journalLimit(now)
+	}
+}
+
+// limitOf parses the limit that a server states. A malformed one counts as none.
+func limitOf(text string) slatewind.ServerLimit {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return slatewind.ServerLimit{}
+	}
+	return slatewind.ServerLimit{Stated: true, PerSecond: perSecond}
+}
+
+// recordToldLimit records the limit that a reservation states. in.mu must be held.
+func (in *Inbound) recordToldLimit(now time.Time, r *slatewindv1.Reservation) {
+	if r.RequestLimit == nil || in.name != "" && r.GetLimitedServer() != slatewind.ServerID(in.name, in.start) {
+		return
+	}
+	if in.limit.Told(now, link.LimitOf(r.RequestLimit)) {
+		in.journalLimit(now)
+	}
+}
+
+// journalLimit writes a journal entry about a change of the server's limit. in.mu must be held.
+func (in *Inbound) journalLimit(now time.Time) {
+	in.journal.Add(slatewind.Decision{
+		Time: now, Kind: slatewind.DecisionServerLimit, Service: in.server.Service, Server: in.name, Reason: in.limitText(),
+		Evidence: fmt.Sprintf("in_use=%d queued=%d told=%t", in.slots.InUse(), in.slots.Queued(), in.limit.Unknown()),
+	})
+}
+
+// limitText returns the server's limit, worded for operators. in.mu must be held.
+func (in *Inbound) limitText() string {
+	limit := in.limit.Limit()
+	if !limit.Stated {
+		return "the server states no limit any more"
+	}
+	return fmt.Sprintf("the server states a limit of %g requests a second", limit.PerSecond)
+}
+
+// statement returns the server's state if the server states something that applies before its answer
+// ends, or nil.
+func (u *use) statement() *slatewindv1.SlotState {
+	u.in.mu.Lock()
+	defer u.in.mu.Unlock()
+	if !u.in.limit.Limit().Stated {
+		return nil
+	}
+	return u.in.state()
+}
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -9,6 +9,7 @@
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/link"
 )
 
 // Units of the fields of slatewindv1.SlotState.
@@ -28,6 +29,7 @@
 		FailurePercent: uint32(math.Round(percent * (1 - current.SuccessShare()))), ShedPercent: uint32(math.Round(percent * current.ShedShare())),
 		SuspicionTenths: uint32(min(current.Suspicion(now), maxReportedSuspicion) * tenths),
 		LastsMs:         in.remainingMs(now),
+		RequestLimit:    link.LimitMessage(in.limit.Limit()), RequestLimitUnknown: in.limit.Unknown(),
 	}
 }
 
@@ -88,6 +90,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.earnExtra(now, r)
+	in.recordToldLimit(now, r)
 	if refusal := in.refusalFor(now, r); refusal != nil {
 		return admission.Item{}, refusal, nil
 	}
@@ -164,6 +167,9 @@
 	if wait := in.warmup.Wait(now); wait > 0 {
 		return in.refusal(CauseWarming, "the server warms up", wait)
 	}
+	if wait := in.limit.Wait(now); wait > 0 {
+		return in.refusal(CauseLimited, in.limitText(), wait)
+	}
 	return nil
 }
 
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -30,6 +30,8 @@
 	granted               time.Time
 	// beforeClose reports that the slot was granted before a shutdown stopped admission.
 	beforeClose bool
+	// limited reports that the request was taken from the server's limit.
+	limited bool
 	// id is the caller's ID of the request, parent the state of its nested calls.
 	id     string
 	parent parent
@@ -106,6 +108,7 @@
 	} else {
 		u.recordGrant()
 		u.in.warmup.Admit(u.granted)
+		u.limited = u.in.limit.Take(u.granted)
 		if u.reservation.GetExtra() {
 			u.payment = u.in.extras.Take(u.granted)
 		}
@@ -129,6 +132,7 @@
 	defer u.in.mu.Unlock()
 	u.in.currentBreaker(now).End(now, u.item.ID, breaker.ResultNone)
 	u.in.extras.Return(u.payment)
+	u.in.limit.Return(now, u.limited)
 	u.in.idle.unused++
 	u.in.release(now, u.item)
 }
--- a/inbound/view.go
+++ b/inbound/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/breaker"
 )
 
@@ -21,6 +22,8 @@
 	Slots    int           `json:"slots"`
 	// WarmingUp reports that the server gets only the requests that it bears while it warms up.
 	WarmingUp bool `json:"warming_up,omitempty"`
+	// Limit is the limit that the server states.
+	Limit slatewind.ServerLimit `json:"limit,omitzero"`
 	// Connections is the total number of connections that were opened to the server.
 	Connections uint64 `json:"connections_opened"`
 }
@@ -32,6 +35,6 @@
 	return View{
 		Service: in.server.Service, Server: in.name, Address: in.server.Address, Leaving: in.leavingReason, Stopping: in.shutdown != nil,
 		Breaker: in.breaker.State(), Score: in.breaker.Score(),
-		InUse: in.slots.InUse(), Queued: in.slots.Queued(), Slots: in.slots.Slots(), Connections: in.pool.Opened(), WarmingUp: in.warmup.WarmingUp(time.Now()),
+		InUse: in.slots.InUse(), Queued: in.slots.Queued(), Slots: in.slots.Slots(), Connections: in.pool.Opened(), WarmingUp: in.warmup.WarmingUp(time.Now()), Limit: in.limit.Limit(),
 	}
 }
--- a/limits.go
+++ b/limits.go
@@ -35,3 +35,16 @@
 	// Admit decides whether to admit one request. It may need a round trip to another process.
 	Admit(ctx context.Context, limit WorkspaceLimit) LimitVerdict
 }
+
+// ServerLimit is the limit that a server states in its answers. The zero value means that it states
+// none.
+type ServerLimit struct {
+	Stated bool `json:"stated"`
+	// PerSecond is the number of requests a second that the server takes from the whole fleet.
+	PerSecond float64 `json:"per_second"`
+}
+
+// LooserThan reports whether the limit allows more requests than another.
+func (l ServerLimit) LooserThan(other ServerLimit) bool {
+	return other.Stated && (!l.Stated || l.PerSecond > other.PerSecond)
+}
--- a/logreport/cause.go
+++ b/logreport/cause.go
@@ -19,7 +19,7 @@
 // them.
 var refusals = []inbound.Cause{
 	inbound.CauseFull, inbound.CauseUnhealthy, inbound.CauseLeaving, inbound.CauseStopping, inbound.CauseMoved,
-	inbound.CauseBudget, inbound.CauseLate, inbound.CauseWarming,
+	inbound.CauseBudget, inbound.CauseLate, inbound.CauseWarming, inbound.CauseLimited,
 }
 
 // knownCauses maps substrings of reasons to causes. The first match is used.
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -134,9 +134,10 @@
 	if len(s.refusals) == 0 {
 		return s.lastReason
 	}
-	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d stopping, %d moved, %d warming, %d budget)", s.lastReason,
+	return fmt.Sprintf("%s (of all refusals: %d full, %d sick, %d leaving, %d stopping, %d moved, %d warming, %d limited, %d budget)", s.lastReason,
 		s.refusals[inbound.CauseFull], s.refusals[inbound.CauseUnhealthy], s.refusals[inbound.CauseLeaving],
-		s.refusals[inbound.CauseStopping], s.refusals[inbound.CauseMoved], s.refusals[inbound.CauseWarming], s.refusals[inbound.CauseBudget])
+		s.refusals[inbound.CauseStopping], s.refusals[inbound.CauseMoved], s.refusals[inbound.CauseWarming],
+		s.refusals[inbound.CauseLimited], s.refusals[inbound.CauseBudget])
 }
 
 // refusal returns the result of a search that found no slot.
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -43,8 +43,14 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	p := &pendingReservation{reservation: reservation, cancel: cancel}
 	s.open[p] = true
-	s.rq.shard.update(func(c *choice.Service) { c.Reserved(now, p.server().ID()) })
-	go s.o.reserve(ctx, s.rq.reservation(opts, s.until), p, s.events)
+	message := s.rq.reservation(opts, s.until)
+	s.rq.shard.update(func(c *choice.Service) {
+		c.Reserved(now, p.server().ID())
+		if message.RequestLimit = link.LimitMessage(c.Limit(p.server().ID())); message.RequestLimit != nil {
+			message.LimitedServer = p.server().ID()
+		}
+	})
+	go s.o.reserve(ctx, message, p, s.events)
 }
 
 // reserve makes one reservation and sends its replies to events, up to and including the final one.
@@ -123,6 +129,7 @@
 		Unhealthy: healthOf(state) != string(slatewind.ServerHealthy), Leaving: state.GetLeaving(),
 		SuccessShare: 1 - float64(state.GetFailurePercent())/percent, ShedShare: float64(state.GetShedPercent()) / percent,
 		Suspicion: float64(state.GetSuspicionTenths()) / tenthsPerUnit,
+		Limit:     link.LimitOf(state.RequestLimit), LimitUnknown: state.GetRequestLimitUnknown(),
 	}
 }
 
@@ -154,8 +161,8 @@
 func refusalStateOf(refusal *slatewindv1.Refusal) choice.Status {
 	state := stateOf(refusal.GetState())
 	switch inbound.Cause(refusal.GetCause()) {
-	case inbound.CauseFull, inbound.CauseWarming:
-		state.Full = true
+	case inbound.CauseFull, inbound.CauseWarming, inbound.CauseLimited:
+		state.Full, state.Limited = true, inbound.Cause(refusal.GetCause()) == inbound.CauseLimited
 		state.SlotIn = time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
 	case inbound.CauseStopping:
 		state.Stopping = true
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -62,6 +62,7 @@
 	}
 	reply, err := slot.use.Recv()
 	if err == nil && reply.GetHead() != nil {
+		o.recordState(rq, slot, reply.GetHead().GetState())
 		return o.read(rq, slot, reply.GetHead())
 	}
 	slot.cancel()
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -60,6 +60,12 @@
 	return true
 }
 
+// Put returns tokens that were taken and not used.
+func (b *Bucket) Put(now time.Time, tokens float64) {
+	b.fill(now)
+	b.level = min(b.level+tokens, b.burst)
+}
+
 // Next returns the time until the bucket has a token.
 func (b *Bucket) Next(now time.Time) time.Duration {
 	b.fill(now)
--- a/slatewind.go
+++ b/slatewind.go
@@ -244,6 +244,9 @@
 	DecisionServerError DecisionKind = "server-error"
 	// DecisionServerEnded: a server exited unexpectedly while it was running a request.
 	DecisionServerEnded DecisionKind = "server-ended"
+	// DecisionServerLimit: a server began to state a limit in its answers, changed it, or states
+	// none any more.
+	DecisionServerLimit DecisionKind = "server-limit"
 	// DecisionQuarantine: a request is rejected from now on, because servers exited while
 	// they were running it.
 	DecisionQuarantine DecisionKind = "quarantine"
