Send no requests to a server that states in its answers that it leaves

Cause: the header Server-Leaving was passed on to callers and read by nobody; only the server's entry in the store counted.

Change: the process beside the server takes the statement from any answer and refuses from then on, whatever the entry says. Ingresses remember it with the server's start, also over a restart of that process and an entry that goes and returns; long answers carry it before their body.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,6 +9,7 @@
 package choice
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +30,8 @@
 	// Unhealthy reports that the breaker is not closed.
 	Unhealthy bool
 	Leaving   bool
+	// StatedLeaving reports that the server itself stated that it is leaving, which is final.
+	StatedLeaving bool
 	// SuccessShare is the share of its recent requests that it answered well, from 0 to 1.
 	SuccessShare float64
 	// ShedShare is the share of its recent requests that it rejected, from 0 to 1.
@@ -73,6 +76,8 @@
 	statusAt time.Time
 	// limit is the limit that it stated, as far as any sidecar knew.
 	limit slatewind.ServerLimit
+	// statedLeaving reports that it stated that it is leaving.
+	statedLeaving bool
 	// trialAt is when a trial became due or becomes due.
 	trialAt time.Time
 	// lastSuccess is when this ingress last got a complete answer from it.
@@ -100,8 +105,15 @@
 	// start by server name. Anything reported about another start is discarded.
 	servers map[string]*Server
 	starts  map[string]string
+	// leaving holds when the starts of servers stated that they are leaving. An entry that is
+	// removed may return while the server lives.
+	leaving map[string]time.Time
 }
 
+// leavingMemory is how long a start of a server that stated that it is leaving is remembered after
+// its entry was removed. Servers that leave end within seconds.
+const leavingMemory = time.Minute
+
 // Place is where an ingress is.
 type Place struct {
 	DataCentre string
@@ -117,7 +129,7 @@
 
 // NewService returns a service without servers, as seen from a place.
 func NewService(from Place, seed uint64) *Service {
-	return &Service{from: from, random: rand.New(rand.NewPCG(seed, ^seed)), servers: map[string]*Server{}, starts: map[string]string{}}
+	return &Service{from: from, random: rand.New(rand.NewPCG(seed, ^seed)), servers: map[string]*Server{}, starts: map[string]string{}, leaving: map[string]time.Time{}}
 }
 
 // Put adds or updates a server. A newer start of a known server replaces the older one and
@@ -130,7 +142,9 @@
 			return
 		}
 		delete(s.servers, s.starts[entry.Name])
-		server = &Server{id: id, knownAt: now}
+		s.forgetLeft(now)
+		_, leaving := s.leaving[id]
+		server = &Server{id: id, knownAt: now, statedLeaving: leaving}
 		s.servers[id], s.starts[entry.Name] = server, id
 	}
 	server.ServerEntry = &entry
@@ -147,10 +161,15 @@
 	}
 }
 
-// Takes reports whether a start of a server is known and, by its entry, accepts work.
+// forgetLeft forgets the starts that are not known any more and stated long ago that they are leaving.
+func (s *Service) forgetLeft(now time.Time) {
+	maps.DeleteFunc(s.leaving, func(id string, at time.Time) bool { return s.servers[id] == nil && now.Sub(at) > leavingMemory })
+}
+
+// Takes reports whether a start of a server is known and, by its entry and its answers, accepts work.
 func (s *Service) Takes(id string) bool {
 	server := s.servers[id]
-	return server != nil && server.AcceptsWork()
+	return server != nil && server.AcceptsWork() && !server.statedLeaving
 }
 
 // Evacuated reports that no known server accepts work, and that evacuation is the reason for at least
@@ -295,7 +314,7 @@
 	if server == nil {
 		return
 	}
-	server.updateStatus(now, status)
+	s.updateStatus(now, server, status)
 	server.sentSince = 0
 	server.avoidFor = 0
 	server.avoidUntil = time.Time{}
@@ -308,12 +327,12 @@
 	if server == nil || !at.After(server.statusAt) {
 		return
 	}
-	server.updateStatus(at, status)
+	s.updateStatus(at, server, status)
 }
 
 // updateStatus sets a status reported at a time. If a trial was already due and has not been
 // made, the time since when it is due does not change.
-func (server *Server) updateStatus(at time.Time, status Status) {
+func (s *Service) updateStatus(at time.Time, server *Server, status Status) {
 	if trialAt := at.Add(status.TrialIn); !server.status.Unhealthy || status.TrialIn > 0 || server.trialAt.After(trialAt) {
 		server.trialAt = trialAt
 	}
@@ -321,6 +340,10 @@
 	if !status.LimitUnknown {
 		server.limit = status.Limit
 	}
+	if status.StatedLeaving && !server.statedLeaving {
+		server.statedLeaving = true
+		s.leaving[server.id] = at
+	}
 }
 
 // Limit returns the limit that a start of a server stated, as far as is known.
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -24,7 +24,7 @@
 func (u *use) forwardAnswer(ctx context.Context, answer *backend.Answer) error {
 	u.answered()
 	u.updateSlots(answer.Header.Get(u.in.server.Headers.Load))
-	u.recordLimit(answer)
+	u.recordStatements(answer)
 	if u.rejected(answer) || answer.StatusCode == http.StatusMisdirectedRequest {
 		return u.notExecuted(answer)
 	}
--- a/inbound/entry.go
+++ b/inbound/entry.go
@@ -37,6 +37,11 @@
 		in.startLeaving(now, "its entry is marked as leaving")
 		return
 	}
+	if in.statedLeaving {
+		// The entry may be older than the answer.
+		in.startLeaving(now, statedLeavingReason)
+		return
+	}
 	if entry.Evacuated {
 		in.startLeaving(now, "its data centre is evacuated")
 		return
@@ -69,7 +74,7 @@
 
 // setIdentity records which start of which server is running here. State about the previous start
 // is discarded: the breaker, the slots held by its requests, the idle connections and
-// the limit that it stated. in.mu must
+// what it stated in its answers. in.mu must
 // be held.
 func (in *Inbound) setIdentity(now time.Time, name string, start int64) {
 	before, after := slatewind.ServerID(in.name, in.start), slatewind.ServerID(name, start)
@@ -82,6 +87,7 @@
 		in.pool.CloseIdle()
 		in.warmup.Restarted(now)
 		in.limit.Reset()
+		in.statedLeaving = false
 		in.journal.Add(slatewind.Decision{
 			Time: now, Kind: slatewind.DecisionMember, Service: in.server.Service, Server: name,
 			Reason: "another start of the server is beside this process", Evidence: "before=" + before + " now=" + after,
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -138,6 +138,8 @@
 	lastUnreadCheck time.Time
 	// leavingReason is the reason why the server accepts no new requests, or empty while it does.
 	leavingReason string
+	// statedLeaving reports that the server stated in an answer that it is leaving.
+	statedLeaving bool
 	// shutdown is the schedule of the graceful shutdown, nil before it begins; callersInFlight
 	// reports whether requests of callers are in flight.
 	shutdown        *drain.Schedule
--- a/inbound/limit.go
+++ b/inbound/limit.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -13,21 +12,13 @@
 	"slatewind.example/slatewind/link"
 )
 
-// recordLimit records the limit that the server states in an answer. An answer with status 421 comes
-// from another server.
-func (u *use) recordLimit(answer *backend.Answer) {
-	if answer.StatusCode == http.StatusMisdirectedRequest {
-		return
-	}
-	limit := limitOf(answer.Header.Get(u.in.server.Headers.Limit))
-	now := time.Now()
-	u.in.mu.Lock()
-	defer u.in.mu.Unlock()
+// recordLimit records the limit that the server states in an answer. in.mu must be held.
+func (u *use) recordLimit(now time.Time, answer *backend.Answer) {
 	record := u.in.limit.Answered
 	if u.rejected(answer) {
 		record = u.in.limit.Rejected
 	}
-	if record(now, u.began, limit) {
+	if record(now, u.began, limitOf(answer.Header.Get(u.in.server.Headers.Limit))) {
 		u.in.journalLimit(now)
 	}
 }
@@ -67,14 +58,3 @@
 	}
 	return fmt.Sprintf("the server states a limit of %g requests a second", limit.PerSecond)
 }
-
-// statement returns the server's state if the server states something that applies before its answer
-// ends, or nil.
-func (u *use) statement() *slatewindv1.SlotState {
-	u.in.mu.Lock()
-	defer u.in.mu.Unlock()
-	if !u.in.limit.Limit().Stated {
-		return nil
-	}
-	return u.in.state()
-}
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -30,6 +30,7 @@
 		SuspicionTenths: uint32(min(current.Suspicion(now), maxReportedSuspicion) * tenths),
 		LastsMs:         in.remainingMs(now),
 		RequestLimit:    link.LimitMessage(in.limit.Limit()), RequestLimitUnknown: in.limit.Unknown(),
+		StatedLeaving: in.statedLeaving,
 	}
 }
 
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -130,6 +130,7 @@
 		SuccessShare: 1 - float64(state.GetFailurePercent())/percent, ShedShare: float64(state.GetShedPercent()) / percent,
 		Suspicion: float64(state.GetSuspicionTenths()) / tenthsPerUnit,
 		Limit:     link.LimitOf(state.RequestLimit), LimitUnknown: state.GetRequestLimitUnknown(),
+		StatedLeaving: state.GetStatedLeaving(),
 	}
 }
 
--- a/outbound/limit_test.go
+++ b/outbound/statements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,3 +49,24 @@
 	allowed := int(limit*time.Since(began).Seconds()) + 1
 	assert.Assert(t, got <= allowed, "%d requests in %s, allowed %d", got, time.Since(began), allowed)
 }
+
+// TestRestartForgetsLeaving guards against requests to a server that stated that it leaves before
+// the process beside it was restarted.
+func TestRestartForgetsLeaving(t *testing.T) {
+	for _, long := range []bool{false, true} {
+		t.Run(fmt.Sprint("long answer ", long), func(t *testing.T) {
+			m := newMesh(t, "a")
+			m.servers["a"].SetLeaving(true)
+			body := ""
+			if long {
+				m.callerLimits.BodyBytes = 1 << 20
+				m.publish(2)
+				body = strings.Repeat("x", 1<<19)
+			}
+			assert.Equal(t, m.send("POST", "/pay/1", "states that it leaves", body, 5*time.Second).status, 200)
+			m.restartProcess(t, "a")
+			assert.Equal(t, m.send("POST", "/pay/1", "after", "", time.Second).status, 503)
+			assert.Equal(t, m.servers["a"].Arrivals(), 1)
+		})
+	}
+}
