--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -187,6 +187,16 @@
 		part:    soak.PartWarmup,
 		edits:   []overlay.Edit{{File: "warmup/warmup.go", From: "return l.down || !l.known || now.Before(l.until)", To: "return false"}},
 	},
+	"limits that servers state are ignored": {
+		promise: soak.PromiseStatedLimit,
+		part:    soak.PartStatements,
+		edits:   []overlay.Edit{{File: "inbound/slots.go", From: "wait := in.limit.Wait(now); wait > 0", To: "wait := in.limit.Wait(now); wait < 0"}},
+	},
+	"a restart forgets that a server leaves": {
+		promise: soak.PromiseLeaving,
+		part:    soak.PartStatements,
+		edits:   []overlay.Edit{{File: "choice/choice.go", From: "if status.StatedLeaving && !server.statedLeaving {", To: "if false {"}},
+	},
 	"a slot is not kept for a body that still arrives": {
 		promise: soak.PromiseUpload,
 		part:    soak.PartUploads,
@@ -251,7 +261,7 @@
 // the flag soak.whole is set.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
 	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly,
-		soak.PartEvacuations, soak.PartWarmup, soak.PartUploads, soak.PartUnread)
+		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread)
 	if *whole {
 		return o
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -119,6 +119,7 @@
 	if err != nil {
 		return 0, nil, ""
 	}
+	f.recordStatement(to, response.Header)
 	return response.StatusCode, response.Header, string(text)
 }
 
--- a/soak/node.go
+++ b/soak/node.go
@@ -77,7 +77,9 @@
 }
 
 // serverName returns the name of a server in the store.
-func serverName(i int) string { return fmt.Sprint("server-", i) }
+func serverName(i int) string { return fmt.Sprintf(serverNameFormat, i) }
+
+const serverNameFormat = "server-%d"
 
 // recordArrivals records each request before passing it on to the server.
 func (f *fleet) recordArrivals(i int, server http.Handler) http.Handler {
--- a/soak/record.go
+++ b/soak/record.go
@@ -61,6 +61,11 @@
 	keys   []keySpan
 	// evacuated holds the servers of data centres that were evacuated.
 	evacuated []evacuated
+	// limitChanges are the limits that servers state, statements the answers with which callers
+	// heard of them, disturbances the faults of processes meanwhile.
+	limitChanges []limitChange
+	statements   []statement
+	disturbances []disturbance
 	// broken holds the breaches that are detected during the run.
 	broken []Breach
 	// failures are errors of the run itself.
@@ -158,6 +163,7 @@
 	breaches = append(breaches, verifyKeys(r.keys, r.sent, runs)...)
 	breaches = append(breaches, verifyEvacuations(r.evacuated, r.arrivals)...)
 	breaches = append(breaches, verifyWarmup(restarts, r.arrivals)...)
+	breaches = append(breaches, r.verifyStatements()...)
 	breaches = append(breaches, verifyLimit(r.limits, r.sent, r.arrivals)...)
 	return append(breaches, verifyBudget(r.sent, r.arrivals)...)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,8 @@
 	PartEvacuations Part = "evacuations"
 	// PartWarmup: servers restart under load and warm up.
 	PartWarmup Part = "warm-up"
+	// PartStatements: servers state limits, and that they leave, in their answers.
+	PartStatements Part = "statements"
 	// PartUploads: large bodies are sent over slow links.
 	PartUploads Part = "uploads"
 	// PartUnread: callers do not read their answers.
@@ -152,6 +154,7 @@
 		{PartDeadly, func() error { return f.checkDeadly(ctx, random) }},
 		{PartEvacuations, func() error { return f.checkEvacuations(ctx, random) }},
 		{PartWarmup, func() error { return f.checkWarmup(ctx, random) }},
+		{PartStatements, func() error { return f.checkStatements(ctx, random) }},
 		{PartUploads, func() error { return f.checkUploads(ctx) }},
 		{PartUnread, func() error { return f.checkUnread(ctx) }},
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,6 +95,12 @@
 	runSeeds(t, soak.PartWarmup)
 }
 
+// TestStatements lets servers state limits, and one that it leaves, while processes fail.
+func TestStatements(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartStatements)
+}
+
 // TestUploads sends large bodies over slow links.
 func TestUploads(t *testing.T) {
 	t.Parallel()
--- a/soak/verify.go
+++ b/soak/verify.go
@@ -51,6 +51,9 @@
 	PromiseEvacuation Promise = "nothing for an evacuated data centre"
 	// PromiseWarmup: a server that warms up receives no more requests than it bears.
 	PromiseWarmup Promise = "few requests for a server that warms up"
+	// PromiseStatedLimit: a server receives no more requests than the limit allows that it states in
+	// its answers.
+	PromiseStatedLimit Promise = "limit that a server states"
 	// PromiseUpload: a large request on a slow link is served whole.
 	PromiseUpload Promise = "uploads are served"
 	// PromiseUnread: unread answers stay within their bound, and other callers are served.
