End a reader's wait for settings when the store answers its other calls

Cause, suspected from the record's times: after failed polls for settings a reader waits up to 3 s, also if the store answers its calls for servers, and its data centre hears of settings from it. Only an outage of all calls ended that wait.

Change: an answer of the store to another call of the process ends the wait. In an outage of all calls nothing is asked more often.

--- a/discovery/settings.go
+++ b/discovery/settings.go
@@ -25,8 +25,8 @@
 	// peerFetchTimeout the time after which the store is queried instead.
 	peerFetchInterval = 50 * time.Millisecond
 	peerFetchTimeout  = time.Second
-	// maxSettingsBackoff bounds the backoff after a failed call; RestartPoll ends the backoff
-	// early.
+	// maxSettingsBackoff bounds the backoff after a failed call; RestartPoll and StoreAnswered end
+	// the backoff early.
 	maxSettingsBackoff = 2 * time.Second
 )
 
@@ -78,6 +78,8 @@
 	holder        string
 	// cancelPoll cancels the current call to the store; nil if there is none.
 	cancelPoll context.CancelFunc
+	// backingOff reports that the watcher waits after a failed step.
+	backingOff bool
 	// pollOnce makes the next step poll the store even if this process is not a reader.
 	pollOnce bool
 }
@@ -105,7 +107,7 @@
 			w.sink.SettingsReachable(time.Now(), !unreachable, err)
 		}
 		if unreachable {
-			w.waitForWork(ctx, time.After(jitter(retry)))
+			w.backOff(ctx, retry)
 			retry = min(2*retry, maxSettingsBackoff)
 			continue
 		}
@@ -113,6 +115,19 @@
 	}
 }
 
+// backOff waits after a failed step.
+func (w *SettingsWatcher) backOff(ctx context.Context, retry time.Duration) {
+	w.setBackingOff(true)
+	defer w.setBackingOff(false)
+	w.waitForWork(ctx, time.After(jitter(retry)))
+}
+
+func (w *SettingsWatcher) setBackingOff(backingOff bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backingOff = backingOff
+}
+
 // waitForWork waits for a wake-up, for until, or for the end of ctx.
 func (w *SettingsWatcher) waitForWork(ctx context.Context, until <-chan time.Time) {
 	select {
@@ -297,6 +312,17 @@
 	}
 }
 
+// StoreAnswered records that the store answered a call other than a poll for settings. It ends a
+// backoff: polls for settings are likely to succeed too.
+func (w *SettingsWatcher) StoreAnswered() {
+	w.mu.Lock()
+	backingOff := w.backingOff
+	w.mu.Unlock()
+	if backingOff {
+		w.Wake()
+	}
+}
+
 // RestartPoll cancels the current poll and starts a new one at once. It is called when the store
 // is reachable again, because the answer to an earlier poll may never arrive.
 func (w *SettingsWatcher) RestartPoll() {
--- a/discovery/settings_test.go
+++ b/discovery/settings_test.go
@@ -149,3 +149,56 @@
 		})
 	}
 }
+
+// partlyFailingStore is a silentStore whose calls for settings alone fail, at once.
+type partlyFailingStore struct{ silentStore }
+
+func (s *partlyFailingStore) Changes(context.Context, slatewind.Revision) (slatewind.ServerUpdate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slatewind.ServerUpdate{Revision: at(s.revision), Servers: servers("own")}, nil
+}
+
+func (s *partlyFailingStore) Settings(ctx context.Context, after slatewind.Revision, wait time.Duration) (slatewind.SettingsUpdate, error) {
+	s.mu.Lock()
+	failing := time.Now().Before(s.back)
+	s.mu.Unlock()
+	if failing {
+		return slatewind.SettingsUpdate{}, errors.New("status 503")
+	}
+	return s.silentStore.Settings(ctx, after, wait)
+}
+
+// TestReaderBacksOffFromSettings guards against a reader that waits for seconds after failed polls
+// for settings, although the store answers its other calls: its data centre learns of new settings
+// from it.
+func TestReaderBacksOffFromSettings(t *testing.T) {
+	const bound = storePollInterval + settingsPollInterval
+	latest := time.Duration(0)
+	for i := range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			source := &partlyFailingStore{silentStore{revision: 1}}
+			sink := newRecordingSink()
+			ctx, cancel := context.WithCancel(t.Context())
+			shared := NewSharedSource(source, nil, "own:1", nil)
+			watcher := NewWatcher(shared, sink)
+			settingsWatcher := NewSettingsWatcher(source, nil, shared, sink)
+			shared.Attach(watcher, settingsWatcher, "")
+			watcher.Start(ctx)
+			settingsWatcher.Start(ctx)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			outage := 4*time.Second + time.Duration(i)*50*time.Millisecond
+			source.startOutage(outage)
+			time.Sleep(outage)
+			for settingsWatcher.Version() < 2 {
+				time.Sleep(10 * time.Millisecond)
+				synctest.Wait()
+			}
+			latest = max(latest, time.Since(source.back))
+			cancel()
+			synctest.Wait()
+		})
+	}
+	assert.Assert(t, latest <= bound, "settings came %s after the store answered again", latest)
+}
--- a/discovery/sharedsource.go
+++ b/discovery/sharedsource.go
@@ -230,8 +230,11 @@
 	before := s.unreachable
 	s.lastContact = time.Now()
 	s.unreachable = err != nil && !errors.Is(err, slatewind.ErrHistoryGone)
-	if before && !s.unreachable {
+	switch {
+	case before && !s.unreachable:
 		s.settings.RestartPoll()
+	case !s.unreachable:
+		s.settings.StoreAnswered()
 	}
 }
 
