--- a/discovery/settings.go
+++ b/discovery/settings.go
@@ -115,8 +115,11 @@
 	}
 }
 
-// backOff waits after a failed step.
+// backOff waits after a failed step. A process that knows of newer settings soon asks its peers again.
 func (w *SettingsWatcher) backOff(ctx context.Context, retry time.Duration) {
+	if w.outdated() {
+		retry = min(retry, maxRetry)
+	}
 	w.setBackingOff(true)
 	defer w.setBackingOff(false)
 	w.waitForWork(ctx, time.After(jitter(retry)))
--- a/discovery/sharedsource_test.go
+++ b/discovery/sharedsource_test.go
@@ -167,6 +167,33 @@
 	}
 }
 
+// TestOutdatedProcessBacksOff guards against a process that knows of newer settings and waits for
+// seconds after neither its peers nor the store sent them, although they would now.
+func TestOutdatedProcessBacksOff(t *testing.T) {
+	for phase := range 40 {
+		runFleet(t, 12, func(t *testing.T, _ context.Context, f *fleet) {
+			f.publishVersion(1)
+			advance(5 * time.Second)
+			f.mu.Lock()
+			f.silent = true
+			for name, source := range f.sources {
+				f.unreachable[name] = !source.IsReader()
+			}
+			f.mu.Unlock()
+			f.publishVersion(2)
+			advance(7*time.Second + time.Duration(phase)*100*time.Millisecond)
+			f.mu.Lock()
+			f.silent = false
+			clear(f.unreachable)
+			f.mu.Unlock()
+			advance(minSettingsBound)
+			for name, settingsWatcher := range f.settingsWatchers {
+				assert.Check(t, settingsWatcher.Version() == 2, "phase %d: %s has version %d", phase, name, settingsWatcher.Version())
+			}
+		})
+	}
+}
+
 // TestShortOutage checks that servers whose entries expired in an outage of the store are kept
 // for a heartbeat interval after it, also by processes that did not notice the outage themselves
 // but received the update from one that did.
