Let errors of a server and malformed limits not end the limit that it states

An error answer may come from a part of the server that states nothing, and a limit that cannot be read says nothing; both ended the limit, until the next answer stated it again. Found by reading the change. TestLimitEndsWithSoundAnswer: its cases of an error, of a malformed, a negative limit and of no number failed before.

--- a/inbound/limit.go
+++ b/inbound/limit.go
@@ -12,24 +12,32 @@
 	"slatewind.example/slatewind/link"
 )
 
-// recordLimit records the limit that the server states in an answer. in.mu must be held.
+// recordLimit records the limit that the server states in an answer. A malformed one is ignored. in.mu
+// must be held.
 func (u *use) recordLimit(now time.Time, answer *backend.Answer) {
+	limit, ok := parseLimit(answer.Header.Get(u.in.server.Headers.Limit))
+	if !ok {
+		return
+	}
 	record := u.in.limit.Answered
-	if u.rejected(answer) {
-		record = u.in.limit.Rejected
+	if u.rejected(answer) || answer.StatusCode >= slatewind.MinServerErrorStatus {
+		record = u.in.limit.Failed
 	}
-	if record(now, u.began, limitOf(answer.Header.Get(u.in.server.Headers.Limit))) {
+	if record(now, u.began, limit) {
 		u.in.journalLimit(now)
 	}
 }
 
-// limitOf parses the limit that a server states. A malformed one counts as none.
-func limitOf(text string) slatewind.ServerLimit {
+// parseLimit parses the limit that a server states; an empty text means none.
+func parseLimit(text string) (limit slatewind.ServerLimit, ok bool) {
+	if text == "" {
+		return slatewind.ServerLimit{}, true
+	}
 	perSecond, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
-		return slatewind.ServerLimit{}
+		return slatewind.ServerLimit{}, false
 	}
-	return slatewind.ServerLimit{Stated: true, PerSecond: perSecond}
+	return slatewind.ServerLimit{Stated: true, PerSecond: perSecond}, true
 }
 
 // recordToldLimit records the limit that a reservation states. in.mu must be held.
--- a/inbound/limit_test.go
+++ b/inbound/limit_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/internal/standin"
 )
 
@@ -45,3 +47,31 @@
 		})
 	}
 }
+
+// TestLimitEndsWithSoundAnswer checks which answers end the limit that a server stated before.
+func TestLimitEndsWithSoundAnswer(t *testing.T) {
+	tests := map[string]struct {
+		mode  standin.StampedMode
+		limit string
+		ends  bool
+	}{
+		"an answer without a limit":       {standin.StampedOK, "", true},
+		"an error without a limit":        {standin.StampedError, "", false},
+		"a rejection without a limit":     {standin.StampedShed, "", false},
+		"an answer with a malformed one":  {standin.StampedOK, "many", false},
+		"an answer with a negative limit": {standin.StampedOK, "-1", false},
+		"an answer with no number":        {standin.StampedOK, "NaN", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newFixture(t)
+			p.server.SetLimit("100")
+			assert.Equal(t, p.run(reservation(), "states the limit")[:3], "200")
+			assert.DeepEqual(t, p.View().Limit, slatewind.ServerLimit{Stated: true, PerSecond: 100})
+			p.server.SetLimit(test.limit)
+			p.server.SetMode(test.mode)
+			await(t, func() bool { return p.run(reservation(), "later") != string(inbound.CauseLimited) })
+			assert.Equal(t, p.View().Limit.Stated, !test.ends)
+		})
+	}
+}
--- a/serverlimit/explore_test.go
+++ b/serverlimit/explore_test.go
@@ -176,7 +176,7 @@
 		case rejecting && out.anyAnswer:
 			s.limiter.Answered(s.now(), sent, slatewind.ServerLimit{})
 		case rejecting:
-			s.limiter.Rejected(s.now(), sent, slatewind.ServerLimit{})
+			s.limiter.Failed(s.now(), sent, slatewind.ServerLimit{})
 		default:
 			out.stated(s, s.limiter.Answered(s.now(), sent, limit))
 		}
--- a/serverlimit/serverlimit.go
+++ b/serverlimit/serverlimit.go
@@ -58,9 +58,9 @@
 	return l.set(now, limit)
 }
 
-// Rejected records the limit in an answer by which the server rejected a request. A rejection
-// without a limit does not end one: it may come from a part of the server that states none.
-func (l *Limiter) Rejected(now, sent time.Time, limit slatewind.ServerLimit) (changed bool) {
+// Failed records the limit in an answer by which the server rejected or failed a request. Without a
+// limit it does not end one: it may come from a part of the server that states none.
+func (l *Limiter) Failed(now, sent time.Time, limit slatewind.ServerLimit) (changed bool) {
 	return limit.Stated && l.Answered(now, sent, limit)
 }
 
--- a/serverlimit/serverlimit_test.go
+++ b/serverlimit/serverlimit_test.go
@@ -51,11 +51,11 @@
 			l.Answered(at(600), at(200), none)
 		}, perSecond(2)},
 		"a rejection states it": {func(l *Limiter) {
-			l.Rejected(at(100), at(0), perSecond(2))
+			l.Failed(at(100), at(0), perSecond(2))
 		}, perSecond(2)},
 		"a rejection states none": {func(l *Limiter) {
 			l.Answered(at(100), at(0), perSecond(2))
-			l.Rejected(at(300), at(200), none)
+			l.Failed(at(300), at(200), none)
 		}, perSecond(2)},
 		"an ingress tells": {func(l *Limiter) { l.Told(at(0), perSecond(2)) }, perSecond(2)},
 		"two ingresses tell": {func(l *Limiter) {
