--- a/discovery/settings_test.go
+++ b/discovery/settings_test.go
@@ -67,20 +67,32 @@
 // storeTimeout is the timeout of the calls of package platform.
 const storeTimeout = 900 * time.Millisecond
 
+// settingsStore is a store with servers and settings.
+type settingsStore interface {
+	Store
+	slatewind.SettingsSource
+}
+
+// startReader starts a process that is the only one and so reads the store.
+func startReader(ctx context.Context, store settingsStore) (*recordingSink, *SettingsWatcher) {
+	sink := newRecordingSink()
+	shared := NewSharedSource(store, nil, "own:1", nil)
+	watcher := NewWatcher(shared, sink)
+	settingsWatcher := NewSettingsWatcher(store, nil, shared, sink)
+	shared.Attach(watcher, settingsWatcher, "")
+	watcher.Start(ctx)
+	settingsWatcher.Start(ctx)
+	return sink, settingsWatcher
+}
+
 // TestSilentStore checks that a process receives settings within 2.5 s after a silent store
 // answers again: the last call that timed out and the backoff after it must not add up to more.
 func TestSilentStore(t *testing.T) {
 	for i := range 50 {
 		synctest.Test(t, func(t *testing.T) {
 			source := &silentStore{revision: 1}
-			sink := newRecordingSink()
 			ctx, cancel := context.WithCancel(t.Context())
-			shared := NewSharedSource(source, nil, "own:1", nil)
-			watcher := NewWatcher(shared, sink)
-			settingsWatcher := NewSettingsWatcher(source, nil, shared, sink)
-			shared.Attach(watcher, settingsWatcher, "")
-			watcher.Start(ctx)
-			settingsWatcher.Start(ctx)
+			sink, _ := startReader(ctx, source)
 			time.Sleep(time.Second)
 			synctest.Wait()
 			outage := 5*time.Second + time.Duration(i)*50*time.Millisecond
@@ -178,14 +190,8 @@
 	for i := range 50 {
 		synctest.Test(t, func(t *testing.T) {
 			source := &partlyFailingStore{silentStore{revision: 1}}
-			sink := newRecordingSink()
 			ctx, cancel := context.WithCancel(t.Context())
-			shared := NewSharedSource(source, nil, "own:1", nil)
-			watcher := NewWatcher(shared, sink)
-			settingsWatcher := NewSettingsWatcher(source, nil, shared, sink)
-			shared.Attach(watcher, settingsWatcher, "")
-			watcher.Start(ctx)
-			settingsWatcher.Start(ctx)
+			_, settingsWatcher := startReader(ctx, source)
 			time.Sleep(time.Second)
 			synctest.Wait()
 			outage := 4*time.Second + time.Duration(i)*50*time.Millisecond
