--- a/soak/statements.go
+++ b/soak/statements.go
@@ -46,8 +46,6 @@
 type disturbance struct {
 	Node       int
 	Began, End time.Time
-	// Restart means that the process was killed and started again.
-	Restart bool
 }
 
 // checkStatements lets servers state limits, and one of them that it leaves, under load and while
@@ -122,7 +120,7 @@
 	began := time.Now()
 	f.endAndRestart(n, syscall.SIGKILL)()
 	sleep(ctx, disturbTime)
-	add(f.record, &f.record.disturbances, disturbance{Node: n.number, Began: began, End: time.Now(), Restart: true})
+	add(f.record, &f.record.disturbances, disturbance{Node: n.number, Began: began, End: time.Now()})
 }
 
 // recordStatement records what a server states in an answer.
--- a/soak/verifystatements_test.go
+++ b/soak/verifystatements_test.go
@@ -32,7 +32,7 @@
 		}, nil},
 		"a process that was restarted": {func(r *record) {
 			every(r, 0.1, 0, 10)
-			r.disturbances = []disturbance{{Node: 1, Began: at(0.5), End: at(0.6), Restart: true}}
+			r.disturbances = []disturbance{{Node: 1, Began: at(0.5), End: at(0.6)}}
 		}, nil},
 		"after the limit": {func(r *record) {
 			every(r, 0.5, 0, 10)
