Serve calls only after the components of a process have started

One of three processes of TestDroppedAnswersDoubleNothing ended by itself at its start, with a nil pointer in gossip.receive, called by Sync; the two others had started just before and had it as their seed.

Cause: a process served its listeners at once and started its components after that. Ruled out: a malformed request; the stack is at Gossip.events, which Gossip.Start sets.

Change: the listeners are opened first, so that an address in use starts nothing, and are served once the components run. The same for a node, which answered such calls with components that had not started.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -132,10 +132,11 @@
 	reader   *discovery.Reader
 	servers  *sidecar.HTTPCaller
 
-	cancel  context.CancelFunc
-	callers *http.Server
-	admin   *http.Server
-	peers   *grpc.Server
+	cancel    context.CancelFunc
+	endpoints []endpoint
+	callers   *http.Server
+	admin     *http.Server
+	peers     *grpc.Server
 }
 
 func newProcess(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
@@ -162,7 +163,8 @@
 	return p
 }
 
-// Start opens the listeners and starts all components, which run until Stop.
+// Start opens the listeners, starts all components, which run until Stop, and then serves: a call
+// may use any component.
 func (p *Process) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -176,12 +178,13 @@
 	p.reader.Start(ctx)
 	p.file.Start(ctx, p.timers)
 	tuneGC(ctx, p.timers, p.settings.GetLimits().GetProcessorShare())
+	serveAll(p.logger, p.endpoints)
 	p.logger.Info("started", "vm", p.settings.GetVm(), "data_centre", p.settings.GetDataCentre(),
 		"ingress", p.settings.GetIngressAddress(), "peer", p.settings.GetPeerAddress(), "admin", p.settings.GetAdminAddress(), "version", Version)
 	return nil
 }
 
-// listen opens the three listeners.
+// listen opens the three listeners without serving them.
 func (p *Process) listen() error {
 	p.callers = &http.Server{Handler: p.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
@@ -189,11 +192,12 @@
 	slatewindv1.RegisterSidecarServer(p.peers, sidecarServer{sidecar: p.sidecar})
 	slatewindv1.RegisterPeerServer(p.peers, peerServer{gossip: p.gossip})
 	slatewindv1.RegisterRateLimitsServer(p.peers, link.LimitsServer{Grant: p.limiter.Grant})
-	return serveAll(p.logger, []endpoint{
-		{"callers", p.settings.GetIngressAddress(), p.callers.Serve},
-		{"peers", p.settings.GetPeerAddress(), p.peers.Serve},
-		{"admin", p.settings.GetAdminAddress(), p.admin.Serve},
-	})
+	p.endpoints = []endpoint{
+		{name: "callers", address: p.settings.GetIngressAddress(), serve: p.callers.Serve},
+		{name: "peers", address: p.settings.GetPeerAddress(), serve: p.peers.Serve},
+		{name: "admin", address: p.settings.GetAdminAddress(), serve: p.admin.Serve},
+	}
+	return openAll(p.endpoints)
 }
 
 // Stop drains the process: it takes no new work, finishes the work in progress, and
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -18,35 +18,48 @@
 	name    string
 	address string
 	serve   func(net.Listener) error
+	// listener is set by openAll.
+	listener net.Listener
 }
 
-// serveAll opens all listeners and then serves each in a goroutine of its own. If a listener
-// cannot be opened, it closes the others and returns the errors.
-func serveAll(logger *log.Logger, endpoints []endpoint) error {
-	listeners := make([]net.Listener, 0, len(endpoints))
+// openAll opens the listeners of all endpoints. Until serveAll is called, connections to them wait.
+// If a listener cannot be opened, it closes the others and returns the errors.
+func openAll(endpoints []endpoint) error {
 	var group errs.Group
-	for _, e := range endpoints {
+	for i, e := range endpoints {
 		listener, err := net.Listen("tcp", e.address)
 		if err != nil {
 			group.Add(Error.New("cannot listen on %s: %w", e.address, err))
 			continue
 		}
-		listeners = append(listeners, listener)
+		endpoints[i].listener = listener
+	}
+	if group.Err() != nil {
+		group.Add(closeAll(endpoints))
 	}
-	if err := group.Err(); err != nil {
-		for _, listener := range listeners {
-			group.Add(listener.Close())
+	return group.Err()
+}
+
+// closeAll closes the open listeners of endpoints.
+func closeAll(endpoints []endpoint) error {
+	var group errs.Group
+	for _, e := range endpoints {
+		if e.listener != nil {
+			group.Add(e.listener.Close())
 		}
-		return group.Err()
 	}
-	for i, e := range endpoints {
+	return group.Err()
+}
+
+// serveAll serves each endpoint in a goroutine of its own.
+func serveAll(logger *log.Logger, endpoints []endpoint) {
+	for _, e := range endpoints {
 		go func() {
-			if err := e.serve(listeners[i]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := e.serve(e.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				logger.Error("listener ended", "listener", e.name, "error", err)
 			}
 		}()
 	}
-	return nil
 }
 
 // settingsInForce returns the version of the settings in force on a VM.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -61,13 +61,14 @@
 	// goroutine uses it.
 	entryLines throttle
 
-	stopping atomic.Bool
-	cancel   context.CancelFunc
-	callers  *http.Server
-	unused   unusedConns
-	ready    *http.Server
-	admin    *http.Server
-	peers    *grpc.Server
+	stopping  atomic.Bool
+	cancel    context.CancelFunc
+	endpoints []endpoint
+	callers   *http.Server
+	unused    unusedConns
+	ready     *http.Server
+	admin     *http.Server
+	peers     *grpc.Server
 }
 
 // Open implements outbound.Opener.
@@ -92,7 +93,8 @@
 	return net.JoinHostPort(outbound.HostOf(address), port), nil
 }
 
-// Start opens the listeners and starts all components, which run until Stop.
+// Start opens the listeners, starts all components, which run until Stop, and then serves: a call
+// may use any component.
 func (n *Node) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -106,13 +108,14 @@
 	n.settingsWatcher.Start(ctx)
 	n.file.Start(ctx, n.timers)
 	tuneGC(ctx, n.timers, n.settings.GetLimits().GetProcessorShare())
+	serveAll(n.logger, n.endpoints)
 	n.logger.Info("started", "vm", n.settings.GetVm(), "data_centre", n.settings.GetDataCentre(),
 		"service", n.settings.GetLocalServer().GetService(), "callers", n.settings.GetIngressAddress(),
 		"peer", n.settings.GetPeerAddress(), "admin", n.settings.GetAdminAddress(), "version", Version)
 	return nil
 }
 
-// listen opens the four listeners.
+// listen opens the four listeners without serving them.
 func (n *Node) listen() error {
 	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: n.unused.track, ConnContext: limitWriteBuffer}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
@@ -121,12 +124,13 @@
 	slatewindv1.RegisterSlotsServer(n.peers, link.SlotsServer{Serve: n.inbound.Serve})
 	slatewindv1.RegisterRateLimitsServer(n.peers, link.LimitsServer{Grant: n.limiter.Grant})
 	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{UpdateSince: n.since, Exchange: n.exchange, ReceiveSuspects: n.receiveRecords, CurrentSettings: n.settingsWatcher.Current})
-	return serveAll(n.logger, []endpoint{
-		{"callers", n.settings.GetIngressAddress(), n.callers.Serve},
-		{"ready", n.settings.GetReadyAddress(), n.ready.Serve},
-		{"peers", n.settings.GetPeerAddress(), n.peers.Serve},
-		{"admin", n.settings.GetAdminAddress(), n.admin.Serve},
-	})
+	n.endpoints = []endpoint{
+		{name: "callers", address: n.settings.GetIngressAddress(), serve: n.callers.Serve},
+		{name: "ready", address: n.settings.GetReadyAddress(), serve: n.ready.Serve},
+		{name: "peers", address: n.settings.GetPeerAddress(), serve: n.peers.Serve},
+		{name: "admin", address: n.settings.GetAdminAddress(), serve: n.admin.Serve},
+	}
+	return openAll(n.endpoints)
 }
 
 // callerWriteBuffer is the size in bytes of the kernel's buffer for what a caller has not read yet.
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -115,7 +115,8 @@
 	}
 }
 
-func (f *nodes) start(i int) *Node {
+// build returns a node that has not started.
+func (f *nodes) build(i int) *Node {
 	process := f.settings(i)
 	for len(f.files) <= i {
 		f.files = append(f.files, filepath.Join(f.t.TempDir(), "node.yaml"))
@@ -123,7 +124,11 @@
 	m, err := metrics.New()
 	assert.NilError(f.t, err)
 	j := history.New(0, nil)
-	n := newNode(settingsFile{path: f.files[i]}, process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool(nil))
+	return newNode(settingsFile{path: f.files[i]}, process, log.New(io.Discard), m, j, config.NewStore(j), timer.New(), link.NewPool(nil))
+}
+
+func (f *nodes) start(i int) *Node {
+	n := f.build(i)
 	assert.NilError(f.t, n.Start(context.Background()))
 	stopped := false
 	f.t.Cleanup(func() {
