Remember the limit of a server whose entry is removed and returns

What callers would see: a server that states a limit and is cut off from the store for a while gets as many requests as it has slots once the process beside it restarts.

Cause: an ingress kept the limit with the entry and dropped both; that the server leaves it kept by itself. Both are kept in one place now, for a minute after the last report about the server.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -74,10 +74,8 @@
 	// status is the newest status, statusAt when the sidecar reported it.
 	status   Status
 	statusAt time.Time
-	// limit is the limit that it stated, as far as any sidecar knew.
-	limit slatewind.ServerLimit
-	// statedLeaving reports that it stated that it is leaving.
-	statedLeaving bool
+	// stated is what it stated in its answers, as far as any sidecar knew.
+	stated statements
 	// trialAt is when a trial became due or becomes due.
 	trialAt time.Time
 	// lastSuccess is when this ingress last got a complete answer from it.
@@ -96,6 +94,15 @@
 	avoidUntil time.Time
 }
 
+// statements are what a start of a server stated in its answers. The zero value means nothing.
+type statements struct {
+	limit slatewind.ServerLimit
+	// leaving reports that it is leaving.
+	leaving bool
+	// at is when its sidecar last reported.
+	at time.Time
+}
+
 // Service orders the servers of one service. It is not safe for concurrent use; its owner
 // guards it by a lock.
 type Service struct {
@@ -105,14 +112,14 @@
 	// start by server name. Anything reported about another start is discarded.
 	servers map[string]*Server
 	starts  map[string]string
-	// leaving holds when the starts of servers stated that they are leaving. An entry that is
-	// removed may return while the server lives.
-	leaving map[string]time.Time
+	// removed holds what removed starts stated, by their ids. An entry that is removed may return
+	// while the server lives.
+	removed map[string]statements
 }
 
-// leavingMemory is how long a start of a server that stated that it is leaving is remembered after
-// its entry was removed. Servers that leave end within seconds.
-const leavingMemory = time.Minute
+// removedMemory is how long the statements of a removed server are remembered after the last report
+// of its sidecar.
+const removedMemory = time.Minute
 
 // Place is where an ingress is.
 type Place struct {
@@ -129,7 +136,7 @@
 
 // NewService returns a service without servers, as seen from a place.
 func NewService(from Place, seed uint64) *Service {
-	return &Service{from: from, random: rand.New(rand.NewPCG(seed, ^seed)), servers: map[string]*Server{}, starts: map[string]string{}, leaving: map[string]time.Time{}}
+	return &Service{from: from, random: rand.New(rand.NewPCG(seed, ^seed)), servers: map[string]*Server{}, starts: map[string]string{}, removed: map[string]statements{}}
 }
 
 // Put adds or updates a server. A newer start of a known server replaces the older one and
@@ -141,10 +148,9 @@
 		if before := s.servers[s.starts[entry.Name]]; before != nil && before.Start > entry.Start {
 			return
 		}
-		delete(s.servers, s.starts[entry.Name])
-		s.forgetLeft(now)
-		_, leaving := s.leaving[id]
-		server = &Server{id: id, knownAt: now, statedLeaving: leaving}
+		s.Remove(s.starts[entry.Name])
+		s.forgetRemoved(now)
+		server = &Server{id: id, knownAt: now, stated: s.removed[id]}
 		s.servers[id], s.starts[entry.Name] = server, id
 	}
 	server.ServerEntry = &entry
@@ -158,18 +164,21 @@
 	if server := s.servers[id]; server != nil {
 		delete(s.starts, server.Name)
 		delete(s.servers, id)
+		if server.stated.limit.Stated || server.stated.leaving {
+			s.removed[id] = server.stated
+		}
 	}
 }
 
-// forgetLeft forgets the starts that are not known any more and stated long ago that they are leaving.
-func (s *Service) forgetLeft(now time.Time) {
-	maps.DeleteFunc(s.leaving, func(id string, at time.Time) bool { return s.servers[id] == nil && now.Sub(at) > leavingMemory })
+// forgetRemoved forgets what removed starts stated too long ago.
+func (s *Service) forgetRemoved(now time.Time) {
+	maps.DeleteFunc(s.removed, func(_ string, stated statements) bool { return now.Sub(stated.at) > removedMemory })
 }
 
 // Takes reports whether a start of a server is known and, by its entry and its answers, accepts work.
 func (s *Service) Takes(id string) bool {
 	server := s.servers[id]
-	return server != nil && server.AcceptsWork() && !server.statedLeaving
+	return server != nil && server.AcceptsWork() && !server.stated.leaving
 }
 
 // Evacuated reports that no known server accepts work, and that evacuation is the reason for at least
@@ -314,7 +323,7 @@
 	if server == nil {
 		return
 	}
-	s.updateStatus(now, server, status)
+	server.updateStatus(now, status)
 	server.sentSince = 0
 	server.avoidFor = 0
 	server.avoidUntil = time.Time{}
@@ -327,29 +336,27 @@
 	if server == nil || !at.After(server.statusAt) {
 		return
 	}
-	s.updateStatus(at, server, status)
+	server.updateStatus(at, status)
 }
 
 // updateStatus sets a status reported at a time. If a trial was already due and has not been
 // made, the time since when it is due does not change.
-func (s *Service) updateStatus(at time.Time, server *Server, status Status) {
+func (server *Server) updateStatus(at time.Time, status Status) {
 	if trialAt := at.Add(status.TrialIn); !server.status.Unhealthy || status.TrialIn > 0 || server.trialAt.After(trialAt) {
 		server.trialAt = trialAt
 	}
 	server.status, server.statusAt = status, at
 	if !status.LimitUnknown {
-		server.limit = status.Limit
-	}
-	if status.StatedLeaving && !server.statedLeaving {
-		server.statedLeaving = true
-		s.leaving[server.id] = at
+		server.stated.limit = status.Limit
 	}
+	server.stated.leaving = server.stated.leaving || status.StatedLeaving
+	server.stated.at = at
 }
 
 // Limit returns the limit that a start of a server stated, as far as is known.
 func (s *Service) Limit(id string) slatewind.ServerLimit {
 	if server := s.servers[id]; server != nil {
-		return server.limit
+		return server.stated.limit
 	}
 	return slatewind.ServerLimit{}
 }
--- a/choice/cost.go
+++ b/choice/cost.go
@@ -84,7 +84,7 @@
 func (server *Server) skipReason(now time.Time, request Request) Disposition {
 	age := now.Sub(server.statusAt)
 	switch {
-	case !server.AcceptsWork(), server.statedLeaving, server.status.Leaving && age < loadTTL:
+	case !server.AcceptsWork(), server.stated.leaving, server.status.Leaving && age < loadTTL:
 		return DispositionLeaving
 	case server.status.Stopping && age < min(server.status.BackIn, maxFullPause):
 		return DispositionStopping
--- a/choice/statements_test.go
+++ b/choice/statements_test.go
@@ -61,20 +61,44 @@
 // TestLimitRemembered checks which limit of a server an ingress remembers.
 func TestLimitRemembered(t *testing.T) {
 	limit := slatewind.ServerLimit{Stated: true, PerSecond: 2}
+	replies := func(status choice.Status) func(s *choice.Service) {
+		return func(s *choice.Service) { s.Replied(start.Add(time.Second), "near-1", status) }
+	}
 	tests := map[string]struct {
-		status choice.Status
-		want   slatewind.ServerLimit
+		then func(s *choice.Service)
+		want slatewind.ServerLimit
 	}{
-		"its process does not know": {choice.Status{LimitUnknown: true}, limit},
-		"it states another":         {choice.Status{Limit: slatewind.ServerLimit{Stated: true, PerSecond: 3}}, slatewind.ServerLimit{Stated: true, PerSecond: 3}},
-		"it states none":            {choice.Status{}, slatewind.ServerLimit{}},
+		"its process does not know": {replies(choice.Status{LimitUnknown: true}), limit},
+		"it states another":         {replies(choice.Status{Limit: slatewind.ServerLimit{Stated: true, PerSecond: 3}}), slatewind.ServerLimit{Stated: true, PerSecond: 3}},
+		"it states none":            {replies(choice.Status{}), slatewind.ServerLimit{}},
+		"its entry is removed and returns": {func(s *choice.Service) {
+			s.Remove("near-1")
+			s.Put(start.Add(time.Second), near())
+		}, limit},
+		"its entry is removed and returns twice": {func(s *choice.Service) {
+			for i := range 2 {
+				s.Remove("near-1")
+				s.Put(start.Add(time.Duration(i+1)*time.Second), near())
+			}
+		}, limit},
+		"its entry returns after a long time": {func(s *choice.Service) {
+			s.Remove("near-1")
+			s.Put(start.Add(time.Hour), near())
+		}, slatewind.ServerLimit{}},
+		"another start whose entry is removed": {func(s *choice.Service) {
+			next := near()
+			next.Start = 1
+			s.Put(start.Add(time.Second), next)
+			s.Remove("near-1@1")
+			s.Put(start.Add(2*time.Second), near())
+		}, limit},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := choice.NewService(choice.Place{DataCentre: "near"}, 1)
 			s.Put(start, near())
 			s.Replied(start, "near-1", choice.Status{Limit: limit})
-			s.Replied(start.Add(time.Second), "near-1", test.status)
+			test.then(s)
 			assert.Equal(t, s.Limit("near-1"), test.want)
 		})
 	}
