Let only answers to later requests end the downtime of a server

Ruled out: a start of the process while the server was down (it started 3.6 s before), and the limits that servers state (these state none).

Change: an answer shows that the server has started only if its request was sent after the server was last found down.

TestOrdersOfStarts has the crash with the late answer: 106 requests in a second before; within the bound in 648 orders now.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -62,7 +62,7 @@
 func (u *use) answered() {
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
-	u.in.warmup.Answered(time.Now())
+	u.in.warmup.Answered(time.Now(), u.began)
 }
 
 // completed ends a run whose complete answer was received. Any answer, an error included, shows
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -147,7 +147,7 @@
 func (in *Inbound) serverDown() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.warmup.Down()
+	in.warmup.Down(time.Now())
 }
 
 func (u *use) sendFailure(outcome slatewind.Outcome, reason string, suspect *slatewindv1.Suspect) error {
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -40,8 +40,10 @@
 	began time.Time
 	// until is when the server is expected to be warm.
 	until time.Time
-	// down reports that the server was found not to run, and has not answered since.
-	down bool
+	// down reports that the server was found not to run, last at downAt, and has answered no request
+	// since that was sent later.
+	down   bool
+	downAt time.Time
 	// admitted holds the times of the requests admitted within the last window, oldest first.
 	// They are recorded also while the server is warm, since it may turn out that it is not.
 	admitted []time.Time
@@ -73,13 +75,14 @@
 }
 
 // Down records that the server does not accept connections. When it answers again, it has started.
-func (l *Limiter) Down() {
-	l.down = true
+func (l *Limiter) Down(now time.Time) {
+	l.down, l.downAt = true, now
 }
 
-// Answered records that the server answered a request.
-func (l *Limiter) Answered(now time.Time) {
-	if l.down {
+// Answered records that the server answered a request that was sent at the given time. The answer to
+// a request from before the server was down may arrive after it was found to be.
+func (l *Limiter) Answered(now, sent time.Time) {
+	if l.down && sent.After(l.downAt) {
 		l.down = false
 		l.Restarted(now)
 	}
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -21,6 +21,12 @@
 
 var limits = warmup.Limits{Time: warmUp, Rate: rate}
 
+// downAndAnswers lets a server be down and answer a request that was sent after that.
+func downAndAnswers(l *warmup.Limiter, now time.Time) {
+	l.Down(now)
+	l.Answered(now.Add(2), now.Add(1))
+}
+
 // TestWarmingUp checks, one second after an event, whether a server counts as warming up.
 func TestWarmingUp(t *testing.T) {
 	start := time.Now()
@@ -37,12 +43,12 @@
 		"states that it is warm soon":                    {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Stated(now, 900*time.Millisecond) }, false},
 		"an older statement arrives last":                {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Stated(now, warmUp); l.Stated(now, 0) }, true},
 		"restarts":                                       {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Restarted(now) }, true},
-		"is down":                                        {time.Minute, func(l *warmup.Limiter, _ time.Time) { l.Down() }, true},
-		"was down and answers":                           {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Down(); l.Answered(now) }, true},
-		"answers":                                        {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Answered(now) }, false},
+		"is down":                                        {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Down(now) }, true},
+		"was down and answers":                           {time.Minute, downAndAnswers, true},
+		"answers":                                        {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Answered(now, now) }, false},
 		"the settings change, at a process that is old":  {time.Minute, func(l *warmup.Limiter, _ time.Time) { l.SetLimits(limits) }, false},
 		"the settings change, at a process that is new":  {0, func(l *warmup.Limiter, _ time.Time) { l.SetLimits(limits) }, true},
-		"was down and answered, a statement comes after": {time.Minute, func(l *warmup.Limiter, now time.Time) { l.Down(); l.Answered(now); l.Stated(now, 0) }, true},
+		"was down and answered, a statement comes after": {time.Minute, func(l *warmup.Limiter, now time.Time) { downAndAnswers(l, now); l.Stated(now, 0) }, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -113,6 +119,10 @@
 	eventRestart event = "restart"
 	// eventSameName: the server restarts under its name, and connections fail meanwhile.
 	eventSameName event = "restart under the same name"
+	// eventCrash: the server crashes and restarts under its name, which its entry does not state. The
+	// process finds the crash and sends no request meanwhile, and the answer to an earlier one arrives
+	// late.
+	eventCrash event = "crash"
 	// eventCold: the server turns cold while its data centre is evacuated.
 	eventCold event = "turns cold"
 	// eventProcess: the process beside the server restarts and hears of the server late.
@@ -129,8 +139,8 @@
 type model struct {
 	limiter *warmup.Limiter
 	// coldUntil is when the server is really warm. downUntil and evacuatedUntil are when it accepts
-	// connections and requests again.
-	coldUntil, downUntil, evacuatedUntil time.Time
+	// connections and requests again, quietUntil when its process sends it requests again.
+	coldUntil, downUntil, evacuatedUntil, quietUntil time.Time
 	// heard are the statements on their way, by the time of their arrival.
 	heard map[time.Time]func(now time.Time)
 	// arrivals are the requests that the server got while it was cold.
@@ -149,6 +159,12 @@
 		m.downUntil = now.Add(500 * time.Millisecond)
 		m.coldUntil = m.downUntil.Add(warmUp)
 		m.heard[m.downUntil.Add(hearing)] = state
+	case eventCrash:
+		m.downUntil = now.Add(500 * time.Millisecond)
+		m.coldUntil = m.downUntil.Add(warmUp)
+		m.quietUntil = m.downUntil
+		m.heard[now.Add(step)] = m.limiter.Down
+		m.heard[now.Add(2*step)] = func(later time.Time) { m.limiter.Answered(later, now.Add(-step)) }
 	case eventCold:
 		m.evacuatedUntil = now.Add(1500 * time.Millisecond)
 		m.coldUntil = m.evacuatedUntil.Add(warmUp)
@@ -156,6 +172,7 @@
 		m.heard[m.evacuatedUntil.Add(hearing)] = state
 	case eventProcess:
 		m.limiter = warmup.NewLimiter(now)
+		m.quietUntil = now
 		clear(m.heard)
 		m.heard[now.Add(200*time.Millisecond)] = func(time.Time) { m.limiter.SetLimits(limits) }
 		m.heard[now.Add(hearing)] = state
@@ -164,15 +181,15 @@
 
 // request sends a request, if the limiter admits it.
 func (m *model) request(now time.Time) {
-	if now.Before(m.evacuatedUntil) || m.limiter.Wait(now) > 0 {
+	if now.Before(m.evacuatedUntil) || now.Before(m.quietUntil) || m.limiter.Wait(now) > 0 {
 		return
 	}
 	m.limiter.Admit(now)
 	if now.Before(m.downUntil) {
-		m.limiter.Down()
+		m.limiter.Down(now)
 		return
 	}
-	m.limiter.Answered(now)
+	m.limiter.Answered(now, now)
 	if now.Before(m.coldUntil) {
 		m.arrivals = append(m.arrivals, now)
 	}
@@ -182,10 +199,11 @@
 // of requests: while it is cold, no server gets more requests in any second than the operators allow.
 func TestOrdersOfStarts(t *testing.T) {
 	const bound = rate*overage + slack
-	events := []event{eventNothing, eventRestart, eventSameName, eventCold, eventProcess}
+	events := []event{eventNothing, eventRestart, eventSameName, eventCrash, eventCold, eventProcess}
 	for _, gap := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond, 2100 * time.Millisecond} {
-		for n := range len(events) * len(events) * len(events) {
-			order := []event{events[n%5], events[n/5%5], events[n/25]}
+		kinds := len(events)
+		for n := range kinds * kinds * kinds {
+			order := []event{events[n%kinds], events[n/kinds%kinds], events[n/kinds/kinds]}
 			start := time.Now()
 			m := &model{limiter: warmup.NewLimiter(start), heard: map[time.Time]func(time.Time){}}
 			m.limiter.SetLimits(limits)
