Fetch settings from another reader when a poll of the store is lost

Cause, suspected from the record: the poll of a reader was in progress on a connection that had gone silent. A poll is given up after 2.9 s, and its reader asked nobody else until then, also where another reader told it of the newer version; and it did not take the version from its own exchange with other readers. Its data centre hears of settings from it alone.

Change: readers take version and evacuations from their exchange with another reader. A process that hears of a newer version during a poll fetches the settings from a process that has them, if no answer follows for 0.2 s, and gives the poll up. No further message; a reader whose answer takes longer fetches the settings twice.

TestSettingsLateBehindLostPoll fails on the code before.

--- a/daemon/nodepeers.go
+++ b/daemon/nodepeers.go
@@ -22,11 +22,13 @@
 }
 
 // Exchange implements discovery.Peers.
-func (p nodePeers) Exchange(ctx context.Context, address string) {
+func (p nodePeers) Exchange(ctx context.Context, address string) (slatewind.ServerUpdate, error) {
 	n := p.node
-	if _, err := p.poll(ctx, address, n.watcher.Revision(), n.settingsWatcher.Version(), n.reports.All(time.Now())); err != nil {
+	update, err := p.poll(ctx, address, n.watcher.Revision(), n.settingsWatcher.Version(), n.reports.All(time.Now()))
+	if err != nil {
 		n.logger.Debug("reports not exchanged", "with", address, "cause", err)
 	}
+	return update, err
 }
 
 // poll fetches the server update of another node and exchanges reports of unhealthy servers and
--- a/discovery/fleet_test.go
+++ b/discovery/fleet_test.go
@@ -27,6 +27,9 @@
 	// The store cannot be reached by unreachable processes, and frozen processes do not answer.
 	// storeDelay is the time by which the store's answers to a process are delayed.
 	unreachable, frozen map[string]bool
+	// lostPolls are the processes whose poll for settings in progress is lost: it fails after its
+	// timeout, and the next one works.
+	lostPolls map[string]bool
 	// silent processes do not answer requests for settings.
 	silent     bool
 	storeDelay map[string]time.Duration
@@ -96,8 +99,13 @@
 		s.f.mu.Lock()
 		unreachable, settings, incoming := s.f.unreachable[s.self], s.f.settings, s.f.incoming[s.self]
 		evacuations := s.f.evacuations
+		lost := s.f.lostPolls[s.self]
+		delete(s.f.lostPolls, s.self)
 		s.f.mu.Unlock()
 		switch {
+		case lost:
+			sleep(ctx, time.Until(end)+storeTimeout)
+			return slatewind.SettingsUpdate{}, errors.New("silent")
 		case unreachable:
 			sleep(ctx, time.Second)
 			return slatewind.SettingsUpdate{}, errors.New("unreachable")
@@ -123,10 +131,11 @@
 }
 
 // Exchange implements Peers.
-func (f *fleet) Exchange(_ context.Context, address string) {
+func (f *fleet) Exchange(ctx context.Context, address string) (slatewind.ServerUpdate, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.exchanges[address]++
+	f.mu.Unlock()
+	return f.Since(ctx, address, slatewind.Revision{}, 0)
 }
 
 // Since implements Peers.
@@ -179,7 +188,7 @@
 
 func newFleet(ctx context.Context, n int) *fleet {
 	f := &fleet{
-		watchers: map[string]*Watcher{}, sinks: map[string]*recordingSink{}, sources: map[string]*SharedSource{}, unreachable: map[string]bool{}, frozen: map[string]bool{},
+		watchers: map[string]*Watcher{}, sinks: map[string]*recordingSink{}, sources: map[string]*SharedSource{}, unreachable: map[string]bool{}, frozen: map[string]bool{}, lostPolls: map[string]bool{},
 		storeDelay: map[string]time.Duration{}, settingsWatchers: map[string]*SettingsWatcher{}, transfers: map[string]int{}, historyGone: map[string]bool{}, choices: map[string]int{}, random: rand.New(rand.NewPCG(1, 2)), incoming: map[string]*link{}, outgoing: map[string]*link{},
 		calls: map[string]int{}, exchanges: map[string]int{}, published: slatewind.ServerUpdate{Revision: at(1)},
 	}
@@ -232,6 +241,13 @@
 	f.unreachable[name] = unreachable
 }
 
+// losePoll loses the poll for settings that a process has in progress.
+func (f *fleet) losePoll(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostPolls[name] = true
+}
+
 // resetCalls resets the numbers of calls.
 func (f *fleet) resetCalls() {
 	f.mu.Lock()
--- a/discovery/leaving_test.go
+++ b/discovery/leaving_test.go
@@ -290,6 +290,26 @@
 	}
 }
 
+// TestSettingsLateBehindLostPoll guards against a reader whose poll for settings is lost, for
+// example on a silent connection: those that query only this reader learn of new settings from it.
+func TestSettingsLateBehindLostPoll(t *testing.T) {
+	const always = 1<<5 - 1
+	for phase := range 8 {
+		for lost := range 2 {
+			for _, choices := range []int{0, always} {
+				synctest.Test(t, func(t *testing.T) {
+					late := lateSettings(t, phase, func(f *fleet, readers []string) {
+						slices.Sort(readers)
+						f.losePoll(readers[lost])
+						f.setChoices(choices)
+					})
+					assert.Check(t, len(late) == 0, "no newer settings at %v; reader %d, choices %05b, phase %d", late, lost, choices, phase)
+				})
+			}
+		}
+	}
+}
+
 // minSettingsBound is the shortest time, of all deployments, within which settings must be in
 // force everywhere.
 const minSettingsBound = 2 * time.Second
--- a/discovery/settings.go
+++ b/discovery/settings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// peerFetchTimeout the time after which the store is queried instead.
 	peerFetchInterval = 50 * time.Millisecond
 	peerFetchTimeout  = time.Second
+	// answerGrace is how long the answer to a poll that is in progress when a newer version becomes
+	// known may take before the settings are fetched from peers: it may be lost.
+	answerGrace = 200 * time.Millisecond
 	// maxSettingsBackoff bounds the backoff after a failed call; RestartPoll and StoreAnswered end
 	// the backoff early.
 	maxSettingsBackoff = 2 * time.Second
@@ -76,8 +80,10 @@
 	// process that has it, or empty.
 	newestVersion uint64
 	holder        string
-	// cancelPoll cancels the current call to the store; nil if there is none.
+	// cancelPoll cancels the current call to the store; nil if there is none. overtaken receives when
+	// a newer version becomes known during that call.
 	cancelPoll context.CancelFunc
+	overtaken  chan struct{}
 	// backingOff reports that the watcher waits after a failed step.
 	backingOff bool
 	// pollOnce makes the next step poll the store even if this process is not a reader.
@@ -87,7 +93,7 @@
 // NewSettingsWatcher returns a watcher that has no settings yet. source determines whether this
 // process is a reader.
 func NewSettingsWatcher(store slatewind.SettingsSource, peers SettingsPeers, source *SharedSource, sink SettingsSink) *SettingsWatcher {
-	return &SettingsWatcher{store: store, peers: peers, source: source, sink: sink, evacuations: &evacuationList{sink: sink}, wake: make(chan struct{}, 1)}
+	return &SettingsWatcher{store: store, peers: peers, source: source, sink: sink, evacuations: &evacuationList{sink: sink}, wake: make(chan struct{}, 1), overtaken: make(chan struct{}, 1)}
 }
 
 // Start polls for settings until ctx ends.
@@ -202,7 +208,13 @@
 	w.cancelPoll = cancel
 	w.mu.Unlock()
 	began := time.Now()
-	update, err := w.store.Settings(ctx, after, wait)
+	answers := make(chan pollAnswer, 1)
+	go func() {
+		update, err := w.store.Settings(ctx, after, wait)
+		answers <- pollAnswer{update, err}
+	}()
+	answer := w.awaitAnswer(ctx, cancel, answers)
+	update, err := answer.update, answer.err
 	w.mu.Lock()
 	w.cancelPoll = nil
 	w.revision = w.revision.Later(update.Revision)
@@ -220,6 +232,47 @@
 	return err
 }
 
+// pollAnswer is the answer of the store to a poll.
+type pollAnswer struct {
+	update slatewind.SettingsUpdate
+	err    error
+}
+
+// awaitAnswer waits for the answer to a poll. If a newer version becomes known meanwhile and the
+// answer does not follow soon, it fetches the settings from a peer and cancels the poll.
+func (w *SettingsWatcher) awaitAnswer(ctx context.Context, cancel context.CancelFunc, answers <-chan pollAnswer) pollAnswer {
+	var fetch <-chan time.Time
+	for {
+		select {
+		case answer := <-answers:
+			return answer
+		case <-w.overtaken:
+			fetch = time.After(answerGrace)
+		case <-fetch:
+			fetch = nil
+			if !w.outdated() {
+				continue
+			}
+			if w.fetchFromAny(ctx) {
+				cancel()
+				continue
+			}
+			fetch = time.After(peerFetchInterval)
+		}
+	}
+}
+
+// fetchFromAny queries processes for newer settings until one has any, that which is known to have
+// them first. It reports whether one had.
+func (w *SettingsWatcher) fetchFromAny(ctx context.Context) bool {
+	for _, address := range slices.Backward(w.fetchCandidates()) {
+		if w.fetchFrom(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
 // fetchFromPeers fetches settings that are known to exist from peers and, after peerFetchTimeout,
 // from the store. In each round it queries a random process first: the process that reported the
 // version may have many requests to serve, and each process that has fetched the settings serves
@@ -298,8 +351,8 @@
 	if newer || version == w.newestVersion && holder != "" {
 		w.newestVersion, w.holder = version, holder
 	}
-	if newer && w.settings == nil && w.cancelPoll != nil {
-		w.cancelPoll()
+	if newer && w.cancelPoll != nil {
+		w.interruptPoll()
 	}
 	w.mu.Unlock()
 	if newer {
@@ -307,6 +360,19 @@
 	}
 }
 
+// interruptPoll makes the watcher look for newer settings elsewhere during a poll. The first settings
+// are looked for at once. w.mu must be held.
+func (w *SettingsWatcher) interruptPoll() {
+	if w.settings == nil {
+		w.cancelPoll()
+		return
+	}
+	select {
+	case w.overtaken <- struct{}{}:
+	default:
+	}
+}
+
 // Wake makes the watcher check at once whether there is something to do.
 func (w *SettingsWatcher) Wake() {
 	select {
--- a/discovery/sharedsource.go
+++ b/discovery/sharedsource.go
@@ -49,9 +49,9 @@
 	// Since queries the process beside the server at address for the servers that changed after a
 	// revision of the store; version is that of the settings that this process has.
 	Since(ctx context.Context, address string, after slatewind.Revision, version uint64) (slatewind.ServerUpdate, error)
-	// Exchange exchanges reports of unhealthy servers with another reader. Errors are not
-	// returned, because the next exchange follows soon.
-	Exchange(ctx context.Context, address string)
+	// Exchange exchanges reports of unhealthy servers with another reader. Of the update, only the
+	// version of the settings and the evacuations are used.
+	Exchange(ctx context.Context, address string) (slatewind.ServerUpdate, error)
 }
 
 // Store is direct access to the platform's store.
@@ -282,7 +282,8 @@
 }
 
 // exchange exchanges reports of unhealthy servers with another reader, concurrently with the call
-// to the store.
+// to the store, and observes what that reader knows of settings. Errors are ignored, because the
+// next exchange follows soon.
 func (s *SharedSource) exchange(ctx context.Context, elected []Endpoint) {
 	others := slices.DeleteFunc(addresses(elected, ""), s.isSelf)
 	if len(others) == 0 {
@@ -292,7 +293,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
-		s.peers.Exchange(ctx, other)
+		if update, err := s.peers.Exchange(ctx, other); err == nil {
+			s.observe(update, other)
+		}
 	}()
 }
 
@@ -318,14 +321,19 @@
 		s.skipUntil[address] = time.Now().Add(peerRetryDelay)
 		return p, false
 	}
-	s.settings.ObserveVersion(p.Version, address)
-	s.settings.ObserveEvacuations(p.Evacuations)
+	s.observe(p, address)
 	p.Relayed, p.From = true, address
 	// The peer may have been paused after it determined the age of its update.
 	p.Age += s.clock.Since(began)
 	return p, true
 }
 
+// observe records what the process beside the server at address knows of settings and evacuations.
+func (s *SharedSource) observe(update slatewind.ServerUpdate, address string) {
+	s.settings.ObserveVersion(update.Version, address)
+	s.settings.ObserveEvacuations(update.Evacuations)
+}
+
 // queryAnyPeer queries a random process.
 func (s *SharedSource) queryAnyPeer(ctx context.Context, after slatewind.Revision) (p slatewind.ServerUpdate, ok bool) {
 	others := s.exceptSelf(addresses(s.endpoints(), ""))
--- a/discovery/suspended_test.go
+++ b/discovery/suspended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -29,7 +30,9 @@
 }
 
 // Exchange implements Peers.
-func (suspendingPeers) Exchange(context.Context, string) {}
+func (suspendingPeers) Exchange(context.Context, string) (slatewind.ServerUpdate, error) {
+	return slatewind.ServerUpdate{}, errors.New("not a reader")
+}
 
 // TestAgeIncludesSuspension checks that a view ages while the VM is suspended, so that no peer
 // takes it for current, and that an answer received meanwhile is as old.
