--- a/soak/statements.go
+++ b/soak/statements.go
@@ -95,14 +95,20 @@
 	add(f.record, &f.record.limitChanges, limitChange{n.number, time.Now(), limit})
 }
 
-// disturbNode pauses a process, kills it or cuts it off, for a while.
+// disturbNode pauses a process, kills it, with or without a removal of its server's entry meanwhile,
+// or cuts it off, for a while.
 func (f *fleet) disturbNode(ctx context.Context, random *rand.Rand, n *node) {
 	began := time.Now()
-	switch random.IntN(3) {
+	switch random.IntN(4) {
 	case 0:
 		f.restartNode(ctx, n)
 		return
 	case 1:
+		f.endEntry(n.number)
+		f.restartNode(ctx, n)
+		f.putEntry(n.number, false)
+		return
+	case 2:
 		p := n.current()
 		p.signal(syscall.SIGSTOP)
 		sleep(ctx, disturbTime)
