--- a/inbound/entry.go
+++ b/inbound/entry.go
@@ -73,9 +73,8 @@
 }
 
 // setIdentity records which start of which server is running here. State about the previous start
-// is discarded: the breaker, the slots held by its requests, the idle connections and
-// what it stated in its answers. in.mu must
-// be held.
+// is discarded: the breaker, the slots held by its requests, the idle connections and what it stated
+// in its answers. in.mu must be held.
 func (in *Inbound) setIdentity(now time.Time, name string, start int64) {
 	before, after := slatewind.ServerID(in.name, in.start), slatewind.ServerID(name, start)
 	if before == after {
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -131,9 +131,9 @@
 	return u.sendFailure(outcome, err.Error(), suspect)
 }
 
-// connectFailed records that no connection to the server could be opened. If its address refuses connections during a shutdown of this process, the server
-// also counts as leaving: when a VM is removed, the server exits before its sidecar, which has no
-// slots to grant from then on.
+// connectFailed records that no connection to the server could be opened. If its address refuses
+// connections during a shutdown of this process, the server also counts as leaving: when a VM is
+// removed, the server exits before its sidecar, which has no slots to grant from then on.
 func (in *Inbound) connectFailed(refused bool) {
 	in.serverDown()
 	in.mu.Lock()
