Count calls of extra runs against the limit on extra attempts

Cause: a run that is itself an extra arrival makes calls, and these count as extra arrivals at the service called. The process beside the called server did not deny them; it made its token bucket negative, but went on granting its share of the slack.

Change: such a call pays like an extra attempt and is denied where nothing is left. The part of the slack that extra attempts do not use is its credit.

TestCallsOfExtraRunsKeepLimit failed before: 60 of at most 24 granted. The model of retry explores the calls; it found that a new process must not grant its credit at once, which it does not.

--- a/inbound/extra_test.go
+++ b/inbound/extra_test.go
@@ -13,9 +13,9 @@
 	"slatewind.example/slatewind/retry"
 )
 
-// TestFirstAttemptsEarnBudget: requests credit the budget of extra attempts when they arrive at
-// the first server that is asked, before any of them is sent to it. Nested calls, requests for
-// other services and requests that asked another server first credit nothing.
+// TestFirstAttemptsEarnBudget: requests and calls of servers credit the budget of extra attempts when
+// they arrive at the first server that is asked, before any of them is sent to it. Calls of runs that are
+// extra arrivals, requests for other services and requests that asked another server first credit nothing.
 func TestFirstAttemptsEarnBudget(t *testing.T) {
 	const many = 8
 	tests := map[string]struct {
@@ -27,7 +27,8 @@
 		"requests that wait for one":               {1, func(r *slatewindv1.Reservation) { r.First = true }, true},
 		"requests that are refused":                {1, func(r *slatewindv1.Reservation) { r.First, r.PatienceMs = true, 0 }, true},
 		"requests that asked another server first": {2 * many, func(*slatewindv1.Reservation) {}, false},
-		"calls of servers":                         {2 * many, func(r *slatewindv1.Reservation) { r.First, r.Begun = true, true }, false},
+		"calls of servers":                         {2 * many, func(r *slatewindv1.Reservation) { r.First, r.Begun = true, true }, true},
+		"calls of extra runs":                      {2 * many, func(r *slatewindv1.Reservation) { r.First, r.Begun, r.Repeat = true, true, true }, false},
 		"requests for another service":             {2 * many, func(r *slatewindv1.Reservation) { r.First, r.Service = true, "another" }, false},
 	}
 	for name, test := range tests {
@@ -86,3 +87,51 @@
 		})
 	}
 }
+
+// TestCallsOfExtraRunsKeepLimit: calls that are made by runs which were themselves extra arrivals count
+// against the limit of the service that they call, together with its own extra attempts. They may use all of
+// it, extra attempts only their share.
+func TestCallsOfExtraRunsKeepLimit(t *testing.T) {
+	const (
+		slack, firsts, many = 20, 20, 60
+		limit               = slack + 0.2*firsts
+	)
+	call := func(r *slatewindv1.Reservation) { r.Begun, r.Repeat = true, true }
+	extra := func(r *slatewindv1.Reservation) { r.Extra = true }
+	tests := map[string]struct {
+		come []func(r *slatewindv1.Reservation)
+		// least is the smallest number that must be granted.
+		least int
+	}{
+		"calls of extra runs":                   {[]func(r *slatewindv1.Reservation){call}, slack},
+		"extra attempts":                        {[]func(r *slatewindv1.Reservation){extra}, slack * 8 / 10},
+		"both in turn":                          {[]func(r *slatewindv1.Reservation){call, extra}, slack},
+		"extra attempts of calls of extra runs": {[]func(r *slatewindv1.Reservation){func(r *slatewindv1.Reservation) { call(r); extra(r) }}, slack},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newFixtureWithoutServer()
+				p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: 2 * many})
+				p.SetSharer(retry.Sharer{Servers: 1})
+				p.SetBounds(inbound.Bounds{RetryRatio: 0.2, RetrySlack: slack, RetryWindow: 10 * time.Second})
+				time.Sleep(10 * time.Second)
+				for range firsts {
+					r := reservation()
+					r.First = true
+					p.reserve(t.Context(), r)
+				}
+				granted := 0
+				for i := range many {
+					r := reservation()
+					test.come[i%len(test.come)](r)
+					if _, reply := p.reserve(t.Context(), r); reply.GetGranted() != nil {
+						granted++
+					}
+				}
+				assert.Check(t, granted <= limit, "%d granted of at most %.0f", granted, float64(limit))
+				assert.Check(t, granted >= test.least, "%d granted", granted)
+			})
+		})
+	}
+}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -93,8 +93,8 @@
 }
 
 const (
-	// extrasShare is the share of the limit that is used. The rest covers nested calls of
-	// requests that are themselves extra attempts, which are not denied, servers that are not
+	// extrasShare is the share of the limit that extra attempts may use. The rest of the slack is the
+	// credit of calls that extra attempts make; the rest of the ratio covers servers that are not
 	// known yet, and attempts that are earned only for a short time (retry.Window).
 	extrasShare = 0.85
 	// minSlack is the minimum number of attempts of the slack that may be used, in case
@@ -238,7 +238,9 @@
 func (in *Inbound) updateSlack() {
 	slack := in.bounds.RetrySlack
 	in.extras.SetNoSlack(slack == 0)
-	in.extras.SetSlack(in.sharer.Share(max(extrasShare*slack, min(slack, minSlack))))
+	used := max(extrasShare*slack, min(slack, minSlack))
+	in.extras.SetSlack(in.sharer.Share(used))
+	in.extras.SetCredit(in.sharer.Share(slack - used))
 }
 
 // startLeaving refuses all reservations from now on, the queued ones included. in.mu must be held.
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -38,7 +38,7 @@
 	ctx, cancel := u.context(allowed)
 	defer cancel()
 	toServer := u.serverRequest(ctx, request, body, remaining)
-	u.parent = parent{item: u.item.ID, repeat: u.reservation.GetExtra() || u.reservation.GetRepeat(), workspace: u.reservation.GetWorkspace()}
+	u.parent = parent{item: u.item.ID, repeat: isExtraArrival(u.reservation), workspace: u.reservation.GetWorkspace()}
 	u.id = toServer.Header.Get(u.in.server.Headers.RequestID)
 	u.in.beginRun(u.id, &u.parent)
 	u.chargeExtra(now)
@@ -57,12 +57,7 @@
 func (u *use) chargeExtra(now time.Time) {
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
-	switch r := u.reservation; {
-	case r.GetExtra():
-		u.in.extras.Arrived(now, u.payment)
-	case r.GetRepeat():
-		u.in.extras.Charge()
-	}
+	u.in.extras.Arrived(now, u.payment)
 }
 
 // serverSlack is how long after the request's deadline a server may still answer that the
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -10,6 +10,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/retry"
 )
 
 // Units of the fields of slatewindv1.SlotState.
@@ -118,15 +119,38 @@
 }
 
 // earnExtra credits a request to the budget of extra attempts when it arrives at the first server
-// that is asked, whatever its result there. The operators' limit counts the requests of callers
-// at the time at which they were sent, and a queued request may start in a later window. Nested
-// calls of servers earn nothing. in.mu must be held.
+// that is asked, whatever its result there. The operators' limit counts requests at the time at which
+// they were sent, and a queued request may start in a later window. Calls of servers are requests like
+// any other, except those of extra arrivals. in.mu must be held.
 func (in *Inbound) earnExtra(now time.Time, r *slatewindv1.Reservation) {
-	if r.GetFirst() && !r.GetBegun() && r.GetService() == in.server.Service {
+	if r.GetFirst() && !r.GetRepeat() && r.GetService() == in.server.Service {
 		in.extras.RecordFirst(now)
 	}
 }
 
+// isExtraArrival reports whether the arrival of a request counts against the operators' limit: an attempt
+// after the first, or a call made by a run that was itself an extra arrival.
+func isExtraArrival(r *slatewindv1.Reservation) bool { return r.GetExtra() || r.GetRepeat() }
+
+// deniesExtra reports whether the budget of extra attempts denies the request. in.mu must be held.
+func (in *Inbound) deniesExtra(now time.Time, r *slatewindv1.Reservation) bool {
+	if r.GetRepeat() {
+		return !in.extras.LeftForCall(now)
+	}
+	return r.GetExtra() && !in.extras.Left(now)
+}
+
+// payExtra pays for a request that counts against the operators' limit. in.mu must be held.
+func (in *Inbound) payExtra(now time.Time, r *slatewindv1.Reservation) retry.Payment {
+	switch {
+	case r.GetRepeat():
+		return in.extras.TakeCall(now)
+	case r.GetExtra():
+		return in.extras.Take(now)
+	}
+	return retry.PaidNothing
+}
+
 // expectedServer returns the server name that a request is addressed to: the name known here,
 // which is more recent than the sender's, or the sender's if none is known.
 func (in *Inbound) expectedServer(r *slatewindv1.SlotRequest) string {
@@ -162,7 +186,7 @@
 		return in.refusal(CauseLate, stoppingReason, 0)
 	case !in.allows(now, constraintsOf(r)):
 		return in.refusal(CauseUnhealthy, "", in.breaker.RetryAfter(now))
-	case r.GetExtra() && !in.extras.Left(now):
+	case in.deniesExtra(now, r):
 		return in.refusal(CauseBudget, "", 0)
 	}
 	if wait := in.warmup.Wait(now); wait > 0 {
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -109,9 +109,7 @@
 		u.recordGrant()
 		u.in.warmup.Admit(u.granted)
 		u.limited = u.in.limit.Take(u.granted)
-		if u.reservation.GetExtra() {
-			u.payment = u.in.extras.Take(u.granted)
-		}
+		u.payment = u.in.payExtra(u.granted, u.reservation)
 		u.in.currentBreaker(u.granted).Grant(u.granted, u.item.ID, u.reservation.GetRoute(), expectedTime(u.reservation))
 	}
 	u.in.mu.Unlock()
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -70,7 +70,7 @@
 	s := &slotSearch{
 		o: o, rq: rq, opts: opts, until: until, ctx: ctx, open: map[*pendingReservation]bool{}, refusals: map[inbound.Cause]int{},
 		search: search.New(search.Request{
-			Rank: rq.route.GetRank(), Constraints: opts.constraints, Extra: opts.extra, Tried: opts.tried, Until: until,
+			Rank: rq.route.GetRank(), Constraints: opts.constraints, Extra: rq.isExtraArrival(opts), Tried: opts.tried, Until: until,
 			Scarce: rq.shard.deniedWithin(time.Now(), scarceAfterDenial),
 		}),
 	}
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -89,11 +89,17 @@
 		Service: rq.service, Route: rq.route.GetName(), Workspace: rq.workspace.GetName(), Repeatable: rq.repeatable(), Rank: rq.rank(),
 		RemainingMs: uint32(max(rq.remaining(now), 0).Milliseconds()), PatienceMs: uint32(max(until.Sub(now), 0).Milliseconds()),
 		Careful: opts.constraints.Careful, Scarce: opts.constraints.Scarce, LastResort: opts.constraints.LastResort, BearableTenths: uint32(min(opts.constraints.MaxSuspicion, maxBearable) * tenthsPerUnit),
-		Begun: rq.call != nil, Extra: opts.extra, Repeat: rq.call != nil && rq.call.Repeat,
+		Begun: rq.call != nil, Extra: opts.extra, Repeat: rq.isCallOfExtra(),
 		ExpectedMs: uint32(rq.expected().Milliseconds()), First: !rq.announced.Swap(true),
 	}
 }
 
+// isCallOfExtra reports whether the request is a call made by a run that was itself an extra arrival.
+func (rq *request) isCallOfExtra() bool { return rq.call != nil && rq.call.Repeat }
+
+// isExtraArrival reports whether an attempt counts against the limit on extra attempts.
+func (rq *request) isExtraArrival(opts attemptOptions) bool { return opts.extra || rq.isCallOfExtra() }
+
 // expectedFactor is the multiple of the mean time over all servers that the mean of a single
 // server may reach: servers differ in speed, and a newly started one is slow.
 const expectedFactor = 1.5
--- a/retry/model_test.go
+++ b/retry/model_test.go
@@ -33,8 +33,10 @@
 	servers int
 	ratio   float64
 	slack   float64
-	// firsts limits the requests that callers send in a tick, debt the charges that are not earned yet.
-	firsts, debt int
+	// firsts limits the requests that callers send in a tick.
+	firsts int
+	// credit is the number of attempts of the limit by which calls of extra runs may overdraw the buckets.
+	credit float64
 	// held limits the granted slots that wait for their requests. An attempt arrives within
 	// arrivesIn ticks after its grant, or the grant is returned within returnsIn.
 	held, arrivesIn, returnsIn int
@@ -75,6 +77,8 @@
 	// by their age in ticks.
 	firsts [2*spanTicks + 1]int8
 	extras [spanTicks + 1]int8
+	// paidNow marks the servers that have paid for an attempt in this tick.
+	paidNow [maxNodes]bool
 }
 
 // stateKey identifies a state regardless of the absolute time.
@@ -93,13 +97,14 @@
 	pending     [spanTicks + 1]int8
 	firsts      [2*spanTicks + 1]int8
 	extras      [spanTicks + 1]int8
+	paidNow     [maxNodes]bool
 }
 
 // never is the age of an event that did not happen.
 const never = -1
 
 func (b *state) key() stateKey {
-	k := stateKey{pending: b.pending, firsts: b.firsts, extras: b.extras}
+	k := stateKey{pending: b.pending, firsts: b.firsts, extras: b.extras, paidNow: b.paidNow}
 	for i := range b.windows {
 		w := &b.windows[i]
 		k.saved[i] = w.saved
@@ -151,11 +156,9 @@
 	begin func(c config, server int, now time.Time) Window
 	// late is the number of ticks for which a request may remain unrecorded.
 	late int
-	// first records a request, take pays for an extra attempt, charge counts one that
-	// cannot be denied.
-	first  func(w *Window, now time.Time)
-	take   func(w *Window, now time.Time) Payment
-	charge func(w *Window)
+	// first records a request, take pays for an extra attempt, takeCall for a call of an extra run.
+	first          func(w *Window, now time.Time)
+	take, takeCall func(w *Window, now time.Time) Payment
 	// arrived is called when an extra attempt that was paid for arrives.
 	arrived func(w *Window, now time.Time, p Payment)
 }
@@ -165,13 +168,15 @@
 	return rules{
 		begin: func(c config, server int, now time.Time) Window {
 			w := NewWindow(now, c.share()*c.ratio, modelSpan)
-			w.SetSlack(Sharer{Servers: c.servers, Rank: server}.Share(c.share() * c.slack))
+			sharer := Sharer{Servers: c.servers, Rank: server}
+			w.SetSlack(sharer.Share(c.share()*c.slack - c.credit))
+			w.SetCredit(sharer.Share(c.credit))
 			return *w
 		},
-		first:   (*Window).RecordFirst,
-		take:    (*Window).Take,
-		charge:  (*Window).Charge,
-		arrived: (*Window).Arrived,
+		first:    (*Window).RecordFirst,
+		take:     (*Window).Take,
+		takeCall: (*Window).TakeCall,
+		arrived:  (*Window).Arrived,
 	}
 }
 
@@ -186,13 +191,13 @@
 			if p := r.take(&paid.windows[i], paid.now); p != PaidNothing {
 				c.granted(r, paid, i, p, step)
 			}
-			if c.debt > 0 && b.windows[i].saved > -float64(c.debt) && int(b.extras[0]) < c.debt {
-				charged := b.clone()
-				r.charge(&charged.windows[i])
-				charged.extras[0]++
-				step(fmt.Sprintf("server %d receives a nested call of a repeated run", i), charged)
+			if c.credit > 0 {
+				called := b.clone()
+				if p := r.takeCall(&called.windows[i], called.now); p != PaidNothing {
+					c.granted(r, called, i, p, step)
+				}
 			}
-			if c.restarts && !b.paidNow(i) {
+			if c.restarts && !b.paidNow[i] {
 				c.restart(r, b.clone(), i, step)
 			}
 		}
@@ -201,14 +206,8 @@
 	}
 }
 
-// paidNow reports whether a process has paid from its slack in this tick. Such a process
-// does not restart in the same tick, since its successor starts later.
-func (b *state) paidNow(i int) bool {
-	spent := b.windows[i].spent
-	return len(spent) > 0 && spent[len(spent)-1].Equal(b.now)
-}
-
-// restart ends a process, together with the grants it holds, and starts the next one.
+// restart ends a process, together with the grants it holds, and starts the next one. A process that has
+// paid in this tick does not restart in it, since its successor starts later.
 func (c config) restart(r rules, b *state, i int, step func(string, *state)) {
 	b.windows[i] = r.begin(c, i, b.now)
 	b.held = slices.DeleteFunc(b.held, func(h heldSlot) bool { return int(h.server) == i })
@@ -232,6 +231,7 @@
 
 // granted lets an extra attempt that was paid for arrive immediately, or wait.
 func (c config) granted(r rules, b *state, i int, p Payment, step func(string, *state)) {
+	b.paidNow[i] = true
 	if len(b.held) < c.held {
 		waits := b.clone()
 		waits.held = append(waits.held, heldSlot{server: int8(i), paid: p})
@@ -284,6 +284,7 @@
 	if b.pending[min(r.late, spanTicks)] > 0 {
 		return
 	}
+	later.paidNow = [maxNodes]bool{}
 	age(later.pending[:])
 	age(later.extras[:])
 	if c.lenient {
@@ -302,17 +303,13 @@
 
 var errOverLimit = errors.New("extra arrivals in a span exceed the limit")
 
-// check compares the span that ends now with the limit. Charges may exceed it by the
-// debts of the windows.
+// check compares the span that ends now with the limit.
 func (c config) check(b *state) error {
 	firsts := sum(b.firsts[:spanTicks+1])
 	if c.lenient {
 		firsts = max(firsts, sum(b.firsts[spanTicks/2:spanTicks/2+spanTicks+1]), sum(b.firsts[spanTicks:]))
 	}
 	extras, allowed := sum(b.extras[:]), c.slack+c.ratio*firsts
-	for i := range b.windows {
-		allowed += max(-b.windows[i].saved, 0)
-	}
 	if extras > allowed {
 		return fmt.Errorf("%w: %g, and %g are allowed", errOverLimit, extras, allowed)
 	}
@@ -349,7 +346,8 @@
 	"one server that restarts":         {servers: 1, ratio: 1, slack: 4, firsts: 2, held: 2, restarts: true},
 	"three servers that save one each": {servers: 3, ratio: 1, slack: 3, firsts: 1},
 	"requests as operators count them": {servers: 1, ratio: 1 / given, slack: 3 / given, firsts: 2, given: given, lenient: true, unseen: true},
-	"nested calls of repeated runs":    {servers: 1, ratio: 1, slack: 3, firsts: 2, debt: 2},
+	"calls of extra runs":              {servers: 1, ratio: 1, slack: 5, credit: 2, firsts: 1, held: 1},
+	"calls of extra runs, restarts":    {servers: 2, ratio: 1, slack: 6, credit: 2, firsts: 1, restarts: true},
 }
 
 // TestBoundInAllStates checks that no sequence of arrivals, denials, returned grants,
@@ -407,8 +405,29 @@
 		"the bucket has no upper limit": {"one server, half an attempt earned each", func(r *rules) {
 			r.first = func(w *Window, _ time.Time) { w.saved = min(w.saved+w.ratio, 2*maxSaved+1) }
 		}},
-		"a charge is not counted": {"nested calls of repeated runs", func(r *rules) {
-			r.charge = func(*Window) {}
+		"a call of an extra run is not counted": {"calls of extra runs", func(r *rules) {
+			r.takeCall = func(*Window, time.Time) Payment { return PaidSlack }
+			r.arrived = func(w *Window, now time.Time, p Payment) {
+				if w.heldSlack > 0 || p != PaidSlack {
+					w.Arrived(now, p)
+				}
+			}
+		}},
+		"the credit is not deducted from the slack": {"calls of extra runs", func(r *rules) {
+			begin := r.begin
+			r.begin = func(c config, server int, now time.Time) Window {
+				w := begin(c, server, now)
+				w.SetSlack(Sharer{Servers: c.servers, Rank: server}.Share(c.slack))
+				return w
+			}
+		}},
+		"a new process grants its credit immediately": {"calls of extra runs, restarts", func(r *rules) {
+			r.takeCall = func(w *Window, now time.Time) Payment {
+				since := w.since
+				defer func() { w.since = since }()
+				w.since = now
+				return w.TakeCall(now)
+			}
 		}},
 		"a request is recorded after a delay": {"requests as operators count them", func(r *rules) {
 			r.late = 1
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -10,7 +10,9 @@
 // is. Each request adds the ratio to the bucket when its first server is asked. The
 // bucket holds up to two attempts; its capacity is deducted from the slack. The
 // counter holds the rest of the slack: an attempt occupies its part from the grant on
-// and frees it a span after it arrived, or immediately if it does not arrive. Thus the
+// and frees it a span after it arrived, or immediately if it does not arrive. A call made by a
+// run that was itself an extra attempt counts as one too; it may overdraw the bucket by a
+// credit, which is also deducted from the slack. Thus the
 // windows of all servers of a service add up to the operators' limit, whoever sends
 // the attempts, without any process knowing the state of another.
 //
--- a/retry/window.go
+++ b/retry/window.go
@@ -11,7 +11,9 @@
 	span time.Duration
 	// slack is this server's share of the service's slack, in attempts for each span.
 	slack float64
-	// saved is the level of the token bucket, in attempts. It is negative after charges.
+	// credit is how many attempts nested calls may overdraw the token bucket by.
+	credit float64
+	// saved is the level of the token bucket, in attempts. It is negative while calls overdraw it.
 	saved float64
 	// spent holds the arrival times of the newest attempts that were paid from the slack,
 	// oldest first.
@@ -74,6 +76,10 @@
 	w.saved = min(w.saved, w.saveLimit())
 }
 
+// SetCredit sets how many attempts the calls of extra runs may overdraw the token bucket by (TakeCall).
+// The owner must deduct the credit from the limit that SetSlack divides.
+func (w *Window) SetCredit(credit float64) { w.credit = credit }
+
 // SetNoSlack sets whether the operators allow the service no slack at all.
 func (w *Window) SetNoSlack(noSlack bool) { w.noSlack = noSlack }
 
@@ -119,6 +125,32 @@
 	return !now.Before(w.since) && float64(len(w.spent)+w.heldSlack+1) <= w.slack-w.capacity()
 }
 
+// creditLeft reports whether a call of an extra run may overdraw the token bucket. A process that starts
+// grants no credit for one span, since its predecessor may have granted it.
+func (w *Window) creditLeft(now time.Time) bool {
+	return !now.Before(w.since) && w.saved-1 >= -w.credit
+}
+
+// LeftForCall reports whether a call of an extra run would be granted now.
+func (w *Window) LeftForCall(now time.Time) bool {
+	return w.Left(now) || w.creditLeft(now)
+}
+
+// TakeCall pays for a call that a run makes which was itself an extra arrival. Such a call may also overdraw
+// the bucket, since denying it wastes the work of the run.
+func (w *Window) TakeCall(now time.Time) Payment {
+	if payment := w.Take(now); payment != PaidNothing {
+		return payment
+	}
+	if !w.creditLeft(now) {
+		return PaidNothing
+	}
+	w.saved--
+	w.heldRatio++
+	w.earned.spend(now)
+	return PaidRatio
+}
+
 // Take pays for an extra arrival, or denies it by returning PaidNothing. A payment must
 // be completed by Arrived or Return.
 func (w *Window) Take(now time.Time) Payment {
@@ -147,10 +179,6 @@
 	}
 }
 
-// Charge counts an extra arrival that can no longer be denied. It may make the bucket
-// negative; the debt is earned by later requests before the bucket grants attempts again.
-func (w *Window) Charge() { w.saved-- }
-
 // Return refunds the payment for an attempt that will not arrive.
 func (w *Window) Return(p Payment) {
 	switch p {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -50,12 +50,13 @@
 // together in each span, with random bursts of arrivals.
 func TestRuleHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const ratio, slack = 0.2, 20.0
+		const ratio, slack, credit = 0.2, 20.0, 4.0
 		now := time.Unix(1000, 0)
 		servers := make([]*retry.Window, rapid.IntRange(1, 12).Draw(t, "servers"))
 		for i := range servers {
 			servers[i] = retry.NewWindow(now, ratio, span)
-			servers[i].SetSlack(slack / float64(len(servers)))
+			servers[i].SetSlack((slack - credit) / float64(len(servers)))
+			servers[i].SetCredit(credit / float64(len(servers)))
 		}
 		var arrivals []arrival
 		for range rapid.IntRange(1, 60).Draw(t, "bursts") {
@@ -66,7 +67,11 @@
 				arrivals = append(arrivals, arrival{now, false})
 			}
 			for range rapid.IntRange(0, 10).Draw(t, "extras") {
-				payment := w.Take(now)
+				take := w.Take
+				if rapid.Bool().Draw(t, "call") {
+					take = w.TakeCall
+				}
+				payment := take(now)
 				if payment == retry.PaidNothing {
 					break
 				}
@@ -97,7 +102,7 @@
 		"both":                                     {func(w *retry.Window, now time.Time) { firsts(w, now, 500) }, span, 6},
 		"slack that was spent":                     {func(w *retry.Window, now time.Time) { takeAll(w, now.Add(span)) }, 2*span - time.Second, 0},
 		"slack that was spent long ago":            {func(w *retry.Window, now time.Time) { takeAll(w, now.Add(span)) }, 2*span + time.Second, 4},
-		"a charge is earned first":                 {func(w *retry.Window, now time.Time) { w.Charge(); firsts(w, now, 10) }, 0, 1},
+		"what calls overdrew is earned first":      {func(w *retry.Window, now time.Time) { overdraw(w, now.Add(span)); firsts(w, now, 16) }, 2*span + time.Second, 1 + 4},
 		"an attempt that arrives late":             {func(w *retry.Window, now time.Time) { arriveLate(w, now.Add(span)) }, 2*span + time.Second, 3},
 		"its slack is freed a span later":          {func(w *retry.Window, now time.Time) { arriveLate(w, now.Add(span)) }, 3*span - time.Second, 4},
 		"the payment of another is refunded":       {func(w *retry.Window, now time.Time) { returnAnother(w, now.Add(span)) }, 2*span + 2*time.Second, 4 - 1},
@@ -117,6 +122,15 @@
 	}
 }
 
+// overdraw takes all that is left, and two calls of extra runs that overdraw the bucket.
+func overdraw(w *retry.Window, now time.Time) {
+	w.SetCredit(2)
+	takeAll(w, now)
+	for payment := w.TakeCall(now); payment != retry.PaidNothing; payment = w.TakeCall(now) {
+		w.Arrived(now, payment)
+	}
+}
+
 // arriveLate takes one extra arrival, which arrives most of a span later.
 func arriveLate(w *retry.Window, now time.Time) {
 	w.Arrived(now.Add(span-2*time.Second), w.Take(now))
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -212,8 +212,8 @@
 		part:    soak.PartCalm,
 		edits: []overlay.Edit{{
 			File: "inbound/slots.go",
-			From: "r.GetExtra() && !in.extras.Left(now)",
-			To:   "false",
+			From: "return r.GetExtra() && !in.extras.Left(now)",
+			To:   "return false",
 		}},
 	},
 }
