Admit further trials while one outlasts failures

A server waits up to a second for its trial, and then for two answers of 0.65 to 1.6 s one after the other.

Change: failures of such servers take some 15 ms. A trial that has run for three times as long as failures took, and for 250 ms at least, no longer keeps further trials waiting; the breaker still closes only by answers, so single requests run no new risk. Where failures take long (hangs) nothing changes.

Weighed: closing the breaker by such a trial (a server that hangs after it had failed would be closed at once); shorter pauses between trials (each failed trial costs an extra attempt, of which there are too few).

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -116,6 +116,9 @@
 	// running holds the running requests of the server by id, routeMeans the means by route.
 	running    map[string]*request
 	routeMeans map[string]mean
+	// failureTime is how long failures of the server have taken lately, or zero if there were none since
+	// the start.
+	failureTime time.Duration
 	// successShare and shedShare are the moving averages of successes and of rejections.
 	successShare float64
 	shedShare    float64
@@ -254,9 +257,9 @@
 		}
 		return b.recordSuccess(now)
 	case ResultBroken:
-		return b.recordFailure(now, brokenWeight)
+		return b.recordFailedRequest(now, r, brokenWeight)
 	case ResultError:
-		return b.recordFailure(now, errorWeight)
+		return b.recordFailedRequest(now, r, errorWeight)
 	case ResultShed:
 		b.shedShare += shareWeight * (1 - b.shedShare)
 	}
@@ -271,18 +274,21 @@
 	}
 }
 
-// Tick counts requests that run for too long as failures, each on its own and all together.
-// It reports whether the breaker opened.
+// Tick counts requests that run for too long as failures, each on its own and all together, and admits
+// further trials while those in progress outlast failures. It reports whether the breaker opened.
 func (b *Breaker) Tick(now time.Time) bool {
+	b.admitMoreTrials(now)
 	changed := false
 	for _, r := range b.running {
 		if r.overdue || r.unread || !b.isOverdue(r, r.workTime(now)) {
 			continue
 		}
 		r.overdue = true
+		b.recordFailureTime(r.workTime(now))
 		changed = b.recordFailure(now, b.lateWeight(r)) || changed
 	}
 	if b.state == StateClosed && b.Suspicion(now) >= hangSuspicion {
+		b.recordFailureTime(b.longestWork(now))
 		changed = b.recordFailure(now, openThreshold) || changed
 	}
 	return changed
@@ -313,6 +319,13 @@
 	return true
 }
 
+// recordFailedRequest records that a request ended with an error or without an answer. It reports whether
+// the breaker opened.
+func (b *Breaker) recordFailedRequest(now time.Time, r *request, weight float64) bool {
+	b.recordFailureTime(r.workTime(now))
+	return b.recordFailure(now, weight)
+}
+
 // recordFailure adds a failure to the score, or extends the pause between trials unless the breaker
 // is closed. It reports whether the breaker opened.
 func (b *Breaker) recordFailure(now time.Time, weight float64) bool {
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -205,6 +205,34 @@
 	}
 }
 
+// TestTrialsThatOutlastFailures checks whether a further trial is admitted while one runs, by how long it has run and how
+// long the failures took that opened the breaker.
+func TestTrialsThatOutlastFailures(t *testing.T) {
+	open := func(took time.Duration) []step {
+		return append(served(5, 2*time.Second), step{start: "x"}, step{start: "y"}, step{after: took, end: "x", result: breaker.ResultError},
+			step{end: "y", result: breaker.ResultError}, step{after: 410 * ms, start: "trial"})
+	}
+	tests := map[string]struct {
+		steps []step
+		trial bool
+	}{
+		"a trial that has just started":             {append(open(15*ms), step{after: 200 * ms}), false},
+		"a trial that runs longer than failures":    {append(open(15*ms), step{after: 260 * ms}), true},
+		"failures that take long":                   {append(open(400*ms), step{after: 1100 * ms}), false},
+		"a trial that outlasts these too":           {append(open(400*ms), step{after: 1300 * ms}), true},
+		"three further trials that run":             {append(open(15*ms), step{after: 260 * ms, start: "a"}, step{start: "b"}, step{start: "c"}), false},
+		"a trial that fails after it has outlasted": {append(open(15*ms), step{after: 260 * ms, end: "trial", result: breaker.ResultError}), false},
+		"a trial that waits for a nested call":      {append(open(15*ms), step{pause: "trial"}, step{after: 200 * ms, resume: "trial"}, step{after: 100 * ms}), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, now := run(test.steps)
+			assert.Equal(t, b.Allow(now, breaker.Constraints{}), test.trial)
+			assert.Assert(t, !b.Allow(now, breaker.Constraints{Careful: true}), "only answers close the breaker")
+		})
+	}
+}
+
 // TestUnsentTrial checks that a trial whose slot is returned unused does not count, so that the next
 // one is admitted at once.
 func TestUnsentTrial(t *testing.T) {
--- a/breaker/running.go
+++ b/breaker/running.go
@@ -37,6 +37,8 @@
 
 	trial   bool
 	overdue bool
+	// outlasted reports that the trial has run for far longer than failures take (admitMoreTrials).
+	outlasted bool
 	// worked is how long the server worked on it until resumed, without the time in which
 	// the server waited for nested calls; paused reports that no work time passes now: the server
 	// waits, the request has not been passed to it yet, or its answer is unread.
@@ -60,9 +62,10 @@
 }
 
 // isPending reports whether the request is a trial whose result is expected soon. An overdue
-// trial has shown its result; one that waits for a nested call shows none until that ends.
+// trial has shown its result, and one that has outlasted failures most of it; one that waits for a
+// nested call shows none until that ends.
 func (r *request) isPending() bool {
-	return r.trial && !r.overdue && (!r.started || !r.paused || r.unread)
+	return r.trial && !r.overdue && !r.outlasted && (!r.started || !r.paused || r.unread)
 }
 
 // trials returns the number of pending trials.
@@ -198,6 +201,42 @@
 	return b.state != StateClosed && 2*overdue > n
 }
 
+const (
+	// A trial outlasts failures once the server has worked on it for more than outlastFactor times as
+	// long as its failures took, and for at least minOutlast, which a busy sidecar may be late by.
+	outlastFactor = 3
+	minOutlast    = 250 * time.Millisecond
+	// failureTimeDecay is the share of the longest time of earlier failures that is kept at each failure.
+	failureTimeDecay = 0.8
+)
+
+// recordFailureTime records how long the server worked on a request before it failed.
+func (b *Breaker) recordFailureTime(took time.Duration) {
+	b.failureTime = max(took, time.Duration(failureTimeDecay*float64(b.failureTime)))
+}
+
+// longestWork returns how long the server has worked on the request that runs for longest.
+func (b *Breaker) longestWork(now time.Time) (longest time.Duration) {
+	for _, r := range b.running {
+		longest = max(longest, r.workTime(now))
+	}
+	return longest
+}
+
+// admitMoreTrials looks for trials that have run for far longer than failures of the server take. These
+// probably succeed, so they no longer keep further trials waiting; the breaker closes only by answers. A
+// server that answers with errors at once shows so in a fraction of its service time, one that hangs does not.
+func (b *Breaker) admitMoreTrials(now time.Time) {
+	limit := max(outlastFactor*b.failureTime, minOutlast)
+	for _, r := range b.running {
+		if b.state == StateClosed || b.failureTime == 0 || !r.isPending() || !r.started || r.workTime(now) < limit {
+			continue
+		}
+		r.outlasted = true
+		b.state = StateHalfOpen
+	}
+}
+
 // lateWeight returns the weight of an overdue request as a failure.
 func (b *Breaker) lateWeight(r *request) float64 {
 	m := b.routeMeans[r.route]
--- a/overload/model_test.go
+++ b/overload/model_test.go
@@ -86,6 +86,8 @@
 	// slow server takes longer.
 	Chance float64 `yaml:"chance"`
 	Times  float64 `yaml:"times"`
+	// Every is how long the same servers have the fault before others have it; zero is all the time.
+	Every time.Duration `yaml:"every"`
 	// Delay is the mean time that a lagging process takes for a message.
 	Delay time.Duration `yaml:"delay"`
 }
@@ -96,6 +98,7 @@
 	faultHang  = "hang"
 	faultShed  = "shed"
 	faultReset = "reset"
+	faultError = "error"
 	// faultLag affects processes: each message to such a process is handled late. The servers
 	// beside them are healthy.
 	faultLag = "lag"
@@ -103,10 +106,11 @@
 
 // bounds are the required results of a pattern.
 type bounds struct {
-	// Served is the least share of requests that are served, within their objective or later;
-	// Reservations the most reservations per request; Held the highest 90th percentile of the
+	// Served is the least share of requests that are served, within their objective or later, InTime
+	// that of requests served within it; Reservations the most reservations per request; Held the highest 90th percentile of the
 	// waits of refused requests; Extra the most extra arrivals per first arrival.
 	Served       float64       `yaml:"served"`
+	InTime       float64       `yaml:"in_time"`
 	Reservations float64       `yaml:"reservations"`
 	Held         time.Duration `yaml:"held"`
 	Extra        float64       `yaml:"extra"`
@@ -261,6 +265,11 @@
 func (w *simulation) affects(number, index int, age time.Duration) bool {
 	f := w.Faults[number]
 	place := math.Mod(float64(index)*math.Phi+float64(number)*math.Sqrt2, 1)
+	if f.Every > 0 {
+		// Each server changes at a time of its own; which ones have the fault next is spread anew.
+		turn := math.Floor(place + float64(age)/float64(f.Every))
+		place = math.Mod(float64(index)*math.Sqrt2*(turn+1)+turn*math.Phi, 1)
+	}
 	return place < f.Share && age >= f.From && age < f.From+f.For
 }
 
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -52,6 +52,7 @@
 				name, got.requests, served, float64(got.inTime)/float64(got.requests), got.refused, got.failed, held.Round(time.Millisecond), extra, reservations, got.unhealthy, got.full, got.denied, got.queued)
 			assert.Equal(t, got.served+got.refused+got.failed, got.requests, "each request has one outcome")
 			assert.Check(t, served >= p.Want.Served, "served %.3f", served)
+			assert.Check(t, float64(got.inTime) >= p.Want.InTime*float64(got.requests), "%d served in time", got.inTime)
 			assert.Check(t, reservations <= p.Want.Reservations, "%.2f reservations per request", reservations)
 			assert.Check(t, extra <= p.Want.Extra, "%.3f extra arrivals", extra)
 			assert.Check(t, held <= p.Want.Held, "held %s", held)
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -17,6 +17,8 @@
 	tick = 50 * time.Millisecond
 	// failTime is how long a rejection or a reset takes.
 	failTime = time.Millisecond
+	// errorTime is how long an error answer takes.
+	errorTime = 15 * time.Millisecond
 )
 
 // server is a server with its sidecar.
@@ -211,6 +213,8 @@
 			took, result = failTime, breaker.ResultShed
 		case faultReset:
 			took, result = failTime, breaker.ResultBroken
+		case faultError:
+			took, result = errorTime, breaker.ResultError
 		}
 	}
 	if left := rq.deadline.Sub(s.w.now); took >= left {
