Keep single requests from a server that has just failed, if another is free

Change: after one error answer, until two good ones, a server refuses requests that cannot be repeated while it has a free slot, unless they have no other server. Repeatable requests go on and show whether it fails. Under full load nothing changes: a request that has to wait may wait there.

Weighed: opening the breaker at the first error (of the first errors at a closed breaker six in ten come from servers that are well, each opening costs them about two seconds); a suspicion that the cost of other servers outweighs (built: single requests went on to such servers whenever the next one was in another data centre).

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -89,6 +89,9 @@
 	reopenWindow    = 5 * time.Second
 )
 
+// maxDoubt is the doubt up to which a server counts as well: two successes after an error answer.
+const maxDoubt = 0.25
+
 // shareWeight is the weight of the newest result in the moving averages of successes and of
 // rejections.
 const shareWeight = 0.2
@@ -103,6 +106,8 @@
 	state State
 	// score is the sum of the weights of results, as a share of openThreshold.
 	score float64
+	// doubt is the part of score that is due to failed requests, without late ones.
+	doubt float64
 	// successes counts consecutive successful trials; requiredSuccesses of them close the
 	// breaker.
 	successes         int
@@ -182,6 +187,13 @@
 	return b.trials() == 0 && now.Sub(b.lastTrial) >= b.trialAfter
 }
 
+// Doubtful reports whether the server has just failed requests and not answered enough well since, though not
+// so many that the breaker opened: healthy servers give some error answers. Requests that cannot be repeated
+// are better sent to another server then, if one is free; others show whether this one fails.
+func (b *Breaker) Doubtful() bool {
+	return b.state == StateClosed && b.doubt > maxDoubt
+}
+
 // ShedShare returns the share of recent requests that the server rejected, from 0 to 1.
 func (b *Breaker) ShedShare() float64 { return b.shedShare }
 
@@ -306,6 +318,7 @@
 	b.markAnswered(now)
 	if b.state == StateClosed {
 		b.score = max(b.score-successWeight, 0)
+		b.doubt = max(b.doubt-successWeight, 0)
 		return false
 	}
 	b.state = StateHalfOpen
@@ -314,7 +327,7 @@
 		return false
 	}
 	b.state = StateClosed
-	b.score = 0
+	b.score, b.doubt = 0, 0
 	b.lastChange = now
 	return true
 }
@@ -323,6 +336,7 @@
 // the breaker opened.
 func (b *Breaker) recordFailedRequest(now time.Time, r *request, weight float64) bool {
 	b.recordFailureTime(r.workTime(now))
+	b.doubt = min(b.doubt+weight, openThreshold)
 	return b.recordFailure(now, weight)
 }
 
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -96,6 +96,9 @@
 	if refusal := in.refusalFor(now, r); refusal != nil {
 		return admission.Item{}, refusal, nil
 	}
+	if in.doubts(r) {
+		return admission.Item{}, in.refusal(CauseUnhealthy, "", 0), nil
+	}
 	in.nextID++
 	item := admission.Item{
 		ID:       fmt.Sprint(in.nextID),
@@ -118,6 +121,14 @@
 	return item, nil, decision
 }
 
+// doubts reports whether a request that cannot be repeated should rather go to another server, because of the
+// latest failures of this one. A request that would have to wait may wait here: more results will have come
+// when it gets its slot. in.mu must be held.
+func (in *Inbound) doubts(r *slatewindv1.Reservation) bool {
+	c := constraintsOf(r)
+	return c.Careful && !c.LastResort && in.slots.InUse() < in.slots.Slots() && in.breaker.Doubtful()
+}
+
 // earnExtra credits a request to the budget of extra attempts when it arrives at the first server
 // that is asked, whatever its result there. The operators' limit counts requests at the time at which
 // they were sent, and a queued request may start in a later window. Calls of servers are requests like
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -125,6 +125,9 @@
 	case r.extra() && !s.extras.Left(now):
 		r.refuse(refusedBudget, 0)
 		return
+	case s.doubts(r):
+		r.refuse(refusedUnhealthy, 0)
+		return
 	}
 	s.nextID++
 	r.item = admission.Item{
@@ -139,6 +142,12 @@
 	}
 }
 
+// doubts reports whether a request that cannot be repeated should rather go to another server.
+func (s *server) doubts(r *reservation) bool {
+	c := r.constraints()
+	return c.Careful && !c.LastResort && s.slots.InUse() < s.slots.Slots() && s.breaker.Doubtful()
+}
+
 // deliver sends the decisions to the reservations that wait.
 func (s *server) deliver(decisions []admission.Decision) {
 	for _, d := range decisions {
