Let servers use more of the limit on extra attempts

Cause: a server's share of the slack, 1.6 to 3.4 attempts, was used up by the capacity of the token bucket, two, which counts once and not in each span; and 0.15 of the ratio was kept in reserve for calls of extra runs, which are counted now, and for lists of servers that change.

Change: the bucket holds one attempt, so that the rest of the share is free again after each span; a share that becomes larger holds a span later, so that a change of the list needs no reserve; 0.95 of the ratio is used by servers with a share of the slack.

--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -93,12 +93,16 @@
 }
 
 const (
-	// extrasShare is the share of the limit that extra attempts may use. The rest of the slack is the
-	// credit of calls that extra attempts make; the rest of the ratio covers servers that are not
-	// known yet, and attempts that are earned only for a short time (retry.Window).
-	extrasShare = 0.85
+	// slackShare is the share of the slack that extra attempts may use; the rest is the credit of calls
+	// that extra attempts make.
+	slackShare = 0.85
+	// ratioShare is the share of the ratio that servers with a share of the slack use, noSlackRatioShare
+	// that of others, whose attempts are earned only for a short time (retry.Window). The rest covers
+	// calls of extra attempts that are not recognized, since a sidecar has restarted.
+	ratioShare        = 0.95
+	noSlackRatioShare = 0.85
 	// minSlack is the minimum number of attempts of the slack that may be used, in case
-	// extrasShare of the slack is less.
+	// slackShare of the slack is less.
 	minSlack = 1
 )
 
@@ -179,7 +183,7 @@
 		pool:    backend.NewPool(server.Address, server.Headers),
 		slots:   admission.NewServer(defaultSlots),
 		breaker: breaker.New(),
-		extras:  retry.NewWindow(time.Now(), extrasShare*bounds.RetryRatio, bounds.RetryWindow),
+		extras:  retry.NewWindow(time.Now(), noSlackRatioShare*bounds.RetryRatio, bounds.RetryWindow),
 		waiting: map[string]chan admission.Decision{},
 		parents: map[string]*parent{},
 		unread:  map[string]func() bool{},
@@ -215,7 +219,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.sharer = sharer
-	in.updateSlack()
+	in.updateExtras()
 }
 
 // SetBounds changes the operators' limit. Attempts that were already made still count.
@@ -223,8 +227,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.bounds = bounds
-	in.extras.SetBounds(time.Now(), extrasShare*bounds.RetryRatio, bounds.RetryWindow)
-	in.updateSlack()
+	in.updateExtras()
 }
 
 // SetWarmup sets the operators' limits for a server that warms up.
@@ -234,13 +237,18 @@
 	in.warmup.SetLimits(limits)
 }
 
-// updateSlack updates the server's share of the slack. in.mu must be held.
-func (in *Inbound) updateSlack() {
-	slack := in.bounds.RetrySlack
+// updateExtras updates the server's share of the operators' limit. in.mu must be held.
+func (in *Inbound) updateExtras() {
+	now, slack := time.Now(), in.bounds.RetrySlack
+	used := max(slackShare*slack, min(slack, minSlack))
+	share := retry.Share{Slack: in.sharer.Share(used), Credit: in.sharer.Share(slack - used)}
+	ratio := ratioShare
+	if share.Slack < 1 {
+		ratio = noSlackRatioShare
+	}
+	in.extras.SetBounds(now, ratio*in.bounds.RetryRatio, in.bounds.RetryWindow)
 	in.extras.SetNoSlack(slack == 0)
-	used := max(extrasShare*slack, min(slack, minSlack))
-	in.extras.SetSlack(in.sharer.Share(used))
-	in.extras.SetCredit(in.sharer.Share(slack - used))
+	in.extras.SetShare(now, share)
 }
 
 // startLeaving refuses all reservations from now on, the queued ones included. in.mu must be held.
--- a/retry/window.go
+++ b/retry/window.go
@@ -9,10 +9,9 @@
 	ratio float64
 	// span is the length of the sliding window.
 	span time.Duration
-	// slack is this server's share of the service's slack, in attempts for each span.
-	slack float64
-	// credit is how many attempts nested calls may overdraw the token bucket by.
-	credit float64
+	// share is what this server may use of the service's slack; nextShare holds from growsAt on.
+	share, nextShare Share
+	growsAt          time.Time
 	// saved is the level of the token bucket, in attempts. It is negative while calls overdraw it.
 	saved float64
 	// spent holds the arrival times of the newest attempts that were paid from the slack,
@@ -31,9 +30,10 @@
 	noSlack bool
 }
 
-// maxSaved is the capacity of the token bucket, in attempts. A larger capacity would have
-// to be deducted from the attempts that the slack allows at any time.
-const maxSaved = 2.0
+// capacity is the capacity of the token bucket, in attempts. It is deducted from the slack, which is
+// free again after each span, whereas the bucket is filled only by requests. Without slack, what is in the
+// bucket expires soon.
+const capacity = 1.0
 
 // expiryFraction divides the span: without slack, saved tokens expire after a span divided
 // by this number. So the extra arrivals of a span are paid by its first arrivals and, if the
@@ -70,30 +70,46 @@
 	w.ratio, w.span = ratio, span
 }
 
-// SetSlack sets the server's share of the slack, in extra arrivals for each span.
-func (w *Window) SetSlack(slack float64) {
-	w.slack = slack
+// Share is the part of a service's slack that one server may use, in attempts for each span.
+type Share struct {
+	// Slack is for all extra arrivals. Credit is how many attempts the calls of extra runs may overdraw
+	// the token bucket by.
+	Slack, Credit float64
+}
+
+// SetShare sets the server's share of the slack. A larger share than before holds a span later, when what
+// other servers spent of it is no longer in any span. A process that has just started does not
+// use its share for as long anyway.
+func (w *Window) SetShare(now time.Time, share Share) {
+	w.growShare(now)
+	smaller := Share{min(w.share.Slack, share.Slack), min(w.share.Credit, share.Credit)}
+	switch {
+	case now.Before(w.since):
+		smaller = share
+	case share != w.nextShare && share != smaller:
+		w.growsAt = now.Add(w.span)
+	}
+	w.share, w.nextShare = smaller, share
 	w.saved = min(w.saved, w.saveLimit())
 }
 
-// SetCredit sets how many attempts the calls of extra runs may overdraw the token bucket by (TakeCall).
-// The owner must deduct the credit from the limit that SetSlack divides.
-func (w *Window) SetCredit(credit float64) { w.credit = credit }
+// growShare applies a larger share when its time has come.
+func (w *Window) growShare(now time.Time) {
+	if !now.Before(w.growsAt) {
+		w.share = w.nextShare
+	}
+}
 
 // SetNoSlack sets whether the operators allow the service no slack at all.
 func (w *Window) SetNoSlack(noSlack bool) { w.noSlack = noSlack }
 
-// capacity returns the capacity of the token bucket, in attempts: at least one, which expires
-// soon if the slack allows none.
-func (w *Window) capacity() float64 { return max(min(w.slack, maxSaved), 1) }
-
 // saveLimit returns the maximum of saved: the capacity less the payments for attempts that have
 // not arrived yet.
-func (w *Window) saveLimit() float64 { return w.capacity() - float64(w.heldRatio) }
+func (w *Window) saveLimit() float64 { return capacity - float64(w.heldRatio) }
 
 // expire drops what was saved too long ago by a server without slack.
 func (w *Window) expire(now time.Time) {
-	if w.slack < 1 && now.Sub(w.earning) > w.span/expiryFraction {
+	if w.share.Slack < 1 && now.Sub(w.earning) > w.span/expiryFraction {
 		w.saved = min(w.saved, 0)
 	}
 }
@@ -111,7 +127,7 @@
 // savedLeft reports whether an attempt can be paid from the token bucket.
 func (w *Window) savedLeft(now time.Time) bool {
 	w.expire(now)
-	return w.saved >= 1 && (w.slack >= 1 || w.earned.covers(now, w.ratio, w.span, w.noSlack))
+	return w.saved >= 1 && (w.share.Slack >= 1 || w.earned.covers(now, w.ratio, w.span, w.noSlack))
 }
 
 // Left reports whether an extra arrival would be granted now.
@@ -121,14 +137,16 @@
 
 // slackLeft reports whether an attempt can be paid from the slack.
 func (w *Window) slackLeft(now time.Time) bool {
+	w.growShare(now)
 	w.dropOld(now)
-	return !now.Before(w.since) && float64(len(w.spent)+w.heldSlack+1) <= w.slack-w.capacity()
+	return !now.Before(w.since) && float64(len(w.spent)+w.heldSlack+1) <= w.share.Slack-capacity
 }
 
 // creditLeft reports whether a call of an extra run may overdraw the token bucket. A process that starts
 // grants no credit for one span, since its predecessor may have granted it.
 func (w *Window) creditLeft(now time.Time) bool {
-	return !now.Before(w.since) && w.saved-1 >= -w.credit
+	w.growShare(now)
+	return !now.Before(w.since) && w.saved-1 >= -w.share.Credit
 }
 
 // LeftForCall reports whether a call of an extra run would be granted now.
