Let a server that fails a request pay for its next attempt

Change: the process beside a server that fails or rejects a request pays for the next attempt out of its own share, if another one may follow and anything is left, and says so with the result. The next attempt needs no budget where it arrives, if it gets its slot within half a second. The payment counts for 0.75 s, and then as if the attempt had arrived at the end of it, whatever becomes of the attempt: a lost message, an end or a freeze of either process wastes the payment and never adds one. The model explores loans; a loan that does not count until its attempt may have arrived breaks the limit there.

Weighed: homes that keep the allowance of a service (each extra attempt waits for a message, and a home that is gone costs a span); lending on request (one more message in the path of the attempt); a larger share of the ratio (the limit's sum would no longer hold).

Builds without this change ignore the new fields and pay where the attempt arrives, so a fleet of both keeps the limit.

--- a/inbound/run.go
+++ b/inbound/run.go
@@ -60,6 +60,28 @@
 	u.in.extras.Arrived(now, u.payment)
 }
 
+const (
+	// nextAttemptTime is the time within which the next attempt at a failed request has to get its slot to be
+	// paid for here.
+	nextAttemptTime = 500 * time.Millisecond
+	// loanTime is how long that payment counts: the attempt still has to arrive after its grant, and
+	// both times are told by messages.
+	loanTime = nextAttemptTime + 250*time.Millisecond
+)
+
+// payNext pays for the next attempt at a request that the server has failed, if another one may follow and
+// anything is left. It returns the time within which the attempt has to get its slot, in milliseconds,
+// or 0.
+func (u *use) payNext(outcome slatewind.Outcome) uint32 {
+	mayFollow := u.reservation.GetMayRepeat() && (u.reservation.GetRepeatable() || outcome == slatewind.OutcomeNotRun)
+	u.in.mu.Lock()
+	defer u.in.mu.Unlock()
+	if !mayFollow || !u.in.extras.Lend(time.Now(), loanTime) {
+		return 0
+	}
+	return uint32(nextAttemptTime.Milliseconds())
+}
+
 // serverSlack is how long after the request's deadline a server may still answer that the
 // deadline was exceeded.
 const serverSlack = 100 * time.Millisecond
@@ -146,7 +168,7 @@
 }
 
 func (u *use) sendFailure(outcome slatewind.Outcome, reason string, suspect *slatewindv1.Suspect) error {
-	failure := &slatewindv1.Failure{Outcome: string(outcome), Reason: reason, State: u.state(), Suspect: suspect}
+	failure := &slatewindv1.Failure{Outcome: string(outcome), Reason: reason, State: u.state(), Suspect: suspect, NextPaidMs: u.payNext(outcome)}
 	return u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Failure{Failure: failure}})
 }
 
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -145,15 +145,21 @@
 
 // deniesExtra reports whether the budget of extra attempts denies the request. in.mu must be held.
 func (in *Inbound) deniesExtra(now time.Time, r *slatewindv1.Reservation) bool {
-	if r.GetRepeat() {
+	switch {
+	case r.GetPaidMs() > 0:
+		return false
+	case r.GetRepeat():
 		return !in.extras.LeftForCall(now)
 	}
 	return r.GetExtra() && !in.extras.Left(now)
 }
 
-// payExtra pays for a request that counts against the operators' limit. in.mu must be held.
+// payExtra pays for a request that counts against the operators' limit, unless the process beside another
+// server has done so. in.mu must be held.
 func (in *Inbound) payExtra(now time.Time, r *slatewindv1.Reservation) retry.Payment {
 	switch {
+	case r.GetPaidMs() > 0:
+		return retry.PaidNothing
 	case r.GetRepeat():
 		return in.extras.TakeCall(now)
 	case r.GetExtra():
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -37,6 +37,8 @@
 	parent parent
 	// body is the memory of the request's body.
 	body bodyLease
+	// paidUntil is the time until which the process beside another server has paid for this extra attempt.
+	paidUntil timer.Instant
 	// payment is the part of the budget from which an extra attempt was paid.
 	payment retry.Payment
 	// digest returns the digest of the request for quarantine. trial reports that a quarantined
@@ -71,6 +73,7 @@
 func (u *use) reserve() (granted bool, err error) {
 	now := time.Now()
 	u.expires = u.in.clock.Now().Add(time.Duration(u.reservation.GetRemainingMs()) * time.Millisecond)
+	u.paidUntil = u.in.clock.Now().Add(time.Duration(u.reservation.GetPaidMs()) * time.Millisecond)
 	item, refusal, decision := u.in.offer(now, u.reservation)
 	if refusal != nil {
 		return false, u.sendRefusal(refusal)
@@ -101,6 +104,9 @@
 		return false, u.refuseWithoutSlot(d)
 	}
 	u.granted, u.grantExpires = time.Now(), u.in.clock.Now().Add(grantTime)
+	if !u.paidUntil.After(u.in.clock.Now()) {
+		u.reservation.PaidMs = 0
+	}
 	u.in.mu.Lock()
 	refusal := u.in.refusalFor(u.granted, u.reservation)
 	if refusal != nil {
--- a/outbound/acquire.go
+++ b/outbound/acquire.go
@@ -11,6 +11,7 @@
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/search"
+	"slatewind.example/slatewind/timer"
 )
 
 // slotDeadline returns the time until which an attempt that starts now may wait for a slot. An
@@ -36,6 +37,13 @@
 	extra bool
 	// retry reports that a server has received the request and gave no final response.
 	retry bool
+	// mayRepeat reports that another attempt may follow.
+	mayRepeat bool
+	// paidUntil is the time until which the process beside the server that failed the last attempt pays for
+	// this one.
+	paidUntil timer.Instant
+	// paid reports that this time has not passed.
+	paid bool
 	// onSent is called with the name of the server before the request is sent to it.
 	onSent func(server string)
 }
@@ -167,7 +175,7 @@
 		s.lastReason = "all servers of the service are in evacuated data centres"
 		return nil, true
 	}
-	s.opts.constraints = s.search.Constraints()
+	s.opts.constraints, s.opts.paid = s.search.Constraints(), s.paidFor() > 0
 	s.search.Begin(s.rq.shard.order(time.Now(), s.rq, s.opts))
 	s.events = make(chan event, eventBuffer)
 	s.reserveNext()
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -9,6 +9,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/timer"
 )
 
 const (
@@ -32,6 +33,8 @@
 	requestResult
 	// arrived reports whether a server received the request.
 	arrived bool
+	// paidUntil is the time until which the process beside the server pays for the next attempt.
+	paidUntil timer.Instant
 }
 
 // dispatch runs the attempts at a request and returns its result.
@@ -72,6 +75,8 @@
 	active, tries, arrivals int
 	// mayHaveRun reports whether any attempt lacks proof that the request did not run.
 	mayHaveRun bool
+	// paidUntil is the time until which the next attempt is paid for.
+	paidUntil timer.Instant
 	// best is a server's own error response, returned if no better one arrives.
 	best *requestResult
 }
@@ -160,6 +165,7 @@
 	d.tries++
 	opts := attemptOptions{
 		tried: maps.Clone(d.tried), constraints: d.trialConstraints(), extra: d.tries > 1, retry: d.arrivals > 0,
+		mayRepeat: d.arrivals+d.active < d.rq.attempts(), paidUntil: d.paidUntil,
 		onSent: func(server string) { d.sent <- server },
 	}
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, opts) }()
@@ -250,8 +256,13 @@
 	if r.answer != nil {
 		reason = fmt.Sprintf("the server answered with status %d", r.answer.head.GetStatus())
 	}
+	if r.paidUntil.After(d.o.clock.Now()) {
+		reason += ", the next attempt is paid for"
+	}
+	d.paidUntil = r.paidUntil
 	d.journalExtra(slatewind.DecisionRetry, r.server, reason)
 	d.start()
+	d.paidUntil = timer.Instant{}
 	return true
 }
 
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -44,6 +44,7 @@
 	p := &pendingReservation{reservation: reservation, cancel: cancel}
 	s.open[p] = true
 	message := s.rq.reservation(opts, s.until)
+	message.PaidMs = uint32(s.paidFor().Milliseconds())
 	s.rq.shard.update(func(c *choice.Service) {
 		c.Reserved(now, p.server().ID())
 		if message.RequestLimit = link.LimitMessage(c.Limit(p.server().ID())); message.RequestLimit != nil {
@@ -53,6 +54,9 @@
 	go s.o.reserve(ctx, message, p, s.events)
 }
 
+// paidFor returns for how much longer the attempt is paid for.
+func (s *slotSearch) paidFor() time.Duration { return max(s.opts.paidUntil.Sub(s.o.clock.Now()), 0) }
+
 // reserve makes one reservation and sends its replies to events, up to and including the final one.
 func (o *Outbound) reserve(ctx context.Context, reservation *slatewindv1.Reservation, p *pendingReservation, events chan<- event) {
 	use, err := o.links.Open(ctx, *p.server().ServerEntry)
@@ -91,6 +95,7 @@
 		Careful: opts.constraints.Careful, Scarce: opts.constraints.Scarce, LastResort: opts.constraints.LastResort, BearableTenths: uint32(min(opts.constraints.MaxSuspicion, maxBearable) * tenthsPerUnit),
 		Begun: rq.call != nil, Extra: opts.extra, Repeat: rq.isCallOfExtra(),
 		ExpectedMs: uint32(rq.expected().Milliseconds()), First: !rq.announced.Swap(true),
+		MayRepeat: opts.mayRepeat,
 	}
 }
 
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -12,6 +12,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/timer"
 )
 
 // answer is a server's response.
@@ -75,6 +76,7 @@
 		r.outcome, r.reason = slatewind.Outcome(failure.GetOutcome()), failure.GetReason()
 		o.recordSuspect(failure.GetSuspect())
 		r.timedOut = time.Now().After(rq.deadline)
+		r.paidUntil = o.paidUntil(failure.GetNextPaidMs())
 		o.recordState(rq, slot, failure.GetState())
 	case reply.GetRefusal() != nil:
 		r.outcome, r.reason = slatewind.OutcomeNotRun, refusalReason(reply.GetRefusal())
@@ -87,6 +89,11 @@
 	return r
 }
 
+// paidUntil returns the time until which an attempt is paid for, if it is for the given number of milliseconds from now.
+func (o *Outbound) paidUntil(ms uint32) timer.Instant {
+	return o.clock.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
 // send sends the request and its body, in chunks of at most link.ChunkBytes.
 func (rq *request) send(slot *grantedSlot) error {
 	first := rq.body[:min(len(rq.body), link.ChunkBytes)]
@@ -118,6 +125,7 @@
 // memory; the rest of a longer response is read as it is forwarded.
 func (o *Outbound) read(rq *request, slot *grantedSlot, head *slatewindv1.AnswerHead) attemptResult {
 	r := unknownResult(slot)
+	r.paidUntil = o.paidUntil(head.GetNextPaidMs())
 	sum := xxhash.New()
 	length := int64(0)
 	next := func() ([]byte, error) {
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -102,7 +102,7 @@
 func (sh *shard) choiceRequest(rq *request, opts attemptOptions) choice.Request {
 	// Until the route has averages, only the size of the request itself is known.
 	bytes := max(sh.means[rq.route.GetName()].bytes, float64(len(rq.body)))
-	return choice.Request{Constraints: opts.constraints, Extra: rq.isExtraArrival(opts), Bytes: bytes}
+	return choice.Request{Constraints: opts.constraints, Extra: rq.isExtraArrival(opts) && !opts.paid, Bytes: bytes}
 }
 
 // shard returns the state of a service, and creates it if it does not exist.
--- a/retry/model_test.go
+++ b/retry/model_test.go
@@ -40,6 +40,9 @@
 	// held limits the granted slots that wait for their requests. An attempt arrives within
 	// arrivesIn ticks after its grant, or the grant is returned within returnsIn.
 	held, arrivesIn, returnsIn int
+	// lent is the number of ticks within which an attempt arrives that a server pays for, but that
+	// arrives at another one; zero means that there are none.
+	lent int
 	// restarts allows processes to restart.
 	restarts bool
 	// unseen allows requests that reach no process.
@@ -64,6 +67,14 @@
 	server int8
 	paid   Payment
 	age    int8
+	// loan marks an attempt that arrives at another server, or does not.
+	loan bool
+}
+
+// loanKey identifies a loan of a window by its age and payment.
+type loanKey struct {
+	age  int8
+	paid Payment
 }
 
 // state is one state of the model.
@@ -98,8 +109,12 @@
 	firsts      [2*spanTicks + 1]int8
 	extras      [spanTicks + 1]int8
 	paidNow     [maxNodes]bool
+	loans       [maxNodes][maxHeld]loanKey
 }
 
+// maxLoanAge keeps the ages of loans in keys positive.
+const maxLoanAge = 32
+
 // never is the age of an event that did not happen.
 const never = -1
 
@@ -114,6 +129,9 @@
 			b.mark(&k.parts[i], w.earned.parts, w.earned.firsts, 2*spanTicks)
 			b.mark(&k.paid[i], w.earned.spent, w.earned.firsts, spanTicks)
 		}
+		for j, l := range w.loans {
+			k.loans[i][j] = loanKey{int8(l.settled.Sub(b.now)/tick) + maxLoanAge, l.payment}
+		}
 		k.unused[i] = [2]int8{int8(w.heldRatio), int8(w.heldSlack)}
 		for j := range k.spent[i] {
 			k.spent[i][j] = never
@@ -142,6 +160,7 @@
 	c.windows = slices.Clone(b.windows)
 	for i := range c.windows {
 		c.windows[i].spent = slices.Clone(c.windows[i].spent)
+		c.windows[i].loans = slices.Clone(b.windows[i].loans)
 		c.windows[i].earned.parts = slices.Clone(c.windows[i].earned.parts)
 		c.windows[i].earned.spent = slices.Clone(c.windows[i].earned.spent)
 	}
@@ -159,6 +178,8 @@
 	// first records a request, take pays for an extra attempt, takeCall for a call of an extra run.
 	first          func(w *Window, now time.Time)
 	take, takeCall func(w *Window, now time.Time) Payment
+	// lend pays for an attempt that arrives at another server within the given time.
+	lend func(w *Window, now time.Time, within time.Duration) bool
 	// arrived is called when an extra attempt that was paid for arrives.
 	arrived func(w *Window, now time.Time, p Payment)
 }
@@ -175,6 +196,7 @@
 		first:    (*Window).RecordFirst,
 		take:     (*Window).Take,
 		takeCall: (*Window).TakeCall,
+		lend:     (*Window).Lend,
 		arrived:  (*Window).Arrived,
 	}
 }
@@ -196,6 +218,9 @@
 					c.granted(r, called, i, p, step)
 				}
 			}
+			if c.lent > 0 && len(b.held) < c.held {
+				c.lend(r, b.clone(), i, step)
+			}
 			if c.restarts && !b.paidNow[i] {
 				c.restart(r, b.clone(), i, step)
 			}
@@ -228,6 +253,16 @@
 	step(fmt.Sprintf("server %d is asked first for a request", i), b)
 }
 
+// lend lets a server pay for an attempt that arrives at another one.
+func (c config) lend(r rules, b *state, i int, step func(string, *state)) {
+	if !r.lend(&b.windows[i], b.now, time.Duration(c.lent)*tick) {
+		return
+	}
+	b.paidNow[i] = true
+	b.held = append(b.held, heldSlot{server: int8(i), loan: true})
+	step(fmt.Sprintf("server %d pays for an attempt at another", i), b)
+}
+
 // granted lets an extra attempt that was paid for arrive immediately, or wait.
 func (c config) granted(r rules, b *state, i int, p Payment, step func(string, *state)) {
 	b.paidNow[i] = true
@@ -247,6 +282,11 @@
 	for j, slot := range b.held {
 		rest := b.clone()
 		rest.held = slices.Delete(rest.held, j, j+1)
+		if slot.loan {
+			rest.extras[0]++
+			step(fmt.Sprintf("the attempt that server %d paid for %d ticks ago arrives at another", slot.server, slot.age), rest)
+			continue
+		}
 		if int(slot.age) <= c.arrivesIn {
 			arrives := rest.clone()
 			r.arrived(&arrives.windows[slot.server], arrives.now, slot.paid)
@@ -276,10 +316,11 @@
 	later := b.clone()
 	later.now = later.now.Add(tick)
 	for j := range later.held {
-		if later.held[j].age++; int(later.held[j].age) > max(c.arrivesIn, c.returnsIn) {
+		if later.held[j].age++; !later.held[j].loan && int(later.held[j].age) > max(c.arrivesIn, c.returnsIn) {
 			return
 		}
 	}
+	later.held = slices.DeleteFunc(later.held, func(h heldSlot) bool { return h.loan && int(h.age) > c.lent })
 	if b.pending[min(r.late, spanTicks)] > 0 {
 		return
 	}
@@ -346,6 +387,8 @@
 	"three servers that save one each": {servers: 3, ratio: 1, slack: 3, firsts: 1},
 	"requests as operators count them": {servers: 1, ratio: 1 / given, slack: 3 / given, firsts: 2, given: given, lenient: true, unseen: true},
 	"calls of extra runs":              {servers: 1, ratio: 1, slack: 5, credit: 2, firsts: 1, held: 1},
+	"loans":                            {servers: 1, ratio: 0.5, slack: 4, firsts: 2, held: 3, lent: 1},
+	"loans of two servers":             {servers: 2, ratio: 1, slack: 2, firsts: 1, held: 1, lent: 1},
 	"calls of extra runs, restarts":    {servers: 2, ratio: 1, slack: 6, credit: 2, firsts: 1, restarts: true},
 }
 
@@ -421,6 +464,11 @@
 				return w
 			}
 		}},
+		"a loan does not count until its attempt may have arrived": {"loans", func(r *rules) {
+			r.lend = func(w *Window, now time.Time, _ time.Duration) bool {
+				return w.Lend(now, 0)
+			}
+		}},
 		"a new process grants its credit immediately": {"calls of extra runs, restarts", func(r *rules) {
 			r.takeCall = func(w *Window, now time.Time) Payment {
 				since := w.since
--- a/retry/window.go
+++ b/retry/window.go
@@ -19,6 +19,8 @@
 	spent []time.Time
 	// heldRatio and heldSlack count the payments for attempts that have not arrived yet.
 	heldRatio, heldSlack int
+	// loans holds the payments for attempts that arrive at other servers, oldest first.
+	loans []loan
 	// since is the time from which the slack may be used.
 	since time.Time
 	// earning is the time at which the first part of saved was earned.
@@ -116,6 +118,7 @@
 
 // RecordFirst records a request whose first server this is.
 func (w *Window) RecordFirst(now time.Time) {
+	w.settle(now)
 	w.expire(now)
 	if w.saved <= 0 && w.heldRatio == 0 {
 		w.earning = now
@@ -126,6 +129,7 @@
 
 // savedLeft reports whether an attempt can be paid from the token bucket.
 func (w *Window) savedLeft(now time.Time) bool {
+	w.settle(now)
 	w.expire(now)
 	return w.saved >= 1 && (w.share.Slack >= 1 || w.earned.covers(now, w.ratio, w.span, w.noSlack))
 }
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -191,6 +191,40 @@
 	}
 }
 
+// TestLoans checks how many extra arrivals are granted after the window has paid for attempts at other servers.
+func TestLoans(t *testing.T) {
+	const within = time.Second
+	tests := map[string]struct {
+		loans int
+		after time.Duration
+		extra int
+	}{
+		"none":                             {0, 0, 1 + 5},
+		"two":                              {2, 0, 4},
+		"all":                              {6, 0, 0},
+		"more than there are":              {9, 0, 0},
+		"all, just before a span is over":  {6, span + within, 0},
+		"all, after a span and their time": {6, span + within + time.Millisecond, 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			w := retry.NewWindow(now, 0.2, span)
+			w.SetShare(now, retry.Share{Slack: 6})
+			now = now.Add(span)
+			firsts(w, now, 6)
+			lent := 0
+			for range test.loans {
+				if w.Lend(now, within) {
+					lent++
+				}
+			}
+			assert.Equal(t, lent, min(test.loans, 6))
+			assert.Equal(t, takeAll(w, now.Add(test.after)), test.extra)
+		})
+	}
+}
+
 // TestBoundsChange checks that what was spent before the bounds changed still counts, also
 // where the new span is longer and some of it was dropped already.
 func TestBoundsChange(t *testing.T) {
