Let only servers that are set aside pay for next attempts

A payment in advance counts for 0.75 s, in which the bucket does not fill; a busy server earns twice in that time, and its attempts are found by searches anyhow.

Change: the process pays only while its server is set aside.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -35,12 +35,12 @@
 		return u.fail(ctx, true, err)
 	}
 	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header), State: u.statement()}
-	if resultOf(answer.StatusCode) == breaker.ResultError {
-		head.NextPaidMs = u.payNext(slatewind.OutcomeAnswer)
-	}
 	if len(body) <= link.MaxBufferedBytes {
 		answer.Close()
 		u.completed(answer.StatusCode)
+		if resultOf(answer.StatusCode) == breaker.ResultError {
+			head.NextPaidMs = u.payNext(slatewind.OutcomeAnswer)
+		}
 		return u.sendAnswer(head, body, nil)
 	}
 	if err := u.sendAnswer(head, body, answer.Body); err != nil {
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -69,14 +69,15 @@
 	loanTime = nextAttemptTime + 250*time.Millisecond
 )
 
-// payNext pays for the next attempt at a request that the server has failed, if another one may follow and
-// anything is left. It returns the time within which the attempt has to get its slot, in milliseconds,
-// or 0.
+// payNext pays for the next attempt at a request that the server has failed, if another one may follow, the
+// server is set aside and anything is left. Extra attempts seldom go to a server that is set aside, so its share
+// is of little other use; a payment in advance keeps the bucket of a busy server from filling. It returns
+// the time within which the attempt has to get its slot, in milliseconds, or 0.
 func (u *use) payNext(outcome slatewind.Outcome) uint32 {
 	mayFollow := u.reservation.GetMayRepeat() && (u.reservation.GetRepeatable() || outcome == slatewind.OutcomeNotRun)
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
-	if !mayFollow || !u.in.extras.Lend(time.Now(), loanTime) {
+	if !mayFollow || u.in.breaker.State() == breaker.StateClosed || !u.in.extras.Lend(time.Now(), loanTime) {
 		return 0
 	}
 	return uint32(nextAttemptTime.Milliseconds())
