--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -38,7 +38,7 @@
 	if len(body) <= link.MaxBufferedBytes {
 		answer.Close()
 		u.completed(answer.StatusCode)
-		if resultOf(answer.StatusCode) == breaker.ResultError {
+		if answer.StatusCode >= slatewind.MinServerErrorStatus {
 			head.NextPaidMs = u.payNext(slatewind.OutcomeAnswer)
 		}
 		return u.sendAnswer(head, body, nil)
@@ -71,7 +71,7 @@
 // completed ends a run whose complete answer was received. Any answer, an error included, shows
 // that the server did not exit while it ran the request.
 func (u *use) completed(status int) {
-	u.endRun(resultOf(status), "an error answer")
+	u.endRun(u.resultOf(status), "an error answer")
 	u.in.suspects.Answered(time.Now(), u.digest())
 }
 
@@ -120,11 +120,15 @@
 }
 
 // resultOf classifies the status of a complete answer.
-func resultOf(status int) breaker.Result {
-	if status >= slatewind.MinServerErrorStatus {
-		return breaker.ResultError
+func (u *use) resultOf(status int) breaker.Result {
+	switch {
+	case status < slatewind.MinServerErrorStatus:
+		return breaker.ResultOK
+	case status == http.StatusGatewayTimeout && time.Since(u.began) >= u.allowed:
+		// The time that it was handed is over, which is short on some routes. How long it took is judged apart.
+		return breaker.ResultNone
 	}
-	return breaker.ResultOK
+	return breaker.ResultError
 }
 
 // sendAnswer sends the head, the chunks of the body and the end. The body consists of the
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -42,7 +42,7 @@
 	u.id = toServer.Header.Get(u.in.server.Headers.RequestID)
 	u.in.beginRun(u.id, &u.parent)
 	u.chargeExtra(now)
-	u.began = time.Now()
+	u.began, u.allowed = time.Now(), remaining
 	answer, sent, err := u.in.pool.Do(ctx, toServer, func(unread func() bool) { u.in.beginServerTime(u.item.ID, unread) })
 	if err != nil {
 		return u.fail(ctx, sent, err)
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -45,8 +45,10 @@
 	// request was admitted to test whether servers still exit while running it.
 	digest func() quarantine.Digest
 	trial  bool
-	// began is the earliest time at which the server can have received the request.
-	began time.Time
+	// began is the earliest time at which the server can have received the request, allowed the time that it
+	// was handed for it.
+	began   time.Time
+	allowed time.Duration
 }
 
 // serve handles the reservation and its request. A refusal or failure that was sent to the sender is
