Let doubt about a server end after two seconds

Found by reading: a server that gets no repeatable requests never gives the two good answers that end its doubt, so a service of single requests alone would pass over each server that has once given an error, until no other is free.

TestDoubtful states when doubt ends.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -89,8 +89,13 @@
 	reopenWindow    = 5 * time.Second
 )
 
-// maxDoubt is the doubt up to which a server counts as well: two successes after an error answer.
-const maxDoubt = 0.25
+const (
+	// maxDoubt is the doubt up to which a server counts as well: two successes after an error answer.
+	maxDoubt = 0.25
+	// doubtTime is how long after its latest failure a server is doubtful at most: it may get no requests
+	// that may be repeated.
+	doubtTime = 2 * time.Second
+)
 
 // shareWeight is the weight of the newest result in the moving averages of successes and of
 // rejections.
@@ -106,8 +111,10 @@
 	state State
 	// score is the sum of the weights of results, as a share of openThreshold.
 	score float64
-	// doubt is the part of score that is due to failed requests, without late ones.
-	doubt float64
+	// doubt is the part of score that is due to failed requests, without late ones, lastFailed when the
+	// latest one failed.
+	doubt      float64
+	lastFailed time.Time
 	// successes counts consecutive successful trials; requiredSuccesses of them close the
 	// breaker.
 	successes         int
@@ -190,8 +197,8 @@
 // Doubtful reports whether the server has just failed requests and not answered enough well since, though not
 // so many that the breaker opened: healthy servers give some error answers. Requests that cannot be repeated
 // are better sent to another server then, if one is free; others show whether this one fails.
-func (b *Breaker) Doubtful() bool {
-	return b.state == StateClosed && b.doubt > maxDoubt
+func (b *Breaker) Doubtful(now time.Time) bool {
+	return b.state == StateClosed && b.doubt > maxDoubt && now.Sub(b.lastFailed) < doubtTime
 }
 
 // ShedShare returns the share of recent requests that the server rejected, from 0 to 1.
@@ -336,7 +343,7 @@
 // the breaker opened.
 func (b *Breaker) recordFailedRequest(now time.Time, r *request, weight float64) bool {
 	b.recordFailureTime(r.workTime(now))
-	b.doubt = min(b.doubt+weight, openThreshold)
+	b.doubt, b.lastFailed = min(b.doubt+weight, openThreshold), now
 	return b.recordFailure(now, weight)
 }
 
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -205,6 +206,32 @@
 	}
 }
 
+// TestDoubtful checks whether a server is doubtful after a series of results.
+func TestDoubtful(t *testing.T) {
+	failed := slices.Clip(append(served(5, 100*ms), step{start: "x"}, step{after: ms, end: "x", result: breaker.ResultError}))
+	tests := map[string]struct {
+		steps []step
+		want  bool
+	}{
+		"only successes":             {served(5, 100*ms), false},
+		"an error":                   {failed, true},
+		"an error and a success":     {append(failed, served(1, 100*ms)...), true},
+		"an error, two successes":    {append(failed, served(2, 100*ms)...), false},
+		"an error a while ago":       {append(failed, step{after: 1900 * ms}), true},
+		"an error long ago":          {append(failed, step{after: 2000 * ms}), false},
+		"a rejection":                {append(served(5, 100*ms), step{start: "x"}, step{after: ms, end: "x", result: breaker.ResultShed}), false},
+		"errors that open it":        {append(failed, step{start: "y"}, step{after: ms, end: "y", result: breaker.ResultError}), false},
+		"an answer that took long":   {append(served(5, 100*ms), served(1, 900*ms)...), false},
+		"an error of an old request": {append(failed, step{start: "z"}, step{after: 5000 * ms, end: "z", result: breaker.ResultNone}), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, now := run(test.steps)
+			assert.Equal(t, b.Doubtful(now), test.want)
+		})
+	}
+}
+
 // TestTrialsThatOutlastFailures checks whether a further trial is admitted while one runs, by how long it has run and how
 // long the failures took that opened the breaker.
 func TestTrialsThatOutlastFailures(t *testing.T) {
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -98,7 +98,7 @@
 	slackShare = 0.85
 	// ratioShare is the share of the ratio that servers with a share of the slack use, noSlackRatioShare
 	// that of others, whose attempts are earned only for a short time (retry.Window). The rest covers
-	// calls of extra attempts that are not recognized, since a sidecar has restarted.
+	// calls of extra attempts that are not known as such, since a sidecar has restarted.
 	ratioShare        = 0.95
 	noSlackRatioShare = 0.85
 	// minSlack is the minimum number of attempts of the slack that may be used, in case
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -96,7 +96,7 @@
 	if refusal := in.refusalFor(now, r); refusal != nil {
 		return admission.Item{}, refusal, nil
 	}
-	if in.doubts(r) {
+	if in.doubts(now, r) {
 		return admission.Item{}, in.refusal(CauseUnhealthy, "", 0), nil
 	}
 	in.nextID++
@@ -124,9 +124,9 @@
 // doubts reports whether a request that cannot be repeated should rather go to another server, because of the
 // latest failures of this one. A request that would have to wait may wait here: more results will have come
 // when it gets its slot. in.mu must be held.
-func (in *Inbound) doubts(r *slatewindv1.Reservation) bool {
+func (in *Inbound) doubts(now time.Time, r *slatewindv1.Reservation) bool {
 	c := constraintsOf(r)
-	return c.Careful && !c.LastResort && in.slots.InUse() < in.slots.Slots() && in.breaker.Doubtful()
+	return c.Careful && !c.LastResort && in.slots.InUse() < in.slots.Slots() && in.breaker.Doubtful(now)
 }
 
 // earnExtra credits a request to the budget of extra attempts when it arrives at the first server
--- a/overload/server_test.go
+++ b/overload/server_test.go
@@ -145,7 +145,7 @@
 // doubts reports whether a request that cannot be repeated should rather go to another server.
 func (s *server) doubts(r *reservation) bool {
 	c := r.constraints()
-	return c.Careful && !c.LastResort && s.slots.InUse() < s.slots.Slots() && s.breaker.Doubtful()
+	return c.Careful && !c.LastResort && s.slots.InUse() < s.slots.Slots() && s.breaker.Doubtful(s.w.now)
 }
 
 // deliver sends the decisions to the reservations that wait.
