--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -251,3 +251,16 @@
 		})
 	}
 }
+
+// BenchmarkWindow measures the arrival of a request, a denied extra attempt and a payment for an attempt at another server.
+func BenchmarkWindow(b *testing.B) {
+	now := time.Unix(1000, 0)
+	w := retry.NewWindow(now, 0.2, span)
+	w.SetShare(now, retry.Share{Slack: 10, Credit: 2})
+	for b.Loop() {
+		now = now.Add(40 * time.Millisecond)
+		w.RecordFirst(now)
+		w.LeftForCall(now)
+		w.Lend(now, time.Second)
+	}
+}
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -44,3 +44,12 @@
 	}
 	assert.Assert(t, e.Weight() > 0.95, "%.3f", e.Weight())
 }
+
+// BenchmarkEstimate measures one answer with its weight.
+func BenchmarkEstimate(b *testing.B) {
+	var e tail.Estimate
+	for b.Loop() {
+		e.Record(false)
+		_ = e.Weight()
+	}
+}
