Let a window save two attempts again

While the only attempt that a server has saved is granted and has not arrived, it loses what it earns; and what it earns beyond one is lost at once.

Change: two attempts again.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -8,7 +8,7 @@
 // of extra attempts that the operators allow a service in each span whatever its load,
 // and the retry ratio times the number of requests of the span whose first server this
 // is. Each request adds the ratio to the bucket when its first server is asked. The
-// bucket holds one attempt, which is deducted from the slack. The
+// bucket holds up to two attempts; its capacity is deducted from the slack. The
 // counter holds the rest of the slack: an attempt occupies its part from the grant on
 // and frees it a span after it arrived, or immediately if it does not arrive. A call made by a
 // run that was itself an extra attempt counts as one too; it may overdraw the bucket by a
@@ -19,8 +19,8 @@
 // The limitations of this approach:
 //
 //   - A server cannot pass its share to another. Where few servers grant extra attempts,
-//     the slack of the others remains unused, and so does what they earned beyond one
-//     attempt.
+//     the slack of the others remains unused, and so does what they earned beyond two
+//     attempts.
 //   - A process that starts grants nothing from its slack for one span, since its
 //     predecessor may have spent it.
 //   - Slack is divided in whole attempts (Sharer). Where there are more servers than
--- a/retry/window.go
+++ b/retry/window.go
@@ -32,10 +32,10 @@
 	noSlack bool
 }
 
-// capacity is the capacity of the token bucket, in attempts. It is deducted from the slack, which is
-// free again after each span, whereas the bucket is filled only by requests. Without slack, what is in the
-// bucket expires soon.
-const capacity = 1.0
+// maxSaved is the capacity of the token bucket, in attempts. A larger capacity would have
+// to be deducted from the attempts that the slack allows at any time. With a smaller one, a server loses what
+// it earns while the only attempt that it has saved is granted and has not arrived.
+const maxSaved = 2.0
 
 // expiryFraction divides the span: without slack, saved tokens expire after a span divided
 // by this number. So the extra arrivals of a span are paid by its first arrivals and, if the
@@ -105,9 +105,13 @@
 // SetNoSlack sets whether the operators allow the service no slack at all.
 func (w *Window) SetNoSlack(noSlack bool) { w.noSlack = noSlack }
 
+// capacity returns the capacity of the token bucket, in attempts: at least one, which expires
+// soon if the slack allows none.
+func (w *Window) capacity() float64 { return max(min(w.share.Slack, maxSaved), 1) }
+
 // saveLimit returns the maximum of saved: the capacity less the payments for attempts that have
 // not arrived yet.
-func (w *Window) saveLimit() float64 { return capacity - float64(w.heldRatio) }
+func (w *Window) saveLimit() float64 { return w.capacity() - float64(w.heldRatio) }
 
 // expire drops what was saved too long ago by a server without slack.
 func (w *Window) expire(now time.Time) {
@@ -143,7 +147,7 @@
 func (w *Window) slackLeft(now time.Time) bool {
 	w.growShare(now)
 	w.dropOld(now)
-	return !now.Before(w.since) && float64(len(w.spent)+w.heldSlack+1) <= w.share.Slack-capacity
+	return !now.Before(w.since) && float64(len(w.spent)+w.heldSlack+1) <= w.share.Slack-w.capacity()
 }
 
 // creditLeft reports whether a call of an extra run may overdraw the token bucket. A process that starts
