Pass the time of a payment to the attempt that it pays for

The dispatch kept it in a field that was set and cleared around one call; it is an argument now. The conditions of admitMoreTrials that do not depend on the request stand before its loop. No behaviour changes.

Checked by the linter and the tests of breaker and outbound.

--- a/breaker/running.go
+++ b/breaker/running.go
@@ -227,13 +227,15 @@
 // probably succeed, so they no longer keep further trials waiting; the breaker closes only by answers. A
 // server that answers with errors at once shows so in a fraction of its service time, one that hangs does not.
 func (b *Breaker) admitMoreTrials(now time.Time) {
+	if b.state == StateClosed || b.failureTime == 0 {
+		return
+	}
 	limit := max(outlastFactor*b.failureTime, minOutlast)
 	for _, r := range b.running {
-		if b.state == StateClosed || b.failureTime == 0 || !r.isPending() || !r.started || r.workTime(now) < limit {
-			continue
+		if r.isPending() && r.started && r.workTime(now) >= limit {
+			r.outlasted = true
+			b.state = StateHalfOpen
 		}
-		r.outlasted = true
-		b.state = StateHalfOpen
 	}
 }
 
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -75,8 +75,6 @@
 	active, tries, arrivals int
 	// mayHaveRun reports whether any attempt lacks proof that the request did not run.
 	mayHaveRun bool
-	// paidUntil is the time until which the next attempt is paid for.
-	paidUntil timer.Instant
 	// best is a server's own error response, returned if no better one arrives.
 	best *requestResult
 }
@@ -84,7 +82,7 @@
 // run starts the first attempt, and further ones after failures or when a hedge is due, until the
 // request has a result.
 func (d *dispatch) run() requestResult {
-	d.start()
+	d.start(timer.Instant{})
 	hedge := time.NewTimer(d.rq.remaining(time.Now()))
 	defer hedge.Stop()
 	for {
@@ -118,7 +116,7 @@
 func (d *dispatch) hedge() {
 	if d.rq.repeatable() && d.active == 1 && d.mayRepeat() {
 		d.journalExtra(slatewind.DecisionHedge, "", "no answer after most of its objective")
-		d.start()
+		d.start(timer.Instant{})
 	}
 }
 
@@ -159,13 +157,13 @@
 	d.mayHaveRun = d.mayHaveRun || r.outcome != slatewind.OutcomeNotRun
 }
 
-// start starts an attempt.
-func (d *dispatch) start() {
+// start starts an attempt, which is paid for until the given time.
+func (d *dispatch) start(paidUntil timer.Instant) {
 	d.active++
 	d.tries++
 	opts := attemptOptions{
 		tried: maps.Clone(d.tried), constraints: d.trialConstraints(), extra: d.tries > 1, retry: d.arrivals > 0,
-		mayRepeat: d.arrivals+d.active < d.rq.attempts(), paidUntil: d.paidUntil,
+		mayRepeat: d.arrivals+d.active < d.rq.attempts(), paidUntil: paidUntil,
 		onSent: func(server string) { d.sent <- server },
 	}
 	go func() { d.results <- d.o.attempt(d.ctx, d.rq, opts) }()
@@ -259,10 +257,8 @@
 	if r.paidUntil.After(d.o.clock.Now()) {
 		reason += ", the next attempt is paid for"
 	}
-	d.paidUntil = r.paidUntil
 	d.journalExtra(slatewind.DecisionRetry, r.server, reason)
-	d.start()
-	d.paidUntil = timer.Instant{}
+	d.start(r.paidUntil)
 	return true
 }
 
