Review: a server of another service runs requests at a reused address

The process beside a server names the server itself that it expects, by the identity in a 421 or by the newest entry at the address, without looking at its service. A server of another service that gets the address is then named as the expected one and runs the requests.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,8 @@
 type play func(f *fleet, trouble bool) (broken int, err error)
 
 var plays = map[string]play{
-	"route-prefix": playRoutePrefix,
+	"route-prefix":  playRoutePrefix,
+	"address-reuse": playAddressReuse,
 }
 
 func main() {
@@ -32,7 +33,7 @@
 
 func playCase(args []string) int {
 	if len(args) != 3 || plays[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin route-prefix ROOT RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin route-prefix|address-reuse ROOT RECORD")
 		return exitFailed
 	}
 	rec, err := newRecord(args[2])
