Review: a truncated long answer appears complete

An answer of over 1 MB that breaks off while its requester reads it slowly is ended like a complete one, if its server is beside the proxy: the end of the local stream is io.EOF, and forwardAnswer takes that for the end of the answer although errIncompleteAnswer is joined to it.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -89,19 +89,10 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), k.deadline)
 	defer cancel()
-	var body io.Reader
-	if k.method == http.MethodPost {
-		body = strings.NewReader("amount=" + s.id)
-	}
-	request, err := http.NewRequestWithContext(ctx, k.method, fmt.Sprintf("http://%s:%d%s", m.ip, c.fleet.outbound, k.target), body)
+	request, err := c.fleet.newRequest(ctx, m, k, s.id)
 	if err != nil {
 		panic(err)
 	}
-	// The client must not send a request again by itself.
-	request.GetBody = nil
-	request.Host = host
-	request.Header.Set("X-Request-Id", s.id)
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(k.deadline.Milliseconds(), 10))
 	c.fleet.record.add("%s sends %s %s %s (%s)", m.name, s.id, k.method, k.target, k.name)
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -118,6 +109,24 @@
 	c.fleet.record.add("%s gets %d, stamp %q", s.id, s.status, s.stamp)
 }
 
+// newRequest returns a request as a requester on a machine sends it.
+func (f *fleet) newRequest(ctx context.Context, m *machine, k kind, id string) (*http.Request, error) {
+	var body io.Reader
+	if k.method == http.MethodPost {
+		body = strings.NewReader("amount=" + id)
+	}
+	request, err := http.NewRequestWithContext(ctx, k.method, fmt.Sprintf("http://%s:%d%s", m.ip, f.outbound, k.target), body)
+	if err != nil {
+		return nil, err
+	}
+	// The client must not send a request again by itself.
+	request.GetBody = nil
+	request.Host = host
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(k.deadline.Milliseconds(), 10))
+	return request, nil
+}
+
 // finish waits for all answers and returns the requests.
 func (c *clients) finish() []*sent {
 	c.wait.Wait()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var plays = map[string]play{
 	"route-prefix":  playRoutePrefix,
 	"address-reuse": playAddressReuse,
+	"truncated":     playTruncated,
 }
 
 func main() {
@@ -33,7 +34,7 @@
 
 func playCase(args []string) int {
 	if len(args) != 3 || plays[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin route-prefix|address-reuse ROOT RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin route-prefix|address-reuse|truncated ROOT RECORD")
 		return exitFailed
 	}
 	rec, err := newRecord(args[2])
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -192,6 +192,10 @@
 		s.record.add("server %s (%s) has run %s, its answer is lost", s.id, s.service, id)
 		panic(http.ErrAbortHandler)
 	}
+	if r.RequestURI == longTarget {
+		s.answer(w, http.StatusOK, longBody(id))
+		return
+	}
 	s.answer(w, http.StatusOK, fmt.Sprintf("%s %s %s", s.service, r.RequestURI, body))
 }
 
@@ -199,6 +203,7 @@
 func (s *server) answer(w http.ResponseWriter, status int, body string) {
 	w.Header().Set("X-Server-Stamp", s.id+"."+newID(""))
 	w.Header().Set("X-Load-Report", fmt.Sprintf("%d,0,%d", len(s.slots), serverSlots))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body)
 }
