--- a/review/standin/routeprefix.go
+++ b/review/standin/routeprefix.go
@@ -64,6 +64,7 @@
 	pay := kind{"boost-pay", http.MethodPost, "/ads/boost", 5 * time.Second}
 	c.watchReady(ctx)
 	c.load(ctx, pay, 40)
+	c.load(ctx, kind{"browse-list", http.MethodGet, "/browse/2f", 4 * time.Second}, 30)
 	c.load(ctx, kind{"search-ads", http.MethodGet, "/search/2f", 1500 * time.Millisecond}, 10)
 	time.Sleep(12 * time.Second)
 	if trouble && os.Getenv("TROUBLE") != lostOnly {
