--- a/review/standin/addressreuse.go
+++ b/review/standin/addressreuse.go
@@ -12,7 +12,7 @@
 	// reuseMargin is how much later than ReuseAfterS another server gets the address.
 	reuseMargin = 100 * time.Millisecond
 	// firstEntry is how long after its start a server checks in first: within one heartbeat.
-	firstEntry = heartbeat / 2
+	firstEntry = heartbeat * 2 / 3
 	serverWork = 60 * time.Millisecond
 )
 
@@ -24,12 +24,12 @@
 }
 
 // playAddressReuse lets a server of vitrine crash and gives its address, after ReuseAfterS, to a
-// server of annonces; then the same with another one. The process beside it gets SIGTERM after its
-// server has ended: the first one a second later, the second one when the entry of its server is
-// gone. It is started again with the settings of the new server.
+// server of annonces; then the same with two others. The process beside it gets SIGTERM after its
+// server has ended, at the latest when the server's entry is gone. It is started again with the
+// settings of the new server.
 func playAddressReuse(f *fleet, trouble bool) (broken int, err error) {
 	f.store.Put("op/config", configPrefix("00000003", false))
-	for _, service := range []string{"vitrine", "vitrine", "annonces", "vitrine", "annonces", "vitrine"} {
+	for _, service := range []string{"vitrine", "vitrine", "annonces", "vitrine", "vitrine", "annonces", "vitrine", "vitrine"} {
 		if err := f.add(service, serverWork); err != nil {
 			return 0, err
 		}
@@ -48,13 +48,14 @@
 	c.load(ctx, browse, 40)
 	c.load(ctx, search, 15)
 	time.Sleep(12 * time.Second)
-	for _, r := range []replacement{{machine: 0, stopAfter: time.Second}, {machine: 3, stopAfter: 3 * heartbeat}} {
+	replacements := []replacement{{machine: 0, stopAfter: time.Second}, {machine: 4, stopAfter: 3 * heartbeat}, {machine: 6, stopAfter: 2 * heartbeat}}
+	for _, r := range replacements {
 		if trouble {
 			if err := f.replace(f.machines[r.machine], "annonces", r.stopAfter); err != nil {
 				return 0, err
 			}
 		}
-		time.Sleep(14 * time.Second)
+		time.Sleep(12 * time.Second)
 	}
 	cancel()
 	all := c.finish()
