Compare route prefixes with their slashes and paths as they were sent

Callers saw: payments (POST /ads/boost) ran twice and got 200 once a version added the safe route /ads/boost/ and servers lost answers.

Cause: the table of routes dropped the last slash of each prefix, so that /ads/boost/ also took the path /ads/boost, whose route is /ads/. The table was asked for the decoded path besides, so /ads/boost%2F17 was taken for a path below /ads/boost/ too, although servers get it encoded.

Change: package routing holds the table. It compares prefixes as written with the path as sent. A prefix without a last slash still matches whole segments.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -25,6 +25,7 @@
 	"slatewind.example/slatewind/once"
 	"slatewind.example/slatewind/outlier"
 	"slatewind.example/slatewind/policy"
+	"slatewind.example/slatewind/routing"
 )
 
 // Sizes of the target fleet.
@@ -259,7 +260,7 @@
 }
 
 func BenchmarkRoute(b *testing.B) {
-	table := config.NewRouteTable(routes())
+	table := routing.NewTable(routes())
 	b.Run("table", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
@@ -281,7 +282,7 @@
 
 func BenchmarkMemoryPerRoute(b *testing.B) {
 	all := routes()
-	bytesPer(b, "route", targetRoutes, func() any { return config.NewRouteTable(all) })
+	bytesPer(b, "route", targetRoutes, func() any { return routing.NewTable(all) })
 }
 
 func onceID(i int) once.ID {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -176,35 +176,6 @@
 	assert.Assert(t, !offer(0, 13, 1), "a file of an earlier era")
 }
 
-func TestRouteTable(t *testing.T) {
-	fleet, err := config.ParseFleet("file", []byte(`
-services:
-  - {name: s, slots: 1, servers: [{name: s-1, vm: v, address: "127.0.0.1:1"}]}
-routes:
-  - {name: root, path_prefix: /, service: s, kind: repeatable}
-  - {name: list, path_prefix: /listings, methods: [GET], service: s, kind: repeatable}
-  - {name: post, path_prefix: /listings, methods: [POST], service: s, kind: once}
-  - {name: own, host: shop.sn, path_prefix: /listings/own, service: s, kind: repeatable}
-`))
-	assert.NilError(t, err)
-	table := config.NewRouteTable(fleet.GetRoutes())
-	tests := map[string]struct{ host, method, path, route string }{
-		"root":              {"a", "GET", "/", "root"},
-		"whole segments":    {"a", "GET", "/listingsandmore", "root"},
-		"by method":         {"a", "POST", "/listings/7", "post"},
-		"method falls back": {"a", "DELETE", "/listings/7", "root"},
-		"trailing slash":    {"a", "GET", "/listings/", "list"},
-		"host first":        {"shop.sn", "POST", "/listings/own/7", "own"},
-		"host falls back":   {"shop.sn", "POST", "/listings/7", "post"},
-		"no path":           {"a", "OPTIONS", "*", ""},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, table.Find(tt.host, tt.method, tt.path).GetName(), tt.route)
-		})
-	}
-}
-
 // TestChunks checks that a file equals the concatenation of its chunks and that a change to one
 // service transfers only one chunk.
 func TestChunks(t *testing.T) {
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -9,6 +9,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/routing"
 	"slatewind.example/slatewind/workspace"
 )
 
@@ -58,7 +59,7 @@
 	// Owners holds, by service name, a digest of the names of its servers. Requests on once
 	// routes carry it, since the home of an idempotency key depends on these names.
 	Owners map[string]uint64
-	Routes *RouteTable
+	Routes *routing.Table
 	// Workspaces finds the workspace of the key in a request.
 	Workspaces *workspace.Directory
 	// ranks is the highest rank of a route plus 1.
@@ -85,7 +86,7 @@
 		Fleet:    fleet,
 		Services: map[string]*slatewindv1.Service{},
 		Owners:   map[string]uint64{},
-		Routes:   NewRouteTable(fleet.GetRoutes()),
+		Routes:   routing.NewTable(fleet.GetRoutes()),
 
 		Workspaces: workspace.NewDirectory(fleet),
 	}
@@ -108,70 +109,3 @@
 	sort.Strings(names)
 	return xxhash.Sum64String(strings.Join(names, "\n"))
 }
-
-// RouteTable finds the route of a request by host, longest path prefix of whole segments, and
-// method. A lookup costs at most two map accesses per segment of the path, independent of the
-// number of routes.
-type RouteTable struct {
-	hosts map[string]map[string][]*slatewindv1.Route
-}
-
-// NewRouteTable returns a table of routes, indexed by host and path prefix.
-func NewRouteTable(routes []*slatewindv1.Route) *RouteTable {
-	t := &RouteTable{hosts: map[string]map[string][]*slatewindv1.Route{}}
-	for _, route := range routes {
-		prefixes := t.hosts[route.GetHost()]
-		if prefixes == nil {
-			prefixes = map[string][]*slatewindv1.Route{}
-			t.hosts[route.GetHost()] = prefixes
-		}
-		prefix := strings.TrimSuffix(route.GetPathPrefix(), "/")
-		prefixes[prefix] = append(prefixes[prefix], route)
-	}
-	return t
-}
-
-// Find returns the route of a request, or nil if there is none. Routes for the request's host
-// take precedence over routes for any host.
-func (t *RouteTable) Find(host, method, path string) *slatewindv1.Route {
-	if route := findPrefix(t.hosts[host], method, path); route != nil {
-		return route
-	}
-	return findPrefix(t.hosts[""], method, path)
-}
-
-// findPrefix returns the route that accepts the method under the longest prefix of whole segments
-// of path, or nil if there is none.
-func findPrefix(prefixes map[string][]*slatewindv1.Route, method, path string) *slatewindv1.Route {
-	if len(prefixes) == 0 {
-		return nil
-	}
-	path = strings.TrimSuffix(path, "/")
-	for {
-		if route := findMethod(prefixes[path], method); route != nil {
-			return route
-		}
-		slash := strings.LastIndexByte(path, '/')
-		if slash < 0 {
-			return nil
-		}
-		path = path[:slash]
-	}
-}
-
-// findMethod returns the route for a method. A route that lists the method takes precedence over
-// one for any method.
-func findMethod(routes []*slatewindv1.Route, method string) *slatewindv1.Route {
-	var anyMethod *slatewindv1.Route
-	for _, route := range routes {
-		if len(route.GetMethods()) == 0 {
-			anyMethod = route
-		}
-		for _, m := range route.GetMethods() {
-			if m == method {
-				return route
-			}
-		}
-	}
-	return anyMethod
-}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -18,6 +18,7 @@
 	"slatewind.example/slatewind/once"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
+	"slatewind.example/slatewind/routing"
 )
 
 // Header fields between caller and ingress.
@@ -145,7 +146,7 @@
 	if snapshot == nil {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "no settings are in force yet"}
 	}
-	route := snapshot.Routes.Find(stripPort(r.Host), r.Method, r.URL.Path)
+	route := snapshot.Routes.Find(stripPort(r.Host), r.Method, routing.PathOf(r))
 	if route == nil {
 		return nil, &rejection{status: http.StatusNotFound, reason: fmt.Sprintf("no route for %s %s", r.Method, r.URL.Path)}
 	}
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -16,6 +16,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
+	"slatewind.example/slatewind/routing"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -162,7 +163,7 @@
 	if snapshot == nil {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "no settings are in force yet", retryAfter: noSettingsRetryAfter}
 	}
-	route := snapshot.Routes.Find(HostOf(r.Host), r.Method, r.URL.Path)
+	route := snapshot.Routes.Find(HostOf(r.Host), r.Method, routing.PathOf(r))
 	if route == nil {
 		return nil, &rejection{status: http.StatusNotFound, reason: fmt.Sprintf("no route for %s%s", r.Host, r.URL.Path)}
 	}
