Address requests to servers whose service an entry states

Callers saw: payments and listings of vitrine were run by a server of annonces that had got the address of a crashed server, and answered 200.

Cause: the process beside a server took the name in a 421, or in any entry that states the address, for that of its own server, whatever its service, and put that name into each request as that of the only server that may run it.

Ruled out: requests that other processes send to a server known to be of another service; the reservation names the service.

Change: package occupant keeps all entries that state an address and decides which server runs there. Beside a server only entries of its service name the server to address; a 421 of a server without such an entry ends new requests. The ingress keeps entries that are not in use, so that a late write of a server that ended no longer hides the live one. What a 421 states about slots, limit and end is not applied to this server. No message changes.

TestOccupantInAllOrders visits 101,000 states; its first run found that a late 421 held back a server that had come since, which is fixed here.

A server that starts again at its address under a new name waits for its entry.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -22,6 +22,7 @@
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/member"
+	"slatewind.example/slatewind/occupant"
 	"slatewind.example/slatewind/once"
 	"slatewind.example/slatewind/outlier"
 	"slatewind.example/slatewind/policy"
@@ -285,6 +286,20 @@
 	bytesPer(b, "route", targetRoutes, func() any { return routing.NewTable(all) })
 }
 
+func BenchmarkMemoryPerOccupant(b *testing.B) {
+	entries := make([]slatewind.ServerEntry, targetServers)
+	for i := range entries {
+		entries[i] = slatewind.ServerEntry{Name: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Created: 1}
+	}
+	bytesPer(b, "server", targetServers, func() any {
+		t := occupant.NewTable()
+		for _, entry := range entries {
+			t.Put(entry)
+		}
+		return t
+	})
+}
+
 func onceID(i int) once.ID {
 	return once.ID{Service: "kassa", Server: "kassa-1", Key: fmt.Sprintf("customer-17\n018bcfe5-67e1-7000-8000-%012d", i)}
 }
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -18,15 +18,19 @@
 	"slatewind.example/slatewind/backend"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/occupant"
 )
 
 // forwardAnswer forwards the server's answer to the sender.
 func (u *use) forwardAnswer(ctx context.Context, answer *backend.Answer) error {
+	if name := u.otherServer(answer); name != "" {
+		return u.misdirected(answer, name)
+	}
 	u.answered()
 	u.updateSlots(answer.Header.Get(u.in.server.Headers.Load))
 	u.recordStatements(answer)
-	if u.rejected(answer) || answer.StatusCode == http.StatusMisdirectedRequest {
-		return u.notExecuted(answer)
+	if u.rejected(answer) {
+		return u.notExecuted(answer, breaker.ResultShed, "the server rejected it with status "+strconv.Itoa(answer.StatusCode))
 	}
 	// If the server's answer is truncated while it is still buffered here, the request counts as
 	// failed: nothing of the answer has been sent yet.
@@ -58,7 +62,24 @@
 
 // rejected reports whether the server states that it did not execute the request.
 func (u *use) rejected(answer *backend.Answer) bool {
-	return answer.Header.Get(u.in.server.Headers.NotExecuted) != ""
+	return answer.Header.Get(u.in.server.Headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+}
+
+// otherServer returns the name of the server that answered if the request was addressed to another
+// one, or "".
+func (u *use) otherServer(answer *backend.Answer) string {
+	name := answer.Header.Get(u.in.server.Headers.Identity)
+	if answer.StatusCode != http.StatusMisdirectedRequest || name == u.expected {
+		return ""
+	}
+	return name
+}
+
+// misdirected ends a request that was answered by another server than the one that it was addressed to. What
+// that server states about itself says nothing about this one.
+func (u *use) misdirected(answer *backend.Answer, by string) error {
+	u.in.updateOccupant(time.Now(), func(o *occupant.Local) { o.Misdirected(u.expected, by) })
+	return u.notExecuted(answer, breaker.ResultNone, "it was addressed to server "+u.expected+", and server "+by+" rejected it")
 }
 
 // answered records that the server is running.
@@ -78,19 +99,8 @@
 // errTruncated ends a reply whose answer was truncated after its head had been sent.
 var errTruncated = Error.New("the answer broke off")
 
-// notExecuted ends a request that the server states it did not execute. Status 421 means that the
-// request was addressed to another server; the answer may then give the name of this one.
-func (u *use) notExecuted(answer *backend.Answer) error {
-	result := breaker.ResultShed
-	reason := "the server rejected it with status " + strconv.Itoa(answer.StatusCode)
-	if answer.StatusCode == http.StatusMisdirectedRequest {
-		result = breaker.ResultNone
-		u.in.mu.Lock()
-		if name := answer.Header.Get(u.in.server.Headers.Identity); name != "" {
-			u.in.setIdentity(time.Now(), name, 0)
-		}
-		u.in.mu.Unlock()
-	}
+// notExecuted ends a request that the server states it did not execute.
+func (u *use) notExecuted(answer *backend.Answer, result breaker.Result, reason string) error {
 	if u.in.clock.Now().After(u.expires) {
 		result = breaker.ResultNone
 	}
--- a/inbound/entry.go
+++ b/inbound/entry.go
@@ -4,28 +4,41 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/occupant"
 )
 
 // Published applies the entry of a server at this address, as published by the platform.
 func (in *Inbound) Published(now time.Time, entry *slatewind.ServerEntry) {
+	in.updateOccupant(now, func(o *occupant.Local) { o.Published(*entry) })
+}
+
+// Removed records that the entry of the named server was removed. The server counts as leaving from
+// then on.
+func (in *Inbound) Removed(now time.Time, name string) {
+	in.updateOccupant(now, func(o *occupant.Local) { o.Removed(name) })
+}
+
+// updateOccupant changes what is known of the server at the address and applies the change. It locks
+// in.mu.
+func (in *Inbound) updateOccupant(now time.Time, change func(o *occupant.Local)) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.published(now, entry)
+	before := in.occupant.State()
+	change(in.occupant)
+	after := in.occupant.State()
+	switch {
+	case before == after:
+	case after.Conflict != "":
+		in.startLeaving(now, after.Conflict)
+	case after.Entry == nil:
+		in.startLeaving(now, "its entry was removed")
+	default:
+		in.applyEntry(now, after.Entry)
+	}
 }
 
-// published is Published with in.mu held.
-func (in *Inbound) published(now time.Time, entry *slatewind.ServerEntry) {
-	if entry.Start < in.start && !in.entryRemoved {
-		if entry.Name != in.name {
-			in.olderEntry = entry
-		}
-		return
-	}
-	if entry.Service != in.server.Service && in.start != 0 {
-		in.startLeaving(now, "a server of service "+entry.Service+" is running at its address")
-		return
-	}
-	in.entryRemoved = false
+// applyEntry applies the entry of the server that is running here. in.mu must be held.
+func (in *Inbound) applyEntry(now time.Time, entry *slatewind.ServerEntry) {
 	in.setIdentity(now, entry.Name, entry.Start)
 	in.warmup.Stated(now, entry.Warming)
 	if in.evacuated && !entry.Evacuated {
@@ -51,27 +64,6 @@
 	in.deliver(in.slots.Advance(now))
 }
 
-// Removed records that the entry of the named server was removed. The server counts as leaving from
-// then on.
-func (in *Inbound) Removed(now time.Time, name string) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.olderEntry != nil && in.olderEntry.Name == name {
-		in.olderEntry = nil
-	}
-	if name != in.name {
-		return
-	}
-	in.entryRemoved = true
-	in.startLeaving(now, "its entry was removed")
-	if next := in.olderEntry; next != nil {
-		// The clocks of VMs differ, so this server may have started later in spite of its smaller
-		// start time.
-		in.olderEntry = nil
-		in.published(now, next)
-	}
-}
-
 // setIdentity records which start of which server is running here. State about the previous start
 // is discarded: the breaker, the slots held by its requests, the idle connections and what it stated
 // in its answers. in.mu must be held.
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -26,6 +26,7 @@
 	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/occupant"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
 	"slatewind.example/slatewind/serverlimit"
@@ -119,13 +120,10 @@
 	start int64
 	// evacuated reports that the server's data centre is evacuated.
 	evacuated bool
-	// entryRemoved reports that the server's entry was removed.
-	entryRemoved bool
-	// olderEntry is the entry of another server at the address whose start time is earlier, or
-	// nil.
-	olderEntry *slatewind.ServerEntry
-	slots      *admission.Server
-	breaker    *breaker.Breaker
+	// occupant decides which server is running at the address.
+	occupant *occupant.Local
+	slots    *admission.Server
+	breaker  *breaker.Breaker
 	// extras is the budget of extra attempts at the server.
 	extras *retry.Window
 	// bounds is the operators' limit; sharer is the server's position among the servers that
@@ -180,15 +178,16 @@
 func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table, bodies *bodylimit.Budget) *Inbound {
 	in := &Inbound{
 		server: server, bounds: bounds, journal: journal, suspects: suspects, bodies: bodies,
-		pool:    backend.NewPool(server.Address, server.Headers),
-		slots:   admission.NewServer(defaultSlots),
-		breaker: breaker.New(),
-		extras:  retry.NewWindow(time.Now(), noSlackRatioShare*bounds.RetryRatio, bounds.RetryWindow),
-		waiting: map[string]chan admission.Decision{},
-		parents: map[string]*parent{},
-		unread:  map[string]func() bool{},
-		warmup:  warmup.NewLimiter(time.Now()),
-		idle:    newIdleTime(time.Now()),
+		pool:     backend.NewPool(server.Address, server.Headers),
+		occupant: occupant.NewLocal(server.Service),
+		slots:    admission.NewServer(defaultSlots),
+		breaker:  breaker.New(),
+		extras:   retry.NewWindow(time.Now(), noSlackRatioShare*bounds.RetryRatio, bounds.RetryWindow),
+		waiting:  map[string]chan admission.Decision{},
+		parents:  map[string]*parent{},
+		unread:   map[string]func() bool{},
+		warmup:   warmup.NewLimiter(time.Now()),
+		idle:     newIdleTime(time.Now()),
 	}
 	in.ended, in.end = context.WithCancel(context.Background())
 	in.crashes = crash.New(in.pool.Probe, func() bool { return in.leaving() != "" })
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -35,6 +35,10 @@
 		u.release()
 		return u.refuseQuarantined(now, verdict)
 	}
+	if u.expected = u.in.expectedServer(request); u.expected == "" {
+		u.release()
+		return u.refuse(CauseLeaving, "no server is known here")
+	}
 	ctx, cancel := u.context(allowed)
 	defer cancel()
 	toServer := u.serverRequest(ctx, request, body, remaining)
@@ -112,9 +116,7 @@
 		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
 	}
 	header.Set(names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	if expected := u.in.expectedServer(from); expected != "" {
-		header.Set(names.Expect, expected)
-	}
+	header.Set(names.Expect, u.expected)
 	r := &http.Request{
 		Method: from.GetMethod(), URL: &url.URL{Opaque: from.GetTarget()}, Host: from.GetHost(), Header: header,
 		ContentLength: int64(len(body)),
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -169,7 +169,8 @@
 }
 
 // expectedServer returns the server name that a request is addressed to: the name known here,
-// which is more recent than the sender's, or the sender's if none is known.
+// which is more recent than the sender's, or the sender's if none is known. Both are from entries of
+// the request's service.
 func (in *Inbound) expectedServer(r *slatewindv1.SlotRequest) string {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/inbound/statements.go
+++ b/inbound/statements.go
@@ -14,7 +14,7 @@
 const statedLeavingReason = "its answers state it"
 
 // recordStatements records what the server states about itself in an answer. An answer with status
-// 421 comes from another server.
+// 421 may come from another server that does not state its name.
 func (u *use) recordStatements(answer *backend.Answer) {
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		return
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -35,6 +35,8 @@
 	// id is the caller's ID of the request, parent the state of its nested calls.
 	id     string
 	parent parent
+	// expected is the name of the server that the request is addressed to.
+	expected string
 	// body is the memory of the request's body.
 	body bodyLease
 	// paidUntil is the time until which the process beside another server has paid for this extra attempt.
--- a/outbound/outbound.go
+++ b/outbound/outbound.go
@@ -25,6 +25,7 @@
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/occupant"
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/timer"
 )
@@ -95,16 +96,12 @@
 	suspects *quarantine.Table
 	memory   Memory
 
-	// mu guards shards, servers, nameByAddress and superseded.
+	// mu guards shards and occupants.
 	mu sync.RWMutex
 	// shards holds the state of each service by its name.
 	shards map[string]*shard
-	// servers holds the known servers by name, nameByAddress the name of the server that runs
-	// at an address.
-	servers       map[string]knownServer
-	nameByAddress map[string]string
-	// superseded holds, by address, servers whose address is in use by a server that started later.
-	superseded map[string]slatewind.ServerEntry
+	// occupants holds the entries of all servers.
+	occupants *occupant.Table
 
 	// splitMu guards splits, which holds the splitters by route and settings version.
 	splitMu sync.Mutex
@@ -126,7 +123,7 @@
 	ended, end := context.WithCancel(context.Background())
 	return &Outbound{
 		self: self, headerNames: headerNames, store: store, journal: journal, links: links, calls: calls, meter: meter, reports: reports, limiter: limiter, suspects: suspects, memory: memory.withDefaults(), ended: ended, end: end,
-		shards: map[string]*shard{}, servers: map[string]knownServer{}, nameByAddress: map[string]string{}, superseded: map[string]slatewind.ServerEntry{}, splits: map[string]*splitter{},
+		shards: map[string]*shard{}, occupants: occupant.NewTable(), splits: map[string]*splitter{},
 	}
 }
 
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -192,16 +192,16 @@
 func (o *Outbound) ApplyReports(now time.Time, reports []*slatewindv1.ServerReport) {
 	for _, r := range reports {
 		o.mu.RLock()
-		server, known := o.servers[r.GetServer()]
+		server := o.occupants.InUse(r.GetServer())
 		o.mu.RUnlock()
-		if !known {
+		if server == nil {
 			continue
 		}
 		state := stateOf(r.GetState())
 		state.TrialIn = time.Duration(r.GetTrialInMs()) * time.Millisecond
 		state.TrialDue = state.Unhealthy && state.TrialIn == 0
 		id := slatewind.ServerID(r.GetServer(), r.GetStartUnixMillis())
-		o.shard(server.service).update(func(c *choice.Service) { c.Reported(now.Add(-report.Age(r)), id, state) })
+		o.shard(server.Service).update(func(c *choice.Service) { c.Reported(now.Add(-report.Age(r)), id, state) })
 	}
 }
 
--- a/outbound/servers.go
+++ b/outbound/servers.go
@@ -1,13 +1,13 @@
 package outbound
 
 import (
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/choice"
+	"slatewind.example/slatewind/occupant"
 	"slatewind.example/slatewind/retry"
 )
 
@@ -123,80 +123,38 @@
 	return sh
 }
 
-// knownServer is the service of a known server and the start that is known (see
-// slatewind.ServerEntry.Start).
-type knownServer struct {
-	service string
-	start   int64
-}
-
-// Put adds or updates a server. If its address belongs to a server that started later, the entry is
-// kept aside until that server is removed.
+// Put adds or updates a server. Of the servers whose entries state the same address only one is used
+// (package occupant).
 func (o *Outbound) Put(now time.Time, entry slatewind.ServerEntry) {
 	o.mu.Lock()
-	before, known := o.servers[entry.Name]
-	other, taken := o.nameByAddress[entry.Address]
-	taken = taken && other != entry.Name
-	if taken && o.servers[other].start > entry.Start {
-		o.mu.Unlock()
-		// A server that started later runs at this address. Since the clocks of VMs differ, this
-		// entry is kept and takes effect if the other one is removed.
-		o.Remove(entry.Name)
-		o.mu.Lock()
-		o.superseded[entry.Address] = entry
-		o.mu.Unlock()
-		return
-	}
-	o.servers[entry.Name] = knownServer{entry.Service, entry.Start}
-	o.nameByAddress[entry.Address] = entry.Name
+	change := o.occupants.Put(entry)
 	o.mu.Unlock()
-	if taken && !known {
-		// Only one server can run at an address: a new one there means that the older has ended.
-		o.Remove(other)
-	}
-	if known && before.service != entry.Service {
-		o.remove(before, entry.Name)
-	}
-	o.shard(entry.Service).update(func(c *choice.Service) { c.Put(now, entry) })
+	o.apply(now, change)
 }
 
-// Remove removes a server whose entry is gone. An entry that was kept aside because of it takes effect.
+// Remove removes a server whose entry is gone.
 func (o *Outbound) Remove(name string) {
 	o.mu.Lock()
-	server, known := o.servers[name]
-	delete(o.servers, name)
-	maps.DeleteFunc(o.superseded, func(_ string, entry slatewind.ServerEntry) bool { return entry.Name == name })
-	var next []slatewind.ServerEntry
-	for address, at := range o.nameByAddress {
-		if at != name {
-			continue
-		}
-		delete(o.nameByAddress, address)
-		if entry, waits := o.superseded[address]; waits {
-			delete(o.superseded, address)
-			next = append(next, entry)
-		}
-	}
+	change := o.occupants.Remove(name)
 	o.mu.Unlock()
-	if known {
-		o.remove(server, name)
-	}
-	for _, entry := range next {
-		o.Put(time.Now(), entry)
-	}
+	o.apply(time.Now(), change)
 }
 
-// remove removes a server from the selection of its service.
-func (o *Outbound) remove(from knownServer, name string) {
-	id := slatewind.ServerID(name, from.start)
-	o.shard(from.service).update(func(c *choice.Service) { c.Remove(id) })
+// apply applies a change of the servers in use to the selections of their services.
+func (o *Outbound) apply(now time.Time, change occupant.Change) {
+	for _, entry := range change.Ended {
+		o.shard(entry.Service).update(func(c *choice.Service) { c.Remove(entry.ID()) })
+	}
+	for _, entry := range change.Used {
+		o.shard(entry.Service).update(func(c *choice.Service) { c.Put(now, entry) })
+	}
 }
 
 // Servers returns the number of known servers.
 func (o *Outbound) Servers() int {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
-	return len(o.servers)
+	return o.occupants.Len()
 }
 
 // Addresses returns the addresses of the known servers of a service.
