Take an answer for complete only by its verified end

Callers saw: answers of 4 MB that ended after 1.1 MB like complete ones, with status 200 and the last chunk, where the caller read slowly and the server was beside its process.

Cause: io.EOF stood for the end of a complete answer and for that of the stream. The error of an incomplete answer wrapped that of the stream, and the code that forwards an answer asked only for io.EOF. The process beside the server ended the stream without an error where the request's time was over.

Ruled out: an unchecked length or checksum; a connection to the server that ends without an error.

Change: bodyReader says by a value of its own that an answer is complete; an early end is io.ErrUnexpectedEOF, also in link.ReadReply, where a reply of any length could end so. A stream whose answer was not sent completely ends with an error. A long answer keeps its stated length, and its last chunk is held back until its end is verified. A caller with HTTP/1.0 that knows no length gets a reset. Each of the two processes suffices beside an older one.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -54,7 +54,7 @@
 			result = breaker.ResultNone
 		}
 		u.endRun(result, "a long answer broke off")
-		return errors.Join(errTruncated, err)
+		return err
 	}
 	u.completed(answer.StatusCode)
 	return nil
@@ -96,7 +96,7 @@
 	u.in.suspects.Answered(time.Now(), u.digest())
 }
 
-// errTruncated ends a reply whose answer was truncated after its head had been sent.
+// errTruncated ends a reply whose answer was not sent completely.
 var errTruncated = Error.New("the answer broke off")
 
 // notExecuted ends a request that the server states it did not execute.
@@ -142,26 +142,23 @@
 }
 
 // sendAnswer sends the head, the chunks of the body and the end. The body consists of the
-// buffered part followed by rest, which may be nil. A truncated body is sent without an end, so
-// that the receiver detects it.
+// buffered part followed by rest, which may be nil. A truncated body is sent without an end, and the
+// error is errTruncated.
 func (u *use) sendAnswer(head *slatewindv1.AnswerHead, buffered []byte, rest io.Reader) error {
 	if err := u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Head{Head: head}}); err != nil {
-		return err
+		return errors.Join(errTruncated, err)
 	}
 	w := &chunkSender{use: u, sum: xxhash.New()}
-	for part := range slices.Chunk(buffered, link.ChunkBytes) {
-		if _, err := w.Write(part); err != nil {
-			return err
-		}
-	}
-	if rest != nil {
-		if _, err := io.CopyBuffer(w, onlyReader{rest}, make([]byte, link.ChunkBytes)); err != nil {
-			return err
-		}
+	if err := w.sendBody(buffered, rest); err != nil {
+		return errors.Join(errTruncated, err)
 	}
-	return u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_End{End: &slatewindv1.AnswerEnd{
+	err := u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_End{End: &slatewindv1.AnswerEnd{
 		Length: w.length, Checksum: w.sum.Sum64(), State: u.state(),
 	}}})
+	if err != nil {
+		return errors.Join(errTruncated, err)
+	}
+	return nil
 }
 
 // onlyReader hides WriteTo, so that io.CopyBuffer copies in chunks.
@@ -174,6 +171,20 @@
 	length int64
 }
 
+// sendBody sends the buffered part of a body and the rest of it, which may be nil.
+func (w *chunkSender) sendBody(buffered []byte, rest io.Reader) error {
+	for part := range slices.Chunk(buffered, link.ChunkBytes) {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	if rest == nil {
+		return nil
+	}
+	_, err := io.CopyBuffer(w, onlyReader{rest}, make([]byte, link.ChunkBytes))
+	return err
+}
+
 // Write implements io.Writer.
 func (w *chunkSender) Write(p []byte) (int, error) {
 	_, _ = w.sum.Write(p)
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -302,9 +302,10 @@
 	return ignoreDisconnect(stream.Context(), u.serve())
 }
 
-// ignoreDisconnect returns nil for errors that only result from the sender's disconnecting.
+// ignoreDisconnect returns nil for errors that only result from the sender's disconnecting. The stream of
+// a truncated answer must not end like that of a complete one.
 func ignoreDisconnect(ctx context.Context, err error) error {
-	if ctx.Err() != nil || errors.Is(err, io.EOF) {
+	if !errors.Is(err, errTruncated) && (ctx.Err() != nil || errors.Is(err, io.EOF)) {
 		return nil
 	}
 	return err
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -350,14 +350,8 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	}
 	w.WriteHeader(int(reply.Head.GetStatus()))
-	_, err := w.Write(reply.Body)
-	for err == nil && reply.Rest != nil {
-		var chunk []byte
-		if chunk, err = reply.Rest(); err == nil {
-			_, err = w.Write(chunk)
-		}
-	}
-	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyNotAllowed) {
+	err := writeBody(w, reply)
+	if err == nil || errors.Is(err, http.ErrBodyNotAllowed) {
 		return
 	}
 	in.journal.Add(slatewind.Decision{
@@ -367,6 +361,26 @@
 	panic(http.ErrAbortHandler)
 }
 
+// writeBody writes the body of a reply. It returns nil only if the reply was complete.
+func writeBody(w io.Writer, reply *link.Reply) error {
+	if _, err := w.Write(reply.Body); err != nil {
+		return err
+	}
+	for reply.Rest != nil {
+		chunk, err := reply.Rest()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkQuarantine refuses a request during which servers crashed. A request that
 // is proven to crash them gets status 400, so that its caller does not retry.
 // One that is only suspected gets status 503.
--- a/link/link.go
+++ b/link/link.go
@@ -103,7 +103,7 @@
 	// nil if the answer was too long to buffer.
 	Digest *slatewindv1.Digest
 	// Rest reads the chunks that follow Body if the answer was too long to buffer, and is
-	// nil otherwise. It returns io.EOF only after a complete answer.
+	// nil otherwise. After a complete answer, and only then, it returns io.EOF.
 	Rest func() ([]byte, error)
 }
 
@@ -283,7 +283,7 @@
 func (r *reader) next() ([]byte, error) {
 	part, err := r.receive()
 	if err != nil {
-		return nil, errs.Combine(ErrCorrupt, err)
+		return nil, errs.Combine(ErrCorrupt, EarlyEnd(err))
 	}
 	if end := part.GetEnd(); end != nil {
 		return nil, r.verify(end)
@@ -297,6 +297,15 @@
 	return chunk, nil
 }
 
+// EarlyEnd returns the error of a stream that ended before a message that had to follow. The end of a
+// stream shows nothing about its content, since a stream without an error ends with io.EOF too.
+func EarlyEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // verify checks the end of the reply and returns io.EOF if the reply is complete.
 func (r *reader) verify(end *slatewindv1.RunEnd) error {
 	if end.GetAttemptId() != r.attemptID {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -27,8 +27,16 @@
 }
 
 // TestReadReply: a reply is accepted only if it belongs to the attempt and is complete.
+// TestReadReply guards against a reply that ended early and is taken for a complete one, whether its stream ends with an
+// error or without one.
 func TestReadReply(t *testing.T) {
-	lost := errors.New("connection lost")
+	for name, lost := range map[string]error{"connection lost": errors.New("connection lost"), "stream ended": io.EOF} {
+		t.Run(name, func(t *testing.T) { testReadReply(t, lost) })
+	}
+}
+
+// testReadReply reads replies whose stream ends with the error lost.
+func testReadReply(t *testing.T, lost error) {
 	tests := map[string]struct {
 		parts []*slatewindv1.RunReply
 		body  string
@@ -73,11 +81,14 @@
 // if it is complete.
 func TestLongReplyIsCutShortVisibly(t *testing.T) {
 	long := string(make([]byte, link.MaxBufferedBytes+1))
-	for name, last := range map[string]*slatewindv1.RunReply{"whole": end("1", long+"abc"), "wrong": end("1", long+"ab")} {
+	for name, last := range map[string]*slatewindv1.RunReply{"whole": end("1", long+"abc"), "wrong": end("1", long+"ab"), "none": nil} {
 		t.Run(name, func(t *testing.T) {
 			parts := []*slatewindv1.RunReply{head("1"), chunk(long), chunk("abc"), last}
 			reply, err := link.ReadReply("1", func() (*slatewindv1.RunReply, error) {
 				part := parts[0]
+				if part == nil {
+					return nil, io.EOF
+				}
 				parts = parts[1:]
 				return part, nil
 			})
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -68,6 +68,8 @@
 	addresses map[string]string
 	// opened counts the reservations made.
 	opened int
+	// serve replaces the processes beside the servers if it is set.
+	serve func(link.UseStream) error
 }
 
 func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
@@ -93,6 +95,9 @@
 	defer m.mu.Unlock()
 	m.opened++
 	in := m.inbounds[server.Name]
+	if m.serve != nil {
+		return link.LocalUse(ctx, m.serve), nil
+	}
 	switch m.linkFaults[server.Name] {
 	case linkRefused:
 		return nil, errors.New("connection refused")
@@ -175,6 +180,12 @@
 
 func (m *mesh) add(t *testing.T, name, service string) {
 	server := standin.NewStamped(name, platform.Servers())
+	m.servers[name] = server
+	m.addServer(t, name, service, server)
+}
+
+// addServer adds a server with the given handler.
+func (m *mesh) addServer(t *testing.T, name, service string, server http.Handler) {
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	entry := slatewind.ServerEntry{Name: name, Service: service, Address: strings.TrimPrefix(web.URL, "http://"), DataCentre: "dc", Slots: 2}
@@ -183,7 +194,7 @@
 	t.Cleanup(in.Close)
 	in.Published(time.Now(), &entry)
 	m.mu.Lock()
-	m.servers[name], m.inbounds[name], m.addresses[name] = server, in, entry.Address
+	m.inbounds[name], m.addresses[name] = in, entry.Address
 	m.mu.Unlock()
 	m.Put(time.Now(), entry)
 }
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -134,32 +133,11 @@
 // for complete.
 func (o *Outbound) forwardAnswer(w http.ResponseWriter, rq *request, f requestResult) {
 	defer f.answer.close()
-	header := w.Header()
-	for _, h := range f.answer.head.GetHeaders() {
-		if !link.HopByHop[h.GetName()] {
-			header.Add(h.GetName(), h.GetValue())
-		}
-	}
-	if _, ok := header["Content-Type"]; !ok {
-		// Otherwise net/http would detect a content type.
-		header["Content-Type"] = nil
-	}
-	if f.answer.readRest == nil {
-		header.Set("Content-Length", strconv.Itoa(len(f.answer.body)))
-	}
+	f.answer.writeHeader(w.Header())
 	caller := o.newAnswerWriter(w, len(f.answer.body))
 	defer caller.close()
 	w.WriteHeader(int(f.answer.head.GetStatus()))
-	_, err := caller.Write(f.answer.body)
-	for err == nil && f.answer.readRest != nil {
-		var chunk []byte
-		if chunk, err = f.answer.readRest(); err == nil {
-			_, err = caller.Write(chunk)
-		}
-	}
-	if err == nil || errors.Is(err, io.EOF) {
-		err = caller.flush()
-	}
+	err := f.answer.writeBody(caller)
 	if err == nil || errors.Is(err, http.ErrBodyNotAllowed) {
 		return
 	}
@@ -167,7 +145,48 @@
 		Time: time.Now(), Kind: slatewind.DecisionUnknown, Service: rq.service, Server: f.server, Request: rq.id,
 		Reason: "the answer broke off while it was passed on: " + err.Error(),
 	})
-	if f.answer.readRest != nil {
-		panic(http.ErrAbortHandler)
+	if rq.oldCaller && w.Header().Get("Content-Length") == "" {
+		caller.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// writeHeader sets the header fields of the response. Its length is stated if it is known, so that the
+// caller notices a truncated body.
+func (a *answer) writeHeader(header http.Header) {
+	for _, h := range a.head.GetHeaders() {
+		switch {
+		case !link.HopByHop[h.GetName()]:
+			header.Add(h.GetName(), h.GetValue())
+		case h.GetName() == "Content-Length" && a.rest != nil:
+			header.Set(h.GetName(), h.GetValue())
+		}
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// Otherwise net/http would detect a content type.
+		header["Content-Type"] = nil
+	}
+	if a.rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+}
+
+// writeBody writes the body of the response. It returns nil only if the response was complete.
+func (a *answer) writeBody(caller *answerWriter) error {
+	if _, err := caller.Write(a.body); err != nil {
+		return err
+	}
+	for a.rest != nil {
+		chunk, done, err := a.rest.next()
+		if err != nil {
+			return err
+		}
+		if done {
+			break
+		}
+		if _, err := caller.Write(chunk); err != nil {
+			return err
+		}
 	}
+	return caller.flush()
 }
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -44,8 +44,11 @@
 	method   string
 	target   string
 	host     string
-	headers  []*slatewindv1.Header
-	body     []byte
+	// oldCaller reports that the caller uses HTTP/1.0, which has no chunks: the end of the connection
+	// is the end of a body whose length is not stated.
+	oldCaller bool
+	headers   []*slatewindv1.Header
+	body      []byte
 	// bodyLease is the memory of the body; nil if there is none.
 	bodyLease *bodylimit.Lease
 	// digest returns the digest of the request's content.
@@ -178,14 +181,15 @@
 		}
 	}
 	rq := &request{
-		id:       r.Header.Get(o.headerNames.RequestID),
-		snapshot: snapshot,
-		route:    route,
-		method:   r.Method,
-		target:   r.RequestURI,
-		host:     r.Host,
-		began:    now,
-		deadline: now.Add(o.timeout(r, route)),
+		id:        r.Header.Get(o.headerNames.RequestID),
+		snapshot:  snapshot,
+		route:     route,
+		method:    r.Method,
+		target:    r.RequestURI,
+		host:      r.Host,
+		oldCaller: !r.ProtoAtLeast(1, 1),
+		began:     now,
+		deadline:  now.Add(o.timeout(r, route)),
 
 		clock:     o.clock,
 		suspended: o.clock.Suspended(),
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/choice"
@@ -19,9 +16,8 @@
 type answer struct {
 	head *slatewindv1.AnswerHead
 	body []byte
-	// readRest reads the chunks after body if the response is too long to hold in memory; nil
-	// otherwise. It returns io.EOF only if the response was complete.
-	readRest func() ([]byte, error)
+	// rest reads the chunks after body if the response is too long to hold in memory; nil otherwise.
+	rest *bodyReader
 	// close ends the reservation and releases the resources of the request.
 	close func()
 }
@@ -35,7 +31,7 @@
 	opts.onSent(slot.server.Name)
 	began := time.Now()
 	r := o.run(rq, slot)
-	if r.answer != nil && r.answer.readRest == nil {
+	if r.answer != nil && r.answer.rest == nil {
 		o.suspects.Answered(time.Now(), rq.digest())
 	}
 	rq.shard.update(func(c *choice.Service) {
@@ -117,49 +113,27 @@
 	rq.shard.update(func(c *choice.Service) { c.Replied(time.Now(), slot.server.ID(), stateOf(state)) })
 }
 
-// errIncompleteAnswer means that a response ended early, or that its length or checksum does not
-// match.
-var errIncompleteAnswer = Error.New("the answer is truncated or corrupt")
-
 // read reads the response that follows a head. At most link.MaxBufferedBytes bytes and one chunk are held in
 // memory; the rest of a longer response is read as it is forwarded.
 func (o *Outbound) read(rq *request, slot *grantedSlot, head *slatewindv1.AnswerHead) attemptResult {
 	r := unknownResult(slot)
 	r.paidUntil = o.paidUntil(head.GetNextPaidMs())
-	sum := xxhash.New()
-	length := int64(0)
-	next := func() ([]byte, error) {
-		reply, err := slot.use.Recv()
-		if err != nil {
-			return nil, errors.Join(errIncompleteAnswer, err)
-		}
-		if end := reply.GetEnd(); end != nil {
-			if end.GetLength() != length || end.GetChecksum() != sum.Sum64() {
-				return nil, errIncompleteAnswer
-			}
-			o.recordState(rq, slot, end.GetState())
-			return nil, io.EOF
-		}
-		chunk := reply.GetChunk()
-		_, _ = sum.Write(chunk)
-		length += int64(len(chunk))
-		return chunk, nil
-	}
+	body := newBodyReader(slot.use, func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
 	a := &answer{head: head, close: slot.cancel}
 	for len(a.body) <= link.MaxBufferedBytes {
-		chunk, err := next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, errIncompleteAnswer) {
-			r.outcome, r.answer = slatewind.OutcomeAnswer, a
-			return r
-		}
+		chunk, done, err := body.next()
 		if err != nil {
 			slot.cancel()
 			r.reason = err.Error()
 			return r
 		}
+		if done {
+			r.outcome, r.answer = slatewind.OutcomeAnswer, a
+			return r
+		}
 		a.body = append(a.body, chunk...)
 	}
-	a.readRest = next
+	a.rest = body
 	r.outcome, r.answer = slatewind.OutcomeAnswer, a
 	return r
 }
