Carry header values and targets as bytes between processes

Callers saw: 502 for a request whose target or header has a byte that is not UTF-8, if its server is on another VM; also where the request has run and only the answer has such a byte.

Cause: these fields were strings of the messages, which must be UTF-8.

Ruled out: HTTP on either side; on one VM such requests pass.

Change: the three fields are bytes, which look the same on the wire.

--- a/inbound/body_test.go
+++ b/inbound/body_test.go
@@ -27,8 +27,8 @@
 	use, reply := p.reserve(t.Context(), r)
 	assert.Assert(t, reply.GetGranted() != nil, reply)
 	assert.NilError(t, use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-		RemainingNanos: int64(8 * time.Second), Server: "s-1", Method: "POST", Target: "/x", Host: "h",
-		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: "id"}}, Body: parts[0], BodyLength: stated,
+		RemainingNanos: int64(8 * time.Second), Server: "s-1", Method: "POST", Target: []byte("/x"), Host: "h",
+		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: []byte("id")}}, Body: parts[0], BodyLength: stated,
 	}}}))
 	for _, part := range parts[1:] {
 		time.Sleep(pause)
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -144,8 +144,8 @@
 // request sends the request that uses a granted slot and returns the reply.
 func request(use link.Use, id string) (*slatewindv1.UseReply, error) {
 	err := use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-		RemainingNanos: int64(2 * time.Second), Server: "s-1", Method: "POST", Target: "/x", Host: "h",
-		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: id}}, Body: []byte("b"), BodyLength: 1,
+		RemainingNanos: int64(2 * time.Second), Server: "s-1", Method: "POST", Target: []byte("/x"), Host: "h",
+		Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: []byte(id)}}, Body: []byte("b"), BodyLength: 1,
 	}}})
 	if err != nil {
 		return nil, err
--- a/inbound/quarantine.go
+++ b/inbound/quarantine.go
@@ -17,7 +17,7 @@
 // request is queued or its body is being read.
 func (u *use) quarantined(now time.Time, request *slatewindv1.SlotRequest, body []byte) quarantine.Verdict {
 	u.digest = sync.OnceValue(quarantine.Content{
-		Workspace: u.reservation.GetWorkspace(), Method: request.GetMethod(), Host: request.GetHost(), Target: request.GetTarget(), Body: body,
+		Workspace: u.reservation.GetWorkspace(), Method: request.GetMethod(), Host: request.GetHost(), Target: string(request.GetTarget()), Body: body,
 	}.Digest)
 	verdict := u.in.suspects.Begin(now, u.digest, u.in.turn())
 	u.trial = verdict.Trial
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -113,12 +113,12 @@
 	names := u.in.server.Headers
 	header := http.Header{"User-Agent": {""}}
 	for _, h := range from.GetHeaders() {
-		header[h.GetName()] = append(header[h.GetName()], h.GetValue())
+		header[h.GetName()] = append(header[h.GetName()], string(h.GetValue()))
 	}
 	header.Set(names.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	header.Set(names.Expect, u.expected)
 	r := &http.Request{
-		Method: from.GetMethod(), URL: &url.URL{Opaque: from.GetTarget()}, Host: from.GetHost(), Header: header,
+		Method: from.GetMethod(), URL: &url.URL{Opaque: string(from.GetTarget())}, Host: from.GetHost(), Header: header,
 		ContentLength: int64(len(body)),
 	}
 	if len(body) > 0 {
--- a/inbound/suspended_test.go
+++ b/inbound/suspended_test.go
@@ -46,7 +46,7 @@
 			assert.Assert(t, reply.GetGranted() != nil)
 			suspended = test.suspended
 			assert.NilError(t, use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{
-				Request: &slatewindv1.SlotRequest{RemainingNanos: int64(5 * time.Second), Method: "GET", Target: "/", Host: "h"},
+				Request: &slatewindv1.SlotRequest{RemainingNanos: int64(5 * time.Second), Method: "GET", Target: []byte("/"), Host: "h"},
 			}}))
 			reply, err = use.Recv()
 			assert.NilError(t, err)
--- a/inbound/truncated_test.go
+++ b/inbound/truncated_test.go
@@ -101,8 +101,8 @@
 			r := &replies{ctx: ctx, request: []*slatewindv1.UseRequest{
 				{Part: &slatewindv1.UseRequest_Reservation{Reservation: long}},
 				{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-					RemainingNanos: int64(700 * time.Millisecond), Server: "s-1", Method: "GET", Target: "/x", Host: "h",
-					Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: "id"}},
+					RemainingNanos: int64(700 * time.Millisecond), Server: "s-1", Method: "GET", Target: []byte("/x"), Host: "h",
+					Headers: []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: []byte("id")}},
 				}}},
 			}}
 			test.prepare(p, r, cancel)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -163,7 +163,7 @@
 		Priority:       rq.route.GetPriority(),
 		Customer:       rq.customer,
 		Method:         rq.method,
-		Target:         rq.target,
+		Target:         []byte(rq.target),
 		Host:           rq.host,
 		Headers:        rq.headers,
 		Body:           rq.body,
--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -185,7 +185,7 @@
 	c.mu.Lock()
 	for _, h := range request.GetHeaders() {
 		if h.GetName() == headerCaller {
-			c.runs[h.GetValue()]++
+			c.runs[string(h.GetValue())]++
 		}
 	}
 	c.mu.Unlock()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -63,7 +63,7 @@
 func (f *fakeLinks) header(name string) string {
 	for _, h := range f.last.GetHeaders() {
 		if h.GetName() == name {
-			return h.GetValue()
+			return string(h.GetValue())
 		}
 	}
 	return ""
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -171,7 +171,7 @@
 	}
 	if sender != nil {
 		rq.customer = sender.GetName()
-		rq.headers = append(rq.headers, &slatewindv1.Header{Name: HeaderWorkspace, Value: sender.GetName()})
+		rq.headers = append(rq.headers, &slatewindv1.Header{Name: HeaderWorkspace, Value: []byte(sender.GetName())})
 	}
 	if rq.shard == nil {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "the service of the route is not set up yet"}
@@ -339,7 +339,7 @@
 	defer f.reply.done()
 	for _, h := range reply.Head.GetHeaders() {
 		if !link.HopByHop[h.GetName()] {
-			w.Header().Add(h.GetName(), h.GetValue())
+			w.Header().Add(h.GetName(), string(h.GetValue()))
 		}
 	}
 	w.Header().Set(HeaderServer, f.server)
--- a/link/headers.go
+++ b/link/headers.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		for _, value := range values {
-			fields = append(fields, &slatewindv1.Header{Name: name, Value: value})
+			fields = append(fields, &slatewindv1.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return fields
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -68,8 +68,9 @@
 	addresses map[string]string
 	// opened counts the reservations made.
 	opened int
-	// serve replaces the processes beside the servers if it is set.
+	// serve replaces the processes beside the servers if it is set, open the connections to them.
 	serve func(link.UseStream) error
+	open  func(ctx context.Context, in *inbound.Inbound) (link.Use, error)
 }
 
 func (m *mesh) Request(string, slatewind.Outcome, time.Duration) {}
@@ -98,6 +99,9 @@
 	if m.serve != nil {
 		return link.LocalUse(ctx, m.serve), nil
 	}
+	if m.open != nil {
+		return m.open(ctx, in)
+	}
 	switch m.linkFaults[server.Name] {
 	case linkRefused:
 		return nil, errors.New("connection refused")
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -157,9 +157,9 @@
 	for _, h := range a.head.GetHeaders() {
 		switch {
 		case !link.HopByHop[h.GetName()]:
-			header.Add(h.GetName(), h.GetValue())
+			header.Add(h.GetName(), string(h.GetValue()))
 		case h.GetName() == "Content-Length" && a.rest != nil:
-			header.Set(h.GetName(), h.GetValue())
+			header.Set(h.GetName(), string(h.GetValue()))
 		}
 	}
 	if _, ok := header["Content-Type"]; !ok {
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -243,9 +243,9 @@
 // without the fields that the fleet sets itself.
 func (o *Outbound) headers(r *http.Request, sender *slatewindv1.Workspace) []*slatewindv1.Header {
 	headers := link.ForwardedHeaders(r.Header, o.headerNames.CallerService, o.headerNames.Deadline, o.headerNames.Key, o.headerNames.Workspace)
-	headers = append(headers, &slatewindv1.Header{Name: o.headerNames.CallerService, Value: o.self.Service})
+	headers = append(headers, &slatewindv1.Header{Name: o.headerNames.CallerService, Value: []byte(o.self.Service)})
 	if sender != nil {
-		headers = append(headers, &slatewindv1.Header{Name: o.headerNames.Workspace, Value: sender.GetName()})
+		headers = append(headers, &slatewindv1.Header{Name: o.headerNames.Workspace, Value: []byte(sender.GetName())})
 	}
 	return headers
 }
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -94,7 +94,7 @@
 func (rq *request) send(slot *grantedSlot) error {
 	first := rq.body[:min(len(rq.body), link.ChunkBytes)]
 	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
-		RemainingNanos: int64(rq.remaining(time.Now())), Server: slot.server.Name, Method: rq.method, Target: rq.target, Host: rq.host,
+		RemainingNanos: int64(rq.remaining(time.Now())), Server: slot.server.Name, Method: rq.method, Target: []byte(rq.target), Host: rq.host,
 		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
 	}}})
 	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
--- a/outbound/truncated_test.go
+++ b/outbound/truncated_test.go
@@ -50,9 +50,9 @@
 		if _, err := s.Recv(); err != nil {
 			return err
 		}
-		headers := []*slatewindv1.Header{{Name: platform.Servers().Stamp, Value: "stamp"}}
+		headers := []*slatewindv1.Header{{Name: platform.Servers().Stamp, Value: []byte("stamp")}}
 		if stated {
-			headers = append(headers, &slatewindv1.Header{Name: "Content-Length", Value: strconv.Itoa(len(body))})
+			headers = append(headers, &slatewindv1.Header{Name: "Content-Length", Value: []byte(strconv.Itoa(len(body)))})
 		}
 		head := &slatewindv1.UseReply{Part: &slatewindv1.UseReply_Head{Head: &slatewindv1.AnswerHead{Status: 200, Headers: headers}}}
 		if err := s.Send(head); err != nil {
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -130,12 +130,12 @@
 }
 
 func newServerRequest(ctx context.Context, address string, request *slatewindv1.RunRequest) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, request.GetMethod(), "http://"+address+request.GetTarget(), nil)
+	r, err := http.NewRequestWithContext(ctx, request.GetMethod(), "http://"+address+string(request.GetTarget()), nil)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	for _, h := range request.GetHeaders() {
-		r.Header.Add(h.GetName(), h.GetValue())
+		r.Header.Add(h.GetName(), string(h.GetValue()))
 	}
 	r.Host = request.GetHost()
 	r.Header.Set(HeaderAttempt, request.GetAttemptId())
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -14,7 +14,7 @@
 // recognised.
 func contentOf(request *slatewindv1.RunRequest) quarantine.Content {
 	return quarantine.Content{
-		Workspace: request.GetCustomer(), Method: request.GetMethod(), Host: request.GetHost(), Target: request.GetTarget(), Body: request.GetBody(),
+		Workspace: request.GetCustomer(), Method: request.GetMethod(), Host: request.GetHost(), Target: string(request.GetTarget()), Body: request.GetBody(),
 	}
 }
 
--- a/sidecar/quarantine_test.go
+++ b/sidecar/quarantine_test.go
@@ -19,7 +19,7 @@
 func TestRequestThatEndsServers(t *testing.T) {
 	deadly := func(f *fixture, key string) *slatewindv1.RunRequest {
 		r := f.request(key, slatewind.ClaimFirst)
-		r.Target = "/deadly"
+		r.Target = []byte("/deadly")
 		return r
 	}
 	tests := map[string]func(n int) string{
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -404,7 +404,7 @@
 func apiHeaders(headers []slatewind.Header) []*slatewindv1.Header {
 	list := make([]*slatewindv1.Header, len(headers))
 	for i, h := range headers {
-		list[i] = &slatewindv1.Header{Name: h.Name, Value: h.Value}
+		list[i] = &slatewindv1.Header{Name: h.Name, Value: []byte(h.Value)}
 	}
 	return list
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -78,10 +78,10 @@
 	f.next++
 	r := &slatewindv1.RunRequest{
 		AttemptId: fmt.Sprint("attempt-", f.next), Incarnation: incarnation, RemainingNanos: int64(5 * time.Second),
-		Service: "kassa", Server: "s", Route: "price", Method: http.MethodPost, Target: "/payments", Host: "kassa",
+		Service: "kassa", Server: "s", Route: "price", Method: http.MethodPost, Target: []byte("/payments"), Host: "kassa",
 	}
 	if key != "" {
-		r.Headers = []*slatewindv1.Header{{Name: "Idempotency-Key", Value: key}}
+		r.Headers = []*slatewindv1.Header{{Name: "Idempotency-Key", Value: []byte(key)}}
 		r.Once = &slatewindv1.Once{
 			Key: key, Fingerprint: 1, Claim: string(claim), Home: true, Owners: f.store.Current().Owners["kassa"],
 		}
@@ -153,7 +153,7 @@
 			f := newFixture(t, 5, nil)
 			f.server.SetFault(tt.fault, 1)
 			r := f.request("", "")
-			r.Headers = []*slatewindv1.Header{{Name: standin.HeaderNonce, Value: "own"}, {Name: standin.HeaderPad, Value: fmt.Sprint(tt.pad)}}
+			r.Headers = []*slatewindv1.Header{{Name: standin.HeaderNonce, Value: []byte("own")}, {Name: standin.HeaderPad, Value: []byte(fmt.Sprint(tt.pad))}}
 			reply, err := f.run(r)
 			if err == nil {
 				assert.Equal(t, slatewind.Outcome(reply.Head.GetOutcome()), orAnswer(tt.outcome))
