Soak: reused addresses, long answers and paths beside a longer route

Three faults of a review had no run of the soak that could show them.

TestReuse lets servers crash and gives their addresses to servers of the same or another service, with entries that expire, come and are written late. TestLong lets callers read long answers slowly. Single requests of all runs go also to paths that equal the prefix of a repeatable route without its slash.

--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -207,6 +207,35 @@
 		part:    soak.PartUnread,
 		edits:   []overlay.Edit{{File: "bodylimit/answers.go", From: "a.bytes > a.capacity && oldest != added", To: "false && oldest != added"}},
 	},
+	"a prefix takes the path without its last slash": {
+		promise: soak.PromiseAtMostOnce,
+		part:    soak.PartStorm,
+		fault:   standin.StampedLost,
+		edits: []overlay.Edit{{
+			File: "routing/routing.go",
+			From: "	if route := findMethod(prefixes[path], method); route != nil {",
+			To:   "	if route := findMethod(prefixes[path+\"/\"], method); route != nil {",
+		}},
+	},
+	"any server at the address is taken for the service's own": {
+		promise: soak.PromiseReuse,
+		part:    soak.PartReuse,
+		edits: []overlay.Edit{
+			{File: "occupant/local.go", From: "	if entry.Service != l.service {", To: "	if false {"},
+		},
+	},
+	"the end of a stream is taken for that of the answer": {
+		promise: soak.PromiseOwnAnswer,
+		part:    soak.PartLong,
+		edits: []overlay.Edit{
+			{
+				File: "outbound/bodyreader.go",
+				From: "		return errors.Join(errIncompleteAnswer, link.EarlyEnd(err))",
+				To:   "		if r.length > link.MaxBufferedBytes {\n\t\t\tr.verified = true\n\t\t\treturn nil\n\t\t}\n\t\treturn errors.Join(errIncompleteAnswer, link.EarlyEnd(err))",
+			},
+			{File: "outbound/reply.go", From: "case h.GetName() == \"Content-Length\" && a.rest != nil:", To: "case false:"},
+		},
+	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
@@ -261,7 +290,7 @@
 // the flag soak.whole is set.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
 	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly,
-		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread)
+		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread, soak.PartReuse, soak.PartLong)
 	if *whole {
 		return o
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -72,7 +72,7 @@
 	for ctx.Err() == nil {
 		kind, path := slatewind.KindRepeatable, repeatablePath
 		if random.Float64() < singleShare {
-			kind, path = slatewind.KindSingle, singlePath
+			kind, path = slatewind.KindSingle, pick(random, singlePaths...)
 		}
 		id := fmt.Sprintf("%016x", random.Uint64())
 		s := sentRequest{ID: id, Kind: kind, Node: n.number, At: time.Now()}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -143,8 +143,10 @@
 func (f *fleet) runs() map[string]int {
 	runs := map[string]int{}
 	for _, n := range f.nodes {
-		for id, times := range n.server.Runs() {
-			runs[id] += times
+		for _, o := range n.allOccupants() {
+			for id, times := range o.Runs() {
+				runs[id] += times
+			}
 		}
 	}
 	return runs
--- a/soak/node.go
+++ b/soak/node.go
@@ -29,8 +29,14 @@
 	// starts counts the starts of the process.
 	starts atomic.Int64
 
+	// mu guards the fields below.
 	mu      sync.Mutex
 	process *process
+	// occupant is the server that runs at the node's address, nil if none does; occupants holds all that
+	// have run there. service is the service of the newest.
+	occupant  *occupant
+	occupants []*occupant
+	service   string
 }
 
 // current returns the process that runs or was the last to run.
@@ -45,6 +51,7 @@
 func (f *fleet) newNode(i int) (*node, error) {
 	n := &node{number: i, server: standin.NewStamped(serverName(i), platform.Servers())}
 	n.server.SetDelay(serviceTime)
+	n.occupy(&occupant{n.server, serverName(i), service})
 	err := f.serve(n)
 	if err == nil {
 		err = f.startProxies(n)
@@ -58,7 +65,7 @@
 
 // serve starts the listener of a node's server.
 func (f *fleet) serve(n *node) error {
-	crasher, err := standin.NewCrasher(f.address(linkBase, n.number, portServer), f.recordArrivals(n.number, n.server), isDeadly, serverDowntime)
+	crasher, err := standin.NewCrasher(f.address(linkBase, n.number, portServer), f.recordArrivals(n), isDeadly, serverDowntime)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -82,11 +89,11 @@
 const serverNameFormat = "server-%d"
 
 // recordArrivals records each request before passing it on to the server.
-func (f *fleet) recordArrivals(i int, server http.Handler) http.Handler {
+func (f *fleet) recordArrivals(n *node) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.record.addHeaderBreaches(r.Header.Get(platform.Servers().RequestID), r.Header)
-		f.record.addArrival(arrival{ID: r.Header.Get(platform.Servers().RequestID), Server: i, At: time.Now()})
-		server.ServeHTTP(w, r)
+		f.record.addArrival(arrival{ID: r.Header.Get(platform.Servers().RequestID), Server: n.number, At: time.Now()})
+		f.serveRequest(n, w, r)
 	})
 }
 
@@ -121,7 +128,7 @@
 // the node yet.
 func (f *fleet) launch(n *node) error {
 	file := f.settingsFile(n)
-	if err := os.WriteFile(file, []byte(f.processSettings(n.number)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(f.processSettings(n.number, n.service)), 0o600); err != nil {
 		return Error.Wrap(err)
 	}
 	p, err := startProcess(f.options.Program, file, filepath.Join(f.dir, fmt.Sprintf("node-%d.log", n.number)))
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -12,7 +12,7 @@
 	"slatewind.example/slatewind/platform"
 )
 
-// service is the only service of a fleet, in one data centre unless dataCentreOf says otherwise; host is the host that its callers
+// service is the service of a fleet's servers, the only one unless addresses are reused, in one data centre unless dataCentreOf says otherwise; host is the host that its callers
 // request.
 const (
 	service    = "till"
@@ -24,8 +24,13 @@
 const (
 	singlePath     = "/pay/"
 	repeatablePath = "/look/"
+	// repeatableBelow lies below singlePath. The paths of singlePaths do not begin with it.
+	repeatableBelow = singlePath + "refund/"
 )
 
+// singlePaths are the paths of single requests.
+var singlePaths = []string{singlePath, singlePath + "refund", singlePath + "refund%2F1"}
+
 const (
 	// serverSlots is the number of requests that a server takes at once.
 	serverSlots = 4
@@ -72,15 +77,19 @@
 	routes := []*slatewindv1.Route{
 		newRoute(singlePath, slatewind.KindSingle),
 		newRoute(repeatablePath, slatewind.KindRepeatable),
+		newRoute(repeatableBelow, slatewind.KindRepeatable),
 	}
 	for v := uint64(1); v <= version; v++ {
 		routes = append(routes, newRoute(versionPath(v), slatewind.KindRepeatable))
 	}
 	return slatewind.PublishedSettings{Version: version, Fleet: &slatewindv1.Fleet{
-		Services: []*slatewindv1.Service{{Name: service}}, Routes: routes,
+		Services: []*slatewindv1.Service{newService(service)}, Routes: routes,
 	}}
 }
 
+// newService returns a service without limits.
+func newService(name string) *slatewindv1.Service { return &slatewindv1.Service{Name: name} }
+
 // versionPath returns the path prefix of the route that a version of the settings adds.
 func versionPath(version uint64) string { return fmt.Sprintf("/version-%d/", version) }
 
@@ -93,8 +102,9 @@
 	}
 }
 
-// processSettings returns the content of the settings file of a node's process.
-func (f *fleet) processSettings(i int) string {
+// processSettings returns the content of the settings file of a node's process, beside a server of a
+// service.
+func (f *fleet) processSettings(i int, service string) string {
 	return fmt.Sprintf(`vm: vm-%d
 data_centre: %s
 ingress_address: %q
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -64,6 +64,10 @@
 	PartUploads Part = "uploads"
 	// PartUnread: callers do not read their answers.
 	PartUnread Part = "unread answers"
+	// PartReuse: the addresses of servers that crashed go to other servers.
+	PartReuse Part = "reused addresses"
+	// PartLong: callers read long answers slowly, and their time ends meanwhile.
+	PartLong Part = "long answers"
 )
 
 // Options configure a run.
@@ -157,6 +161,8 @@
 		{PartStatements, func() error { return f.checkStatements(ctx, random) }},
 		{PartUploads, func() error { return f.checkUploads(ctx) }},
 		{PartUnread, func() error { return f.checkUnread(ctx) }},
+		{PartReuse, func() error { return f.checkReuse(ctx, random) }},
+		{PartLong, func() error { return f.checkLong(ctx, random) }},
 	}
 	for _, part := range parts {
 		if !f.includes(part.name) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,6 +113,18 @@
 	runSeeds(t, soak.PartUnread)
 }
 
+// TestReuse lets servers crash and gives their addresses to others, also of another service.
+func TestReuse(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartReuse)
+}
+
+// TestLong lets callers read long answers slowly.
+func TestLong(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartLong)
+}
+
 // TestSilentPeers makes connections between processes drop everything until they are closed.
 func TestSilentPeers(t *testing.T) {
 	t.Parallel()
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -105,7 +105,7 @@
 // changeSettings changes a key that can be reloaded in a process's settings file and sends
 // SIGHUP.
 func (f *fleet) changeSettings(n *node, p *process) {
-	text := f.processSettings(n.number) + "log_level: debug\n"
+	text := f.processSettings(n.number, service) + "log_level: debug\n"
 	if err := os.WriteFile(f.settingsFile(n), []byte(text), 0o600); err != nil {
 		f.record.addFailure(Error.Wrap(err))
 		return
--- a/soak/verify.go
+++ b/soak/verify.go
@@ -58,6 +58,9 @@
 	PromiseUpload Promise = "uploads are served"
 	// PromiseUnread: unread answers stay within their bound, and other callers are served.
 	PromiseUnread Promise = "bound on unread answers"
+	// PromiseReuse: requests run only at servers of their service, and every server that runs at the address of
+	// an earlier one gets requests.
+	PromiseReuse Promise = "servers at reused addresses"
 	// PromiseBudget: the fleet as a whole keeps to the budget of extra arrivals.
 	PromiseBudget Promise = "budget of extra arrivals"
 )
--- a/soak/warmup.go
+++ b/soak/warmup.go
@@ -69,12 +69,15 @@
 }
 
 // press sends single requests to a process without a pause until ctx ends.
-func (f *fleet) press(ctx context.Context, n *node) {
+func (f *fleet) press(ctx context.Context, n *node) { f.pressPath(ctx, n, singlePath) }
+
+// pressPath is press with requests to a path of single requests.
+func (f *fleet) pressPath(ctx context.Context, n *node, path string) {
 	client := newCaller()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		s := sentRequest{ID: newID(), Kind: slatewind.KindSingle, Node: n.number, At: time.Now()}
-		s.Status, s.Own = f.send(client, n.number, singlePath, s.ID)
+		s.Status, s.Own = f.send(client, n.number, path, s.ID)
 		s.Ended = time.Now()
 		f.record.addSent(s)
 	}
