Soak: let long answers come from the server beside the process too

Servers in runs with long answers are at the addresses of their processes, two of them stay, and half of the requests are repeatable.

--- a/soak/bodies.go
+++ b/soak/bodies.go
@@ -17,6 +17,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admin"
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/platform"
 )
 
@@ -70,12 +71,18 @@
 	return nil
 }
 
-// publishUploads publishes settings with the route for uploads.
-func (f *fleet) publishUploads() {
+// publishUploads publishes settings with the route for uploads, and one of the same time for each path prefix of
+// repeatable requests.
+func (f *fleet) publishUploads(repeatable ...string) {
 	settings := settingsOf(f.version.Add(1))
-	route := newRoute(uploadPath, slatewind.KindSingle)
-	route.Timeout, route.Objective = durationpb.New(uploadTimeout), durationpb.New(uploadTimeout/2)
-	settings.Fleet.Routes = append(settings.Fleet.Routes, route)
+	routes := []*slatewindv1.Route{newRoute(uploadPath, slatewind.KindSingle)}
+	for _, prefix := range repeatable {
+		routes = append(routes, newRoute(prefix, slatewind.KindRepeatable))
+	}
+	for _, route := range routes {
+		route.Timeout, route.Objective = durationpb.New(uploadTimeout), durationpb.New(uploadTimeout/2)
+	}
+	settings.Fleet.Routes = append(settings.Fleet.Routes, routes...)
 	f.store.Put(platform.ConfigKey, encode(settings, nil))
 }
 
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -287,11 +287,12 @@
 }
 
 // options returns the options of a run of a broken build. It ends at the first breach, unless
-// the flag soak.whole is set.
+// the flag soak.whole is set. Long answers have runs of their own, whose processes do not reach each
+// other through proxies.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
 	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly,
-		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread, soak.PartReuse, soak.PartLong)
-	if *whole {
+		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread, soak.PartReuse)
+	if *whole && b.part != soak.PartLong {
 		return o
 	}
 	o.StopOn, o.Parts = b.promise, []soak.Part{b.part}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -114,6 +114,16 @@
 	return fmt.Sprintf("%s.%d:%d", f.network, base+i, port)
 }
 
+// serverAddress returns the address of the server of node i. Processes reach the process beside a server at the
+// server's IP address, and take the server for their own if it is their own address. In runs with long answers it is, so
+// that answers also pass without a connection between processes; otherwise it is that of the proxy.
+func (f *fleet) serverAddress(i int) string {
+	if f.includes(PartLong) {
+		return f.address(ownBase, i, portServer)
+	}
+	return f.address(linkBase, i, portServer)
+}
+
 // start starts the nodes and waits until all processes are ready.
 func (f *fleet) start(ctx context.Context) error {
 	f.publish()
--- a/soak/longanswers.go
+++ b/soak/longanswers.go
@@ -18,9 +18,13 @@
 )
 
 const (
-	// longTime is how long callers ask for long answers; longCallers of each process do.
+	// longPath is the path prefix of repeatable requests with long answers. Single ones go to uploadPath.
+	longPath = "/read/"
+	// longTime is how long callers ask for long answers. longCallers of each of the longNodes first processes
+	// do, the only ones whose servers do not leave.
 	longTime    = 10 * time.Second
-	longCallers = 2
+	longCallers = 4
+	longNodes   = 2
 	// minLongBytes and maxLongBytes bound the length of these answers. A process passes on what is longer than
 	// 1 MiB while it arrives.
 	minLongBytes = 900 << 10
@@ -42,18 +46,21 @@
 	if err := f.awaitReady(ctx); err != nil {
 		return err
 	}
-	f.publishUploads()
+	f.publishUploads(longPath)
 	sleep(ctx, settingsTimeout)
+	for _, n := range f.nodes[longNodes:] {
+		f.leave(ctx, n.number)
+	}
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
 	var work sync.WaitGroup
-	for _, n := range f.nodes {
+	for _, n := range f.nodes[:longNodes] {
 		for i := range longCallers {
 			own := rand.New(rand.NewPCG(random.Uint64(), uint64(i)))
 			work.Go(func() { f.readLongAnswers(sending, n, own) })
 		}
 	}
-	cutting := f.randomNode(random)
+	cutting := f.nodes[random.IntN(longNodes)]
 	cutting.server.SetMode(standin.StampedCut)
 	f.disturbProcesses(ctx, random, longTime)
 	cutting.server.SetMode(standin.StampedOK)
@@ -67,8 +74,9 @@
 	for ctx.Err() == nil {
 		id := fmt.Sprintf("%016x", random.Uint64())
 		body := strings.Repeat("l", minLongBytes+random.IntN(maxLongBytes-minLongBytes))
-		got, complete := f.readLongAnswer(n, random, id, body)
-		if complete && !strings.HasSuffix(got, " "+uploadPath+" "+body) {
+		path := pick(random, uploadPath, longPath)
+		got, complete := f.readLongAnswer(n, random, path, id, body)
+		if complete && !strings.HasSuffix(got, " "+path+" "+body) {
 			f.record.addBreach(PromiseOwnAnswer, "answer to %s at node %d appears complete with %d bytes, its body has %d", id, n.number, len(got), len(body))
 		}
 	}
@@ -76,7 +84,7 @@
 
 // readLongAnswer sends a request whose answer repeats its body, and reads the answer slowly. complete reports that
 // it has status 200 and appears complete.
-func (f *fleet) readLongAnswer(n *node, random *rand.Rand, id, body string) (got string, complete bool) {
+func (f *fleet) readLongAnswer(n *node, random *rand.Rand, path, id, body string) (got string, complete bool) {
 	conn, err := net.DialTimeout("tcp", f.address(ownBase, n.number, portCallers), connectTimeout)
 	if err != nil {
 		sleep(context.Background(), disturbTime)
@@ -87,7 +95,7 @@
 	names := platform.Callers()
 	deadline := time.Duration(random.Int64N(int64(maxLongDeadline)))
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		uploadPath, host, names.RequestID, id, names.Deadline, max(deadline.Milliseconds(), 1), len(body), body)
+		path, host, names.RequestID, id, names.Deadline, max(deadline.Milliseconds(), 1), len(body), body)
 	if err != nil {
 		return "", false
 	}
--- a/soak/node.go
+++ b/soak/node.go
@@ -65,7 +65,7 @@
 
 // serve starts the listener of a node's server.
 func (f *fleet) serve(n *node) error {
-	crasher, err := standin.NewCrasher(f.address(linkBase, n.number, portServer), f.recordArrivals(n), isDeadly, serverDowntime)
+	crasher, err := standin.NewCrasher(f.serverAddress(n.number), f.recordArrivals(n), isDeadly, serverDowntime)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/soak/reuse.go
+++ b/soak/reuse.go
@@ -171,7 +171,7 @@
 // putOccupant writes the entry of a server of a node.
 func (f *fleet) putOccupant(n *node, o *occupant) {
 	value, err := platform.EncodeServer(slatewind.ServerEntry{
-		Service: o.service, Address: f.address(linkBase, n.number, portServer), DataCentre: f.dataCentreOf(n.number), Slots: serverSlots,
+		Service: o.service, Address: f.serverAddress(n.number), DataCentre: f.dataCentreOf(n.number), Slots: serverSlots,
 	})
 	if err != nil {
 		panic(err) // Only a bug in this package causes an error.
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -43,7 +43,7 @@
 // putEntry writes the entry of a server to the store, as the server itself does.
 func (f *fleet) putEntry(i int, leaving bool) {
 	value, err := platform.EncodeServer(slatewind.ServerEntry{
-		Service: service, Address: f.address(linkBase, i, portServer),
+		Service: service, Address: f.serverAddress(i),
 		DataCentre: f.dataCentreOf(i), Slots: serverSlots, Leaving: leaving,
 	})
 	if err != nil {
@@ -120,7 +120,7 @@
 		i, f.dataCentreOf(i),
 		f.address(ownBase, i, portCallers), f.address(ownBase, i, portReady),
 		f.address(ownBase, i, portPeers), f.address(ownBase, i, portAdmin),
-		service, f.address(linkBase, i, portServer), f.address(storeBase, i, portStore),
+		service, f.serverAddress(i), f.address(storeBase, i, portStore),
 		graceTime, budgetRatio, budgetWindow, budgetSlack, answerLimit,
 		f.address(linkBase, 0, portPeers), f.address(linkBase, 1, portPeers))
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,7 +66,8 @@
 	PartUnread Part = "unread answers"
 	// PartReuse: the addresses of servers that crashed go to other servers.
 	PartReuse Part = "reused addresses"
-	// PartLong: callers read long answers slowly, and their time ends meanwhile.
+	// PartLong: callers read long answers slowly, and their time ends meanwhile. Links between processes have no
+	// faults in a run that includes it.
 	PartLong Part = "long answers"
 )
 
