Look for the server's name before a request is entered as running

A request that names no server was refused only after it had been entered in the table of requests that may have ended servers, where nothing took it out again. Read in the diff; TestNoServerIsKnown covers the refusal. No deployment whose servers have entries comes there. sendAnswer marks a truncated answer in one place.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -141,24 +141,34 @@
 	return breaker.ResultError
 }
 
-// sendAnswer sends the head, the chunks of the body and the end. The body consists of the
-// buffered part followed by rest, which may be nil. A truncated body is sent without an end, and the
-// error is errTruncated.
+// sendAnswer sends an answer. The body consists of the buffered part followed by rest, which may be
+// nil. A truncated answer is sent without an end, and the error is errTruncated.
 func (u *use) sendAnswer(head *slatewindv1.AnswerHead, buffered []byte, rest io.Reader) error {
-	if err := u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Head{Head: head}}); err != nil {
+	if err := u.sendParts(head, buffered, rest); err != nil {
 		return errors.Join(errTruncated, err)
 	}
+	return nil
+}
+
+// sendParts sends the head, the chunks of the body and the end of an answer.
+func (u *use) sendParts(head *slatewindv1.AnswerHead, buffered []byte, rest io.Reader) error {
+	if err := u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Head{Head: head}}); err != nil {
+		return err
+	}
 	w := &chunkSender{use: u, sum: xxhash.New()}
-	if err := w.sendBody(buffered, rest); err != nil {
-		return errors.Join(errTruncated, err)
+	for part := range slices.Chunk(buffered, link.ChunkBytes) {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
 	}
-	err := u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_End{End: &slatewindv1.AnswerEnd{
+	if rest != nil {
+		if _, err := io.CopyBuffer(w, onlyReader{rest}, make([]byte, link.ChunkBytes)); err != nil {
+			return err
+		}
+	}
+	return u.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_End{End: &slatewindv1.AnswerEnd{
 		Length: w.length, Checksum: w.sum.Sum64(), State: u.state(),
 	}}})
-	if err != nil {
-		return errors.Join(errTruncated, err)
-	}
-	return nil
 }
 
 // onlyReader hides WriteTo, so that io.CopyBuffer copies in chunks.
@@ -171,20 +181,6 @@
 	length int64
 }
 
-// sendBody sends the buffered part of a body and the rest of it, which may be nil.
-func (w *chunkSender) sendBody(buffered []byte, rest io.Reader) error {
-	for part := range slices.Chunk(buffered, link.ChunkBytes) {
-		if _, err := w.Write(part); err != nil {
-			return err
-		}
-	}
-	if rest == nil {
-		return nil
-	}
-	_, err := io.CopyBuffer(w, onlyReader{rest}, make([]byte, link.ChunkBytes))
-	return err
-}
-
 // Write implements io.Writer.
 func (w *chunkSender) Write(p []byte) (int, error) {
 	_, _ = w.sum.Write(p)
--- a/inbound/reuse_test.go
+++ b/inbound/reuse_test.go
@@ -3,18 +3,22 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/quarantine"
+	"slatewind.example/slatewind/warmup"
 )
 
 // TestAddressReusedByAnotherService guards against requests that are run by a server of another service
@@ -117,3 +121,24 @@
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots, DataCentre: "dc"})
 	assert.Equal(t, p.View().Leaving, "", "the server has written its entry anew")
 }
+
+// TestNoServerIsKnown guards against a request that any server at the address would run, since it names none.
+func TestNoServerIsKnown(t *testing.T) {
+	server := standin.NewStamped("s-1", platform.Servers())
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	p := &fixture{Inbound: inbound.New(inbound.Server{Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Headers: platform.Servers()},
+		bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))}
+	p.SetWarmup(warmup.Limits{})
+	t.Cleanup(p.Close)
+	use, reply := p.reserve(t.Context(), reservation())
+	assert.Assert(t, reply.GetGranted() != nil)
+	assert.NilError(t, use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
+		RemainingNanos: int64(time.Second), Method: "GET", Target: []byte("/x"), Host: "h",
+	}}}))
+	reply, err := use.Recv()
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetRefusal().GetCause(), string(inbound.CauseLeaving))
+	assert.Equal(t, server.Arrivals(), 0)
+	assert.Equal(t, p.InUse(), 0)
+}
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -17,7 +17,7 @@
 )
 
 // run sends the request to the server and forwards the answer. It refuses the request if the server
-// is leaving, the deadline has passed or the request is quarantined.
+// is leaving or not known, the deadline has passed or the request is quarantined.
 func (u *use) run(request *slatewindv1.SlotRequest, body []byte) error {
 	// The server may have started to leave since the slot was granted.
 	if why := u.in.leaving(); why != "" {
@@ -31,14 +31,14 @@
 		u.release()
 		return u.refuse(CauseLate, "the deadline of the request passed before it was sent to the server")
 	}
-	if verdict := u.quarantined(now, request, body); verdict.Refused {
-		u.release()
-		return u.refuseQuarantined(now, verdict)
-	}
 	if u.expected = u.in.expectedServer(request); u.expected == "" {
 		u.release()
 		return u.refuse(CauseLeaving, "no server is known here")
 	}
+	if verdict := u.quarantined(now, request, body); verdict.Refused {
+		u.release()
+		return u.refuseQuarantined(now, verdict)
+	}
 	ctx, cancel := u.context(allowed)
 	defer cancel()
 	toServer := u.serverRequest(ctx, request, body, remaining)
