--- a/outbound/run.go
+++ b/outbound/run.go
@@ -113,7 +113,7 @@
 	rq.shard.update(func(c *choice.Service) { c.Replied(time.Now(), slot.server.ID(), stateOf(state)) })
 }
 
-// read reads the response that follows a head. At most link.MaxBufferedBytes bytes and one chunk are held in
+// read reads the response that follows a head. At most link.MaxBufferedBytes bytes and two chunks are held in
 // memory; the rest of a longer response is read as it is forwarded.
 func (o *Outbound) read(rq *request, slot *grantedSlot, head *slatewindv1.AnswerHead) attemptResult {
 	r := unknownResult(slot)
