Log why a process ends and what it used; show memory and descriptors against their limits

Reports of processes that ended by themselves could not be told apart: no line named the signal, the error of a start, or the memory and descriptors in use, and net/http, gRPC and OpenTelemetry wrote lines of their own to standard error, without a bound and blocking while nobody reads it.

The last line of a process that ends by itself is msg="process ends"; a killed one has none, a crashed one a stack. limits.memory_mib and limits.descriptors state the limits; the state dump (usage) and six gauges show the use.

No limit is enforced yet.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -18,15 +18,18 @@
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/sidecar"
+	"slatewind.example/slatewind/usage"
 )
 
 // State is the state dump of a process.
 type State struct {
-	VM          string         `json:"vm"`
-	DataCentre  string         `json:"data_centre"`
-	Version     string         `json:"program_version"`
-	Time        time.Time      `json:"time"`
-	Settings    Settings       `json:"settings"`
+	VM         string    `json:"vm"`
+	DataCentre string    `json:"data_centre"`
+	Version    string    `json:"program_version"`
+	Time       time.Time `json:"time"`
+	Settings   Settings  `json:"settings"`
+	// Usage is what the process uses of its limited resources.
+	Usage       usage.Usage    `json:"usage"`
 	PlatformAge string         `json:"platform_seen_ago"`
 	Reader      bool           `json:"reads_platform"`
 	Ingress     ingress.View   `json:"ingress"`
--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -15,6 +15,7 @@
 
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/daemon"
+	"slatewind.example/slatewind/usage"
 )
 
 // Exit codes.
@@ -72,22 +73,26 @@
 	lines := daemon.NewLogWriter(ctx, os.Stdout)
 	defer lines.Wait()
 	defer cancel()
-	if err := serve(fx.New(daemon.Options(o.Settings, process, daemon.NewLogger(lines, o.Verbose)))); err != nil {
+	logger := daemon.NewLogger(lines, o.Verbose)
+	daemon.RedirectLibraryLogs(logger)
+	end := daemon.End{Status: exitOK}
+	if end.Signal, err = serve(fx.New(daemon.Options(o.Settings, process, logger))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
+		end.Status, end.Err = exitFailure, err
 	}
-	return exitOK
+	end.Log(logger, usage.LimitsOf(process))
+	return end.Status
 }
 
-// serve runs the process until it receives a stop signal and then drains it.
-func serve(app *fx.App) error {
+// serve runs the process until it receives a stop signal, which it returns, and then drains it.
+func serve(app *fx.App) (received os.Signal, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
-		return err
+		return nil, err
 	}
-	<-app.Wait()
+	received = (<-app.Wait()).Signal
 	stopping, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
-	return app.Stop(stopping)
+	return received, app.Stop(stopping)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"slatewind.example/slatewind/replay"
 	"slatewind.example/slatewind/sidecar"
 	"slatewind.example/slatewind/timer"
+	"slatewind.example/slatewind/usage"
 )
 
 // Version is the program's version. Releases set it at link time.
@@ -85,7 +86,7 @@
 		fx.StopTimeout(StopTimeout+stopMargin),
 		fx.Supply(file, process, logger),
 		fx.Provide(
-			metrics.New,
+			newMetrics,
 			func(j *history.Journal) *config.Store { return config.NewStore(j) },
 			timer.New,
 			newPool,
@@ -93,6 +94,16 @@
 	)
 }
 
+// newMetrics returns the metrics of a process, including what it uses of its limits.
+func newMetrics(process *slatewindv1.Process) (*metrics.Metrics, error) {
+	limits := usage.LimitsOf(process)
+	m, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
+	return m, m.ObserveUsage(func() usage.Usage { return usage.Read(limits) })
+}
+
 // perRequestKinds are the kinds of decision that are made once or more per request. They are
 // logged at debug level only.
 var perRequestKinds = map[slatewind.DecisionKind]bool{
@@ -116,6 +127,7 @@
 // from the operators' settings. It is the ingress for callers and the sidecar of its VM's servers.
 type Process struct {
 	settings *slatewindv1.Process
+	limits   usage.Limits
 	file     *reload.File
 	logger   *log.Logger
 	metrics  *metrics.Metrics
@@ -141,19 +153,19 @@
 
 func newProcess(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
 	incarnation := attempt.NewIncarnation(time.Now())
-	limits := process.GetLimits()
-	p := &Process{settings: process, logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
+	records := process.GetLimits()
+	p := &Process{settings: process, limits: usage.LimitsOf(process), logger: logger, metrics: m, journal: j, store: store, timers: timers, pool: pool}
 	p.file = reload.New(file.path, process, reloadableProcessKeys, reloadSink{file, logger, p.reload})
 	p.servers = sidecar.NewHTTPCaller()
-	p.recorder = replay.NewRecorder(process.GetVm(), int(limits.GetRecordedEvents()))
+	p.recorder = replay.NewRecorder(process.GetVm(), int(records.GetRecordedEvents()))
 	p.gossip = gossip.New(member.Entry{
 		VM: process.GetVm(), DataCentre: process.GetDataCentre(), PeerAddress: process.GetPeerAddress(), Incarnation: incarnation,
 	}, process.GetSeedPeers(), store, j, pool)
 	p.suspects = p.newSuspects()
 	p.sidecar = sidecar.New(process.GetVm(), incarnation, sidecar.Limits{
-		OnceRecords:     int(limits.GetOnceRecords()),
-		OnceAnswerBytes: int(limits.GetOnceAnswerBytes()),
-		Attempts:        int(limits.GetTombstones()),
+		OnceRecords:     int(records.GetOnceRecords()),
+		OnceAnswerBytes: int(records.GetOnceAnswerBytes()),
+		Attempts:        int(records.GetTombstones()),
 	}, store, j, p.servers, p.suspects)
 	links := &localLinks{pool: pool, ownAddress: process.GetPeerAddress(), sidecar: p.sidecar}
 	p.limiter = ratelimit.New(time.Now(), process.GetPeerAddress(), processPeers{pool}, limitsOf(store))
@@ -291,6 +303,7 @@
 		Version:     Version,
 		Time:        now,
 		Settings:    p.settingsInForce(),
+		Usage:       usage.Read(p.limits),
 		PlatformAge: p.gossip.PlatformAge(now).Round(time.Millisecond).String(),
 		Reader:      p.gossip.MayRead(now),
 		Ingress:     p.ingress.View(now),
--- /dev/null
+++ b/daemon/ends_test.go
@@ -0,0 +1,34 @@
+package daemon_test
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// awaitLog waits until the log of the process contains a text.
+func (p *nodeProcess) awaitLog(text string) {
+	p.t.Helper()
+	for deadline := time.Now().Add(eventTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if strings.Contains(p.log.String(), text) {
+			return
+		}
+	}
+	p.t.Fatalf("no line with %q in the log:\n%s", text, p.log)
+}
+
+// TestEndIsLogged checks that a process that ends by itself logs why, and what it used.
+func TestEndIsLogged(t *testing.T) {
+	p := newNodeProcess(t)
+	p.writeSettings(p.settingsText() + fmt.Sprintf("limits: {memory_mib: %d}\n", nodeMemory>>20))
+	p.start(nil)
+	p.awaitReady()
+	assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, p.awaitEnd(), "exit status 0")
+	p.awaitLog(`msg="process ends" status=0 signal=terminated cause=stopped memory=`)
+	p.awaitLog(fmt.Sprintf("memory_limit=%d descriptors=", nodeMemory))
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -26,6 +26,7 @@
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
 	"slatewind.example/slatewind/timer"
+	"slatewind.example/slatewind/usage"
 )
 
 // Node is a slatewindd beside one server that the platform's store lists. It is the
@@ -34,6 +35,7 @@
 	// settings are those that the node started with. For the keys of reloadableNodeKeys,
 	// reloadable has the values in force.
 	settings        *slatewindv1.Process
+	limits          usage.Limits
 	reloadable      atomic.Pointer[slatewindv1.Process]
 	file            *reload.File
 	logger          *log.Logger
@@ -178,7 +180,7 @@
 	out, in, known := n.outbound.View(now), n.inbound.View(), n.watcher.Revision()
 	return admin.State{
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
-		Settings: settingsInForce(n.settings.GetVm(), n.store), Reader: n.source.IsReader(), Outbound: &out, Inbound: &in, Known: &known,
+		Settings: settingsInForce(n.settings.GetVm(), n.store), Usage: usage.Read(n.limits), Reader: n.source.IsReader(), Outbound: &out, Inbound: &in, Known: &known,
 		Limits: n.limiter.Uses(now), Suspects: n.suspects.Views(now),
 		Evacuated: n.evacuations.Evacuated().DataCentres,
 	}
--- a/metrics/documented_test.go
+++ b/metrics/documented_test.go
@@ -15,6 +15,7 @@
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
+	"slatewind.example/slatewind/usage"
 )
 
 var (
@@ -38,6 +39,7 @@
 	m.Dropped("shop", "late")
 	m.Decision(slatewind.DecisionRefuse)
 	m.PlatformCall("servers", errors.New("unreachable"))
+	assert.NilError(t, m.ObserveUsage(func() usage.Usage { return usage.Read(usage.Limits{}) }))
 	answer := httptest.NewRecorder()
 	m.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	return answer.Body.String()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -18,6 +18,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/outbound"
+	"slatewind.example/slatewind/usage"
 )
 
 // Error is the class of errors of this package.
@@ -26,6 +27,7 @@
 // Metrics holds the instruments of one process.
 type Metrics struct {
 	handler   http.Handler
+	meter     metric.Meter
 	requests  metric.Int64Counter
 	duration  metric.Float64Histogram
 	extras    metric.Int64Counter
@@ -47,7 +49,7 @@
 		return nil, Error.Wrap(err)
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("slatewind")
-	m := &Metrics{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	m := &Metrics{meter: meter, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
 	var group errs.Group
 	counter := func(name, description string) metric.Int64Counter {
 		c, err := meter.Int64Counter(name, metric.WithDescription(description))
@@ -134,3 +136,47 @@
 	}
 	m.platform.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
 }
+
+// ObserveUsage exports what the process uses of its limited resources. read is called at each scrape.
+func (m *Metrics) ObserveUsage(read func() usage.Usage) error {
+	var group errs.Group
+	newGauge := func(name, description string, value func(usage.Usage) int64) gauge {
+		instrument, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description))
+		group.Add(err)
+		return gauge{instrument, value}
+	}
+	gauges := []gauge{
+		newGauge("slatewind.memory", "Memory that the runtime holds, in bytes.", func(u usage.Usage) int64 { return u.MemoryBytes }),
+		newGauge("slatewind.peak_memory", "Largest resident memory since the start, in bytes.", func(u usage.Usage) int64 { return u.PeakBytes }),
+		newGauge("slatewind.memory_limit", "Memory that the process may use, in bytes; 0 if not known.", func(u usage.Usage) int64 { return u.MemoryLimitBytes }),
+		newGauge("slatewind.descriptors", "Open file descriptors.", func(u usage.Usage) int64 { return int64(u.Descriptors) }),
+		newGauge("slatewind.descriptor_limit", "File descriptors that the process may use.", func(u usage.Usage) int64 { return int64(u.DescriptorLimit) }),
+		newGauge("slatewind.goroutines", "Goroutines.", func(u usage.Usage) int64 { return int64(u.Goroutines) }),
+	}
+	if err := group.Err(); err != nil {
+		return Error.Wrap(err)
+	}
+	observe := func(_ context.Context, o metric.Observer) error {
+		used := read()
+		for _, g := range gauges {
+			o.ObserveInt64(g.instrument, g.value(used))
+		}
+		return nil
+	}
+	_, err := m.meter.RegisterCallback(observe, instruments(gauges)...)
+	return Error.Wrap(err)
+}
+
+// gauge is an instrument with the part of the usage that it shows.
+type gauge struct {
+	instrument metric.Int64ObservableGauge
+	value      func(usage.Usage) int64
+}
+
+func instruments(gauges []gauge) []metric.Observable {
+	list := make([]metric.Observable, len(gauges))
+	for i, g := range gauges {
+		list[i] = g.instrument
+	}
+	return list
+}
