Do not end with SIGPIPE when the reader of the log has gone

Operators saw: processes behind one log collector end with "signal: broken pipe" at the moment it stops, all together, and again after each start.

Cause: the Go runtime ends a process that gets EPIPE on descriptor 1 or 2 unless SIGPIPE is handled. LogWriter bounds a slow reader; a reader that has closed the pipe was not thought of. Class: something from outside that ends a process.

Ruled out: sockets, on which EPIPE is an ordinary error of the write.

Change: SIGPIPE is caught from the start of the process; the writes fail and the lines are lost, as there is nobody to read them.

TestClosedLog failed before: the process was gone with the first line.

--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -33,15 +33,15 @@
 }
 
 func main() {
-	ignoreSIGHUP()
+	catchSignals()
 	os.Exit(run())
 }
 
-// ignoreSIGHUP keeps SIGHUP, which makes a running process reload its settings, from
-// terminating the process while no reload handler is registered: before the settings
-// are first read, and at the end of a stop.
-func ignoreSIGHUP() {
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+// catchSignals keeps signals that must not terminate a process from doing so. SIGHUP makes a running process reload
+// its settings; no reload handler is registered before the settings are first read, and at the end of a
+// stop. SIGPIPE follows a write to standard output or standard error after their reader has closed them.
+func catchSignals() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP, syscall.SIGPIPE)
 }
 
 func run() int {
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -32,3 +35,25 @@
 	p.awaitLog(`msg="process ends" status=0 signal=terminated cause=stopped memory=`)
 	p.awaitLog(fmt.Sprintf("memory_limit=%d descriptors=", nodeMemory))
 }
+
+// TestClosedLog checks that a process goes on, and stops in order, after the reader of its log has closed it.
+func TestClosedLog(t *testing.T) {
+	p := newNodeProcess(t)
+	p.serve(http.HandlerFunc(answerStamped))
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	p.start(func(command *exec.Cmd) { command.Stdout, command.Stderr = writer, writer })
+	assert.NilError(t, writer.Close())
+	p.awaitReady()
+	assert.NilError(t, reader.Close())
+	for range 10 {
+		// A request without a route leaves a line in the log.
+		status, _ := p.get("/none/")
+		assert.Equal(t, status, http.StatusNotFound)
+	}
+	time.Sleep(100 * time.Millisecond)
+	status, _ := p.get("/look/x")
+	assert.Equal(t, status, http.StatusOK)
+	assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, p.awaitEnd(), "exit status 0")
+}
--- a/daemon/nodeprocess_test.go
+++ b/daemon/nodeprocess_test.go
@@ -253,3 +253,15 @@
 	}
 	return 0
 }
+
+// answerStamped answers as a server does, with the length of the request's body.
+func answerStamped(w http.ResponseWriter, r *http.Request) {
+	length, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		return
+	}
+	names := platform.Servers()
+	w.Header().Set(names.Stamp, "stamp")
+	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+	_, _ = fmt.Fprint(w, length)
+}
