Take signals to stop from the start of a process to its exit

Operators saw: exit by "signal: terminated" instead of status 0 for a process that is told to stop within its first milliseconds, or a second time while its stop ends; and a start that takes over 15 s, or a stop whose grace time is over 65 s, ended by time limits of fx with status 3.

Cause: fx registers its handler late in the start and removes it before the process exits. Class: signals in a phase that nobody had in view, and watchdogs of our own. Ruled out: the stop itself; it had ended in order.

Change: main takes SIGTERM and SIGINT from its first line and never gives them back. A signal during the start cancels it. Start and stop have no time limit of their own; Node bounds its stop by the schedule, Process by StopTimeout.

TestStopDuringStart and TestRepeatedStop failed before (signal: terminated at 0 ms; in the first ten repeated stops). A signal before main runs still ends the process: the runtime has no hook there. The broken build "a stop does not end" hangs at the same place as before; its text has moved.

--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -33,18 +33,21 @@
 }
 
 func main() {
-	catchSignals()
-	os.Exit(run())
+	os.Exit(run(catchSignals()))
 }
 
-// catchSignals keeps signals that must not terminate a process from doing so. SIGHUP makes a running process reload
-// its settings; no reload handler is registered before the settings are first read, and at the end of a
-// stop. SIGPIPE follows a write to standard output or standard error after their reader has closed them.
-func catchSignals() {
+// catchSignals keeps signals from terminating the process from its start to its exit, and returns the channel of
+// those that ask it to stop. SIGHUP makes a running process reload its settings; no reload handler is registered
+// before the settings are first read, and at the end of a stop. SIGPIPE follows a write to standard output or
+// standard error after their reader has closed them.
+func catchSignals() <-chan os.Signal {
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP, syscall.SIGPIPE)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	return stop
 }
 
-func run() int {
+func run(stop <-chan os.Signal) int {
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.LongDescription = "Exit codes: 0 stopped after a drain, 1 the settings have findings, 2 invalid command line, 3 start or stop failed."
@@ -76,7 +79,7 @@
 	logger := daemon.NewLogger(lines, o.Verbose)
 	daemon.RedirectLibraryLogs(logger)
 	end := daemon.End{Status: exitOK}
-	if end.Signal, err = serve(fx.New(daemon.Options(o.Settings, process, logger))); err != nil {
+	if end.Signal, err = serve(fx.New(daemon.Options(o.Settings, process, logger)), stop); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		end.Status, end.Err = exitFailure, err
 	}
@@ -84,15 +87,25 @@
 	return end.Status
 }
 
-// serve runs the process until it receives a stop signal, which it returns, and then drains it.
-func serve(app *fx.App) (received os.Signal, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+// serve runs the process until it receives a signal to stop, which it returns, and then drains it. A start that
+// the signal ends early is no error. Neither the start nor the stop has a time limit here: the parts bound
+// their own waits, and the platform kills a process that does not stop in time.
+func serve(app *fx.App, stop <-chan os.Signal) (received os.Signal, err error) {
+	starting, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := app.Start(ctx); err != nil {
-		return nil, err
+	started := make(chan error, 1)
+	go func() { started <- app.Start(starting) }()
+	select {
+	case err := <-started:
+		if err != nil {
+			return nil, err
+		}
+		received = <-stop
+	case received = <-stop:
+		cancel()
+		if <-started != nil {
+			return received, nil
+		}
 	}
-	received = (<-app.Wait()).Signal
-	stopping, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
-	defer cancelStop()
-	return received, app.Stop(stopping)
+	return received, app.Stop(context.Background())
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,8 +47,7 @@
 	// StopTimeout bounds a planned stop. It is far above the timeouts of routes, so that
 	// requests in progress can finish.
 	StopTimeout = 60 * time.Second
-	// stopMargin is added to StopTimeout for the limit of the fx application, so that
-	// the process's own limit ends a stop first.
+	// stopMargin is what the callers' connections get after StopTimeout.
 	stopMargin = 5 * time.Second
 	// drainPoll is how often a draining process checks whether work is left.
 	drainPoll = 20 * time.Millisecond
@@ -83,7 +82,6 @@
 func commonOptions(file settingsFile, process *slatewindv1.Process, logger *log.Logger) fx.Option {
 	return fx.Options(
 		fx.NopLogger,
-		fx.StopTimeout(StopTimeout+stopMargin),
 		fx.Supply(file, process, logger),
 		fx.Provide(
 			newMetrics,
@@ -215,6 +213,8 @@
 // Stop drains the process: it takes no new work, finishes the work in progress, and
 // closes the listeners after that.
 func (p *Process) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, StopTimeout+stopMargin)
+	defer cancel()
 	p.drain("the process received a stop signal")
 	p.waitUntilIdle(ctx)
 	err := p.callers.Shutdown(ctx)
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -57,3 +57,36 @@
 	assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
 	assert.Equal(t, p.awaitEnd(), "exit status 0")
 }
+
+// shortGrace keeps the stops of tests short.
+const shortGrace = 500 * time.Millisecond
+
+// TestStopDuringStart checks that a process that is told to stop while it starts ends in order.
+func TestStopDuringStart(t *testing.T) {
+	const step, last = 3 * time.Millisecond, 30 * time.Millisecond
+	for wait := time.Duration(0); wait <= last; wait += step {
+		p := newNodeProcess(t)
+		p.grace = shortGrace
+		p.awaitSettingsRead()
+		time.Sleep(wait)
+		assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+		assert.Equal(t, p.awaitEnd(), "exit status 0", "%s after the start", wait)
+	}
+}
+
+// TestRepeatedStop checks that a process that is told to stop again and again, to its end, ends in order.
+func TestRepeatedStop(t *testing.T) {
+	const runs, interval = 10, 50 * time.Microsecond
+	for range runs {
+		p := newNodeProcess(t)
+		p.grace = shortGrace
+		p.writeSettings(p.settingsText())
+		p.start(nil)
+		p.awaitReady()
+		for p.running() {
+			_ = p.command.Process.Signal(syscall.SIGTERM)
+			time.Sleep(interval)
+		}
+		assert.Equal(t, p.awaitEnd(), "exit status 0")
+	}
+}
--- a/daemon/nodeprocess_test.go
+++ b/daemon/nodeprocess_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,8 +47,10 @@
 	store    *standin.Platform
 	storeURL string
 	settings string
-	command  *exec.Cmd
-	log      *syncBuffer
+	// grace is the time that a stop may take, in the settings.
+	grace   time.Duration
+	command *exec.Cmd
+	log     *syncBuffer
 	// ended is closed when the process has exited.
 	ended chan struct{}
 }
@@ -75,7 +78,7 @@
 // the server's address yet, and the process has not started.
 func newNodeProcess(t *testing.T) *nodeProcess {
 	t.Helper()
-	p := &nodeProcess{t: t, ip: newIP(), store: standin.NewPlatform(), log: &syncBuffer{}}
+	p := &nodeProcess{t: t, ip: newIP(), store: standin.NewPlatform(), log: &syncBuffer{}, grace: 6 * time.Second}
 	web := httptest.NewServer(p.store.Handler())
 	t.Cleanup(func() {
 		web.CloseClientConnections()
@@ -123,8 +126,8 @@
 ready_address: %s
 local_server: {service: svc, address: "%s"}
 store: {address: "%s"}
-bounds: {grace: 6s, retry_ratio: 0.2, retry_slack: 50}
-`, p.address(portCallers), p.address(portPeers), p.address(portAdmin), p.address(portReady), p.address(portServer), strings.TrimPrefix(p.storeURL, "http://"))
+bounds: {grace: %s, retry_ratio: 0.2, retry_slack: 50}
+`, p.address(portCallers), p.address(portPeers), p.address(portAdmin), p.address(portReady), p.address(portServer), strings.TrimPrefix(p.storeURL, "http://"), p.grace)
 }
 
 func (p *nodeProcess) writeSettings(text string) {
@@ -176,6 +179,35 @@
 	return p.command.ProcessState.String()
 }
 
+// awaitSettingsRead replaces the settings file by a named pipe, starts the process and returns once it reads the
+// settings.
+func (p *nodeProcess) awaitSettingsRead() {
+	p.t.Helper()
+	text := p.settingsText()
+	assert.NilError(p.t, os.Remove(p.settings))
+	assert.NilError(p.t, syscall.Mkfifo(p.settings, 0o600))
+	p.start(nil)
+	pipe, err := os.OpenFile(p.settings, os.O_WRONLY, 0)
+	assert.NilError(p.t, err)
+	_, err = pipe.WriteString(text)
+	assert.NilError(p.t, err)
+	assert.NilError(p.t, pipe.Close())
+}
+
+// procStatus returns the first word of a field of the process's status in /proc, or "".
+func (p *nodeProcess) procStatus(field string) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, field); found {
+			return strings.Fields(value)[0]
+		}
+	}
+	return ""
+}
+
 // awaitReady waits until the process answers its readiness check.
 func (p *nodeProcess) awaitReady() {
 	p.t.Helper()
@@ -241,17 +273,8 @@
 
 // peakMemory returns the largest resident set of the process so far, in bytes.
 func (p *nodeProcess) peakMemory() int64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kilobytes, _ := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
-			return kilobytes << 10
-		}
-	}
-	return 0
+	kilobytes, _ := strconv.ParseInt(p.procStatus("VmHWM:"), 10, 64)
+	return kilobytes << 10
 }
 
 // answerStamped answers as a server does, with the length of the request's body.
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -76,8 +76,8 @@
 		part:    soak.PartStops,
 		edits: []overlay.Edit{{
 			File: "cmd/slatewindd/main.go",
-			From: "return app.Stop(stopping)",
-			To:   "signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)\n\tdefer func() { <-stopping.Done() }()\n\treturn app.Stop(stopping)",
+			From: "	return received, app.Stop(context.Background())",
+			To:   "	_ = app.Stop(context.Background())\n\tselect {}",
 		}},
 	},
 	"a stopping process accepts what it cannot finish": {
