Wait at the start for an address that is still in use

Operators saw: a process whose address another program still holds ends at once with status 3, and so does each further start. The cause stood on standard error only.

Cause: one failure to listen ended the start. The process before, which is just stopping, is the usual holder; an address that is not assigned yet, or a shortage of descriptors, look alike. Class: a start that takes its surroundings for settled.

Ruled out: TIME_WAIT, which the runtime's SO_REUSEADDR covers.

Errors that cannot pass end it as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -173,12 +173,12 @@
 	return p
 }
 
-// Start opens the listeners, starts all components, which run until Stop, and then serves: a call
+// Start opens the listeners, for which it waits until starting ends, starts all components, which run until Stop, and then serves: a call
 // may use any component.
-func (p *Process) Start(context.Context) error {
+func (p *Process) Start(starting context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	if err := p.listen(); err != nil {
+	if err := p.listen(starting); err != nil {
 		cancel()
 		return err
 	}
@@ -195,7 +195,7 @@
 }
 
 // listen opens the three listeners without serving them.
-func (p *Process) listen() error {
+func (p *Process) listen(ctx context.Context) error {
 	p.callers = &http.Server{Handler: p.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	p.peers = grpc.NewServer(link.ServerOptions()...)
@@ -207,7 +207,7 @@
 		{name: "peers", address: p.settings.GetPeerAddress(), serve: p.peers.Serve},
 		{name: "admin", address: p.settings.GetAdminAddress(), serve: p.admin.Serve},
 	}
-	return openAll(p.endpoints)
+	return openAll(ctx, p.logger, p.endpoints)
 }
 
 // Stop drains the process: it takes no new work, finishes the work in progress, and
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -90,3 +91,35 @@
 		assert.Equal(t, p.awaitEnd(), "exit status 0")
 	}
 }
+
+// TestAddressInUseAtStart checks that a process whose address is still held by another program waits for it, and says so,
+// and that a signal ends the wait in order.
+func TestAddressInUseAtStart(t *testing.T) {
+	tests := map[string]struct {
+		port int
+		stop bool
+	}{
+		"callers":           {port: portCallers},
+		"ready":             {port: portReady},
+		"peers":             {port: portPeers},
+		"admin":             {port: portAdmin},
+		"stopped meanwhile": {port: portCallers, stop: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newNodeProcess(t)
+			holder, err := net.Listen("tcp", p.address(test.port))
+			assert.NilError(t, err)
+			defer func() { _ = holder.Close() }()
+			p.start(nil)
+			p.awaitLog(`msg="waiting for a listener's address"`)
+			if test.stop {
+				assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+				assert.Equal(t, p.awaitEnd(), "exit status 0")
+				return
+			}
+			assert.NilError(t, holder.Close())
+			p.awaitReady()
+		})
+	}
+}
--- a/daemon/listen_test.go
+++ b/daemon/listen_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -24,7 +28,7 @@
 		"process": {
 			func(n *Node) ([]endpoint, error) {
 				p := newProcess(settingsFile{}, n.settings, n.logger, n.metrics, n.history, n.store, n.timers, n.pool)
-				err := p.listen()
+				err := p.listen(context.Background())
 				return p.endpoints, err
 			},
 			func(ctx context.Context, conn *grpc.ClientConn) error {
@@ -34,7 +38,7 @@
 		},
 		"node": {
 			func(n *Node) ([]endpoint, error) {
-				err := n.listen()
+				err := n.listen(context.Background())
 				return n.endpoints, err
 			},
 			func(ctx context.Context, conn *grpc.ClientConn) error {
@@ -58,3 +62,41 @@
 		})
 	}
 }
+
+// TestListenersWait checks that a start whose address is in use opens no other listener, waits until it is free, and ends
+// with its context.
+func TestListenersWait(t *testing.T) {
+	tests := map[string]struct{ held int }{"first": {0}, "last": {2}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			endpoints := make([]endpoint, 3)
+			for i := range endpoints {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				endpoints[i].address = listener.Addr().String()
+				if i != test.held {
+					assert.NilError(t, listener.Close())
+				} else {
+					defer func() { _ = listener.Close() }()
+					endpoints[i].listener = nil
+					time.AfterFunc(3*listenRetry, func() { _ = listener.Close() })
+				}
+			}
+			short, cancel := context.WithTimeout(context.Background(), listenRetry/2)
+			defer cancel()
+			assert.ErrorIs(t, openAll(short, log.New(io.Discard), endpoints), syscall.EADDRINUSE)
+			for _, e := range endpoints[1:] {
+				_, err := net.Dial("tcp", e.address)
+				assert.ErrorIs(t, err, syscall.ECONNREFUSED, "another listener is open while the start waits")
+			}
+			assert.NilError(t, openAll(context.Background(), log.New(io.Discard), endpoints))
+			assert.NilError(t, closeAll(endpoints))
+		})
+	}
+}
+
+// TestListenerErrorEndsStart checks that an address that cannot become free ends the start.
+func TestListenerErrorEndsStart(t *testing.T) {
+	endpoints := []endpoint{{name: "callers", address: "127.0.0.1:none"}}
+	assert.ErrorContains(t, openAll(context.Background(), log.New(io.Discard), endpoints), "cannot listen on 127.0.0.1:none")
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -95,12 +95,12 @@
 	return net.JoinHostPort(outbound.HostOf(address), port), nil
 }
 
-// Start opens the listeners, starts all components, which run until Stop, and then serves: a call
+// Start opens the listeners, for which it waits until starting ends, starts all components, which run until Stop, and then serves: a call
 // may use any component.
-func (n *Node) Start(context.Context) error {
+func (n *Node) Start(starting context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	if err := n.listen(); err != nil {
+	if err := n.listen(starting); err != nil {
 		cancel()
 		return err
 	}
@@ -118,7 +118,7 @@
 }
 
 // listen opens the four listeners without serving them.
-func (n *Node) listen() error {
+func (n *Node) listen(ctx context.Context) error {
 	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: n.unused.track, ConnContext: limitWriteBuffer}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
@@ -132,7 +132,7 @@
 		{name: "peers", address: n.settings.GetPeerAddress(), serve: n.peers.Serve},
 		{name: "admin", address: n.settings.GetAdminAddress(), serve: n.admin.Serve},
 	}
-	return openAll(n.endpoints)
+	return openAll(ctx, n.logger, n.endpoints)
 }
 
 // callerWriteBuffer is the size in bytes of the kernel's buffer for what a caller has not read yet.
