Wait at the start for settings that are still being written

Operators saw: exit status 1 of a process whose settings file is replaced at the moment of its start; a supervisor that gives up after some failed starts leaves it down.

Cause: the start read the file once. A reload has always waited until two reads agree (package reload). Class: a start that takes its surroundings for settled.

Change: a file that is missing or has findings is read again every 50 ms until it has not changed for a second (chosen, as in package reload); then its findings end the process as before, and stand in the log too. A file without findings is taken at once. The end of the context, by a signal, is one path for the whole start.

Not covered: a file whose first part is valid by itself and which is completed between the read and the first look of package reload.

--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/fx"
 
@@ -36,18 +37,27 @@
 	os.Exit(run(catchSignals()))
 }
 
-// catchSignals keeps signals from terminating the process from its start to its exit, and returns the channel of
-// those that ask it to stop. SIGHUP makes a running process reload its settings; no reload handler is registered
-// before the settings are first read, and at the end of a stop. SIGPIPE follows a write to standard output or
-// standard error after their reader has closed them.
-func catchSignals() <-chan os.Signal {
+// stopSignal is the cause of the end of the context of catchSignals.
+type stopSignal struct{ os.Signal }
+
+// Error implements error.
+func (s stopSignal) Error() string { return "signal " + s.String() }
+
+// catchSignals keeps signals from terminating the process from its start to its exit, and returns a context that ends
+// with the first one that asks it to stop. SIGHUP makes a running process reload its settings; no reload handler is
+// registered before the settings are first read, and at the end of a stop. SIGPIPE follows a write to standard
+// output or standard error after their reader has closed them.
+func catchSignals() context.Context {
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP, syscall.SIGPIPE)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	return stop
+	running, cancel := context.WithCancelCause(context.Background())
+	go func() { cancel(stopSignal{<-stop}) }()
+	return running
 }
 
-func run(stop <-chan os.Signal) int {
+// run runs the program until running ends, and returns its exit status.
+func run(running context.Context) int {
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.LongDescription = "Exit codes: 0 stopped after a drain, 1 the settings have findings, 2 invalid command line, 3 start or stop failed."
@@ -66,46 +76,48 @@
 		fmt.Fprintln(os.Stderr, "slatewindd: no settings file: set --settings or SLATEWIND_CONFIG; see --help")
 		return exitUsage
 	}
-	process, err := config.LoadProcess(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	daemon.SetInitialGCPercent()
-	ctx, cancel := context.WithCancel(context.Background())
-	lines := daemon.NewLogWriter(ctx, os.Stdout)
+	logging, cancel := context.WithCancel(context.Background())
+	lines := daemon.NewLogWriter(logging, os.Stdout)
 	defer lines.Wait()
 	defer cancel()
 	logger := daemon.NewLogger(lines, o.Verbose)
 	daemon.RedirectLibraryLogs(logger)
-	end := daemon.End{Status: exitOK}
-	if end.Signal, err = serve(fx.New(daemon.Options(o.Settings, process, logger)), stop); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		end.Status, end.Err = exitFailure, err
+	end := runDaemon(running, o.Settings, logger)
+	if end.Err != nil {
+		fmt.Fprintln(os.Stderr, end.Err)
 	}
-	end.Log(logger, usage.LimitsOf(process))
+	end.Log(logger)
 	return end.Status
 }
 
-// serve runs the process until it receives a signal to stop, which it returns, and then drains it. A start that
-// the signal ends early is no error. Neither the start nor the stop has a time limit here: the parts bound
-// their own waits, and the platform kills a process that does not stop in time.
-func serve(app *fx.App, stop <-chan os.Signal) (received os.Signal, err error) {
-	starting, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	started := make(chan error, 1)
-	go func() { started <- app.Start(starting) }()
-	select {
-	case err := <-started:
-		if err != nil {
-			return nil, err
-		}
-		received = <-stop
-	case received = <-stop:
-		cancel()
-		if <-started != nil {
-			return received, nil
+// runDaemon reads the settings and runs the daemon until running ends.
+func runDaemon(running context.Context, settings string, logger *log.Logger) daemon.End {
+	process, err := config.AwaitProcess(running, settings)
+	end := daemon.End{Limits: usage.LimitsOf(process)}
+	switch {
+	case err == nil:
+		daemon.SetInitialGCPercent()
+		if err = serve(running, fx.New(daemon.Options(settings, process, logger))); err != nil {
+			end.Status, end.Err = exitFailure, err
 		}
+	case running.Err() == nil:
+		end.Status, end.Err = exitSettings, err
+	}
+	var signalled stopSignal
+	if errors.As(context.Cause(running), &signalled) {
+		end.Signal = signalled.Signal
+	}
+	return end
+}
+
+// serve runs the app until running ends and then drains it. A start that is cut short by that is no error.
+// Neither the start nor the stop has a time limit here: the parts bound their own waits, and the platform kills a
+// process that does not stop in time.
+func serve(running context.Context, app *fx.App) error {
+	// The start may be complete although running has ended meanwhile, so it is followed by a stop.
+	if err := app.Start(running); err != nil && running.Err() == nil {
+		return err
 	}
-	return received, app.Stop(context.Background())
+	<-running.Done()
+	return app.Stop(context.Background())
 }
--- a/config/parse.go
+++ b/config/parse.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"buf.build/go/protoyaml"
 	"go.yaml.in/yaml/v3"
@@ -53,11 +55,49 @@
 // LoadProcess reads, decodes and checks the settings file of one process. The error is of type
 // Findings unless the file cannot be read.
 func LoadProcess(file string) (*slatewindv1.Process, error) {
+	process, _, err := loadProcess(file)
+	return process, err
+}
+
+// loadProcess is LoadProcess that also returns the text of the file.
+func loadProcess(file string) (*slatewindv1.Process, []byte, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, nil, Error.Wrap(err)
 	}
-	return ParseProcess(file, text)
+	process, err := ParseProcess(file, text)
+	return process, text, err
+}
+
+const (
+	// settleInterval is the time between two reads of a settings file that may still be being written, and
+	// settleTime the time after which one that has not changed is taken for complete.
+	settleInterval = 50 * time.Millisecond
+	settleTime     = time.Second
+)
+
+// AwaitProcess is LoadProcess for a process that starts, whose settings may still be being written: a file that is
+// missing or has findings is read again until it has not changed for settleTime, or until ctx ends.
+func AwaitProcess(ctx context.Context, file string) (*slatewindv1.Process, error) {
+	process, text, err := loadProcess(file)
+	for since := time.Now(); err != nil && isRegular(file) && time.Since(since) < settleTime; {
+		select {
+		case <-time.After(settleInterval):
+		case <-ctx.Done():
+			return nil, err
+		}
+		before := text
+		if process, text, err = loadProcess(file); !bytes.Equal(text, before) {
+			since = time.Now()
+		}
+	}
+	return process, err
+}
+
+// isRegular reports whether a file is missing or a regular one. Others, such as named pipes, can be read only once.
+func isRegular(file string) bool {
+	info, err := os.Stat(file)
+	return err != nil || info.Mode().IsRegular()
 }
 
 // ParseProcess decodes and checks the text of a process's settings and sets the defaults; file is
--- a/daemon/end.go
+++ b/daemon/end.go
@@ -16,11 +16,13 @@
 	Err error
 	// Status is the exit status.
 	Status int
+	// Limits are the limits on the process.
+	Limits usage.Limits
 }
 
 // Log logs the end with what the process used until then. Only a process that was killed or that crashed
 // has no such line.
-func (e End) Log(logger *log.Logger, limits usage.Limits) {
+func (e End) Log(logger *log.Logger) {
 	signal := "none"
 	if e.Signal != nil {
 		signal = e.Signal.String()
@@ -29,7 +31,7 @@
 	if e.Err != nil {
 		level, cause = log.ErrorLevel, e.Err.Error()
 	}
-	used := usage.Read(limits)
+	used := usage.Read(e.Limits)
 	logger.Log(level, "process ends", "status", e.Status, "signal", signal, "cause", cause,
 		"memory", used.MemoryBytes, "peak_memory", used.PeakBytes, "memory_limit", used.MemoryLimitBytes,
 		"descriptors", used.Descriptors, "descriptor_limit", used.DescriptorLimit, "goroutines", used.Goroutines)
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -123,3 +123,35 @@
 		})
 	}
 }
+
+// TestSettingsWrittenDuringStart checks that a process whose settings file is missing or half written waits until it has
+// been written, and that one whose settings stay invalid ends with their findings.
+func TestSettingsWrittenDuringStart(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	tests := map[string]struct {
+		before   func(p *nodeProcess, text string)
+		complete bool
+	}{
+		"missing":         {func(p *nodeProcess, _ string) { assert.NilError(p.t, os.Remove(p.settings)) }, true},
+		"empty":           {func(p *nodeProcess, _ string) { p.writeSettings("") }, true},
+		"half":            {func(p *nodeProcess, text string) { p.writeSettings(text[:len(text)/2]) }, true},
+		"half, for good":  {func(p *nodeProcess, text string) { p.writeSettings(text[:len(text)/2]) }, false},
+		"wrong, for good": {func(p *nodeProcess, text string) { p.writeSettings(text + "no_such_key: 1\n") }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newNodeProcess(t)
+			text := p.settingsText()
+			test.before(p, text)
+			p.start(nil)
+			if !test.complete {
+				assert.Equal(t, p.awaitEnd(), "exit status 1")
+				p.awaitLog(`msg="process ends" status=1 signal=none cause="` + p.settings)
+				return
+			}
+			time.Sleep(delay)
+			p.writeSettings(text)
+			p.awaitReady()
+		})
+	}
+}
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -76,7 +76,7 @@
 		part:    soak.PartStops,
 		edits: []overlay.Edit{{
 			File: "cmd/slatewindd/main.go",
-			From: "	return received, app.Stop(context.Background())",
+			From: "	return app.Stop(context.Background())",
 			To:   "	_ = app.Stop(context.Background())\n\tselect {}",
 		}},
 	},
