Bound the head of a server's answer

The platform kills such a process, and the log says nothing.

Cause: http.ReadResponse reads a head of any size. The standard client limits heads, but package backend reads answers itself. Class: memory without one bound, here bytes from outside that are kept before they are checked.

Change: a head has 64 KiB at most (chosen), on the product's own path and from the store too, where it was 10 MB. The body of a foreign answer is given up after 1 MiB; it was read until the deadline. An error quotes 200 bytes at most.

TestServerBytesWithoutEnd plays eight kinds on a real process, whose memory stays below 142 MB.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"slatewind.example/slatewind/clip"
 )
 
 // Error is the class of errors of this package.
@@ -25,6 +27,8 @@
 var (
 	// ErrMalformedAnswer is returned if the received bytes are not a valid HTTP answer.
 	ErrMalformedAnswer = Error.New("malformed HTTP answer")
+	// ErrHeadTooLarge is the cause of ErrMalformedAnswer if the head of an answer exceeds its limit.
+	ErrHeadTooLarge = Error.New("the head of the answer exceeds %d bytes", maxHeadBytes)
 	// ErrForeignAnswer is returned if only answers to other requests, or interim ones, were
 	// received.
 	ErrForeignAnswer = Error.New("the answer belongs to another request")
@@ -50,6 +54,10 @@
 	// maxForeignAnswers is the number of interim and foreign answers to one request after which
 	// the request fails and its connection is closed.
 	maxForeignAnswers = 3
+	// maxForeignBytes limits the body of an answer to another request that is read and discarded, in bytes.
+	maxForeignBytes = 1 << 20
+	// maxErrorBytes limits what an error quotes of a malformed answer, in bytes.
+	maxErrorBytes = 200
 	// bufferBytes is the size of a connection's read buffer, in bytes.
 	bufferBytes = 4 << 10
 )
@@ -121,10 +129,12 @@
 // requests.
 func (p *Pool) readResponse(c *conn, request *http.Request) (*http.Response, error) {
 	for range maxForeignAnswers {
+		c.head.beginHead()
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, malformedAnswer(err)
 		}
+		c.head.endHead()
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -132,8 +142,8 @@
 			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 				return nil, ErrForeignAnswer
 			}
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return nil, malformedAnswer(err)
+			if err := discard(response.Body); err != nil {
+				return nil, err
 			}
 			continue
 		}
@@ -148,14 +158,28 @@
 	return nil, ErrForeignAnswer
 }
 
-// malformedAnswer adds ErrMalformedAnswer to a protocol error. Network errors are returned
-// unchanged.
+// discard reads the body of a foreign answer to its end.
+func discard(body io.Reader) error {
+	switch _, err := io.CopyN(io.Discard, body, maxForeignBytes); {
+	case err == nil:
+		return ErrForeignAnswer
+	case !errors.Is(err, io.EOF):
+		return malformedAnswer(err)
+	}
+	return nil
+}
+
+// malformedAnswer adds ErrMalformedAnswer to a protocol error and shortens what that quotes. Network
+// errors are returned unchanged.
 func malformedAnswer(err error) error {
 	var network net.Error
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	return errs.Combine(ErrMalformedAnswer, err)
+	if errors.Is(err, ErrHeadTooLarge) {
+		return errs.Combine(ErrMalformedAnswer, ErrHeadTooLarge)
+	}
+	return errs.Combine(ErrMalformedAnswer, errors.New(clip.Text(err.Error(), maxErrorBytes)))
 }
 
 // Close releases the answer. Its connection is returned to the pool if the body was read to its
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -18,7 +18,9 @@
 // conn is one connection to the server.
 type conn struct {
 	net.Conn
+	// reader reads through head.
 	reader *bufio.Reader
+	head   *headLimiter
 	// expires is when the connection must no longer be used.
 	expires time.Time
 }
@@ -93,7 +95,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	head := &headLimiter{conn: raw}
+	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/platform"
 )
 
 // awaitLog waits until the log of the process contains a text.
@@ -155,3 +158,38 @@
 		})
 	}
 }
+
+// TestServerBytesWithoutEnd checks that a process keeps within its memory, and answers, while its server sends bytes without
+// end.
+func TestServerBytesWithoutEnd(t *testing.T) {
+	const maxTime = 3 * time.Second
+	head := "HTTP/1.1 200 OK\r\n" + platform.Servers().Stamp + ": s\r\n"
+	long := strings.Repeat("a", 1<<16)
+	tests := map[string]struct{ first, part string }{
+		"no answer":       {"", long},
+		"status line":     {"HTTP/1.1 200 ", long},
+		"field":           {"HTTP/1.1 200 OK\r\nA: ", long},
+		"fields":          {"HTTP/1.1 200 OK\r\n", strings.Repeat("Aaaaaaa: b\r\n", 4000)},
+		"chunk extension": {head + "Transfer-Encoding: chunked\r\n\r\n5;", long},
+		"trailers":        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("Aaaaaaa: b\r\n", 4000)},
+		"body":            {head + "\r\n", long},
+		"chunked body":    {head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + long + "\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newNodeProcess(t)
+			server, err := standin.NewEndless(p.address(portServer), test.first, standin.Same(test.part))
+			assert.NilError(t, err)
+			defer server.Close()
+			p.start(nil)
+			p.awaitReady()
+			began := time.Now()
+			// The deadline ends an answer whose body has no end.
+			status, _ := p.sendWithin(2*time.Second, http.MethodGet, "/pay/x", nil)
+			assert.Assert(t, status == 0 || status >= http.StatusInternalServerError, status)
+			assert.Assert(t, time.Since(began) < maxTime, "took %s", time.Since(began))
+			assert.Assert(t, p.running())
+			assert.Assert(t, p.peakMemory() < nodeMemory/2, "%d bytes", p.peakMemory())
+		})
+	}
+}
--- a/daemon/nodeprocess_test.go
+++ b/daemon/nodeprocess_test.go
@@ -232,20 +232,6 @@
 	p.t.Cleanup(func() { _ = web.Close() })
 }
 
-// serveBytes calls answer with each connection to the address of the server once a request's head has
-// arrived. The connection is closed when it returns.
-func (p *nodeProcess) serveBytes(answer func(request *http.Request, conn net.Conn)) {
-	p.t.Helper()
-	p.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		answer(r, conn)
-	}))
-}
-
 // get sends a request without a body and returns its status, or 0 if there was no whole answer.
 func (p *nodeProcess) get(path string) (status int, body string) {
 	return p.send(http.MethodGet, path, nil)
@@ -254,10 +240,16 @@
 // send sends a request and returns the status and the body of the answer, or 0 if there was no whole
 // answer.
 func (p *nodeProcess) send(method, path string, body io.Reader) (status int, answer string) {
+	return p.sendWithin(eventTimeout, method, path, body)
+}
+
+// sendWithin is send with a deadline that the process is told.
+func (p *nodeProcess) sendWithin(deadline time.Duration, method, path string, body io.Reader) (status int, answer string) {
 	r, err := http.NewRequest(method, "http://"+p.address(portCallers)+path, body)
 	assert.NilError(p.t, err)
 	r.Host = "h.example"
 	r.Header.Set(platform.Callers().RequestID, "r-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	r.Header.Set(platform.Callers().Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: eventTimeout}
 	response, err := client.Do(r)
 	if err != nil {
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -43,6 +43,8 @@
 	maxIdleConnections = 64
 	idleTimeout        = 90 * time.Second
 	dialTimeout        = time.Second
+	// maxHeadBytes limits the head of an answer, in bytes.
+	maxHeadBytes = 64 << 10
 )
 
 // HTTPCaller calls servers by HTTP.
@@ -59,6 +61,8 @@
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
