--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/clip"
 )
 
 const (
@@ -18,6 +19,8 @@
 	// logReservedLines is the part of the queue that is reserved for lines about requests
 	// that failed, were refused or were sent again; all other lines are dropped first.
 	logReservedLines = 1024
+	// maxLogLineBytes is the length from which a line is cut off, in bytes.
+	maxLogLineBytes = 32 << 10
 	// logDropInterval is how often the number of dropped lines is logged.
 	logDropInterval = time.Second
 )
@@ -53,16 +56,26 @@
 // Write implements io.Writer. Each call has to pass one whole line.
 func (w *LogWriter) Write(line []byte) (int, error) {
 	priority := hasPriority(line)
+	written := len(line)
+	line = shorten(line)
 	if !priority && len(w.lines) >= logQueueLines-logReservedLines {
 		w.drop(false)
-		return len(line), nil
+		return written, nil
 	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
 		w.drop(priority)
 	}
-	return len(line), nil
+	return written, nil
+}
+
+// shorten returns a line of at most maxLogLineBytes and its end.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLogLineBytes {
+		return line
+	}
+	return []byte(clip.Text(string(line), maxLogLineBytes) + "\n")
 }
 
 // hasPriority reports whether a line may use the reserved part of the queue.
--- a/daemon/logwriter_test.go
+++ b/daemon/logwriter_test.go
@@ -55,3 +55,17 @@
 		assert.Assert(t, strings.Contains(text, fmt.Sprintf("about_requests=0 others=%d", lines-others)))
 	})
 }
+
+// TestLongLogLine checks that a line that is too long is cut off and still ends like a line.
+func TestLongLogLine(t *testing.T) {
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(t.Context())
+	w := NewLogWriter(ctx, &out)
+	line := "msg=" + strings.Repeat("x", 1<<20) + "\n"
+	n, err := w.Write([]byte(line))
+	assert.NilError(t, err)
+	assert.Equal(t, n, len(line))
+	cancel()
+	w.Wait()
+	assert.Assert(t, out.Len() < 2*maxLogLineBytes && strings.HasSuffix(out.String(), "...\n"), "%d bytes", out.Len())
+}
--- a/history/history.go
+++ b/history/history.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/clip"
 )
 
 // DefaultEntries is the size of a journal if the settings state none. At about 300 bytes per entry
@@ -59,8 +60,23 @@
 	return slices.Concat(j.entries[j.next:], j.entries[:j.next])
 }
 
-// Add adds a decision and passes it to onAdd, outside of the lock.
+// Limits on the texts of an entry, in bytes. Names and reasons quote what callers and servers send.
+const (
+	maxNameBytes     = 256
+	maxReasonBytes   = 1 << 10
+	maxEvidenceBytes = 16 << 10
+)
+
+// bounded returns a decision whose texts are within their limits.
+func bounded(d slatewind.Decision) slatewind.Decision {
+	d.Service, d.Server, d.Request = clip.Text(d.Service, maxNameBytes), clip.Text(d.Server, maxNameBytes), clip.Text(d.Request, maxNameBytes)
+	d.Reason, d.Evidence = clip.Text(d.Reason, maxReasonBytes), clip.Text(d.Evidence, maxEvidenceBytes)
+	return d
+}
+
+// Add adds a decision, whose texts it shortens if they are too long, and passes it to onAdd, outside of the lock.
 func (j *Journal) Add(d slatewind.Decision) {
+	d = bounded(d)
 	j.mu.Lock()
 	j.entries[j.next] = d
 	j.next++
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -99,3 +100,27 @@
 		})
 	}
 }
+
+// TestEntriesAreBounded checks that an entry keeps a bounded part of texts that come from outside.
+func TestEntriesAreBounded(t *testing.T) {
+	const maxEntryBytes = 20 << 10
+	long := strings.Repeat("x", 1<<20)
+	tests := map[string]slatewind.Decision{
+		"request":  {Request: long},
+		"server":   {Server: long},
+		"service":  {Service: long},
+		"reason":   {Reason: long},
+		"evidence": {Evidence: long},
+	}
+	for name, d := range tests {
+		t.Run(name, func(t *testing.T) {
+			var logged slatewind.Decision
+			j := history.New(1, func(d slatewind.Decision) { logged = d })
+			j.Add(d)
+			for _, kept := range append(j.Find(history.Filter{}), logged) {
+				bytes := len(kept.Request) + len(kept.Server) + len(kept.Service) + len(kept.Reason) + len(kept.Evidence)
+				assert.Assert(t, bytes > 0 && bytes < maxEntryBytes, "%d bytes", bytes)
+			}
+		})
+	}
+}
