Keep large bodies within the memory of the process

Cause: the budget of bodies admits one large body at a time, but each is held twice where caller and server are on one VM; the collector lets the heap grow to three times of what lives; a body without a length is read into a buffer that doubles. Nothing told the runtime of the limit. Class: memory without one bound over all of it.

Change: the runtime's memory limit is 0.8 of limits.memory_mib (chosen); within a process a body is passed on without a copy; garbage of earlier bodies is collected before one of 8 MiB or more is allocated (chosen; a collection takes some ms, such a body longer); bodies without a length are read in steps.

--- a/bodylimit/bodylimit.go
+++ b/bodylimit/bodylimit.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 
 	"github.com/zeebo/errs"
@@ -18,6 +19,19 @@
 // DefaultRequestBytes is the default capacity of a Budget for bodies of requests, in bytes.
 const DefaultRequestBytes = 16 << 20
 
+// collectBytes is the size in bytes from which the garbage of earlier bodies is collected before a body is allocated. The
+// collector runs beside the program, so that a few large bodies in a row could exceed the memory of the process before it is
+// done.
+const collectBytes = 8 << 20
+
+// Buffer returns an empty buffer with room for the given number of bytes.
+func Buffer(bytes int64) []byte {
+	if bytes >= collectBytes {
+		runtime.GC()
+	}
+	return make([]byte, 0, bytes)
+}
+
 // Budget is an amount of memory that bodies share. Whoever finds too little left waits for its turn,
 // in order of arrival. It is safe for concurrent use.
 type Budget struct {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -187,6 +187,7 @@
 	p.ingress.Start(ctx, p.timers)
 	p.reader.Start(ctx)
 	p.file.Start(ctx, p.timers)
+	limitMemory(p.limits.MemoryBytes)
 	tuneGC(ctx, p.timers, p.settings.GetLimits().GetProcessorShare())
 	serveAll(p.logger, p.endpoints)
 	p.logger.Info("started", "vm", p.settings.GetVm(), "data_centre", p.settings.GetDataCentre(),
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -1,12 +1,16 @@
 package daemon_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -193,3 +197,54 @@
 		})
 	}
 }
+
+// smallMemory is the memory in MiB of the smallest VMs.
+const smallMemory = 184
+
+// startSmall starts the process with the memory of the smallest VMs.
+func (p *nodeProcess) startSmall() {
+	p.writeSettings(p.settingsText() + fmt.Sprintf("limits: {memory_mib: %d}\n", smallMemory))
+	p.start(nil)
+	p.awaitReady()
+}
+
+// assertMemory checks that the process runs and has kept within the memory of startSmall.
+func (p *nodeProcess) assertMemory() {
+	p.t.Helper()
+	assert.Assert(p.t, p.running())
+	assert.Assert(p.t, p.peakMemory() < smallMemory<<20, "%d MB", p.peakMemory()>>20)
+}
+
+// TestLargeBodiesKeepMemory checks that bodies of nearly the largest size, one after the other and at once, do not take a
+// process over its memory.
+func TestLargeBodiesKeepMemory(t *testing.T) {
+	const size, inSeries, atOnce = 60 << 20, 6, 6
+	text := bytes.Repeat([]byte("b"), size)
+	tests := map[string]func() io.Reader{
+		"length":  func() io.Reader { return bytes.NewReader(text) },
+		"chunked": func() io.Reader { return io.MultiReader(bytes.NewReader(text)) },
+	}
+	for name, body := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newNodeProcess(t)
+			p.serve(http.HandlerFunc(answerStamped))
+			p.startSmall()
+			for range inSeries {
+				status, answer := p.send(http.MethodPost, "/pay/x", body())
+				assert.Equal(t, status, http.StatusOK, answer)
+				assert.Equal(t, answer, strconv.Itoa(size))
+			}
+			p.assertMemory()
+			var work sync.WaitGroup
+			for range atOnce {
+				work.Go(func() {
+					// A process that has no memory for a body may end the connection before it has read it.
+					status, answer := p.send(http.MethodPost, "/pay/x", body())
+					assert.Check(t, status == http.StatusOK || status == http.StatusServiceUnavailable || status == 0, "%d %s", status, answer)
+				})
+			}
+			work.Wait()
+			p.assertMemory()
+		})
+	}
+}
--- a/daemon/gc.go
+++ b/daemon/gc.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// memoryShare is the part of the memory of the process that the Go runtime may use before it collects garbage whatever that
+// costs. The rest is for the buffers of the kernel and the stacks of the C library's threads.
+const memoryShare = 0.8
+
+// limitMemory sets the runtime's memory limit to memoryShare of the memory of the process, in bytes, unless that is not
+// known or the environment variable GOMEMLIMIT is set.
+func limitMemory(bytes int64) {
+	if bytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryShare * float64(bytes)))
+	}
+}
+
 // tuneGC adjusts the garbage collector's percentage to the use of the processor until ctx ends,
 // unless the environment variable GOGC is set.
 func tuneGC(ctx context.Context, timers *timer.Service, share float64) {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -109,6 +109,7 @@
 	n.watcher.Start(ctx)
 	n.settingsWatcher.Start(ctx)
 	n.file.Start(ctx, n.timers)
+	limitMemory(n.limits.MemoryBytes)
 	tuneGC(ctx, n.timers, n.settings.GetLimits().GetProcessorShare())
 	serveAll(n.logger, n.endpoints)
 	n.logger.Info("started", "vm", n.settings.GetVm(), "data_centre", n.settings.GetDataCentre(),
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -237,7 +237,11 @@
 	if err := u.body.acquire(ctx, u.in.bodies, request.GetBodyLength()); err != nil {
 		return err
 	}
-	body := make([]byte, 0, max(request.GetBodyLength(), int64(len(request.GetBody()))))
+	if int64(len(request.GetBody())) == request.GetBodyLength() {
+		r.request, r.body = request, request.GetBody()
+		return nil
+	}
+	body := bodylimit.Buffer(max(request.GetBodyLength(), int64(len(request.GetBody()))))
 	body = append(body, request.GetBody()...)
 	for int64(len(body)) < request.GetBodyLength() {
 		message, err := u.stream.Recv()
--- a/link/body.go
+++ b/link/body.go
@@ -1,12 +1,13 @@
 package link
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"os"
 	"time"
+
+	"slatewind.example/slatewind/bodylimit"
 )
 
 // MaxBodyTime limits how long a caller may take to send its body.
@@ -50,23 +51,54 @@
 // readBody reads a body of a stated length, or up to its end if length is negative.
 func readBody(from io.Reader, length int64, grow func(int64) error) ([]byte, error) {
 	if length >= 0 {
-		body := make([]byte, length)
+		body := bodylimit.Buffer(length)[:length]
 		_, err := io.ReadFull(from, body)
 		return body, err
 	}
-	var body bytes.Buffer
-	for {
-		switch _, err := io.CopyN(&body, from, BodyStep); {
-		case errors.Is(err, io.EOF):
-			return body.Bytes(), nil
-		case err != nil:
-			return nil, err
+	steps, length, err := readSteps(from, grow)
+	if err != nil {
+		return nil, err
+	}
+	body := bodylimit.Buffer(length)
+	for _, step := range steps {
+		body = append(body, step...)
+	}
+	return body, nil
+}
+
+// minStep is the size in bytes of the first step in which a body without a stated length is read. Each further step is as
+// large as what is held already, up to BodyStep.
+const minStep = 1 << 10
+
+// readSteps reads a body to its end and returns it in steps, with their total length. A buffer that grows would take up to
+// three times that length.
+func readSteps(from io.Reader, grow func(int64) error) (steps [][]byte, length int64, err error) {
+	for allowed := int64(BodyStep); ; {
+		step := make([]byte, min(max(length, minStep), BodyStep))
+		if length+int64(len(step)) > allowed && grow != nil {
+			if err := grow(BodyStep); err != nil {
+				return nil, 0, err
+			}
+			allowed += BodyStep
 		}
-		if grow == nil {
-			continue
+		n, err := readStep(from, step)
+		steps, length = append(steps, step[:n]), length+int64(n)
+		if errors.Is(err, io.EOF) {
+			return steps, length, nil
 		}
-		if err := grow(BodyStep); err != nil {
-			return nil, err
+		if err != nil {
+			return nil, 0, err
 		}
 	}
 }
+
+// readStep fills step and returns the number of bytes read. Unlike that of io.ReadFull, its error io.EOF always means that
+// the body has ended in order.
+func readStep(from io.Reader, step []byte) (n int, err error) {
+	for n < len(step) && err == nil {
+		var read int
+		read, err = from.Read(step[n:])
+		n += read
+	}
+	return n, err
+}
--- a/link/use.go
+++ b/link/use.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 
 	"google.golang.org/grpc"
 
@@ -40,6 +41,15 @@
 	return stream, nil
 }
 
+// MessageBytes returns how many bytes of a body may be sent in one message: ChunkBytes, or all of them where nothing is
+// copied because both sides share the memory.
+func MessageBytes(use Use) int {
+	if _, local := use.(*localUse); local {
+		return math.MaxInt
+	}
+	return ChunkBytes
+}
+
 // LocalUse opens a reservation at the server beside this process. The messages are the same
 // as those of Pool.Use, but go through channels. serve runs in a goroutine; after ctx ends,
 // the methods of its stream fail.
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -90,15 +90,17 @@
 	return o.clock.Now().Add(time.Duration(ms) * time.Millisecond)
 }
 
-// send sends the request and its body, in chunks of at most link.ChunkBytes.
+// send sends the request and its body, in as many messages as it needs. The body must not be changed afterwards: the
+// process may pass it on without a copy.
 func (rq *request) send(slot *grantedSlot) error {
-	first := rq.body[:min(len(rq.body), link.ChunkBytes)]
+	limit := link.MessageBytes(slot.use)
+	first := rq.body[:min(len(rq.body), limit)]
 	err := slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Request{Request: &slatewindv1.SlotRequest{
 		RemainingNanos: int64(rq.remaining(time.Now())), Server: slot.server.Name, Method: rq.method, Target: []byte(rq.target), Host: rq.host,
 		Headers: rq.headers, Body: first, BodyLength: int64(len(rq.body)),
 	}}})
 	for rest := rq.body[len(first):]; err == nil && len(rest) > 0; {
-		n := min(len(rest), link.ChunkBytes)
+		n := min(len(rest), limit)
 		err = slot.use.Send(&slatewindv1.UseRequest{Part: &slatewindv1.UseRequest_Chunk{Chunk: rest[:n]}})
 		rest = rest[n:]
 	}
