Refuse requests while the process is short of memory, and bound buffered answers

Cause: an answer of up to 1 MiB is buffered beside the server and again at the ingress, without a bound on their number; requests in flight were not counted against memory at all. Class: many at once, each within its own limit.

Change: buffered answers have a budget at each end (limits.answer_bytes), beyond the first chunk of each; without memory an answer is passed on while it arrives, as long ones always were, so that its end is still verified. usage.Guard knows the memory of the whole process: above 0.8 of the limit, with 192 KiB for each request in flight (reckoned: three chunks of 64 KiB), new requests get 503 before anything of them is kept, and reservations are refused as full, which older builds understand. The collector's limit is 0.7 of the memory: the program's own pages take 20 MB.

--- a/bodylimit/bodylimit.go
+++ b/bodylimit/bodylimit.go
@@ -69,6 +69,9 @@
 	return &Lease{b, bytes}, nil
 }
 
+// Empty returns a lease without memory, which may grow.
+func (b *Budget) Empty() *Lease { return &Lease{budget: b} }
+
 // InUse returns the memory that is taken, in bytes.
 func (b *Budget) InUse() int64 { return b.inUse.Load() }
 
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -248,3 +249,35 @@
 		})
 	}
 }
+
+// TestManyAnswersKeepMemory checks that large answers at once do not take a process over its memory, and that those that appear
+// complete are.
+func TestManyAnswersKeepMemory(t *testing.T) {
+	const size, callers, slots = 1000 << 10, 1000, 1000
+	p := newNodeProcess(t)
+	entry := p.entry("s-0")
+	entry.Slots = slots
+	p.store.PutServer(entry)
+	body := bytes.Repeat([]byte("a"), size)
+	var arrived sync.WaitGroup
+	p.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.Servers().Stamp, "stamp")
+		w.Header().Set(platform.Servers().RequestID, r.Header.Get(platform.Servers().RequestID))
+		_, _ = w.Write(body)
+	}))
+	p.startSmall()
+	var served atomic.Int64
+	for range callers {
+		arrived.Go(func() {
+			status, answer := p.send(http.MethodGet, "/look/x", nil)
+			if status == http.StatusOK {
+				assert.Check(t, len(answer) == size, "%d bytes", len(answer))
+				served.Add(1)
+			}
+		})
+	}
+	arrived.Wait()
+	p.assertMemory()
+	assert.Assert(t, served.Load() > 0)
+	t.Logf("%d of %d served, peak %d MB", served.Load(), callers, p.peakMemory()>>20)
+}
--- a/daemon/gc.go
+++ b/daemon/gc.go
@@ -90,8 +90,8 @@
 }
 
 // memoryShare is the part of the memory of the process that the Go runtime may use before it collects garbage whatever that
-// costs. The rest is for the buffers of the kernel and the stacks of the C library's threads.
-const memoryShare = 0.8
+// costs. The rest is for the program itself, the buffers of the kernel and the stacks of the C library's threads.
+const memoryShare = 0.7
 
 // limitMemory sets the runtime's memory limit to memoryShare of the memory of the process, in bytes, unless that is not
 // known or the environment variable GOMEMLIMIT is set.
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -56,15 +56,16 @@
 	n.file = reload.New(file.path, process, reloadableNodeKeys, reloadSink{file, logger, n.reload})
 	n.publisher = newRecordPublisher(n)
 	n.suspects = quarantine.NewTable(n.publisher.enqueue, n.recordQuarantine)
+	guard := usage.NewGuard(n.limits.MemoryBytes, usage.Memory)
 	n.inbound = inbound.New(inbound.Server{
 		Service: process.GetLocalServer().GetService(),
 		Address: process.GetLocalServer().GetAddress(),
 		Headers: platform.Servers(),
-	}, boundsOf(process), j, n.suspects, bodylimit.NewBudget(int64(process.GetLimits().GetRequestBytes())))
+	}, boundsOf(process), j, n.suspects, inboundMemory(process, guard))
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{Place: placeOf(process), Service: process.GetLocalServer().GetService()},
-		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter, n.suspects, memoryOf(process),
+		platform.Callers(), store, j, n, n.inbound, m, n.reports, n.limiter, n.suspects, outboundMemory(process, guard),
 	)
 	client := platform.NewClient("http://"+process.GetStore().GetAddress(), func(call platform.Call, err error) { m.PlatformCall(string(call), err) })
 	n.source = discovery.NewSharedSource(client, nodePeers{n}, process.GetLocalServer().GetAddress(), process.GetSeedPeers())
@@ -76,15 +77,31 @@
 	return n
 }
 
-// memoryOf returns the bounds on the memory of bodies at the ingress.
-func memoryOf(process *slatewindv1.Process) outbound.Memory {
+// outboundMemory returns the bounds on the memory of the ingress.
+func outboundMemory(process *slatewindv1.Process, guard *usage.Guard) outbound.Memory {
 	limits := process.GetLimits()
 	return outbound.Memory{
+		Guard:    guard,
 		Requests: bodylimit.NewBudget(int64(limits.GetRequestBytes())),
+		Buffers:  newAnswerBudget(limits),
 		Answers:  bodylimit.NewAnswers(int64(limits.GetAnswerBytes())),
 	}
 }
 
+// inboundMemory returns the bounds on the memory of requests at the local server.
+func inboundMemory(process *slatewindv1.Process, guard *usage.Guard) inbound.Memory {
+	limits := process.GetLimits()
+	return inbound.Memory{Guard: guard, Requests: bodylimit.NewBudget(int64(limits.GetRequestBytes())), Answers: newAnswerBudget(limits)}
+}
+
+// newAnswerBudget returns a budget for answers that are buffered.
+func newAnswerBudget(limits *slatewindv1.Limits) *bodylimit.Budget {
+	if bytes := int64(limits.GetAnswerBytes()); bytes > 0 {
+		return bodylimit.NewBudget(bytes)
+	}
+	return bodylimit.NewBudget(bodylimit.DefaultAnswerBytes)
+}
+
 // placeOf returns where the process is.
 func placeOf(process *slatewindv1.Process) choice.Place {
 	place := choice.Place{DataCentre: process.GetDataCentre(), Regions: map[string]string{}}
--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -16,6 +16,7 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/backend"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/occupant"
@@ -34,12 +35,14 @@
 	}
 	// If the server's answer is truncated while it is still buffered here, the request counts as
 	// failed: nothing of the answer has been sent yet.
-	body, err := io.ReadAll(io.LimitReader(answer.Body, link.MaxBufferedBytes+1))
+	buffered := u.in.memory.Answers.Empty()
+	defer buffered.Release()
+	body, complete, err := readBuffered(answer.Body, answer.ContentLength, buffered)
 	if err != nil {
 		return u.fail(ctx, true, err)
 	}
 	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header), State: u.statement()}
-	if len(body) <= link.MaxBufferedBytes {
+	if complete {
 		answer.Close()
 		u.completed(answer.StatusCode)
 		if answer.StatusCode >= slatewind.MinServerErrorStatus {
@@ -60,6 +63,33 @@
 	return nil
 }
 
+// readBuffered reads the body of an answer of the given length, which is negative if it is not stated, up to
+// link.MaxBufferedBytes, or less if there is no memory for more than a chunk. complete reports that it is the whole body.
+func readBuffered(from io.Reader, length int64, lease *bodylimit.Lease) (body []byte, complete bool, err error) {
+	var buffer bytes.Buffer
+	reserved := int64(link.ChunkBytes)
+	if length > reserved && length <= link.MaxBufferedBytes && lease.Grow(length) == nil {
+		reserved = length
+		buffer.Grow(int(length) + bytes.MinRead)
+	}
+	for buffer.Len() <= link.MaxBufferedBytes {
+		_, err := io.CopyN(&buffer, from, link.ChunkBytes)
+		if errors.Is(err, io.EOF) {
+			return buffer.Bytes(), buffer.Len() <= link.MaxBufferedBytes, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if int64(buffer.Len()) >= reserved {
+			if lease.Grow(link.ChunkBytes) != nil {
+				break
+			}
+			reserved += link.ChunkBytes
+		}
+	}
+	return buffer.Bytes(), false, nil
+}
+
 // rejected reports whether the server states that it did not execute the request.
 func (u *use) rejected(answer *backend.Answer) bool {
 	return answer.Header.Get(u.in.server.Headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest
@@ -157,7 +187,7 @@
 	}
 	w := &chunkSender{use: u, sum: xxhash.New()}
 	for part := range slices.Chunk(buffered, link.ChunkBytes) {
-		if _, err := w.Write(part); err != nil {
+		if err := w.send(part); err != nil {
 			return err
 		}
 	}
@@ -183,8 +213,12 @@
 
 // Write implements io.Writer.
 func (w *chunkSender) Write(p []byte) (int, error) {
-	_, _ = w.sum.Write(p)
-	w.length += int64(len(p))
-	err := w.use.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Chunk{Chunk: bytes.Clone(p)}})
-	return len(p), err
+	return len(p), w.send(bytes.Clone(p))
+}
+
+// send sends a chunk, which must not be changed afterwards.
+func (w *chunkSender) send(chunk []byte) error {
+	_, _ = w.sum.Write(chunk)
+	w.length += int64(len(chunk))
+	return w.use.send(&slatewindv1.UseReply{Part: &slatewindv1.UseReply_Chunk{Chunk: chunk}})
 }
--- a/inbound/crash_test.go
+++ b/inbound/crash_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/internal/standin"
@@ -25,7 +24,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(crasher.Close)
 	journal := history.New(0, nil)
-	p := &fixture{server: server, Inbound: inbound.New(inbound.Server{Service: "svc", Address: crasher.Address(), Headers: platform.Servers()}, bounds, journal, quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))}
+	p := &fixture{server: server, Inbound: inbound.New(inbound.Server{Service: "svc", Address: crasher.Address(), Headers: platform.Servers()}, bounds, journal, quarantine.NewTable(nil, nil), inbound.Memory{})}
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 	return p, journal
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -21,7 +21,6 @@
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/backend"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/drain"
@@ -169,15 +168,14 @@
 	// warmup limits the requests while the server warms up.
 	warmup *warmup.Limiter
 	// limit keeps the requests within the limit that the server states.
-	limit serverlimit.Limiter
-	// bodies bounds the memory of the request bodies that are held for the server.
-	bodies *bodylimit.Budget
+	limit  serverlimit.Limiter
+	memory Memory
 }
 
 // New returns an Inbound for a server. The table of suspects is shared by the whole process.
-func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table, bodies *bodylimit.Budget) *Inbound {
+func New(server Server, bounds Bounds, journal slatewind.Journal, suspects *quarantine.Table, memory Memory) *Inbound {
 	in := &Inbound{
-		server: server, bounds: bounds, journal: journal, suspects: suspects, bodies: bodies,
+		server: server, bounds: bounds, journal: journal, suspects: suspects, memory: memory.withDefaults(),
 		pool:     backend.NewPool(server.Address, server.Headers),
 		occupant: occupant.NewLocal(server.Service),
 		slots:    admission.NewServer(defaultSlots),
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -59,7 +59,7 @@
 	p := &fixture{}
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Headers: platform.Servers(),
-	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodies)
+	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), inbound.Memory{Requests: bodies})
 	p.SetWarmup(warmup.Limits{})
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
@@ -71,7 +71,7 @@
 func newFixtureWithoutServer() *fixture {
 	p := &fixture{Inbound: inbound.New(inbound.Server{
 		Service: "svc", Address: "127.0.0.1:1", Headers: platform.Servers(),
-	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))}
+	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), inbound.Memory{})}
 	p.SetWarmup(warmup.Limits{})
 	return p
 }
--- a/inbound/pause_test.go
+++ b/inbound/pause_test.go
@@ -8,7 +8,6 @@
 
 	"slatewind.example/slatewind/admission"
 	"slatewind.example/slatewind/api/slatewindv1"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/quarantine"
@@ -33,7 +32,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))
+			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil), Memory{})
 			resumed := time.Now()
 			now := resumed.Add(-silence)
 			in.tick(now)
@@ -95,7 +94,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))
+			in := New(Server{Service: "s"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil), Memory{})
 			began := time.Now()
 			for _, id := range []string{"a", "b"} {
 				in.breaker.Grant(began, id, "route", work)
--- a/inbound/reuse_test.go
+++ b/inbound/reuse_test.go
@@ -12,7 +12,6 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/internal/standin"
@@ -52,7 +51,7 @@
 			p := newFixtureFor(t, server)
 			p.Removed(time.Now(), "s-1")
 			p.Inbound = inbound.New(inbound.Server{Service: "svc", Address: p.View().Address, Headers: platform.Servers()},
-				bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))
+				bounds, history.New(0, nil), quarantine.NewTable(nil, nil), inbound.Memory{})
 			t.Cleanup(p.Close)
 			for _, event := range test.events {
 				event(p)
@@ -128,7 +127,7 @@
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	p := &fixture{Inbound: inbound.New(inbound.Server{Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Headers: platform.Servers()},
-		bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))}
+		bounds, history.New(0, nil), quarantine.NewTable(nil, nil), inbound.Memory{})}
 	p.SetWarmup(warmup.Limits{})
 	t.Cleanup(p.Close)
 	use, reply := p.reserve(t.Context(), reservation())
--- a/inbound/slots.go
+++ b/inbound/slots.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// memoryRetryAfter is after how long a reservation may come again that was refused for lack of memory.
+const memoryRetryAfter = 500 * time.Millisecond
+
 // offer requests a slot. It returns either a refusal, or the item and the channel on which its
 // decision is delivered; the decision may already be there.
 func (in *Inbound) offer(now time.Time, r *slatewindv1.Reservation) (admission.Item, *slatewindv1.Refusal, <-chan admission.Decision) {
@@ -96,6 +99,9 @@
 	if refusal := in.refusalFor(now, r); refusal != nil {
 		return admission.Item{}, refusal, nil
 	}
+	if in.memory.Guard.Short(in.inFlight) {
+		return admission.Item{}, in.refusal(CauseFull, "the process beside the server is short of memory", memoryRetryAfter), nil
+	}
 	if in.doubts(now, r) {
 		return admission.Item{}, in.refusal(CauseUnhealthy, "", 0), nil
 	}
--- a/inbound/suspended_test.go
+++ b/inbound/suspended_test.go
@@ -9,7 +9,6 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
@@ -32,7 +31,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var suspended time.Duration
-			in := New(Server{Service: "s", Address: "127.0.0.1:1"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))
+			in := New(Server{Service: "s", Address: "127.0.0.1:1"}, Bounds{}, history.New(0, nil), quarantine.NewTable(nil, nil), Memory{})
 			in.clock = timer.Clock{Suspension: func() time.Duration { return suspended }}
 			in.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "s", Slots: 1})
 			ctx, cancel := context.WithCancel(t.Context())
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -234,7 +234,7 @@
 	if request == nil || request.GetBodyLength() > maxBody {
 		return Error.New("invalid request after the grant: want a request with a body of at most %d bytes", maxBody)
 	}
-	if err := u.body.acquire(ctx, u.in.bodies, request.GetBodyLength()); err != nil {
+	if err := u.body.acquire(ctx, u.in.memory.Requests, request.GetBodyLength()); err != nil {
 		return err
 	}
 	if int64(len(request.GetBody())) == request.GetBodyLength() {
--- a/inbound/warmup_test.go
+++ b/inbound/warmup_test.go
@@ -11,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/internal/standin"
@@ -87,7 +86,7 @@
 	p.listen()
 	t.Cleanup(p.stop)
 	p.Inbound = inbound.New(inbound.Server{Service: "svc", Address: p.address, Headers: platform.Servers()},
-		bounds, history.New(0, nil), quarantine.NewTable(nil, nil), bodylimit.NewBudget(0))
+		bounds, history.New(0, nil), quarantine.NewTable(nil, nil), inbound.Memory{})
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
 	return p
--- a/outbound/memory.go
+++ b/outbound/memory.go
@@ -10,15 +10,21 @@
 	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/search"
+	"slatewind.example/slatewind/usage"
 )
 
 // defaultBodyBytes limits the size of a body, in bytes, if the settings set no limit.
 const defaultBodyBytes = 64 << 20
 
-// Memory bounds the memory of the bodies that an ingress holds. A nil field means the default bound.
+// Memory bounds the memory of an ingress. A nil field means the default bound.
 type Memory struct {
+	// Guard refuses requests while the process is short of memory; nil means that no limit is known.
+	Guard *usage.Guard
 	// Requests bounds the bodies of requests that are in flight.
 	Requests *bodylimit.Budget
+	// Buffers bounds the bodies of answers that are buffered until they are complete, beyond the first chunk of each. An
+	// answer that does not fit is passed on while it arrives.
+	Buffers *bodylimit.Budget
 	// Answers bounds the answers that callers have not read yet.
 	Answers *bodylimit.Answers
 }
@@ -27,6 +33,9 @@
 	if m.Requests == nil {
 		m.Requests = bodylimit.NewBudget(0)
 	}
+	if m.Buffers == nil {
+		m.Buffers = bodylimit.NewBudget(bodylimit.DefaultAnswerBytes)
+	}
 	if m.Answers == nil {
 		m.Answers = bodylimit.NewAnswers(0)
 	}
@@ -35,14 +44,19 @@
 
 // MemoryView is the use of Memory in a state dump.
 type MemoryView struct {
-	RequestBytes int64                 `json:"request_bytes"`
-	Answers      bodylimit.AnswersView `json:"answers"`
+	RequestBytes int64 `json:"request_bytes"`
+	// BufferBytes is the memory of answers that are not complete yet.
+	BufferBytes int64                 `json:"buffer_bytes"`
+	Answers     bodylimit.AnswersView `json:"answers"`
 }
 
 func (m Memory) view() MemoryView {
-	return MemoryView{RequestBytes: m.Requests.InUse(), Answers: m.Answers.View()}
+	return MemoryView{RequestBytes: m.Requests.InUse(), BufferBytes: m.Buffers.InUse(), Answers: m.Answers.View()}
 }
 
+// errShortOfMemory refuses a request before anything of it is kept.
+var errShortOfMemory = &rejection{status: http.StatusServiceUnavailable, reason: "the process is short of memory", retryAfter: noMemoryRetryAfter}
+
 // readBody reads the caller's body. It waits for memory before it reads, for as long as the request
 // may wait for a slot, so that further bodies stay with their callers. rq.bodyLease must be released
 // when the request needs its body no longer, also after an error.
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -18,7 +18,6 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/config"
 	"slatewind.example/slatewind/history"
@@ -193,7 +192,7 @@
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
 	entry := slatewind.ServerEntry{Name: name, Service: service, Address: strings.TrimPrefix(web.URL, "http://"), DataCentre: "dc", Slots: 2}
-	in := inbound.New(inbound.Server{Service: service, Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, bodylimit.NewBudget(0))
+	in := inbound.New(inbound.Server{Service: service, Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, inbound.Memory{})
 	in.SetWarmup(warmup.Limits{})
 	t.Cleanup(in.Close)
 	in.Published(time.Now(), &entry)
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -135,6 +135,8 @@
 	defer f.answer.close()
 	f.answer.writeHeader(w.Header())
 	caller := o.newAnswerWriter(w, len(f.answer.body))
+	// From here on the answer counts among those that callers have not read.
+	f.answer.buffered.Release()
 	defer caller.close()
 	w.WriteHeader(int(f.answer.head.GetStatus()))
 	err := f.answer.writeBody(caller)
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -161,6 +161,9 @@
 
 // newRequest reads and validates a caller's request.
 func (o *Outbound) newRequest(now time.Time, call *slatewind.NestedCall, w http.ResponseWriter, r *http.Request) (*request, error) {
+	if o.memory.Guard.Short(o.InFlight()) {
+		return nil, errShortOfMemory
+	}
 	snapshot := o.store.Current()
 	if snapshot == nil {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "no settings are in force yet", retryAfter: noSettingsRetryAfter}
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/timer"
@@ -18,6 +20,8 @@
 	body []byte
 	// rest reads the chunks after body if the response is too long to hold in memory; nil otherwise.
 	rest *bodyReader
+	// buffered is the memory of body until it is written.
+	buffered *bodylimit.Lease
 	// close ends the reservation and releases the resources of the request.
 	close func()
 }
@@ -115,17 +119,23 @@
 	rq.shard.update(func(c *choice.Service) { c.Replied(time.Now(), slot.server.ID(), stateOf(state)) })
 }
 
-// read reads the response that follows a head. At most link.MaxBufferedBytes bytes and two chunks are held in
-// memory; the rest of a longer response is read as it is forwarded.
+// read reads the response that follows a head. At most link.MaxBufferedBytes bytes and two chunks are held in memory, and less
+// while there is no memory for more; the rest of a longer response is read as it is forwarded.
 func (o *Outbound) read(rq *request, slot *grantedSlot, head *slatewindv1.AnswerHead) attemptResult {
 	r := unknownResult(slot)
 	r.paidUntil = o.paidUntil(head.GetNextPaidMs())
 	body := newBodyReader(slot.use, func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
-	a := &answer{head: head, close: slot.cancel}
+	buffered := o.memory.Buffers.Empty()
+	a := &answer{head: head, buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
+	reserved := 0
+	if length := statedLength(head); length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
+		reserved = length
+		a.body = make([]byte, 0, length)
+	}
 	for len(a.body) <= link.MaxBufferedBytes {
 		chunk, done, err := body.next()
 		if err != nil {
-			slot.cancel()
+			a.close()
 			r.reason = err.Error()
 			return r
 		}
@@ -133,9 +143,26 @@
 			r.outcome, r.answer = slatewind.OutcomeAnswer, a
 			return r
 		}
+		noMemory := len(a.body) > 0 && len(a.body)+len(chunk) > reserved && buffered.Grow(int64(len(chunk))) != nil
 		a.body = append(a.body, chunk...)
+		if noMemory {
+			break
+		}
 	}
 	a.rest = body
 	r.outcome, r.answer = slatewind.OutcomeAnswer, a
 	return r
 }
+
+// statedLength returns the length of the body that the head of a response states, or -1.
+func statedLength(head *slatewindv1.AnswerHead) int {
+	for _, h := range head.GetHeaders() {
+		if h.GetName() != "Content-Length" {
+			continue
+		}
+		if length, err := strconv.Atoi(string(h.GetValue())); err == nil {
+			return length
+		}
+	}
+	return -1
+}
--- a/outbound/statements_test.go
+++ b/outbound/statements_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
-	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/platform"
 	"slatewind.example/slatewind/warmup"
@@ -20,7 +19,7 @@
 // and nothing else.
 func (m *mesh) restartProcess(t *testing.T, name string) {
 	entry := m.entry(name)
-	in := inbound.New(inbound.Server{Service: "svc", Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, bodylimit.NewBudget(0))
+	in := inbound.New(inbound.Server{Service: "svc", Address: entry.Address, Headers: platform.Servers()}, m.bounds, m.history, m.suspects, inbound.Memory{})
 	in.SetWarmup(warmup.Limits{})
 	t.Cleanup(in.Close)
 	in.Published(time.Now(), &entry)
