Follow the servers whatever another writer leaves among their entries

Operators of other systems saw: one odd entry among those of the servers, very deeply nested, with a number too large or a port out of range, and the machines that read the list end again and again or stop following it.

Here: nested entries, numbers and ports were refused already (tests added). But a process stopped following for good once the changes since its last read exceeded 8 MB, such as nine entries of 1 MB: the call failed, and the next one asked for the same changes again. Entries with texts of any length named servers, and were kept and sent to all processes; a read kept the values of all entries until its end.

Ruled out: an end of the process in any of these cases.

Cause: a limit on what is read without a way on from there, and no limit on a single entry. Class: what comes from outside is kept before it is checked.

The stand-in store ends a page after 1 MB, as the users' store does.

--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/platform"
 )
@@ -281,3 +284,56 @@
 	assert.Assert(t, served.Load() > 0)
 	t.Logf("%d of %d served, peak %d MB", served.Load(), callers, p.peakMemory()>>20)
 }
+
+// TestEntriesOfAnotherWriter checks that a process goes on following the servers, and keeps within its memory, whatever another
+// writer leaves among their entries.
+func TestEntriesOfAnotherWriter(t *testing.T) {
+	const large = 60
+	p := newNodeProcess(t)
+	p.serve(http.HandlerFunc(answerStamped))
+	p.startSmall()
+	odd := map[string]string{
+		"nested":   strings.Repeat(`{"a":`, 150_000),
+		"number":   `{"Slots":` + strings.Repeat("9", 400) + `}`,
+		"exponent": `{"Slots":1e400}`,
+		"port":     `{"Address":"` + p.ip + `:70000"}`,
+		"bytes":    "\xff\xfe\x00",
+	}
+	for name, value := range odd {
+		p.store.Put(platform.ServersPrefix+name, []byte(value))
+	}
+	value := []byte(`{"Zone":"` + strings.Repeat("a", 1<<20-100) + `"}`)
+	for i := range large {
+		p.store.Put(fmt.Sprint(platform.ServersPrefix, "large-", i), value)
+	}
+	p.awaitRevision(p.store.Revision())
+	p.store.PutServer(p.entry("s-1"))
+	p.awaitRevision(p.store.Revision())
+	status, answer := p.get("/look/x")
+	assert.Equal(t, status, http.StatusOK, answer)
+	p.assertMemory()
+}
+
+// awaitRevision waits until the process knows the servers up to a revision of the store.
+func (p *nodeProcess) awaitRevision(wanted slatewind.Revision) {
+	p.t.Helper()
+	var known slatewind.Revision
+	for deadline := time.Now().Add(eventTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if state, ok := p.state(); ok && state.Known != nil {
+			if known = *state.Known; !wanted.After(known) {
+				return
+			}
+		}
+	}
+	p.t.Fatalf("the process knows revision %s of %s\n%s", known, wanted, p.log)
+}
+
+// state returns the state dump of the process, if it answers.
+func (p *nodeProcess) state() (state admin.State, ok bool) {
+	response, err := http.Get("http://" + p.address(portAdmin) + "/state")
+	if err != nil {
+		return state, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return state, json.NewDecoder(response.Body).Decode(&state) == nil
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -35,8 +35,10 @@
 	slowAnswer = 3 * time.Second
 	// maxWait is the maximum time that a watch may wait.
 	maxWait = 30 * time.Second
-	// pageItems is the maximum number of items in the answer to a range call.
+	// pageItems is the maximum number of items in the answer to a range call, pageBytes the size of their values in bytes
+	// from which no further ones are added.
 	pageItems = 500
+	pageBytes = 1 << 20
 )
 
 // Platform is a stand-in for the platform's store: a map with revisions that can be
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -116,12 +116,21 @@
 	if query.Get(platform.ParamAfter) == "" {
 		first = 0
 	}
-	page := items[first:]
-	truncated := len(page) > pageItems
-	if truncated {
-		page = page[:pageItems]
+	page := firstPage(items[first:])
+	reply(w, platform.Answer{Items: page, Truncated: first+len(page) < len(items), AsOf: revision})
+}
+
+// firstPage returns the items of a page: at most pageItems, and no further ones after pageBytes.
+func firstPage(items []platform.Item) []platform.Item {
+	items = items[:min(len(items), pageItems)]
+	bytes := 0
+	for i, item := range items {
+		if bytes > pageBytes {
+			return items[:i]
+		}
+		bytes += len(item.Value)
 	}
-	reply(w, platform.Answer{Items: page, Truncated: truncated, AsOf: revision})
+	return items
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
