Keep a panic in one call, reservation or tick from ending the process

Operators saw: a message of a peer without a role ended the process (RateLimits.Take; a nil pointer in package ratelimit), and so would any other fault in a handler of gRPC, in a reservation within the process, or in a timer: of these only net/http recovers by itself. All processes that get the same message would end together.

Cause: a field of a message was not checked, and one fault took all requests along. Class: something from outside that ends a process.

Ruled out: deeply nested messages; protobuf and JSON refuse them at a depth of 10,000.

Change: Take refuses an unknown role, with its field. Package recovery turns a panic in a call, a local reservation, an attempt, a body, a tick or a poll into its error, logged with the stack (msg=panic, five in 10 s). A request that may have been sent counts as unknown, never as not run; its slot is returned. Faults of the runtime itself (memory, concurrent maps, threads, stacks) still end the process.

Goroutines without recovery: heartbeats of connections, gossip and the ingress of the product's own path.

--- a/cmd/slatewindd/main.go
+++ b/cmd/slatewindd/main.go
@@ -82,6 +82,7 @@
 	defer cancel()
 	logger := daemon.NewLogger(lines, o.Verbose)
 	daemon.RedirectLibraryLogs(logger)
+	daemon.ReportPanics(logger)
 	end := runDaemon(running, o.Settings, logger)
 	if end.Err != nil {
 		fmt.Fprintln(os.Stderr, end.Err)
--- a/daemon/liblog.go
+++ b/daemon/liblog.go
@@ -10,6 +10,9 @@
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel"
 	"google.golang.org/grpc/grpclog"
+
+	"slatewind.example/slatewind/clip"
+	"slatewind.example/slatewind/recovery"
 )
 
 const (
@@ -55,3 +58,24 @@
 	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, lines))
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) { stdlog.Print(err) }))
 }
+
+const (
+	// maxPanicLines is how many panics are logged per libraryLinesInterval.
+	maxPanicLines = 5
+	// maxStackBytes limits the stack in a log line, in bytes.
+	maxStackBytes = 4 << 10
+)
+
+// ReportPanics logs the panics from which the process recovers.
+func ReportPanics(logger *log.Logger) {
+	var mu sync.Mutex
+	lines := throttle{interval: libraryLinesInterval, limit: maxPanicLines}
+	recovery.SetReport(func(p *recovery.Panic) {
+		mu.Lock()
+		allowed, leftOut := lines.allow(time.Now())
+		mu.Unlock()
+		if allowed {
+			logger.Error("panic", "where", p.Where, "cause", p.Value, "stack", clip.Text(string(p.Stack), maxStackBytes), "lines_left_out", leftOut)
+		}
+	})
+}
--- a/daemon/links.go
+++ b/daemon/links.go
@@ -9,6 +9,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/metrics"
+	"slatewind.example/slatewind/recovery"
 	"slatewind.example/slatewind/sidecar"
 )
 
@@ -33,13 +34,15 @@
 	runErr := make(chan error, 1)
 	go func() {
 		defer close(parts)
-		runErr <- l.sidecar.Run(ctx, request, func(part *slatewindv1.RunReply) error {
-			select {
-			case parts <- part:
-				return nil
-			case <-ctx.Done():
-				return ctx.Err()
-			}
+		runErr <- recovery.Call("local run", func() error {
+			return l.sidecar.Run(ctx, request, func(part *slatewindv1.RunReply) error {
+				select {
+				case parts <- part:
+					return nil
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			})
 		})
 	}()
 	reply, err := link.ReadReply(request.GetAttemptId(), func() (*slatewindv1.RunReply, error) {
--- a/daemon/nodequarantine.go
+++ b/daemon/nodequarantine.go
@@ -8,6 +8,7 @@
 	"slatewind.example/slatewind/crash"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
+	"slatewind.example/slatewind/recovery"
 )
 
 const (
@@ -60,7 +61,7 @@
 				return
 			case records := <-p.queue:
 				time.Sleep(publishBatchDelay)
-				p.publish(ctx, append(records, p.queued()...))
+				_ = recovery.Run("publish records", func() { p.publish(ctx, append(records, p.queued()...)) })
 			}
 		}
 	}()
@@ -84,7 +85,7 @@
 	local := p.node.settings.GetLocalServer()
 	for _, address := range p.node.outbound.Addresses(local.GetService()) {
 		if address != local.GetAddress() {
-			go p.publishTo(ctx, address, records)
+			go func() { _ = recovery.Run("send records", func() { p.publishTo(ctx, address, records) }) }()
 		}
 	}
 }
--- a/discovery/settings.go
+++ b/discovery/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/recovery"
 )
 
 const (
@@ -104,7 +105,7 @@
 func (w *SettingsWatcher) loop(ctx context.Context) {
 	retry, unreachable := minRetry, false
 	for ctx.Err() == nil {
-		err := w.step(ctx)
+		err := recovery.Call("poll for settings", func() error { return w.step(ctx) })
 		if ctx.Err() != nil {
 			return
 		}
--- a/discovery/watcher.go
+++ b/discovery/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/recovery"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -133,7 +134,11 @@
 func (w *Watcher) loop(ctx context.Context) {
 	retry := minRetry
 	for ctx.Err() == nil {
-		interval, err := w.poll(ctx)
+		var interval time.Duration
+		err := recovery.Call("poll for servers", func() (err error) {
+			interval, err = w.poll(ctx)
+			return err
+		})
 		if ctx.Err() != nil {
 			return
 		}
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -297,6 +297,7 @@
 	u := &use{in: in, stream: stream, reservation: reservation}
 	u.trackInFlight()
 	defer u.untrackInFlight()
+	defer u.releaseHeld()
 	return ignoreDisconnect(stream.Context(), u.serve())
 }
 
--- a/inbound/run.go
+++ b/inbound/run.go
@@ -181,6 +181,7 @@
 	now := time.Now()
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
+	u.held = false
 	delete(u.in.parents, u.id)
 	delete(u.in.unread, u.item.ID)
 	if result == breaker.ResultError && u.parent.mayBeCallError() {
--- a/inbound/use.go
+++ b/inbound/use.go
@@ -11,6 +11,7 @@
 	"slatewind.example/slatewind/breaker"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/quarantine"
+	"slatewind.example/slatewind/recovery"
 	"slatewind.example/slatewind/retry"
 	"slatewind.example/slatewind/timer"
 )
@@ -35,6 +36,8 @@
 	// id is the caller's ID of the request, parent the state of its nested calls.
 	id     string
 	parent parent
+	// held reports that the request holds a slot.
+	held bool
 	// expected is the name of the server that the request is addressed to.
 	expected string
 	// body is the memory of the request's body.
@@ -116,6 +119,7 @@
 	if refusal != nil {
 		u.in.release(u.granted, u.item)
 	} else {
+		u.held = true
 		u.recordGrant()
 		u.in.warmup.Admit(u.granted)
 		u.limited = u.in.limit.Take(u.granted)
@@ -133,11 +137,19 @@
 	return err == nil, err
 }
 
+// releaseHeld returns a slot that is still held, which is so only after a panic.
+func (u *use) releaseHeld() {
+	if u.held {
+		u.endRun(breaker.ResultNone, "")
+	}
+}
+
 // release releases a granted slot that was not used.
 func (u *use) release() {
 	now := time.Now()
 	u.in.mu.Lock()
 	defer u.in.mu.Unlock()
+	u.held = false
 	u.in.currentBreaker(now).End(now, u.item.ID, breaker.ResultNone)
 	u.in.extras.Return(u.payment)
 	u.in.limit.Return(now, u.limited)
@@ -201,7 +213,9 @@
 	ctx, cancel := context.WithCancel(u.stream.Context())
 	defer cancel()
 	var r received
-	go func() { result <- u.read(ctx, &r, progress) }()
+	go func() {
+		result <- recovery.Call("body of a request", func() error { return u.read(ctx, &r, progress) })
+	}()
 	idle := time.NewTimer(grantTime)
 	defer idle.Stop()
 	for {
--- a/link/limits.go
+++ b/link/limits.go
@@ -6,6 +6,9 @@
 	"syscall"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/ratelimit"
@@ -79,11 +82,15 @@
 
 // Take implements the generated interface.
 func (s LimitsServer) Take(_ context.Context, request *slatewindv1.TakeRequest) (*slatewindv1.TakeReply, error) {
+	role := ratelimit.Role(request.GetRole())
+	if !role.Known() {
+		return nil, status.Errorf(codes.InvalidArgument, "role: unknown role %q", request.GetRole())
+	}
 	reply := s.Grant(time.Now(), ratelimit.TokenRequest{
 		Limit: slatewind.WorkspaceLimit{
 			Workspace: request.GetWorkspace(), Rate: request.GetRate(), Burst: request.GetBurst(), Version: request.GetVersion(),
 		},
-		Tokens: int(request.GetTokens()), Role: ratelimit.Role(request.GetRole()),
+		Tokens: int(request.GetTokens()), Role: role,
 	})
 	return &slatewindv1.TakeReply{
 		Tokens: uint32(reply.Tokens), Level: reply.Level, NextNanos: int64(reply.Next), TurnNanos: int64(reply.Turn),
--- a/link/link.go
+++ b/link/link.go
@@ -87,6 +87,8 @@
 // ServerOptions returns the options of the gRPC server that peers call.
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
+		grpc.UnaryInterceptor(recoverCall),
+		grpc.StreamInterceptor(recoverStream),
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.StaticStreamWindowSize(streamWindow),
--- a/link/use.go
+++ b/link/use.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/recovery"
 )
 
 // Use is the ingress's side of one reservation. It ends with the context that it was
@@ -61,7 +62,7 @@
 	}
 	go func() {
 		defer close(l.replies)
-		l.err = serve(localStream{l})
+		l.err = recovery.Call("local reservation", func() error { return serve(localStream{l}) })
 	}()
 	return l
 }
--- a/outbound/dispatch.go
+++ b/outbound/dispatch.go
@@ -9,6 +9,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/recovery"
 	"slatewind.example/slatewind/timer"
 )
 
@@ -166,7 +167,12 @@
 		mayRepeat: d.arrivals+d.active < d.rq.attempts(), paidUntil: paidUntil,
 		onSent: func(server string) { d.sent <- server },
 	}
-	go func() { d.results <- d.o.attempt(d.ctx, d.rq, opts) }()
+	go func() {
+		// The request may have been sent by the time of a panic.
+		result := attemptResult{requestResult: requestResult{outcome: slatewind.OutcomeUnknown, reason: "the attempt failed within the process"}, arrived: true}
+		_ = recovery.Run("attempt", func() { result = d.o.attempt(d.ctx, d.rq, opts) })
+		d.results <- result
+	}()
 }
 
 // trialConstraints returns whether the attempt being started may serve as a trial of an unhealthy
--- a/outbound/reservation.go
+++ b/outbound/reservation.go
@@ -10,6 +10,7 @@
 	"slatewind.example/slatewind/choice"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/link"
+	"slatewind.example/slatewind/recovery"
 	"slatewind.example/slatewind/report"
 	"slatewind.example/slatewind/search"
 )
@@ -51,7 +52,16 @@
 			message.LimitedServer = p.server().ID()
 		}
 	})
-	go s.o.reserve(ctx, message, p, s.events)
+	go func() {
+		err := recovery.Run("reservation", func() { s.o.reserve(ctx, message, p, s.events) })
+		if err == nil {
+			return
+		}
+		select {
+		case s.events <- event{pending: p, err: err}:
+		case <-ctx.Done():
+		}
+	}()
 }
 
 // paidFor returns for how much longer the attempt is paid for.
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -19,6 +19,9 @@
 	RoleSuccessor Role = "successor"
 )
 
+// Known reports whether r is one of the roles above.
+func (r Role) Known() bool { return r == RoleHome || r == RoleStandIn || r == RoleSuccessor }
+
 // TokenRequest asks for tokens of a workspace.
 type TokenRequest struct {
 	// Limit is the limit of the workspace as known to the requesting process.
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"time"
+
+	"slatewind.example/slatewind/recovery"
 )
 
 // minPause is how late a tick may be before the delay counts as a pause. A loaded VM delays ticks
@@ -42,7 +44,8 @@
 				return
 			case <-ticker.C:
 				now, since := time.Now(), s.clock.Suspended()
-				handle(Tick{Now: now, Paused: max(PauseBetween(last, now, interval), since-suspended)})
+				tick := Tick{Now: now, Paused: max(PauseBetween(last, now, interval), since-suspended)}
+				_ = recovery.Run("tick", func() { handle(tick) })
 				last, suspended = now, since
 			}
 		}
