Bound the connections of callers and the memory of their request heads

Cause: net/http limits each head to 1 MB, not all of them; nothing limits connections but the operating system, whose descriptors callers share with everything else. Classes: memory without one bound over all of it; descriptors near their limit.

Ruled out: an end of the process at the limit; net/http and gRPC retry accept.

Change: package connlimit wraps the listener of callers. Heads share 4 MiB beyond the first 4 KiB of each until their requests are answered; a head that does not fit closes its connection unread. Callers have half of the descriptors (shares chosen); at the bound the connection that has been idle longest makes room, and a new one is closed where none is idle. The state dump shows it under connections.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/connlimit"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
 	"slatewind.example/slatewind/ingress"
@@ -29,12 +30,14 @@
 	Time       time.Time `json:"time"`
 	Settings   Settings  `json:"settings"`
 	// Usage is what the process uses of its limited resources.
-	Usage       usage.Usage    `json:"usage"`
-	PlatformAge string         `json:"platform_seen_ago"`
-	Reader      bool           `json:"reads_platform"`
-	Ingress     ingress.View   `json:"ingress"`
-	Sidecar     sidecar.View   `json:"sidecar"`
-	Members     []member.Entry `json:"members"`
+	Usage usage.Usage `json:"usage"`
+	// Connections are those of callers.
+	Connections *connlimit.View `json:"connections,omitempty"`
+	PlatformAge string          `json:"platform_seen_ago"`
+	Reader      bool            `json:"reads_platform"`
+	Ingress     ingress.View    `json:"ingress"`
+	Sidecar     sidecar.View    `json:"sidecar"`
+	Members     []member.Entry  `json:"members"`
 	// Outbound and Inbound are used instead of Ingress and Sidecar if the servers come from
 	// the platform's store.
 	Outbound *outbound.View `json:"outbound,omitempty"`
--- /dev/null
+++ b/connlimit/connlimit_test.go
@@ -0,0 +1,146 @@
+package connlimit_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/connlimit"
+)
+
+const testTimeout = 10 * time.Second
+
+// newServer serves requests whose bodies it reads, and returns its address. A request to /wait is answered once release is
+// closed.
+func newServer(t *testing.T, limiter *connlimit.Limiter, release <-chan struct{}) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{
+		Handler: connlimit.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n, _ := io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/wait" {
+				<-release
+			}
+			_, _ = fmt.Fprint(w, n)
+		})),
+		ConnState: limiter.State, ConnContext: connlimit.Context, ReadHeaderTimeout: testTimeout,
+	}
+	go func() { _ = server.Serve(limiter.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// caller is a connection with its reader.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	return caller{conn, bufio.NewReader(conn)}
+}
+
+// send sends a request with a body and returns an error if it is not answered with status 200.
+func (c caller) send(path, body string) error {
+	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if text, err := io.ReadAll(response.Body); err != nil || string(text) != fmt.Sprint(len(body)) {
+		return errors.Join(fmt.Errorf("body %q", text), err)
+	}
+	return nil
+}
+
+func await(t *testing.T, what func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !what(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "timed out")
+	}
+}
+
+// TestConnections checks that the connection idle for the longest makes room for a new one, and that one with a request never does.
+func TestConnections(t *testing.T) {
+	limiter := connlimit.New(3)
+	release := make(chan struct{})
+	address := newServer(t, limiter, release)
+	first, second, busy := dial(t, address), dial(t, address), dial(t, address)
+	answered := make(chan error, 1)
+	go func() { answered <- busy.send("/wait", "") }()
+	assert.NilError(t, first.send("/", "body"))
+	assert.NilError(t, second.send("/", "body"))
+	await(t, func() bool { v := limiter.View(); return v.Open == 3 && v.Idle == 2 })
+
+	third := dial(t, address)
+	assert.NilError(t, third.send("/", "body"))
+	_, err := first.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "the connection idle for the longest is closed")
+	assert.NilError(t, second.send("/", "body"), "the others are kept")
+	close(release)
+	assert.NilError(t, <-answered)
+	view := limiter.View()
+	assert.Equal(t, view.Open, 3)
+	assert.Equal(t, view.Evicted, uint64(1))
+}
+
+// TestNoIdleConnection checks that a new connection is closed if all others have requests, and that there is room again after them.
+func TestNoIdleConnection(t *testing.T) {
+	limiter := connlimit.New(1)
+	release := make(chan struct{})
+	address := newServer(t, limiter, release)
+	busy := dial(t, address)
+	answered := make(chan error, 1)
+	go func() { answered <- busy.send("/wait", "") }()
+	await(t, func() bool { return limiter.View().Open == 1 })
+	assert.Assert(t, dial(t, address).send("/", "") != nil)
+	close(release)
+	assert.NilError(t, <-answered)
+	assert.NilError(t, busy.Close())
+	await(t, func() bool { return limiter.View().Open == 0 })
+	assert.NilError(t, dial(t, address).send("/", ""))
+	assert.Equal(t, limiter.View().Refused, uint64(1))
+}
+
+// TestHeads checks that large heads share a bound, that small ones are read beside them, and that bodies do not count.
+func TestHeads(t *testing.T) {
+	const headBytes = 512 << 10
+	limiter := connlimit.New(0)
+	address := newServer(t, limiter, nil)
+	head := "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", headBytes)
+	var callers []caller
+	for range 2 * connlimit.HeadBytes / headBytes {
+		c := dial(t, address)
+		callers = append(callers, c)
+		go func() { _, _ = io.WriteString(c, head) }()
+	}
+	await(t, func() bool { return limiter.View().Headless > 0 })
+	assert.Assert(t, limiter.View().HeadBytes <= connlimit.HeadBytes)
+	assert.NilError(t, dial(t, address).send("/", strings.Repeat("b", 2*connlimit.HeadBytes)), "a small head with a large body")
+	for _, c := range callers {
+		assert.NilError(t, c.Close())
+	}
+	await(t, func() bool { return limiter.View().HeadBytes == 0 })
+	c := dial(t, address)
+	for range 3 {
+		assert.NilError(t, c.send("/", "body"))
+	}
+	await(t, func() bool { v := limiter.View(); return v.HeadBytes == 0 && v.Idle >= 1 })
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/attempt"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/connlimit"
 	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/drain"
 	"slatewind.example/slatewind/gossip"
@@ -57,6 +59,9 @@
 	drainNotice = 500 * time.Millisecond
 	// readHeaderTimeout bounds how long a caller may take to send a header.
 	readHeaderTimeout = 10 * time.Second
+	// callersShare is the divisor of the descriptors that gives the connections of callers. The others are for servers,
+	// peers, the store and files.
+	callersShare = 2
 	// idleTimeout is after how long callers' idle connections are closed.
 	idleTimeout = 2 * time.Minute
 )
@@ -145,8 +150,10 @@
 	cancel    context.CancelFunc
 	endpoints []endpoint
 	callers   *http.Server
-	admin     *http.Server
-	peers     *grpc.Server
+	// conns limits the connections of callers.
+	conns *connlimit.Limiter
+	admin *http.Server
+	peers *grpc.Server
 }
 
 func newProcess(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Process {
@@ -197,14 +204,18 @@
 
 // listen opens the three listeners without serving them.
 func (p *Process) listen(ctx context.Context) error {
-	p.callers = &http.Server{Handler: p.ingress, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	p.conns = connlimit.New(p.limits.Descriptors / callersShare)
+	p.callers = &http.Server{
+		Handler: connlimit.Handler(p.ingress), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ConnState: p.conns.State, ConnContext: connlimit.Context,
+	}
 	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	p.peers = grpc.NewServer(link.ServerOptions()...)
 	slatewindv1.RegisterSidecarServer(p.peers, sidecarServer{sidecar: p.sidecar})
 	slatewindv1.RegisterPeerServer(p.peers, peerServer{gossip: p.gossip})
 	slatewindv1.RegisterRateLimitsServer(p.peers, link.LimitsServer{Grant: p.limiter.Grant})
 	p.endpoints = []endpoint{
-		{name: "callers", address: p.settings.GetIngressAddress(), serve: p.callers.Serve},
+		{name: "callers", address: p.settings.GetIngressAddress(), serve: func(l net.Listener) error { return p.callers.Serve(p.conns.Listener(l)) }},
 		{name: "peers", address: p.settings.GetPeerAddress(), serve: p.peers.Serve},
 		{name: "admin", address: p.settings.GetAdminAddress(), serve: p.admin.Serve},
 	}
@@ -297,7 +308,7 @@
 }
 
 func (p *Process) state() admin.State {
-	now := time.Now()
+	now, conns := time.Now(), p.conns.View()
 	return admin.State{
 		VM:          p.settings.GetVm(),
 		DataCentre:  p.settings.GetDataCentre(),
@@ -305,6 +316,7 @@
 		Time:        now,
 		Settings:    p.settingsInForce(),
 		Usage:       usage.Read(p.limits),
+		Connections: &conns,
 		PlatformAge: p.gossip.PlatformAge(now).Round(time.Millisecond).String(),
 		Reader:      p.gossip.MayRead(now),
 		Ingress:     p.ingress.View(now),
--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
@@ -337,3 +339,55 @@
 	defer func() { _ = response.Body.Close() }()
 	return state, json.NewDecoder(response.Body).Decode(&state) == nil
 }
+
+// TestLargeHeadsKeepMemory checks that request heads of 1 MB at once do not take a process over its memory, and that other callers
+// are served meanwhile.
+func TestLargeHeadsKeepMemory(t *testing.T) {
+	const callers, headBytes = 400, 1 << 20
+	p := newNodeProcess(t)
+	p.serve(http.HandlerFunc(answerStamped))
+	p.startSmall()
+	head := "GET /look/x HTTP/1.1\r\nHost: h.example\r\n" + strings.Repeat("A: b\r\n", headBytes/6-100)
+	var work sync.WaitGroup
+	for range callers {
+		conn, err := net.Dial("tcp", p.address(portCallers))
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		work.Go(func() { _, _ = io.WriteString(conn, head) })
+	}
+	for range 10 {
+		status, answer := p.get("/look/x")
+		assert.Equal(t, status, http.StatusOK, answer)
+	}
+	work.Wait()
+	p.assertMemory()
+}
+
+// TestDescriptorsRunOut checks that a process whose callers keep more connections than it has descriptors goes on, and serves each
+// new caller.
+func TestDescriptorsRunOut(t *testing.T) {
+	const descriptors, callers = 200, 400
+	p := newNodeProcess(t)
+	p.serve(http.HandlerFunc(answerStamped))
+	p.writeSettings(p.settingsText() + fmt.Sprintf("limits: {descriptors: %d}\n", descriptors))
+	p.start(nil)
+	p.awaitReady()
+	limit := unix.Rlimit{Cur: descriptors, Max: descriptors}
+	assert.NilError(t, unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+	for i := range callers {
+		conn, err := net.Dial("tcp", p.address(portCallers))
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.WriteString(conn, "GET /look/x HTTP/1.1\r\nHost: h.example\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err, "connection %d", i)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		_ = response.Body.Close()
+	}
+	state, ok := p.state()
+	assert.Assert(t, ok)
+	assert.Equal(t, state.Connections.Limit, descriptors/2)
+	assert.Assert(t, state.Connections.Evicted > 0, "%+v", state.Connections)
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -14,6 +14,7 @@
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/connlimit"
 	"slatewind.example/slatewind/discovery"
 	"slatewind.example/slatewind/history"
 	"slatewind.example/slatewind/inbound"
@@ -67,10 +68,12 @@
 	cancel    context.CancelFunc
 	endpoints []endpoint
 	callers   *http.Server
-	unused    unusedConns
-	ready     *http.Server
-	admin     *http.Server
-	peers     *grpc.Server
+	// conns limits the connections of callers.
+	conns  *connlimit.Limiter
+	unused unusedConns
+	ready  *http.Server
+	admin  *http.Server
+	peers  *grpc.Server
 }
 
 // Open implements outbound.Opener.
@@ -120,7 +123,11 @@
 
 // listen opens the four listeners without serving them.
 func (n *Node) listen(ctx context.Context) error {
-	n.callers = &http.Server{Handler: n.outbound, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: n.unused.track, ConnContext: limitWriteBuffer}
+	n.conns = connlimit.New(n.limits.Descriptors / callersShare)
+	n.callers = &http.Server{
+		Handler: connlimit.Handler(n.outbound), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ConnState: n.trackConn, ConnContext: limitWriteBuffer,
+	}
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	n.admin = &http.Server{Handler: admin.NewHandler(n.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	n.peers = grpc.NewServer(link.ServerOptions()...)
@@ -128,7 +135,7 @@
 	slatewindv1.RegisterRateLimitsServer(n.peers, link.LimitsServer{Grant: n.limiter.Grant})
 	slatewindv1.RegisterNewsServer(n.peers, &link.NewsServer{UpdateSince: n.since, Exchange: n.exchange, ReceiveSuspects: n.receiveRecords, CurrentSettings: n.settingsWatcher.Current})
 	n.endpoints = []endpoint{
-		{name: "callers", address: n.settings.GetIngressAddress(), serve: n.callers.Serve},
+		{name: "callers", address: n.settings.GetIngressAddress(), serve: func(l net.Listener) error { return n.callers.Serve(n.conns.Listener(l)) }},
 		{name: "ready", address: n.settings.GetReadyAddress(), serve: n.ready.Serve},
 		{name: "peers", address: n.settings.GetPeerAddress(), serve: n.peers.Serve},
 		{name: "admin", address: n.settings.GetAdminAddress(), serve: n.admin.Serve},
@@ -142,11 +149,17 @@
 
 // limitWriteBuffer is the http.Server.ConnContext hook: it limits the write buffer of a connection.
 func limitWriteBuffer(ctx context.Context, conn net.Conn) context.Context {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if buffered, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		// An error leaves the kernel's choice in force.
-		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+		_ = buffered.SetWriteBuffer(callerWriteBuffer)
 	}
-	return ctx
+	return connlimit.Context(ctx, conn)
+}
+
+// trackConn is the http.Server.ConnState hook.
+func (n *Node) trackConn(conn net.Conn, state http.ConnState) {
+	n.unused.track(conn, state)
+	n.conns.State(conn, state)
 }
 
 // serveReady is the readiness check of the platform: it answers 200 if the node can serve callers.
@@ -178,10 +191,10 @@
 
 func (n *Node) state() admin.State {
 	now := time.Now()
-	out, in, known := n.outbound.View(now), n.inbound.View(), n.watcher.Revision()
+	out, in, known, conns := n.outbound.View(now), n.inbound.View(), n.watcher.Revision(), n.conns.View()
 	return admin.State{
 		VM: n.settings.GetVm(), DataCentre: n.settings.GetDataCentre(), Version: Version, Time: now,
-		Settings: settingsInForce(n.settings.GetVm(), n.store), Usage: usage.Read(n.limits), Reader: n.source.IsReader(), Outbound: &out, Inbound: &in, Known: &known,
+		Settings: settingsInForce(n.settings.GetVm(), n.store), Usage: usage.Read(n.limits), Connections: &conns, Reader: n.source.IsReader(), Outbound: &out, Inbound: &in, Known: &known,
 		Limits: n.limiter.Uses(now), Suspects: n.suspects.Views(now),
 		Evacuated: n.evacuations.Evacuated().DataCentres,
 	}
--- a/link/abort.go
+++ b/link/abort.go
@@ -1,9 +1,6 @@
 package link
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // AbortAnswer ends the handler of a request whose answer broke off, so that the caller does not take what
 // it has got for the whole. It does not return. oldCaller reports that the caller uses HTTP/1.0, which has no
@@ -21,7 +18,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
