Bound settings of a peer and the slots that a server reports

Settings have 16 MiB compressed at most (chosen; the store's values have 1 MB); more than 65,536 reported slots are ignored, as in entries of servers.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -144,6 +144,8 @@
 const (
 	loadReportFields = 3
 	loadReportSlots  = 2
+	// maxReportedSlots is the largest number of slots that is believed, as in entries of servers.
+	maxReportedSlots = 1 << 16
 )
 
 // updateSlots updates the number of slots from a load report. A malformed report is ignored.
@@ -152,7 +154,7 @@
 	if len(parts) != loadReportFields {
 		return
 	}
-	if slots, err := strconv.Atoi(strings.TrimSpace(parts[loadReportSlots])); err == nil {
+	if slots, err := strconv.Atoi(strings.TrimSpace(parts[loadReportSlots])); err == nil && slots <= maxReportedSlots {
 		u.in.mu.Lock()
 		u.in.setSlots(slots)
 		u.in.mu.Unlock()
--- a/link/settings.go
+++ b/link/settings.go
@@ -30,7 +30,8 @@
 	// maxTransfers limits the concurrent transfers of settings to callers. On a slow link
 	// more of them would all be late, while these few callers soon pass the settings on.
 	maxTransfers = 3
-	// maxSettings limits the size of decompressed settings, in bytes.
+	// maxPacked limits the size of compressed settings, maxSettings that of decompressed ones, in bytes.
+	maxPacked   = 16 << 20
 	maxSettings = 64 << 20
 )
 
@@ -64,6 +65,9 @@
 		if first == nil {
 			first = part
 		}
+		if len(all)+len(part.GetPacked()) > maxPacked {
+			return nil, ErrCorrupt
+		}
 		all = append(all, part.GetPacked()...)
 	}
 	if first == nil {
--- a/link/settings_test.go
+++ b/link/settings_test.go
@@ -106,3 +106,26 @@
 	assert.ErrorContains(t, err, "canceled")
 	assert.Assert(t, time.Since(asked) < 800*time.Millisecond, time.Since(asked))
 }
+
+// endlessNews sends settings without end.
+type endlessNews struct {
+	slatewindv1.UnimplementedNewsServer
+}
+
+func (endlessNews) Settings(_ *slatewindv1.SettingsRequest, stream grpc.ServerStreamingServer[slatewindv1.SettingsPart]) error {
+	for part := make([]byte, 16<<10); ; {
+		if err := stream.Send(&slatewindv1.SettingsPart{Packed: part}); err != nil {
+			return err
+		}
+	}
+}
+
+// TestSettingsWithoutEnd checks that settings that a peer sends without end are given up.
+func TestSettingsWithoutEnd(t *testing.T) {
+	pool := link.NewPool(nil)
+	defer func() { _ = pool.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := pool.Settings(ctx, serveNews(t, endlessNews{}), 0)
+	assert.ErrorIs(t, err, link.ErrCorrupt)
+}
