Soak: processes near their limits, and in surroundings that misbehave

No run showed an end of a process: exits were not looked at unless a part waited for them, no process had a limit, and no log was closed.

In every part, an exit that nobody asked for, or with a status, is a breach now.

--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +36,11 @@
 	StampedOverdue StampedMode = "overdue"
 	// StampedCut truncates each answer in the middle of its body.
 	StampedCut StampedMode = "cut"
+	// StampedEndlessHead and StampedEndlessBody send an answer whose head or body does not end, StampedEndlessBytes bytes that
+	// are no answer, until the connection is closed. The request counts as run.
+	StampedEndlessHead  StampedMode = "endless-head"
+	StampedEndlessBody  StampedMode = "endless-body"
+	StampedEndlessBytes StampedMode = "endless-bytes"
 )
 
 // Stamped is a stand-in for a backend server that identifies itself in its answers,
@@ -208,6 +214,15 @@
 func (s *Stamped) answer(w http.ResponseWriter, r *http.Request, mode StampedMode, body []byte) {
 	s.state(w.Header())
 	switch mode {
+	case StampedEndlessHead:
+		sendEndlessly(w, "HTTP/1.1 200 OK\r\n", "Field: value\r\n")
+		return
+	case StampedEndlessBody:
+		sendEndlessly(w, "HTTP/1.1 200 OK\r\n"+s.headerNames.Stamp+": stamp\r\n\r\n", "body")
+		return
+	case StampedEndlessBytes:
+		sendEndlessly(w, "", "bytes")
+		return
 	case StampedReset, StampedLost:
 		resetConnection(w)
 		return
@@ -246,3 +261,24 @@
 	}
 	_ = conn.Close()
 }
+
+// endlessPart is how often a text is repeated in one write of sendEndlessly.
+const endlessPart = 4096
+
+// sendEndlessly takes over the connection of a request and sends first, and then a text again and again until the connection is
+// closed.
+func sendEndlessly(w http.ResponseWriter, first, text string) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	part := strings.Repeat(text, endlessPart)
+	for _, err = io.WriteString(conn, first); err == nil; {
+		_, err = io.WriteString(conn, part)
+	}
+}
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -236,6 +236,16 @@
 			{File: "outbound/reply.go", From: "case h.GetName() == \"Content-Length\" && a.rest != nil:", To: "case false:"},
 		},
 	},
+	"a head has no limit": {
+		promise: soak.PromiseMemory,
+		part:    soak.PartLimits,
+		edits:   []overlay.Edit{{File: "backend/head.go", From: "	if !l.inHead {", To: "	if true {"}},
+	},
+	"a closed log ends the process": {
+		promise: soak.PromiseRuns,
+		part:    soak.PartLimits,
+		edits:   []overlay.Edit{{File: "cmd/slatewindd/main.go", From: "syscall.SIGHUP, syscall.SIGPIPE)", To: "syscall.SIGHUP)"}},
+	},
 	"no budget": {
 		promise: soak.PromiseBudget,
 		part:    soak.PartCalm,
@@ -292,7 +302,7 @@
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
 	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly,
 		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread, soak.PartReuse)
-	if *whole && b.part != soak.PartLong {
+	if *whole && b.part != soak.PartLong && b.part != soak.PartLimits {
 		return o
 	}
 	o.StopOn, o.Parts = b.promise, []soak.Part{b.part}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -52,12 +52,17 @@
 	return lowest + time.Duration(random.Int64N(int64(highest-lowest)))
 }
 
-// storm injects overlapping faults for a given time and returns once all of them have been
-// ended.
+// storm injects the faults of the run.
 func (f *fleet) storm(ctx context.Context, random *rand.Rand, length time.Duration) error {
+	return f.injectFaults(ctx, random, f.faults(), length)
+}
+
+// injectFaults injects overlapping faults, drawn from a list, for a given time and returns once all of them have been
+// ended.
+func (f *fleet) injectFaults(ctx context.Context, random *rand.Rand, from []fault, length time.Duration) error {
 	var repairs sync.WaitGroup
 	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
-		repair := pick(random, f.faults()...)(f, random)
+		repair := pick(random, from...)(f, random)
 		lasts := randomDuration(random, minFaultTime, maxFaultTime)
 		repairs.Go(func() {
 			sleep(ctx, lasts)
--- a/soak/node.go
+++ b/soak/node.go
@@ -37,6 +37,10 @@
 	occupant  *occupant
 	occupants []*occupant
 	service   string
+	// closeLog makes the reader of the log of the next process close it, settingsDelay its settings file incomplete for this
+	// time.
+	closeLog      bool
+	settingsDelay time.Duration
 }
 
 // current returns the process that runs or was the last to run.
@@ -128,18 +132,52 @@
 // the node yet.
 func (f *fleet) launch(n *node) error {
 	file := f.settingsFile(n)
-	if err := os.WriteFile(file, []byte(f.processSettings(n.number, n.service)), 0o600); err != nil {
-		return Error.Wrap(err)
+	if err := f.writeSettings(n, file); err != nil {
+		return err
 	}
-	p, err := startProcess(f.options.Program, file, filepath.Join(f.dir, fmt.Sprintf("node-%d.log", n.number)))
+	p, err := f.startLogged(n, file)
 	if err != nil {
 		return err
 	}
+	f.limitDescriptors(p)
 	n.process = p
 	n.starts.Add(1)
+	go f.checkEnd(n, p)
+	return nil
+}
+
+// writeSettings writes a node's settings file; if n.settingsDelay is set, the second half of it is written later.
+func (f *fleet) writeSettings(n *node, file string) error {
+	text := f.processSettings(n.number, n.service)
+	first := text
+	if n.settingsDelay > 0 {
+		first = text[:len(text)/2]
+		time.AfterFunc(n.settingsDelay, func() { f.record.addFailure(os.WriteFile(file, []byte(text), 0o600)) })
+		n.settingsDelay = 0
+	}
+	if err := os.WriteFile(file, []byte(first), 0o600); err != nil {
+		return Error.Wrap(err)
+	}
 	return nil
 }
 
+// startLogged starts a node's process with its log; if n.closeLog is set, the reader of the log closes it.
+func (f *fleet) startLogged(n *node, file string) (*process, error) {
+	if n.closeLog {
+		n.closeLog = false
+		return startWithClosedLog(f.options.Program, file)
+	}
+	return startProcess(f.options.Program, file, filepath.Join(f.dir, fmt.Sprintf("node-%d.log", n.number)))
+}
+
+// checkEnd checks how a process ends.
+func (f *fleet) checkEnd(n *node, p *process) {
+	<-p.ended
+	if p.unexpectedEnd() {
+		f.record.addBreach(PromiseRuns, "the process of node %d ended: %s", n.number, p.end())
+	}
+}
+
 // close ends a node's process, server and proxies, as far as they were started.
 func (n *node) close() {
 	if p := n.current(); p != nil {
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"io"
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -14,17 +16,47 @@
 	command *exec.Cmd
 	log     *os.File
 
+	// told reports that a signal was sent that ends the process.
+	told atomic.Bool
+
 	mu    sync.Mutex
 	over  bool
 	ended chan struct{}
 }
 
+// unexpectedEnd reports whether the process exited without being told to, or with an error status. It may be called only after
+// the exit.
+func (p *process) unexpectedEnd() bool {
+	return !p.told.Load() || p.command.ProcessState.ExitCode() > 0
+}
+
+// startWithClosedLog starts a program whose output has a reader for a short time only.
+func startWithClosedLog(program, settings string) (*process, error) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p, err := start(program, settings, writer)
+	if err != nil {
+		_ = reader.Close()
+		return nil, err
+	}
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	time.AfterFunc(logClosedAfter, func() { _ = reader.Close() })
+	return p, nil
+}
+
 // startProcess starts a program and appends its output to a log file.
 func startProcess(program, settings, log string) (*process, error) {
 	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	return start(program, settings, out)
+}
+
+// start starts a program with its output. out is closed after the exit.
+func start(program, settings string, out *os.File) (*process, error) {
 	p := &process{command: exec.Command(program, "--settings", settings), log: out, ended: make(chan struct{})}
 	p.command.Stdout, p.command.Stderr = out, out
 	if err := p.command.Start(); err != nil {
@@ -48,6 +80,9 @@
 
 // signal sends a signal unless the process has exited.
 func (p *process) signal(s syscall.Signal) {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.told.Store(true)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.over {
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -114,13 +114,13 @@
 local_server: {service: %s, address: %q}
 store: {address: %q, reads_per_second: 2000, history: 20s}
 bounds: {drain: 2s, grace: %s, settings: 2s, retry_ratio: %g, retry_window: %s, retry_slack: %g, address_reuse: 2s}
-limits: {answer_bytes: %d}
+limits: {%s}
 seed_peers: [%q, %q]
 `,
 		i, f.dataCentreOf(i),
 		f.address(ownBase, i, portCallers), f.address(ownBase, i, portReady),
 		f.address(ownBase, i, portPeers), f.address(ownBase, i, portAdmin),
 		service, f.serverAddress(i), f.address(storeBase, i, portStore),
-		graceTime, budgetRatio, budgetWindow, budgetSlack, answerLimit,
+		graceTime, budgetRatio, budgetWindow, budgetSlack, f.limitsText(),
 		f.address(linkBase, 0, portPeers), f.address(linkBase, 1, portPeers))
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,9 @@
 	// PartLong: callers read long answers slowly, and their time ends meanwhile. Links between processes have no
 	// faults in a run that includes it.
 	PartLong Part = "long answers"
+	// PartLimits: processes are brought near their limits on memory and descriptors, and their surroundings misbehave. The
+	// limits of their settings differ in a run that includes it.
+	PartLimits Part = "limits"
 )
 
 // Options configure a run.
@@ -164,6 +167,7 @@
 		{PartUnread, func() error { return f.checkUnread(ctx) }},
 		{PartReuse, func() error { return f.checkReuse(ctx, random) }},
 		{PartLong, func() error { return f.checkLong(ctx, random) }},
+		{PartLimits, func() error { return f.checkLimits(ctx, random) }},
 	}
 	for _, part := range parts {
 		if !f.includes(part.name) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -125,6 +125,12 @@
 	runSeeds(t, soak.PartLong)
 }
 
+// TestLimits brings processes near their limits while servers, callers and their surroundings misbehave.
+func TestLimits(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartLimits)
+}
+
 // TestSilentPeers makes connections between processes drop everything until they are closed.
 func TestSilentPeers(t *testing.T) {
 	t.Parallel()
--- a/soak/verify.go
+++ b/soak/verify.go
@@ -61,6 +61,10 @@
 	// PromiseReuse: requests run only at servers of their service, and every server that runs at the address of
 	// an earlier one gets requests.
 	PromiseReuse Promise = "servers at reused addresses"
+	// PromiseRuns: a process ends only if it is told to, with exit status 0, and serves again after faults around it.
+	PromiseRuns Promise = "no process ends by itself"
+	// PromiseMemory: no process exceeds the memory that its settings give it.
+	PromiseMemory Promise = "memory within its limit"
 	// PromiseBudget: the fleet as a whole keeps to the budget of extra arrivals.
 	PromiseBudget Promise = "budget of extra arrivals"
 )
