--- a/usage/usage.go
+++ b/usage/usage.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime"
 	"runtime/metrics"
+	"sync"
 	"syscall"
 
 	"slatewind.example/slatewind/api/slatewindv1"
@@ -66,11 +67,18 @@
 	releasedMemory = "/memory/classes/heap/released:bytes"
 )
 
+// memorySamples are read under memoryMu.
+var (
+	memoryMu      sync.Mutex
+	memorySamples = [2]metrics.Sample{{Name: totalMemory}, {Name: releasedMemory}}
+)
+
 // Memory returns the memory in bytes that the runtime holds and has not returned to the operating system.
 func Memory() int64 {
-	samples := []metrics.Sample{{Name: totalMemory}, {Name: releasedMemory}}
-	metrics.Read(samples)
-	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+	memoryMu.Lock()
+	defer memoryMu.Unlock()
+	metrics.Read(memorySamples[:])
+	return int64(memorySamples[0].Value.Uint64() - memorySamples[1].Value.Uint64())
 }
 
 // peakMemory returns the largest resident memory of the process in bytes, or 0 if it is not known.
