--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -391,3 +391,43 @@
 	assert.Equal(t, state.Connections.Limit, descriptors/2)
 	assert.Assert(t, state.Connections.Evicted > 0, "%+v", state.Connections)
 }
+
+// TestCallerBytesWithoutEnd checks that a process keeps within its memory, and serves others, while callers send heads and bodies
+// without end.
+func TestCallerBytesWithoutEnd(t *testing.T) {
+	const callers = 8
+	chunk := "10000\r\n" + strings.Repeat("b", 1<<16) + "\r\n"
+	tests := map[string]struct{ first, part string }{
+		"request line": {"GET /look/", strings.Repeat("a", 1<<16)},
+		"field":        {"GET /look/x HTTP/1.1\r\nHost: h.example\r\nA: ", strings.Repeat("a", 1<<16)},
+		"fields":       {"GET /look/x HTTP/1.1\r\nHost: h.example\r\n", strings.Repeat("A: b\r\n", 1<<13)},
+		"body":         {"POST /pay/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+		"extension":    {"POST /pay/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n5;", strings.Repeat("a", 1<<16)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newNodeProcess(t)
+			p.serve(http.HandlerFunc(answerStamped))
+			p.startSmall()
+			var work sync.WaitGroup
+			for range callers {
+				conn, err := net.Dial("tcp", p.address(portCallers))
+				assert.NilError(t, err)
+				defer func() { _ = conn.Close() }()
+				work.Go(func() {
+					_, err := io.WriteString(conn, test.first)
+					for err == nil {
+						_, err = io.WriteString(conn, test.part)
+					}
+				})
+			}
+			for range 5 {
+				status, answer := p.get("/look/x")
+				assert.Equal(t, status, http.StatusOK, answer)
+			}
+			// The process ends each connection.
+			work.Wait()
+			p.assertMemory()
+		})
+	}
+}
