--- a/link/recover_test.go
+++ b/link/recover_test.go
@@ -56,8 +56,7 @@
 	assert.Assert(t, errors.As(err, &p), "%v", err)
 }
 
-// TestTokenRequestOfUnknownRole checks that a request for tokens in a role that is not known is refused; an account of such a role
-// ended the process.
+// TestTokenRequestOfUnknownRole checks that a request for tokens in a role that is not known is refused.
 func TestTokenRequestOfUnknownRole(t *testing.T) {
 	limiter := ratelimit.New(time.Now(), "host", nil, func(workspace string) slatewind.WorkspaceLimit {
 		return slatewind.WorkspaceLimit{Workspace: workspace, Rate: 1, Burst: 1}
