--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -67,6 +67,25 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
+// replyItems answers with a platform.Answer whose items have the given name, one after the other, so that a large answer
+// begins to arrive at once.
+func replyItems(w http.ResponseWriter, name string, items []platform.Item, truncated bool, asOf uint64) {
+	w.Header().Set("Content-Type", "application/json")
+	_, err := fmt.Fprintf(w, `{"Truncated":%t,"AsOf":%d,%q:[`, truncated, asOf, name)
+	encoder := json.NewEncoder(w)
+	for i := 0; i < len(items) && err == nil; i++ {
+		if i > 0 {
+			_, err = io.WriteString(w, ",")
+		}
+		if err == nil {
+			err = encoder.Encode(items[i])
+		}
+	}
+	if err == nil {
+		_, _ = io.WriteString(w, "]}")
+	}
+}
+
 func sortedItems(items map[string]platform.Item, prefix string) []platform.Item {
 	var list []platform.Item
 	for key, item := range items {
@@ -117,7 +136,7 @@
 		first = 0
 	}
 	page := firstPage(items[first:])
-	reply(w, platform.Answer{Items: page, Truncated: first+len(page) < len(items), AsOf: revision})
+	replyItems(w, "items", page, first+len(page) < len(items), revision)
 }
 
 // firstPage returns the items of a page: at most pageItems, and no further ones after pageBytes.
@@ -154,7 +173,7 @@
 			return
 		}
 		if len(events) > 0 {
-			reply(w, platform.Answer{Events: events, AsOf: revision})
+			replyItems(w, "events", events, false, revision)
 			return
 		}
 		select {
