--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,9 @@
 
 // TestEndIsLogged checks that a process that ends by itself logs why, and what it used.
 func TestEndIsLogged(t *testing.T) {
+	// The memory of the program that starts the process must not count.
+	held := bytes.Repeat([]byte("h"), 2*nodeMemory)
+	defer runtime.KeepAlive(held)
 	p := newNodeProcess(t)
 	p.writeSettings(p.settingsText() + fmt.Sprintf("limits: {memory_mib: %d}\n", nodeMemory>>20))
 	p.start(nil)
@@ -48,6 +52,11 @@
 	assert.Equal(t, p.awaitEnd(), "exit status 0")
 	p.awaitLog(`msg="process ends" status=0 signal=terminated cause=stopped memory=`)
 	p.awaitLog(fmt.Sprintf("memory_limit=%d descriptors=", nodeMemory))
+	_, after, _ := strings.Cut(p.log.String(), "peak_memory=")
+	var peak int64
+	_, err := fmt.Sscan(after, &peak)
+	assert.NilError(t, err)
+	assert.Assert(t, peak > 0 && peak < nodeMemory, "%d bytes, of this process alone", peak)
 }
 
 // TestClosedLog checks that a process goes on, and stops in order, after the reader of its log has closed it.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -6,6 +6,8 @@
 	"os"
 	"runtime"
 	"runtime/metrics"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -81,13 +83,22 @@
 	return int64(memorySamples[0].Value.Uint64() - memorySamples[1].Value.Uint64())
 }
 
-// peakMemory returns the largest resident memory of the process in bytes, or 0 if it is not known.
+// peakMemory returns the largest resident memory of the process in bytes, or 0 if it is not known. That of getrusage includes the
+// program that started this one.
 func peakMemory() int64 {
-	var used syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) != nil {
+	text, err := os.ReadFile("/proc/self/status")
+	if err != nil {
 		return 0
 	}
-	return used.Maxrss << 10
+	for line := range strings.Lines(string(text)) {
+		value, found := strings.CutPrefix(line, "VmHWM:")
+		if !found {
+			continue
+		}
+		kibibytes, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+		return kibibytes << 10
+	}
+	return 0
 }
 
 // descriptors returns the number of open file descriptors.
