Let the test of evicted connections wait for the order of the server

TestConnections failed beside load: 6 of 96 runs, eight beside each other, with a read that timed out since the second connection was closed instead of the first. Cause: the test took the order in which answers arrive for that in which connections become idle. The server reports a connection as idle after it has written the answer, in a goroutine of each connection. The limiter is not at fault: it closes the connection that the server reported first.

The test now sends the second request when the first connection is idle; what it demands is unchanged.

--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -85,9 +85,11 @@
 	first, second, busy := dial(t, address), dial(t, address), dial(t, address)
 	answered := make(chan error, 1)
 	go func() { answered <- busy.send("/wait", "") }()
-	assert.NilError(t, first.send("/", "body"))
-	assert.NilError(t, second.send("/", "body"))
-	await(t, func() bool { v := limiter.View(); return v.Open == 3 && v.Idle == 2 })
+	// A caller may have its answer before the server reports its connection as idle.
+	for i, c := range []caller{first, second} {
+		assert.NilError(t, c.send("/", "body"))
+		await(t, func() bool { v := limiter.View(); return v.Open == 3 && v.Idle == i+1 })
+	}
 
 	third := dial(t, address)
 	assert.NilError(t, third.send("/", "body"))
