Evict no connection on which a request has arrived

Callers on kept connections could get a closed connection in place of the answer to a request that a server ran, a payment too, while a process is at its limit on connections.

Cause: the limiter closes the connection that has been idle longest, by the states that the HTTP server reports. The server reports a connection as active only after it has read a whole head. A connection closed in between was handled all the same, and its answer had nowhere to go. Class: a decision by a state that another goroutine reports late.

Evidence: TestRequestOnEvictedConnection holds the server at that moment. Before the change its two cases fail: the second request has no answer, and it is handled.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -206,9 +206,18 @@
 	}
 	c.held += more
 	l.heads += more
+	// The server reports the connection as active only after it has read the whole head.
+	l.setIdle(c, false)
 	return true
 }
 
+// isRemoved reports whether a connection no longer counts.
+func (l *Limiter) isRemoved(c *Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.removed
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.limiter.mu.Lock()
@@ -229,10 +238,14 @@
 }
 
 // Handler returns a handler that calls inner. The memory of a request's head counts until the request has been answered; what
-// follows the head does not.
+// follows the head does not. A request whose connection was closed for a new one after it had been read is not handled, since it
+// could not be answered.
 func Handler(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			if c.limiter.isRemoved(c) {
+				panic(http.ErrAbortHandler)
+			}
 			c.inHead.Store(false)
 		}
 		inner.ServeHTTP(w, r)
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -59,12 +59,17 @@
 	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body); err != nil {
 		return err
 	}
+	return c.receive(fmt.Sprint(len(body)))
+}
+
+// receive receives an answer and returns an error if it does not have this body.
+func (c caller) receive(body string) error {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if text, err := io.ReadAll(response.Body); err != nil || string(text) != fmt.Sprint(len(body)) {
+	if text, err := io.ReadAll(response.Body); err != nil || string(text) != body {
 		return errors.Join(fmt.Errorf("body %q", text), err)
 	}
 	return nil
@@ -103,6 +108,70 @@
 	assert.Equal(t, view.Evicted, uint64(1))
 }
 
+// TestRequestOnEvictedConnection checks that a connection is not evicted while a request arrives on it, before the server reports
+// it as active, and that the request of one that was evicted is not handled: its answer could not be sent.
+func TestRequestOnEvictedConnection(t *testing.T) {
+	tests := map[string]struct {
+		// pipelined requests are in the server's buffer before the connection becomes idle.
+		pipelined bool
+		handled   int
+	}{
+		"arriving":  {pipelined: false, handled: 2},
+		"pipelined": {pipelined: true, handled: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+			limiter := connlimit.New(1)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			handled, closed, active := make(chan struct{}, 4), make(chan struct{}, 4), 0
+			server := &http.Server{
+				Handler: connlimit.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					handled <- struct{}{}
+					_, _ = io.WriteString(w, "0")
+				})),
+				ConnState: func(conn net.Conn, state http.ConnState) {
+					if state == http.StateActive {
+						active++
+					}
+					if state == http.StateActive && active == 2 {
+						// The server has read the second request and has not reported it yet.
+						dial(t, listener.Addr().String())
+						await(t, func() bool { v := limiter.View(); return v.Evicted+v.Refused == 1 })
+					}
+					limiter.State(conn, state)
+					if state == http.StateClosed {
+						closed <- struct{}{}
+					}
+				},
+				ConnContext: connlimit.Context, ReadHeaderTimeout: testTimeout,
+			}
+			go func() { _ = server.Serve(limiter.Listener(listener)) }()
+			t.Cleanup(func() { _ = server.Close() })
+			c := dial(t, listener.Addr().String())
+			first := request
+			if test.pipelined {
+				first += request
+			}
+			_, err = io.WriteString(c, first)
+			assert.NilError(t, err)
+			assert.NilError(t, c.receive("0"))
+			if !test.pipelined {
+				await(t, func() bool { return limiter.View().Idle == 1 })
+				_, err = io.WriteString(c, request)
+				assert.NilError(t, err)
+			}
+			err = c.receive("0")
+			assert.Equal(t, err == nil, test.handled == 2, "the second answer: %v", err)
+			if test.pipelined {
+				<-closed
+			}
+			assert.Equal(t, len(handled), test.handled)
+		})
+	}
+}
+
 // TestNoIdleConnection checks that a new connection is closed if all others have requests, and that there is room again after them.
 func TestNoIdleConnection(t *testing.T) {
 	limiter := connlimit.New(1)
