Move the throttle of log lines to a package of its own

Lines about what a server sends beside its answers will need it in another package than daemon. No behaviour changes; its test moved with it unchanged but for names.

--- a/daemon/liblog.go
+++ b/daemon/liblog.go
@@ -13,6 +13,7 @@
 
 	"slatewind.example/slatewind/clip"
 	"slatewind.example/slatewind/recovery"
+	"slatewind.example/slatewind/throttle"
 )
 
 const (
@@ -30,18 +31,18 @@
 
 	// mu guards lines.
 	mu    sync.Mutex
-	lines throttle
+	lines *throttle.Throttle
 }
 
 // newLibraryWriter returns a writer of library lines.
 func newLibraryWriter(logger *log.Logger) *libraryWriter {
-	return &libraryWriter{logger: logger, now: time.Now, lines: throttle{interval: libraryLinesInterval, limit: maxLibraryLines}}
+	return &libraryWriter{logger: logger, now: time.Now, lines: throttle.New(maxLibraryLines, libraryLinesInterval)}
 }
 
 // Write implements io.Writer.
 func (w *libraryWriter) Write(line []byte) (int, error) {
 	w.mu.Lock()
-	allowed, leftOut := w.lines.allow(w.now())
+	allowed, leftOut := w.lines.Allow(w.now())
 	w.mu.Unlock()
 	if allowed {
 		w.logger.Warn("library", "text", string(bytes.TrimSpace(line)), "lines_left_out", leftOut)
@@ -69,10 +70,10 @@
 // ReportPanics logs the panics from which the process recovers.
 func ReportPanics(logger *log.Logger) {
 	var mu sync.Mutex
-	lines := throttle{interval: libraryLinesInterval, limit: maxPanicLines}
+	lines := throttle.New(maxPanicLines, libraryLinesInterval)
 	recovery.SetReport(func(p *recovery.Panic) {
 		mu.Lock()
-		allowed, leftOut := lines.allow(time.Now())
+		allowed, leftOut := lines.Allow(time.Now())
 		mu.Unlock()
 		if allowed {
 			logger.Error("panic", "where", p.Where, "cause", p.Value, "stack", clip.Text(string(p.Stack), maxStackBytes), "lines_left_out", leftOut)
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -15,6 +15,7 @@
 
 	"slatewind.example/slatewind/admin"
 	"slatewind.example/slatewind/config"
+	"slatewind.example/slatewind/throttle"
 )
 
 const (
@@ -37,7 +38,7 @@
 // an address is not free, it logs that and tries again until ctx ends: the process that held it before may
 // still be stopping. Other errors are returned.
 func openAll(ctx context.Context, logger *log.Logger, endpoints []endpoint) error {
-	reports := throttle{interval: listenReportInterval, limit: 1}
+	reports := throttle.New(1, listenReportInterval)
 	for {
 		failed, err := tryOpenAll(endpoints)
 		if err == nil {
@@ -47,7 +48,7 @@
 		if !mayBecomeFree(err) {
 			return Error.New("cannot listen on %s: %w", endpoints[failed].address, err)
 		}
-		if allowed, _ := reports.allow(time.Now()); allowed {
+		if allowed, _ := reports.Allow(time.Now()); allowed {
 			logger.Error("waiting for a listener's address", "listener", endpoints[failed].name, "address", endpoints[failed].address, "cause", err)
 		}
 		// It is tried first from now on, so that nobody can connect to the others meanwhile.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -26,6 +26,7 @@
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
+	"slatewind.example/slatewind/throttle"
 	"slatewind.example/slatewind/timer"
 	"slatewind.example/slatewind/usage"
 )
@@ -62,7 +63,7 @@
 	publisher *recordPublisher
 	// entryLines limits the log lines about invalid server entries. Only the watcher's
 	// goroutine uses it.
-	entryLines throttle
+	entryLines *throttle.Throttle
 
 	stopping  atomic.Bool
 	cancel    context.CancelFunc
--- a/daemon/nodesink.go
+++ b/daemon/nodesink.go
@@ -118,7 +118,7 @@
 // allows.
 func (n *Node) recordIgnored(now time.Time, entry ignoredEntry) {
 	n.metrics.EntryIgnored(entry.field)
-	allowed, leftOut := n.entryLines.allow(now)
+	allowed, leftOut := n.entryLines.Allow(now)
 	if !allowed {
 		return
 	}
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -23,6 +23,7 @@
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
+	"slatewind.example/slatewind/throttle"
 	"slatewind.example/slatewind/timer"
 	"slatewind.example/slatewind/usage"
 )
@@ -51,7 +52,7 @@
 // newNode assembles the components of a node.
 func newNode(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
 	n := &Node{settings: process, limits: usage.LimitsOf(process), logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool, reports: report.NewTable(), unused: unusedConns{conns: map[net.Conn]bool{}}}
-	n.entryLines = throttle{interval: entryLinesInterval, limit: maxEntryLines}
+	n.entryLines = throttle.New(maxEntryLines, entryLinesInterval)
 	n.reloadable.Store(process)
 	n.file = reload.New(file.path, process, reloadableNodeKeys, reloadSink{file, logger, n.reload})
 	n.publisher = newRecordPublisher(n)
--- a/daemon/throttle.go
+++ b/throttle/throttle.go
@@ -1,9 +1,10 @@
-package daemon
+// Package throttle limits how many of many similar events are logged.
+package throttle
 
 import "time"
 
-// throttle limits how many of many similar events are logged in each interval.
-type throttle struct {
+// Throttle limits how many of many similar events are logged in each interval. It is not safe for concurrent use.
+type Throttle struct {
 	interval time.Duration
 	limit    int
 
@@ -14,9 +15,14 @@
 	leftOut int
 }
 
-// allow reports whether an event is to be logged, and if so how many were left out since the
+// New returns a Throttle that allows a number of events in each interval.
+func New(limit int, interval time.Duration) *Throttle {
+	return &Throttle{limit: limit, interval: interval}
+}
+
+// Allow reports whether an event is to be logged, and if so how many were left out since the
 // last one that was logged.
-func (t *throttle) allow(now time.Time) (allowed bool, leftOut int) {
+func (t *Throttle) Allow(now time.Time) (allowed bool, leftOut int) {
 	if t.intervalStart.IsZero() || now.Sub(t.intervalStart) >= t.interval {
 		t.intervalStart, t.logged = now, 0
 	}
--- a/daemon/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -1,17 +1,19 @@
-package daemon
+package throttle_test
 
 import (
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/throttle"
 )
 
 // TestThrottle checks that at most limit events per interval are allowed, and that the next allowed
 // event returns how many were left out before it.
 func TestThrottle(t *testing.T) {
 	start := time.Unix(1000, 0)
-	th := &throttle{interval: time.Second, limit: 2}
+	th := throttle.New(2, time.Second)
 	tests := []struct {
 		at      time.Duration
 		allowed bool
@@ -27,7 +29,7 @@
 		{5 * time.Second, true, 1},
 	}
 	for _, test := range tests {
-		allowed, leftOut := th.allow(start.Add(test.at))
+		allowed, leftOut := th.Allow(start.Add(test.at))
 		assert.Equal(t, allowed, test.allowed, test.at)
 		assert.Equal(t, leftOut, test.leftOut, test.at)
 	}
