Tell of answers and bytes that no request asked for

Neither a log line nor a counter told of an answer with another id, of one without an id, or of a connection that was closed since something was left on it, so a server that answers twice could not be told from a sound one.

Package backend now reports each answer that does not carry exactly the request's id (foreign-id, no-id, empty-id, several-ids), bytes behind an answer (left-at-close) and bytes on an idle connection (left-at-reuse), which was not told from an orderly end before. Reported are both ids, the status, how many requests the connection had carried and the last answer before it.

What is accepted does not change.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -83,7 +83,7 @@
 // ctx's error if ctx ended first; otherwise it is ErrMalformedAnswer, ErrForeignAnswer,
 // ErrNoStamp or a network error.
 func (p *Pool) Do(ctx context.Context, request *http.Request, sending func(unread func() bool)) (answer *Answer, sent bool, err error) {
-	c, err := p.connection(ctx)
+	c, err := p.connection(ctx, request)
 	if err != nil {
 		return nil, false, err
 	}
@@ -135,6 +135,7 @@
 			return nil, malformedAnswer(err)
 		}
 		c.head.endHead()
+		p.noteAnswer(c, request, response)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -194,6 +195,7 @@
 		_ = a.conn.Close()
 		return
 	}
+	a.conn.earlier++
 	a.pool.putIdle(a.conn, a.Header)
 }
 
@@ -207,6 +209,7 @@
 		return false
 	}
 	if a.conn.reader.Buffered() > 0 {
+		a.pool.report(a.conn, a.Request, Surplus{Kind: SurplusAtClose})
 		return false
 	}
 	sending := time.NewTimer(writeWait)
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -42,6 +42,8 @@
 	conns    int
 	// ended is the number of connections that the server has closed.
 	ended int
+	// accepted are all connections.
+	accepted []net.Conn
 }
 
 func newFakeServer(t *testing.T, scripts ...script) *fakeServer {
@@ -57,6 +59,7 @@
 			}
 			s.mu.Lock()
 			s.conns++
+			s.accepted = append(s.accepted, conn)
 			s.mu.Unlock()
 			go s.serve(conn, scripts[min(i, len(scripts)-1)])
 		}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -23,12 +23,17 @@
 	head   *headLimiter
 	// expires is when the connection must no longer be used.
 	expires time.Time
+	// earlier is the number of requests that were sent before the present one.
+	earlier int
+	// last states the last answer that was read.
+	last string
 }
 
 // Pool holds the connections to one server.
 type Pool struct {
 	address string
 	dialect slatewind.ServerHeaders
+	observe func(Surplus)
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -42,6 +47,10 @@
 	return &Pool{address: address, dialect: dialect}
 }
 
+// Observe sets the function that is called with what the server sends although no request asked for it. It
+// must be called before the first request.
+func (p *Pool) Observe(observe func(Surplus)) { p.observe = observe }
+
 // Opened returns the total number of connections opened.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -59,16 +68,20 @@
 	p.idle = nil
 }
 
-// connection returns an idle connection that is still usable, or a new one.
-func (p *Pool) connection(ctx context.Context) (*conn, error) {
+// connection returns an idle connection that is still usable for a request, or a new one.
+func (p *Pool) connection(ctx context.Context, request *http.Request) (*conn, error) {
 	for {
 		c := p.takeIdle()
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && nothingReceived(c.Conn) {
+		found := receivedWhileIdle(c.Conn)
+		if found == idleQuiet && time.Now().Before(c.expires) {
 			return c, nil
 		}
+		if found == idleBytes {
+			p.report(c, request, Surplus{Kind: SurplusAtReuse})
+		}
 		_ = c.Close()
 	}
 	return p.dial(ctx)
@@ -153,21 +166,39 @@
 	return err == nil && waiting > 0
 }
 
-// nothingReceived reports whether nothing has arrived on an idle connection: neither bytes, which
-// would belong to no request, nor the end of the stream.
-func nothingReceived(c net.Conn) bool {
+// idleFinding is what is found on an idle connection.
+type idleFinding string
+
+const (
+	// idleQuiet: nothing has arrived.
+	idleQuiet idleFinding = "quiet"
+	// idleBytes: bytes have arrived, which belong to no request.
+	idleBytes idleFinding = "bytes"
+	// idleEnded: the server has closed the connection.
+	idleEnded idleFinding = "ended"
+)
+
+// receivedWhileIdle returns what has arrived on an idle connection.
+func receivedWhileIdle(c net.Conn) idleFinding {
 	control := rawConn(c)
 	if control == nil {
-		return false
+		return idleEnded
 	}
-	quiet := false
+	found := idleEnded
 	err := control.Read(func(descriptor uintptr) bool {
 		var one [1]byte
-		_, readErr := syscall.Read(int(descriptor), one[:])
-		quiet = errors.Is(readErr, syscall.EAGAIN)
+		switch n, readErr := syscall.Read(int(descriptor), one[:]); {
+		case errors.Is(readErr, syscall.EAGAIN):
+			found = idleQuiet
+		case n > 0:
+			found = idleBytes
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return idleEnded
+	}
+	return found
 }
 
 // rawConn returns the raw connection for access to the socket, or nil if c has none or it is closed.
--- /dev/null
+++ b/backend/surplus.go
@@ -0,0 +1,87 @@
+package backend
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"slatewind.example/slatewind/clip"
+)
+
+// SurplusKind is the kind of what a server sent although no request asked for it.
+type SurplusKind string
+
+// Kinds of surplus answers and bytes.
+const (
+	// SurplusForeignID is an answer with the ID of another request.
+	SurplusForeignID SurplusKind = "foreign-id"
+	// SurplusNoID, SurplusEmptyID and SurplusSeveralIDs are answers that do not state exactly one ID.
+	SurplusNoID       SurplusKind = "no-id"
+	SurplusEmptyID    SurplusKind = "empty-id"
+	SurplusSeveralIDs SurplusKind = "several-ids"
+	// SurplusAtClose are bytes behind the end of an answer, SurplusAtReuse bytes that arrived on an idle
+	// connection. The connection is closed.
+	SurplusAtClose SurplusKind = "left-at-close"
+	SurplusAtReuse SurplusKind = "left-at-reuse"
+)
+
+// maxIDBytes limits the ID of a surplus answer that is kept, in bytes.
+const maxIDBytes = 64
+
+// Surplus is an answer, or other bytes, that is not known to belong to the request on its connection.
+type Surplus struct {
+	Kind SurplusKind
+	// Request is the ID of the request on the connection, or of the one that was about to be sent.
+	Request string
+	// Carried is the ID in the answer, shortened; several are separated by commas.
+	Carried string
+	// Status is the status of the answer, 0 for other bytes.
+	Status int
+	// Earlier is the number of requests that the connection had carried before.
+	Earlier int
+	// After states the last answer before it on the connection, empty if there was none.
+	After string
+}
+
+// surplusKind returns the kind of an answer with the given IDs to a request with the given ID, empty if it is
+// the request's own.
+func surplusKind(ids []string, own string) SurplusKind {
+	switch {
+	case len(ids) == 0:
+		return SurplusNoID
+	case len(ids) > 1:
+		return SurplusSeveralIDs
+	case ids[0] == own:
+		return ""
+	case ids[0] == "":
+		return SurplusEmptyID
+	}
+	return SurplusForeignID
+}
+
+// noteAnswer records an answer on a connection, and reports it if it is not known to be the request's own.
+func (p *Pool) noteAnswer(c *conn, request *http.Request, response *http.Response) {
+	status := strconv.Itoa(response.StatusCode)
+	if response.StatusCode < http.StatusOK {
+		c.last = "interim " + status
+		return
+	}
+	ids := response.Header.Values(p.dialect.RequestID)
+	kind := surplusKind(ids, request.Header.Get(p.dialect.RequestID))
+	if kind == "" {
+		c.last = request.Method + " " + status
+		return
+	}
+	carried := clip.Text(strings.Join(ids, ","), maxIDBytes)
+	p.report(c, request, Surplus{Kind: kind, Carried: carried, Status: response.StatusCode})
+	c.last = string(kind) + " " + status
+}
+
+// report completes a surplus and passes it to the observer.
+func (p *Pool) report(c *conn, request *http.Request, s Surplus) {
+	if p.observe == nil {
+		return
+	}
+	s.Request, s.Earlier, s.After = request.Header.Get(p.dialect.RequestID), c.earlier, c.last
+	p.observe(s)
+}
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -63,6 +63,7 @@
 		Address: process.GetLocalServer().GetAddress(),
 		Headers: platform.Servers(),
 	}, boundsOf(process), j, n.suspects, inboundMemory(process, guard))
+	n.inbound.SetMeter(m)
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{Place: placeOf(process), Service: process.GetLocalServer().GetService()},
--- a/inbound/inbound.go
+++ b/inbound/inbound.go
@@ -29,6 +29,7 @@
 	"slatewind.example/slatewind/quarantine"
 	"slatewind.example/slatewind/retry"
 	"slatewind.example/slatewind/serverlimit"
+	"slatewind.example/slatewind/throttle"
 	"slatewind.example/slatewind/timer"
 	"slatewind.example/slatewind/warmup"
 )
@@ -170,6 +171,9 @@
 	// limit keeps the requests within the limit that the server states.
 	limit  serverlimit.Limiter
 	memory Memory
+	// meter, which may be nil, counts surplus answers; surplusLines limits the entries about them.
+	meter        Meter
+	surplusLines *throttle.Throttle
 }
 
 // New returns an Inbound for a server. The table of suspects is shared by the whole process.
@@ -186,7 +190,10 @@
 		unread:   map[string]func() bool{},
 		warmup:   warmup.NewLimiter(time.Now()),
 		idle:     newIdleTime(time.Now()),
+
+		surplusLines: throttle.New(maxSurplusLines, surplusLinesInterval),
 	}
+	in.pool.Observe(in.recordSurplus)
 	in.ended, in.end = context.WithCancel(context.Background())
 	in.crashes = crash.New(in.pool.Probe, func() bool { return in.leaving() != "" })
 	return in
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -32,7 +32,8 @@
 // fixture is a server with the Inbound of the process beside it.
 type fixture struct {
 	*inbound.Inbound
-	server *standin.Stamped
+	server  *standin.Stamped
+	journal *history.Journal
 }
 
 const slots = 2
@@ -56,10 +57,10 @@
 func newFixtureWithMemory(t *testing.T, bodies *bodylimit.Budget, server http.Handler) *fixture {
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
-	p := &fixture{}
+	p := &fixture{journal: history.New(0, nil)}
 	p.Inbound = inbound.New(inbound.Server{
 		Service: "svc", Address: strings.TrimPrefix(web.URL, "http://"), Headers: platform.Servers(),
-	}, bounds, history.New(0, nil), quarantine.NewTable(nil, nil), inbound.Memory{Requests: bodies})
+	}, bounds, p.journal, quarantine.NewTable(nil, nil), inbound.Memory{Requests: bodies})
 	p.SetWarmup(warmup.Limits{})
 	t.Cleanup(p.Close)
 	p.Published(time.Now(), &slatewind.ServerEntry{Name: "s-1", Service: "svc", Slots: slots})
--- a/metrics/documented_test.go
+++ b/metrics/documented_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/backend"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/metrics"
 	"slatewind.example/slatewind/outbound"
@@ -35,6 +36,7 @@
 	m.Denied("shop", "bound")
 	m.Quarantined("shop")
 	m.EntryIgnored("address")
+	m.Surplus(backend.SurplusNoID)
 	m.Traffic(link.PurposeReservation, link.DistanceNear, 100)
 	m.Dropped("shop", "late")
 	m.Decision(slatewind.DecisionRefuse)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -16,6 +16,7 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/backend"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/outbound"
 	"slatewind.example/slatewind/usage"
@@ -39,6 +40,7 @@
 	entries   metric.Int64Counter
 	workspace metric.Int64Counter
 	refused   metric.Int64Counter
+	surplus   metric.Int64Counter
 }
 
 // New returns the instruments of a process.
@@ -66,6 +68,7 @@
 	m.entries = counter("slatewind.ignored_entries", "Invalid server entries in the platform's store that were ignored, by the first invalid field.")
 	m.workspace = counter("slatewind.workspace_requests", "Requests that require a workspace key, by workspace (those with the highest rate limits) and admission.")
 	m.refused = counter("slatewind.quarantined_requests", "Requests refused by quarantine since servers crashed while running them, by service.")
+	m.surplus = counter("slatewind.surplus_answers", "Answers and bytes of the server beside the process that are not known to belong to the request on their connection, by kind.")
 	m.duration, err = meter.Float64Histogram("slatewind.request.duration",
 		metric.WithDescription("Time from the arrival of a request to its final answer."), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(.001, .002, .004, .008, .016, .032, .064, .125, .25, .5, 1, 2, 4))
@@ -106,6 +109,11 @@
 	m.refused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+// Surplus implements inbound.Meter.
+func (m *Metrics) Surplus(kind backend.SurplusKind) {
+	m.surplus.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", string(kind))))
+}
+
 // EntryIgnored counts an invalid server entry in the platform's store; field is the first
 // invalid one.
 func (m *Metrics) EntryIgnored(field string) {
