Accept an answer only if it states its request's id

What callers saw: the body and the stamp of another request, or "not run" of a request that ran.

Cause: an answer was discarded if it had another id; one without an id, with an empty one, or with several of which the first matched was taken for the answer to whatever request the connection carried. A server that answers twice, the second time late and without an id, so handed each caller the answer to the request before.

An answer, a failure or a rejection is now the request's own only if it has exactly one id field with the request's id. All others are discarded as foreign ones are. So that holds on every connection, whatever came before. A request without an id, or with several, cannot prove its answer: it gets a new connection, which is not kept, and there an answer is its own unless it states an id that the request has not.

The cases added to TestAnswers, TestRequestsWithoutID and TestSurplusIsReported failed before; the last now demands that nothing else is reported. Stand-ins of three tests of inbound sent no id, which servers always do; they now do, and what is demanded stays.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -4,8 +4,8 @@
 // accepts whatever arrives next on a connection as the answer. Here both must be known exactly:
 // whether any byte was sent determines whether a request may be sent to another server, and a
 // server may send surplus answers that belong to no request. A connection therefore carries one
-// request at a time and is checked for unexpected bytes before it is reused, and answers with the
-// ID of another request are discarded.
+// request at a time and is checked for unexpected bytes before it is reused, and answers that do not
+// state the ID of their request are discarded. A request without an ID has a connection of its own.
 package backend
 
 import (
@@ -135,11 +135,7 @@
 			return nil, malformedAnswer(err)
 		}
 		c.head.endHead()
-		p.noteAnswer(c, request, response)
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if id := response.Header.Get(p.dialect.RequestID); id != "" && id != request.Header.Get(p.dialect.RequestID) {
+		if !p.isOwn(c, request, response) {
 			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 				return nil, ErrForeignAnswer
 			}
@@ -201,7 +197,7 @@
 
 // reusable reports whether the answer's connection can be reused for another request.
 func (a *Answer) reusable() bool {
-	if a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+	if a.conn.spent || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
 		return false
 	}
 	var one [1]byte
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -109,9 +109,14 @@
 
 // do sends one request and returns the body or the error.
 func do(pool *backend.Pool, id string) (body string, sent bool, err error) {
+	return send(pool, newRequest(id))
+}
+
+// send is do for any request.
+func send(pool *backend.Pool, request *http.Request) (body string, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	answer, sent, err := pool.Do(ctx, newRequest(id), nil)
+	answer, sent, err := pool.Do(ctx, request, nil)
 	if err != nil {
 		return "", sent, err
 	}
@@ -129,6 +134,13 @@
 	}{
 		"a whole answer":                  {step: good, body: "body"},
 		"a foreign answer before it":      {step: foreign + good, body: "body"},
+		"an answer without ID":            {step: strings.Replace(good, idLine, "", 1) + "|" + hangUp, err: "EOF"},
+		"an answer with an empty ID":      {step: strings.Replace(good, idLine, "Request-Id:\r\n", 1) + "|" + hangUp, err: "EOF"},
+		"an answer with its ID twice":     {step: strings.Replace(good, idLine, idLine+idLine, 1) + "|" + hangUp, err: "EOF"},
+		"an answer with two IDs":          {step: strings.Replace(good, idLine, idLine+"Request-Id: other\r\n", 1) + "|" + hangUp, err: "EOF"},
+		"an ID in another spelling":       {step: strings.Replace(good, "{id}", "ID-1", 1) + "|" + hangUp, err: "EOF"},
+		"a failure without ID":            {step: "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\noops|" + hangUp, err: "EOF"},
+		"an answer without ID before it":  {step: strings.Replace(good, idLine, "", 1) + good, body: "body"},
 		"only foreign answers":            {step: foreign + foreign + foreign, err: "another request"},
 		"a reset":                         {step: "|" + reset, err: "reset"},
 		"no answer":                       {step: "|" + hangUp, err: "EOF"},
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -23,6 +23,8 @@
 	head   *headLimiter
 	// expires is when the connection must no longer be used.
 	expires time.Time
+	// spent reports that the connection must not be used for another request.
+	spent bool
 	// earlier is the number of requests that were sent before the present one.
 	earlier int
 	// last states the last answer that was read.
@@ -68,8 +70,16 @@
 	p.idle = nil
 }
 
-// connection returns an idle connection that is still usable for a request, or a new one.
+// connection returns an idle connection that is still usable for a request, or a new one. A request without an ID
+// gets a new one for itself, since nothing could tell its answer from others.
 func (p *Pool) connection(ctx context.Context, request *http.Request) (*conn, error) {
+	if !hasID(request.Header.Values(p.dialect.RequestID)) {
+		c, err := p.dial(ctx)
+		if err == nil {
+			c.spent = true
+		}
+		return c, err
+	}
 	for {
 		c := p.takeIdle()
 		if c == nil {
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -43,38 +44,47 @@
 	After string
 }
 
-// surplusKind returns the kind of an answer with the given IDs to a request with the given ID, empty if it is
-// the request's own.
-func surplusKind(ids []string, own string) SurplusKind {
+// hasID reports whether the ID fields of a request state one ID, by which its answer can be told from others.
+func hasID(ids []string) bool { return len(ids) == 1 && ids[0] != "" }
+
+// surplusKind returns the kind of an answer by the values of its ID fields and of those of its request. It is
+// empty if the answer is the request's own: it states the request's ID and no other. The answer to a
+// request without one ID, which is the first on its connection, need only state no other ID.
+func surplusKind(answered, requested []string) SurplusKind {
+	isOther := func(id string) bool { return id != "" && !slices.Contains(requested, id) }
 	switch {
-	case len(ids) == 0:
+	case !hasID(requested) && !slices.ContainsFunc(answered, isOther):
+		return ""
+	case len(answered) == 0:
 		return SurplusNoID
-	case len(ids) > 1:
+	case len(answered) > 1:
 		return SurplusSeveralIDs
-	case ids[0] == own:
-		return ""
-	case ids[0] == "":
+	case answered[0] == "":
 		return SurplusEmptyID
+	case isOther(answered[0]):
+		return SurplusForeignID
 	}
-	return SurplusForeignID
+	return ""
 }
 
-// noteAnswer records an answer on a connection, and reports it if it is not known to be the request's own.
-func (p *Pool) noteAnswer(c *conn, request *http.Request, response *http.Response) {
+// isOwn reports whether an answer is the final one to the request on its connection. It records the answer, and
+// reports one that no request asked for.
+func (p *Pool) isOwn(c *conn, request *http.Request, response *http.Response) bool {
 	status := strconv.Itoa(response.StatusCode)
 	if response.StatusCode < http.StatusOK {
 		c.last = "interim " + status
-		return
+		return false
 	}
 	ids := response.Header.Values(p.dialect.RequestID)
-	kind := surplusKind(ids, request.Header.Get(p.dialect.RequestID))
+	kind := surplusKind(ids, request.Header.Values(p.dialect.RequestID))
 	if kind == "" {
 		c.last = request.Method + " " + status
-		return
+		return true
 	}
 	carried := clip.Text(strings.Join(ids, ","), maxIDBytes)
 	p.report(c, request, Surplus{Kind: kind, Carried: carried, Status: response.StatusCode})
 	c.last = string(kind) + " " + status
+	return false
 }
 
 // report completes a surplus and passes it to the observer.
--- a/backend/surplus_test.go
+++ b/backend/surplus_test.go
@@ -52,7 +52,7 @@
 				_, _, err := do(pool, id)
 				assert.NilError(t, err)
 			}
-			assert.DeepEqual(t, (*seen)[0], test.want)
+			assert.DeepEqual(t, *seen, []backend.Surplus{test.want})
 		})
 	}
 }
@@ -81,3 +81,44 @@
 		})
 	}
 }
+
+// TestRequestsWithoutID checks that a request without an ID gets an answer without one, or with its own, on a connection that no
+// other request uses.
+func TestRequestsWithoutID(t *testing.T) {
+	withID := func(lines string) string { return strings.Replace(good, idLine, lines, 1) }
+	tests := map[string]struct {
+		ids    []string
+		answer string
+		err    string
+	}{
+		"none":               {nil, withID(""), ""},
+		"none, answer empty": {nil, withID("Request-Id:\r\n"), ""},
+		"empty":              {[]string{""}, withID(""), ""},
+		"several":            {[]string{"a", "b"}, withID(""), ""},
+		"several, one back":  {[]string{"a", "b"}, withID("Request-Id: b\r\n"), ""},
+		"none, another's":    {nil, foreign + "|" + hangUp, "EOF"},
+		"several, another's": {[]string{"a", "b"}, withID("Request-Id: a\r\nRequest-Id: c\r\n") + "|" + hangUp, "EOF"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, script{good, good}, script{test.answer})
+			pool := backend.NewPool(server.address, dialect)
+			_, _, err := do(pool, "id-1")
+			assert.NilError(t, err)
+			request := newRequest("")
+			request.Header["Request-Id"] = test.ids
+			body, _, err := send(pool, request)
+			if test.err == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, body, "body")
+			} else {
+				assert.ErrorContains(t, err, test.err)
+			}
+			_, _, err = do(pool, "id-2")
+			assert.NilError(t, err)
+			requests, conns := server.seen()
+			assert.Equal(t, requests, 3)
+			assert.Equal(t, conns, 2, "the first connection is used again, the second is not")
+		})
+	}
+}
--- a/inbound/deadline_test.go
+++ b/inbound/deadline_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind/breaker"
+	"slatewind.example/slatewind/platform"
 )
 
 // TestTimeoutAnswer checks the breaker of a server that answers requests with status 504: at the end of the time that it was
@@ -23,7 +24,8 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			p := newFixtureFor(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			p := newFixtureFor(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(platform.Servers().RequestID, r.Header.Get(platform.Servers().RequestID))
 				time.Sleep(test.after)
 				w.WriteHeader(http.StatusGatewayTimeout)
 			}))
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -185,6 +185,7 @@
 func TestDeadlineLimitedByShutdown(t *testing.T) {
 	handed := make(chan string, 1)
 	p := newFixtureFor(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.Servers().RequestID, r.Header.Get(platform.Servers().RequestID))
 		handed <- r.Header.Get(platform.Servers().Deadline)
 		w.WriteHeader(http.StatusGatewayTimeout)
 	}))
--- a/inbound/reuse_test.go
+++ b/inbound/reuse_test.go
@@ -101,8 +101,9 @@
 // this one.
 func TestOtherServersStatements(t *testing.T) {
 	names := platform.Servers()
-	p := newFixtureFor(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	p := newFixtureFor(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		header := w.Header()
+		header.Set(names.RequestID, r.Header.Get(names.RequestID))
 		header.Set(names.Identity, "new")
 		header.Set(names.Load, "0,0,9")
 		header.Set(names.Limit, "1")
