Send no two requests with one id on a connection

What callers saw: 503 "not run" of a request that ran, and could be sent a third time.

Cause: all attempts at a request have its id, and callers may give ids alike. Where two of them use one connection, a late copy of the first answer has the id of the second. A copied rejection of the first attempt was read as the result of the second.

Evidence: TestCopyReachesSecondAttempt, where a server sends a copy of its rejection before the answer to the second attempt, got the rejection before in the run of it, and the answer in 10 of 10 runs now (arm64, race detector).

A connection now keeps hashes of the ids that it carried. One that carried an id is passed over for a request with that id and stays in the pool for the others; after 1,024 requests it is closed, so that it keeps 8 KB at the most. A copy of an answer can only come on the connection of its request, so it never meets a request with its id. TestConnectionsBesideRepeatedIDs, four of its six cases failed before.

Ruled out: to tell the copies apart by another field. Nothing but the id comes back from a server.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -51,6 +51,9 @@
 	writeWait = 20 * time.Millisecond
 	// maxIdle is the maximum number of idle connections.
 	maxIdle = 16
+	// maxRequests is the number of requests after which a connection is closed. It bounds the memory for their IDs
+	// to 8 KB for each connection.
+	maxRequests = 1 << 10
 	// maxForeignAnswers is the number of interim and foreign answers to one request after which
 	// the request fails and its connection is closed.
 	maxForeignAnswers = 3
@@ -191,13 +194,13 @@
 		_ = a.conn.Close()
 		return
 	}
-	a.conn.earlier++
+	a.conn.earlier = append(a.conn.earlier, a.pool.idHash(a.Request))
 	a.pool.putIdle(a.conn, a.Header)
 }
 
 // reusable reports whether the answer's connection can be reused for another request.
 func (a *Answer) reusable() bool {
-	if a.conn.spent || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+	if a.conn.spent || len(a.conn.earlier) >= maxRequests-1 || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
 		return false
 	}
 	var one [1]byte
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -6,12 +6,15 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"slatewind.example/slatewind"
 )
 
@@ -25,8 +28,8 @@
 	expires time.Time
 	// spent reports that the connection must not be used for another request.
 	spent bool
-	// earlier is the number of requests that were sent before the present one.
-	earlier int
+	// earlier are hashes of the IDs of the requests that were sent before the present one.
+	earlier []uint64
 	// last states the last answer that was read.
 	last string
 }
@@ -80,8 +83,9 @@
 		}
 		return c, err
 	}
+	id := p.idHash(request)
 	for {
-		c := p.takeIdle()
+		c := p.takeIdle(id)
 		if c == nil {
 			break
 		}
@@ -122,17 +126,23 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle() *conn {
+// takeIdle removes and returns the most recently used idle connection that has not carried a request with the given hash
+// of its ID, or nil: a late copy of the first answer could not be told from the answer to the second request.
+func (p *Pool) takeIdle(id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !slices.Contains(c.earlier, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
+}
+
+// idHash returns a hash of the ID of a request.
+func (p *Pool) idHash(request *http.Request) uint64 {
+	return xxhash.Sum64String(request.Header.Get(p.dialect.RequestID))
 }
 
 // putIdle adds an idle connection to the pool, or closes it if the pool is full.
--- a/backend/stutter_test.go
+++ b/backend/stutter_test.go
@@ -96,3 +96,55 @@
 		})
 	}
 }
+
+// TestCopyReachesSecondAttempt guards against the copy of a rejection that is taken for the result of a second attempt at the
+// same request: the request runs although it is told not to.
+func TestCopyReachesSecondAttempt(t *testing.T) {
+	const copied = "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+	server := newFakeServer(t, script{copied, copied, copied + good}, script{good})
+	pool := backend.NewPool(server.address, dialect)
+	for _, id := range []string{"id-1", "id-2"} {
+		body, _, err := do(pool, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "full")
+	}
+	body, _, err := do(pool, "id-1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "body", "the second attempt has a connection of its own")
+	assert.Equal(t, pool.Opened(), uint64(2))
+}
+
+// TestConnectionsBesideRepeatedIDs checks that a connection that one request must not use stays for the others, and that none
+// is used without end.
+func TestConnectionsBesideRepeatedIDs(t *testing.T) {
+	const maxRequests = 1024
+	ids := func(n int) (list []string) {
+		for i := range n {
+			list = append(list, fmt.Sprint("id-", i))
+		}
+		return list
+	}
+	tests := map[string]struct {
+		ids   []string
+		conns uint64
+	}{
+		"different IDs":             {[]string{"a", "b", "c"}, 1},
+		"each ID twice":             {[]string{"a", "a", "b", "b"}, 2},
+		"one ID again and again":    {[]string{"a", "a", "a"}, 3},
+		"a connection left in pool": {[]string{"a", "b", "a", "c", "b", "c"}, 2},
+		"as many as allowed":        {ids(maxRequests), 1},
+		"more than allowed":         {ids(maxRequests + 1), 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			none := func(string, string) string { return "" }
+			pool := backend.NewPool(newStutteringServer(t, stampedAnswer, none), dialect)
+			for _, id := range test.ids {
+				body, _, err := do(pool, id)
+				assert.NilError(t, err)
+				assert.Equal(t, body, id)
+			}
+			assert.Equal(t, pool.Opened(), test.conns)
+		})
+	}
+}
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -92,6 +92,6 @@
 	if p.observe == nil {
 		return
 	}
-	s.Request, s.Earlier, s.After = request.Header.Get(p.dialect.RequestID), c.earlier, c.last
+	s.Request, s.Earlier, s.After = request.Header.Get(p.dialect.RequestID), len(c.earlier), c.last
 	p.observe(s)
 }
