Keep connections of HEAD requests apart

What callers saw: 502 for a request whose answer followed. Whether bytes taken apart at the wrong place could be read as an answer was not shown.

Cause: an answer to HEAD states a length and has no body. The late copy of one before the answer to GET took the first bytes of that answer for its body; the late copy of an answer to GET left its body in the place of the answer to HEAD.

A connection that carried HEAD requests now carries nothing else, and the other way round, so a late answer is always framed as the requests of its connection are. The cost is a second connection where a server gets both. Other answers without a body (204, 304) tell so by their status.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -194,7 +194,7 @@
 		_ = a.conn.Close()
 		return
 	}
-	a.conn.earlier = append(a.conn.earlier, a.pool.idHash(a.Request))
+	a.pool.carried(a.conn, a.Request)
 	a.pool.putIdle(a.conn, a.Header)
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,6 +30,8 @@
 	spent bool
 	// earlier are hashes of the IDs of the requests that were sent before the present one.
 	earlier []uint64
+	// isHead reports that these were HEAD requests.
+	isHead bool
 	// last states the last answer that was read.
 	last string
 }
@@ -83,9 +85,8 @@
 		}
 		return c, err
 	}
-	id := p.idHash(request)
 	for {
-		c := p.takeIdle(id)
+		c := p.takeIdle(request)
 		if c == nil {
 			break
 		}
@@ -126,13 +127,13 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that has not carried a request with the given hash
-// of its ID, or nil: a late copy of the first answer could not be told from the answer to the second request.
-func (p *Pool) takeIdle(id uint64) *conn {
+// takeIdle removes and returns the most recently used idle connection that may carry a request, or nil.
+func (p *Pool) takeIdle(request *http.Request) *conn {
+	id, isHead := p.idHash(request), request.Method == http.MethodHead
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, c := range slices.Backward(p.idle) {
-		if !slices.Contains(c.earlier, id) {
+		if c.mayCarry(id, isHead) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
@@ -140,6 +141,18 @@
 	return nil
 }
 
+// mayCarry reports whether a connection may carry a request. A late copy of an answer could not be told from the answer to
+// a second request with the same ID. An answer to HEAD has no body behind the length that it states, so a
+// late one could not be read on a connection for other methods, nor theirs on one for HEAD.
+func (c *conn) mayCarry(id uint64, isHead bool) bool {
+	return len(c.earlier) == 0 || c.isHead == isHead && !slices.Contains(c.earlier, id)
+}
+
+// carried records that a connection has carried a request.
+func (p *Pool) carried(c *conn, request *http.Request) {
+	c.earlier, c.isHead = append(c.earlier, p.idHash(request)), request.Method == http.MethodHead
+}
+
 // idHash returns a hash of the ID of a request.
 func (p *Pool) idHash(request *http.Request) uint64 {
 	return xxhash.Sum64String(request.Header.Get(p.dialect.RequestID))
--- a/backend/stutter_test.go
+++ b/backend/stutter_test.go
@@ -148,3 +148,38 @@
 		})
 	}
 }
+
+// TestLateAnswersAroundHead guards against the answer to a HEAD request, which has a length and no body, that is read as one with
+// a body, and the other way round: the bytes behind it would be taken apart at the wrong place.
+func TestLateAnswersAroundHead(t *testing.T) {
+	const headAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+	lateHead, late := strings.ReplaceAll(headAnswer, "{id}", "id-1"), strings.ReplaceAll(good, "{id}", "id-1")
+	tests := map[string]struct {
+		methods []string
+		first   script
+		conns   uint64
+	}{
+		"HEAD, then GET":       {[]string{http.MethodHead, http.MethodGet}, script{headAnswer, lateHead + good}, 2},
+		"GET, then HEAD":       {[]string{http.MethodGet, http.MethodHead}, script{good, late + headAnswer}, 2},
+		"HEAD, then HEAD":      {[]string{http.MethodHead, http.MethodHead}, script{headAnswer, lateHead + headAnswer}, 1},
+		"GET, then POST":       {[]string{http.MethodGet, http.MethodPost}, script{good, late + good}, 1},
+		"HEAD, GET, then HEAD": {[]string{http.MethodHead, http.MethodGet, http.MethodHead}, script{headAnswer, lateHead + headAnswer}, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			second := headAnswer
+			if test.methods[1] != http.MethodHead {
+				second = good
+			}
+			pool := backend.NewPool(newFakeServer(t, test.first, script{second}).address, dialect)
+			for i, method := range test.methods {
+				request := newRequest(fmt.Sprint("id-", i+1))
+				request.Method = method
+				body, _, err := send(pool, request)
+				assert.NilError(t, err)
+				assert.Equal(t, body == "", method == http.MethodHead, body)
+			}
+			assert.Equal(t, pool.Opened(), test.conns)
+		})
+	}
+}
