Bound discarded answers by bytes instead of three

Cause: after three foreign or interim answers to one request it was given up, so three copies were enough. Each of them could also have a body of 1 MB.

1 MB of discarded answers with their heads, and 1,024 of them, are now the bounds for one request. The second is there for interim answers of a few bytes, whose parsing costs more than their bytes. The case "only foreign answers" of TestAnswers sends 1,024 instead of three, which is as strict: a request with nothing else still fails.

A connection on which an answer was discarded is closed after its request: what a server that stutters sends next was seen to come there too. An interim answer is no such sign. The cost is a new connection. TestConnections has a case for each; that for a surplus answer failed before.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -55,10 +55,10 @@
 	// to 8 KB for each connection.
 	maxRequests = 1 << 10
 	// maxForeignAnswers is the number of interim and foreign answers to one request after which
-	// the request fails and its connection is closed.
-	maxForeignAnswers = 3
-	// maxForeignBytes limits the body of an answer to another request that is read and discarded, in bytes.
-	maxForeignBytes = 1 << 20
+	// the request fails and its connection is closed, maxForeignBytes the number of their bytes, heads
+	// included. The first bounds the work for answers of a few bytes.
+	maxForeignAnswers = 1 << 10
+	maxForeignBytes   = 1 << 20
 	// maxErrorBytes limits what an error quotes of a malformed answer, in bytes.
 	maxErrorBytes = 200
 	// bufferBytes is the size of a connection's read buffer, in bytes.
@@ -131,6 +131,7 @@
 // readResponse reads the answer to a request and discards interim answers and answers to other
 // requests.
 func (p *Pool) readResponse(c *conn, request *http.Request) (*http.Response, error) {
+	limit := c.consumed() + maxForeignBytes
 	for range maxForeignAnswers {
 		c.head.beginHead()
 		response, err := http.ReadResponse(c.reader, request)
@@ -139,10 +140,7 @@
 		}
 		c.head.endHead()
 		if !p.isOwn(c, request, response) {
-			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-				return nil, ErrForeignAnswer
-			}
-			if err := discard(response.Body); err != nil {
+			if err := c.discard(response, limit); err != nil {
 				return nil, err
 			}
 			continue
@@ -158,9 +156,20 @@
 	return nil, ErrForeignAnswer
 }
 
-// discard reads the body of a foreign answer to its end.
-func discard(body io.Reader) error {
-	switch _, err := io.CopyN(io.Discard, body, maxForeignBytes); {
+// isUnframed reports whether the body of an answer ends only with its connection.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// consumed returns the number of bytes of the connection that were taken as answers so far.
+func (c *conn) consumed() int64 { return c.head.read - int64(c.reader.Buffered()) }
+
+// discard reads the body of a foreign answer to its end. It fails once limit bytes of the connection were consumed.
+func (c *conn) discard(response *http.Response, limit int64) error {
+	if isUnframed(response) {
+		return ErrForeignAnswer
+	}
+	switch _, err := io.CopyN(io.Discard, response.Body, max(limit-c.consumed(), 0)); {
 	case err == nil:
 		return ErrForeignAnswer
 	case !errors.Is(err, io.EOF):
@@ -200,7 +209,7 @@
 
 // reusable reports whether the answer's connection can be reused for another request.
 func (a *Answer) reusable() bool {
-	if a.conn.spent || len(a.conn.earlier) >= maxRequests-1 || a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+	if a.conn.spent || len(a.conn.earlier) >= maxRequests-1 || a.Response.Close || isUnframed(a.Response) {
 		return false
 	}
 	var one [1]byte
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -141,7 +141,9 @@
 		"an ID in another spelling":       {step: strings.Replace(good, "{id}", "ID-1", 1) + "|" + hangUp, err: "EOF"},
 		"a failure without ID":            {step: "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\noops|" + hangUp, err: "EOF"},
 		"an answer without ID before it":  {step: strings.Replace(good, idLine, "", 1) + good, body: "body"},
-		"only foreign answers":            {step: foreign + foreign + foreign, err: "another request"},
+		"several copies before it":        {step: strings.Repeat(foreign, 200) + good, body: "body"},
+		"only interim answers":            {step: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1024), err: "another request"},
+		"only foreign answers":            {step: strings.Repeat(foreign, 1024), err: "another request"},
 		"a reset":                         {step: "|" + reset, err: "reset"},
 		"no answer":                       {step: "|" + hangUp, err: "EOF"},
 		"an answer that ends early":       {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\nbody|" + hangUp, err: "EOF"},
@@ -177,14 +179,16 @@
 		first script
 		conns int
 	}{
-		"kept":                      {script{good, good}, 1},
-		"closed by the server":      {script{good + "|" + hangUp}, 2},
-		"reset by the server":       {script{good + "|" + reset}, 2},
-		"Connection: close":         {script{strings.Replace(good, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), good}, 2},
-		"short Keep-Alive timeout":  {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1), good}, 2},
-		"long Keep-Alive timeout":   {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=9\r\n\r\n", 1), good}, 1},
-		"a surplus answer after it": {script{good + foreign, good}, 2},
-		"surplus malformed bytes":   {script{good + "rest", good}, 2},
+		"kept":                        {script{good, good}, 1},
+		"closed by the server":        {script{good + "|" + hangUp}, 2},
+		"reset by the server":         {script{good + "|" + reset}, 2},
+		"Connection: close":           {script{strings.Replace(good, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), good}, 2},
+		"short Keep-Alive timeout":    {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1), good}, 2},
+		"long Keep-Alive timeout":     {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=9\r\n\r\n", 1), good}, 1},
+		"a surplus answer after it":   {script{good + foreign, good}, 2},
+		"a surplus answer before it":  {script{foreign + good, good}, 2},
+		"an interim answer before it": {script{"HTTP/1.1 103 Early Hints\r\n\r\n" + good, good}, 1},
+		"surplus malformed bytes":     {script{good + "rest", good}, 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/backend/head.go
+++ b/backend/head.go
@@ -11,6 +11,8 @@
 type headLimiter struct {
 	conn   net.Conn
 	inHead bool
+	// read is the number of bytes that were read in all.
+	read int64
 	// left is the number of bytes that may still be read of the head.
 	left int
 }
@@ -24,12 +26,18 @@
 // Read implements io.Reader.
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if !l.inHead {
-		return l.conn.Read(b)
+		return l.count(l.conn.Read(b))
 	}
 	if l.left <= 0 {
 		return 0, ErrHeadTooLarge
 	}
-	n, err := l.conn.Read(b[:min(len(b), l.left)])
+	n, err := l.count(l.conn.Read(b[:min(len(b), l.left)]))
 	l.left -= n
 	return n, err
 }
+
+// count adds to the number of bytes that were read and returns its arguments.
+func (l *headLimiter) count(n int, err error) (int, error) {
+	l.read += int64(n)
+	return n, err
+}
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -82,6 +82,8 @@
 		return true
 	}
 	carried := clip.Text(strings.Join(ids, ","), maxIDBytes)
+	// A server that answers twice is likely to do so again.
+	c.spent = true
 	p.report(c, request, Surplus{Kind: kind, Carried: carried, Status: response.StatusCode})
 	c.last = string(kind) + " " + status
 	return false
