Fail an answer without a length that has another one in its body

What callers saw: their own answer with another one behind it, which appeared complete.

Cause: the body of an answer without a length ends with its connection, so a copy that the server sends before it closes the connection becomes part of the body.

Such a body is now read through a scanner: a status line anywhere, with fields behind it among which is the request's id, of whomever, or the stamp, fails the read that completes the field's name. The stamp counts too, since copies without an id are what servers were seen to send. A body that has a status line without these fields passes unchanged.

Not told apart: surplus bytes that have no such head, and a head that is cut off before one of the two fields. Nothing on the wire distinguishes them from the body's own bytes.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -151,6 +151,9 @@
 		if response.Header.Get("Content-Encoding") != "" {
 			return nil, errs.Combine(ErrMalformedAnswer, Error.New("the body is encoded although no Content-Encoding was requested"))
 		}
+		if isUnframed(response) {
+			response.Body = newUnframedBody(response.Body, p.dialect.RequestID, p.dialect.Stamp)
+		}
 		return response, nil
 	}
 	return nil, ErrForeignAnswer
--- a/inbound/surplus_test.go
+++ b/inbound/surplus_test.go
@@ -59,3 +59,24 @@
 	assert.Equal(t, dropped[0].Evidence, `surplus=foreign-id carried="other" status=200 earlier=0 last="" lines_left_out=0`)
 	assert.Assert(t, strings.Contains(dropped[0].Reason, string(backend.SurplusForeignID)))
 }
+
+// sendTwice returns a server that sends each answer twice on a connection, without a length, and closes it.
+func sendTwice(body string) http.HandlerFunc {
+	names := platform.Servers()
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\n\r\n%s", names.RequestID, r.Header.Get(names.RequestID), names.Stamp, body)
+		_, _ = io.WriteString(conn, answer+answer)
+	}
+}
+
+// TestSecondAnswerInBody checks that an answer without a length is no answer if a copy of it is behind it.
+func TestSecondAnswerInBody(t *testing.T) {
+	p := newFixtureFor(t, sendTwice("body"))
+	assert.Equal(t, p.run(reservation(), "id"), "unknown")
+}
--- a/inbound/truncated_test.go
+++ b/inbound/truncated_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,6 +86,7 @@
 	}{
 		"nothing":                        {send(size, nil), func(*fixture, *replies, func()) {}, true},
 		"the server":                     {send(size*2/3, abort), func(*fixture, *replies, func()) {}, false},
+		"a second answer in its body":    {sendTwice(strings.Repeat("b", size)), func(*fixture, *replies, func()) {}, false},
 		"the time of the request":        {send(size*2/3, nil), func(*fixture, *replies, func()) {}, false},
 		"the end of the process":         {send(size*2/3, nil), func(p *fixture, r *replies, _ func()) { r.onChunk = p.End }, false},
 		"the sender":                     {send(size, nil), func(_ *fixture, r *replies, cancel func()) { r.onChunk = cancel }, false},
