Reuse no connection on which a request was cut off

Found by going through when a connection is clean: what callers would have seen is a request that the server takes for the rest of the one before. No request of the process can end so at present, since its body is held whole.

Cause: a connection was reused once writing its request had ended, be it with an error. A server that answers early still waits for the rest of that body.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -72,9 +72,8 @@
 	pool *Pool
 	conn *conn
 	// stop stops watching the request's context; it returns false if the context ended first.
-	stop func() bool
-	// sent is closed when the whole request has been written.
-	sent   <-chan struct{}
+	stop   func() bool
+	writer *requestWriter
 	closed bool
 }
 
@@ -94,35 +93,39 @@
 	if sending != nil {
 		sending(func() bool { return unread(c.Conn) })
 	}
-	written := make(chan struct{})
-	writer := &countingWriter{w: c}
-	go func() {
-		defer close(written)
-		// A write error results in a missing answer, if it matters: a server may answer early and
-		// stop reading.
-		_ = request.Write(writer)
-	}()
+	writer := &requestWriter{w: c, done: make(chan struct{})}
+	go writer.write(request)
 	response, err := p.readResponse(c, request) //nolint:bodyclose // Answer.Close ends the connection.
 	if err != nil {
 		_ = c.Close()
 		stop()
-		<-written
+		<-writer.done
 		if ctx.Err() != nil {
 			err = errs.Combine(ctx.Err(), err)
 		}
 		return nil, writer.wrote, Error.Wrap(err)
 	}
-	return &Answer{Response: response, pool: p, conn: c, stop: stop, sent: written}, true, nil
+	return &Answer{Response: response, pool: p, conn: c, stop: stop, writer: writer}, true, nil
 }
 
-// countingWriter records whether any byte was written.
-type countingWriter struct {
+// requestWriter writes a request and records whether any byte was written.
+type requestWriter struct {
 	w     io.Writer
 	wrote bool
+	// done is closed when writing has ended, err is its result.
+	done chan struct{}
+	err  error
+}
+
+// write writes the request. An error results in a missing answer, if it matters: a server may answer early and
+// stop reading.
+func (w *requestWriter) write(request *http.Request) {
+	defer close(w.done)
+	w.err = request.Write(w)
 }
 
 // Write implements io.Writer.
-func (w *countingWriter) Write(b []byte) (int, error) {
+func (w *requestWriter) Write(b []byte) (int, error) {
 	n, err := w.w.Write(b)
 	w.wrote = w.wrote || n > 0
 	return n, err
@@ -226,8 +229,8 @@
 	sending := time.NewTimer(writeWait)
 	defer sending.Stop()
 	select {
-	case <-a.sent:
-		return true
+	case <-a.writer.done:
+		return a.writer.err == nil
 	case <-sending.C:
 		// The server would take the rest of the request's body for the next request.
 		return false
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -246,6 +246,22 @@
 	assert.Equal(t, pool.Opened(), uint64(1))
 }
 
+// TestPartlyWrittenRequest guards against the reuse of a connection on which part of a request was not written: the server would
+// take the next request for the rest.
+func TestPartlyWrittenRequest(t *testing.T) {
+	const length = 64 << 10
+	server := newFakeServer(t, script{good, good}, script{good})
+	pool := backend.NewPool(server.address, dialect)
+	request := newRequest("id-1")
+	request.Method, request.ContentLength = http.MethodPost, length+1
+	request.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", length)))
+	_, _, err := send(pool, request)
+	assert.NilError(t, err)
+	_, _, err = do(pool, "id-2")
+	assert.NilError(t, err)
+	assert.Equal(t, pool.Opened(), uint64(2))
+}
+
 func await(t *testing.T, what func() bool) {
 	t.Helper()
 	for range 5000 {
