--- a/backend/backend.go
+++ b/backend/backend.go
@@ -4,8 +4,8 @@
 // accepts whatever arrives next on a connection as the answer. Here both must be known exactly:
 // whether any byte was sent determines whether a request may be sent to another server, and a
 // server may send surplus answers that belong to no request. A connection therefore carries one
-// request at a time and is checked for unexpected bytes before it is reused, and answers with the
-// ID of another request are discarded.
+// request at a time and is checked for unexpected bytes before it is reused, and answers that do not
+// state the ID of their request are discarded. A request without an ID has a connection of its own.
 package backend
 
 import (
@@ -51,11 +51,14 @@
 	writeWait = 20 * time.Millisecond
 	// maxIdle is the maximum number of idle connections.
 	maxIdle = 16
+	// maxRequests is the number of requests after which a connection is closed. It bounds the memory for their IDs
+	// to 8 KB for each connection.
+	maxRequests = 1 << 10
 	// maxForeignAnswers is the number of interim and foreign answers to one request after which
-	// the request fails and its connection is closed.
-	maxForeignAnswers = 3
-	// maxForeignBytes limits the body of an answer to another request that is read and discarded, in bytes.
-	maxForeignBytes = 1 << 20
+	// the request fails and its connection is closed, maxForeignBytes the number of their bytes, heads
+	// included. The first bounds the work for answers of a few bytes.
+	maxForeignAnswers = 1 << 10
+	maxForeignBytes   = 1 << 20
 	// maxErrorBytes limits what an error quotes of a malformed answer, in bytes.
 	maxErrorBytes = 200
 	// bufferBytes is the size of a connection's read buffer, in bytes.
@@ -69,9 +72,8 @@
 	pool *Pool
 	conn *conn
 	// stop stops watching the request's context; it returns false if the context ended first.
-	stop func() bool
-	// sent is closed when the whole request has been written.
-	sent   <-chan struct{}
+	stop   func() bool
+	writer *requestWriter
 	closed bool
 }
 
@@ -83,7 +85,7 @@
 // ctx's error if ctx ended first; otherwise it is ErrMalformedAnswer, ErrForeignAnswer,
 // ErrNoStamp or a network error.
 func (p *Pool) Do(ctx context.Context, request *http.Request, sending func(unread func() bool)) (answer *Answer, sent bool, err error) {
-	c, err := p.connection(ctx)
+	c, err := p.connection(ctx, request)
 	if err != nil {
 		return nil, false, err
 	}
@@ -91,35 +93,39 @@
 	if sending != nil {
 		sending(func() bool { return unread(c.Conn) })
 	}
-	written := make(chan struct{})
-	writer := &countingWriter{w: c}
-	go func() {
-		defer close(written)
-		// A write error results in a missing answer, if it matters: a server may answer early and
-		// stop reading.
-		_ = request.Write(writer)
-	}()
+	writer := &requestWriter{w: c, done: make(chan struct{})}
+	go writer.write(request)
 	response, err := p.readResponse(c, request) //nolint:bodyclose // Answer.Close ends the connection.
 	if err != nil {
 		_ = c.Close()
 		stop()
-		<-written
+		<-writer.done
 		if ctx.Err() != nil {
 			err = errs.Combine(ctx.Err(), err)
 		}
 		return nil, writer.wrote, Error.Wrap(err)
 	}
-	return &Answer{Response: response, pool: p, conn: c, stop: stop, sent: written}, true, nil
+	return &Answer{Response: response, pool: p, conn: c, stop: stop, writer: writer}, true, nil
 }
 
-// countingWriter records whether any byte was written.
-type countingWriter struct {
+// requestWriter writes a request and records whether any byte was written.
+type requestWriter struct {
 	w     io.Writer
 	wrote bool
+	// done is closed when writing has ended, err is its result.
+	done chan struct{}
+	err  error
+}
+
+// write writes the request. An error results in a missing answer, if it matters: a server may answer early and
+// stop reading.
+func (w *requestWriter) write(request *http.Request) {
+	defer close(w.done)
+	w.err = request.Write(w)
 }
 
 // Write implements io.Writer.
-func (w *countingWriter) Write(b []byte) (int, error) {
+func (w *requestWriter) Write(b []byte) (int, error) {
 	n, err := w.w.Write(b)
 	w.wrote = w.wrote || n > 0
 	return n, err
@@ -128,6 +134,7 @@
 // readResponse reads the answer to a request and discards interim answers and answers to other
 // requests.
 func (p *Pool) readResponse(c *conn, request *http.Request) (*http.Response, error) {
+	limit := c.consumed() + maxForeignBytes
 	for range maxForeignAnswers {
 		c.head.beginHead()
 		response, err := http.ReadResponse(c.reader, request)
@@ -135,14 +142,8 @@
 			return nil, malformedAnswer(err)
 		}
 		c.head.endHead()
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if id := response.Header.Get(p.dialect.RequestID); id != "" && id != request.Header.Get(p.dialect.RequestID) {
-			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-				return nil, ErrForeignAnswer
-			}
-			if err := discard(response.Body); err != nil {
+		if !p.isOwn(c, request, response) {
+			if err := c.discard(response, limit); err != nil {
 				return nil, err
 			}
 			continue
@@ -153,14 +154,28 @@
 		if response.Header.Get("Content-Encoding") != "" {
 			return nil, errs.Combine(ErrMalformedAnswer, Error.New("the body is encoded although no Content-Encoding was requested"))
 		}
+		if isUnframed(response) {
+			response.Body = newUnframedBody(response.Body, p.dialect.RequestID, p.dialect.Stamp)
+		}
 		return response, nil
 	}
 	return nil, ErrForeignAnswer
 }
 
-// discard reads the body of a foreign answer to its end.
-func discard(body io.Reader) error {
-	switch _, err := io.CopyN(io.Discard, body, maxForeignBytes); {
+// isUnframed reports whether the body of an answer ends only with its connection.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// consumed returns the number of bytes of the connection that were taken as answers so far.
+func (c *conn) consumed() int64 { return c.head.read - int64(c.reader.Buffered()) }
+
+// discard reads the body of a foreign answer to its end. It fails once limit bytes of the connection were consumed.
+func (c *conn) discard(response *http.Response, limit int64) error {
+	if isUnframed(response) {
+		return ErrForeignAnswer
+	}
+	switch _, err := io.CopyN(io.Discard, response.Body, max(limit-c.consumed(), 0)); {
 	case err == nil:
 		return ErrForeignAnswer
 	case !errors.Is(err, io.EOF):
@@ -194,12 +209,13 @@
 		_ = a.conn.Close()
 		return
 	}
+	a.pool.carried(a.conn, a.Request)
 	a.pool.putIdle(a.conn, a.Header)
 }
 
 // reusable reports whether the answer's connection can be reused for another request.
 func (a *Answer) reusable() bool {
-	if a.Response.Close || a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+	if a.conn.spent || len(a.conn.earlier) >= maxRequests-1 || a.Response.Close || isUnframed(a.Response) {
 		return false
 	}
 	var one [1]byte
@@ -207,13 +223,14 @@
 		return false
 	}
 	if a.conn.reader.Buffered() > 0 {
+		a.pool.report(a.conn, a.Request, Surplus{Kind: SurplusAtClose})
 		return false
 	}
 	sending := time.NewTimer(writeWait)
 	defer sending.Stop()
 	select {
-	case <-a.sent:
-		return true
+	case <-a.writer.done:
+		return a.writer.err == nil
 	case <-sending.C:
 		// The server would take the rest of the request's body for the next request.
 		return false
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -42,6 +42,8 @@
 	conns    int
 	// ended is the number of connections that the server has closed.
 	ended int
+	// accepted are all connections.
+	accepted []net.Conn
 }
 
 func newFakeServer(t *testing.T, scripts ...script) *fakeServer {
@@ -57,6 +59,7 @@
 			}
 			s.mu.Lock()
 			s.conns++
+			s.accepted = append(s.accepted, conn)
 			s.mu.Unlock()
 			go s.serve(conn, scripts[min(i, len(scripts)-1)])
 		}
@@ -106,9 +109,14 @@
 
 // do sends one request and returns the body or the error.
 func do(pool *backend.Pool, id string) (body string, sent bool, err error) {
+	return send(pool, newRequest(id))
+}
+
+// send is do for any request.
+func send(pool *backend.Pool, request *http.Request) (body string, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	answer, sent, err := pool.Do(ctx, newRequest(id), nil)
+	answer, sent, err := pool.Do(ctx, request, nil)
 	if err != nil {
 		return "", sent, err
 	}
@@ -126,11 +134,23 @@
 	}{
 		"a whole answer":                  {step: good, body: "body"},
 		"a foreign answer before it":      {step: foreign + good, body: "body"},
-		"only foreign answers":            {step: foreign + foreign + foreign, err: "another request"},
+		"an answer without ID":            {step: strings.Replace(good, idLine, "", 1) + "|" + hangUp, err: "EOF"},
+		"an answer with an empty ID":      {step: strings.Replace(good, idLine, "Request-Id:\r\n", 1) + "|" + hangUp, err: "EOF"},
+		"an answer with its ID twice":     {step: strings.Replace(good, idLine, idLine+idLine, 1) + "|" + hangUp, err: "EOF"},
+		"an answer with two IDs":          {step: strings.Replace(good, idLine, idLine+"Request-Id: other\r\n", 1) + "|" + hangUp, err: "EOF"},
+		"an ID in another spelling":       {step: strings.Replace(good, "{id}", "ID-1", 1) + "|" + hangUp, err: "EOF"},
+		"a failure without ID":            {step: "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\noops|" + hangUp, err: "EOF"},
+		"an answer without ID before it":  {step: strings.Replace(good, idLine, "", 1) + good, body: "body"},
+		"several copies before it":        {step: strings.Repeat(foreign, 200) + good, body: "body"},
+		"only interim answers":            {step: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1024), err: "another request"},
+		"only foreign answers":            {step: strings.Repeat(foreign, 1024), err: "another request"},
 		"a reset":                         {step: "|" + reset, err: "reset"},
 		"no answer":                       {step: "|" + hangUp, err: "EOF"},
 		"an answer that ends early":       {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\nbody|" + hangUp, err: "EOF"},
 		"no length, ends in order":        {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\nbody|" + hangUp, body: "body"},
+		"no length, a copy behind it":     {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\nbody" + good + "|" + hangUp, err: "head of another answer"},
+		"no length, another's behind it":  {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\nbody" + foreign + "|" + hangUp, err: "head of another answer"},
+		"no length, text like one":        {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\nbody HTTP/1.1 200 OK|" + hangUp, body: "body HTTP/1.1 200 OK"},
 		"no length, reset":                {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\nbody|" + reset, err: "reset"},
 		"a success without a stamp":       {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody", err: "stamp"},
 		"an encoded body":                 {step: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody", err: "encoded"},
@@ -162,14 +182,16 @@
 		first script
 		conns int
 	}{
-		"kept":                      {script{good, good}, 1},
-		"closed by the server":      {script{good + "|" + hangUp}, 2},
-		"reset by the server":       {script{good + "|" + reset}, 2},
-		"Connection: close":         {script{strings.Replace(good, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), good}, 2},
-		"short Keep-Alive timeout":  {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1), good}, 2},
-		"long Keep-Alive timeout":   {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=9\r\n\r\n", 1), good}, 1},
-		"a surplus answer after it": {script{good + foreign, good}, 2},
-		"surplus malformed bytes":   {script{good + "rest", good}, 2},
+		"kept":                        {script{good, good}, 1},
+		"closed by the server":        {script{good + "|" + hangUp}, 2},
+		"reset by the server":         {script{good + "|" + reset}, 2},
+		"Connection: close":           {script{strings.Replace(good, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), good}, 2},
+		"short Keep-Alive timeout":    {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1), good}, 2},
+		"long Keep-Alive timeout":     {script{strings.Replace(good, "\r\n\r\n", "\r\nKeep-Alive: timeout=9\r\n\r\n", 1), good}, 1},
+		"a surplus answer after it":   {script{good + foreign, good}, 2},
+		"a surplus answer before it":  {script{foreign + good, good}, 2},
+		"an interim answer before it": {script{"HTTP/1.1 103 Early Hints\r\n\r\n" + good, good}, 1},
+		"surplus malformed bytes":     {script{good + "rest", good}, 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -224,6 +246,22 @@
 	assert.Equal(t, pool.Opened(), uint64(1))
 }
 
+// TestPartlyWrittenRequest guards against the reuse of a connection on which part of a request was not written: the server would
+// take the next request for the rest.
+func TestPartlyWrittenRequest(t *testing.T) {
+	const length = 64 << 10
+	server := newFakeServer(t, script{good, good}, script{good})
+	pool := backend.NewPool(server.address, dialect)
+	request := newRequest("id-1")
+	request.Method, request.ContentLength = http.MethodPost, length+1
+	request.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", length)))
+	_, _, err := send(pool, request)
+	assert.NilError(t, err)
+	_, _, err = do(pool, "id-2")
+	assert.NilError(t, err)
+	assert.Equal(t, pool.Opened(), uint64(2))
+}
+
 func await(t *testing.T, what func() bool) {
 	t.Helper()
 	for range 5000 {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -6,12 +6,15 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"slatewind.example/slatewind"
 )
 
@@ -23,12 +26,21 @@
 	head   *headLimiter
 	// expires is when the connection must no longer be used.
 	expires time.Time
+	// spent reports that the connection must not be used for another request.
+	spent bool
+	// earlier are hashes of the IDs of the requests that were sent before the present one.
+	earlier []uint64
+	// isHead reports that these were HEAD requests.
+	isHead bool
+	// last states the last answer that was read.
+	last string
 }
 
 // Pool holds the connections to one server.
 type Pool struct {
 	address string
 	dialect slatewind.ServerHeaders
+	observe func(Surplus)
 
 	// mu guards the fields below.
 	mu   sync.Mutex
@@ -42,6 +54,10 @@
 	return &Pool{address: address, dialect: dialect}
 }
 
+// Observe sets the function that is called with what the server sends although no request asked for it. It
+// must be called before the first request.
+func (p *Pool) Observe(observe func(Surplus)) { p.observe = observe }
+
 // Opened returns the total number of connections opened.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -59,16 +75,28 @@
 	p.idle = nil
 }
 
-// connection returns an idle connection that is still usable, or a new one.
-func (p *Pool) connection(ctx context.Context) (*conn, error) {
+// connection returns an idle connection that is still usable for a request, or a new one. A request without an ID
+// gets a new one for itself, since nothing could tell its answer from others.
+func (p *Pool) connection(ctx context.Context, request *http.Request) (*conn, error) {
+	if !hasID(request.Header.Values(p.dialect.RequestID)) {
+		c, err := p.dial(ctx)
+		if err == nil {
+			c.spent = true
+		}
+		return c, err
+	}
 	for {
-		c := p.takeIdle()
+		c := p.takeIdle(request)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && nothingReceived(c.Conn) {
+		found := receivedWhileIdle(c.Conn)
+		if found == idleQuiet && time.Now().Before(c.expires) {
 			return c, nil
 		}
+		if found == idleBytes {
+			p.report(c, request, Surplus{Kind: SurplusAtReuse})
+		}
 		_ = c.Close()
 	}
 	return p.dial(ctx)
@@ -99,17 +127,35 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle() *conn {
+// takeIdle removes and returns the most recently used idle connection that may carry a request, or nil.
+func (p *Pool) takeIdle(request *http.Request) *conn {
+	id, isHead := p.idHash(request), request.Method == http.MethodHead
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(id, isHead) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
+}
+
+// mayCarry reports whether a connection may carry a request. A late copy of an answer could not be told from the answer to
+// a second request with the same ID. An answer to HEAD has no body behind the length that it states, so a
+// late one could not be read on a connection for other methods, nor theirs on one for HEAD.
+func (c *conn) mayCarry(id uint64, isHead bool) bool {
+	return len(c.earlier) == 0 || c.isHead == isHead && !slices.Contains(c.earlier, id)
+}
+
+// carried records that a connection has carried a request.
+func (p *Pool) carried(c *conn, request *http.Request) {
+	c.earlier, c.isHead = append(c.earlier, p.idHash(request)), request.Method == http.MethodHead
+}
+
+// idHash returns a hash of the ID of a request.
+func (p *Pool) idHash(request *http.Request) uint64 {
+	return xxhash.Sum64String(request.Header.Get(p.dialect.RequestID))
 }
 
 // putIdle adds an idle connection to the pool, or closes it if the pool is full.
@@ -153,21 +199,39 @@
 	return err == nil && waiting > 0
 }
 
-// nothingReceived reports whether nothing has arrived on an idle connection: neither bytes, which
-// would belong to no request, nor the end of the stream.
-func nothingReceived(c net.Conn) bool {
+// idleFinding is what is found on an idle connection.
+type idleFinding string
+
+const (
+	// idleQuiet: nothing has arrived.
+	idleQuiet idleFinding = "quiet"
+	// idleBytes: bytes have arrived, which belong to no request.
+	idleBytes idleFinding = "bytes"
+	// idleEnded: the server has closed the connection.
+	idleEnded idleFinding = "ended"
+)
+
+// receivedWhileIdle returns what has arrived on an idle connection.
+func receivedWhileIdle(c net.Conn) idleFinding {
 	control := rawConn(c)
 	if control == nil {
-		return false
+		return idleEnded
 	}
-	quiet := false
+	found := idleEnded
 	err := control.Read(func(descriptor uintptr) bool {
 		var one [1]byte
-		_, readErr := syscall.Read(int(descriptor), one[:])
-		quiet = errors.Is(readErr, syscall.EAGAIN)
+		switch n, readErr := syscall.Read(int(descriptor), one[:]); {
+		case errors.Is(readErr, syscall.EAGAIN):
+			found = idleQuiet
+		case n > 0:
+			found = idleBytes
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return idleEnded
+	}
+	return found
 }
 
 // rawConn returns the raw connection for access to the socket, or nil if c has none or it is closed.
--- a/daemon/nodewiring.go
+++ b/daemon/nodewiring.go
@@ -23,6 +23,7 @@
 	"slatewind.example/slatewind/ratelimit"
 	"slatewind.example/slatewind/reload"
 	"slatewind.example/slatewind/report"
+	"slatewind.example/slatewind/throttle"
 	"slatewind.example/slatewind/timer"
 	"slatewind.example/slatewind/usage"
 )
@@ -51,7 +52,7 @@
 // newNode assembles the components of a node.
 func newNode(file settingsFile, process *slatewindv1.Process, logger *log.Logger, m *metrics.Metrics, j *history.Journal, store *config.Store, timers *timer.Service, pool *link.Pool) *Node {
 	n := &Node{settings: process, limits: usage.LimitsOf(process), logger: logger, metrics: m, history: j, store: store, timers: timers, pool: pool, reports: report.NewTable(), unused: unusedConns{conns: map[net.Conn]bool{}}}
-	n.entryLines = throttle{interval: entryLinesInterval, limit: maxEntryLines}
+	n.entryLines = throttle.New(maxEntryLines, entryLinesInterval)
 	n.reloadable.Store(process)
 	n.file = reload.New(file.path, process, reloadableNodeKeys, reloadSink{file, logger, n.reload})
 	n.publisher = newRecordPublisher(n)
@@ -62,6 +63,7 @@
 		Address: process.GetLocalServer().GetAddress(),
 		Headers: platform.Servers(),
 	}, boundsOf(process), j, n.suspects, inboundMemory(process, guard))
+	n.inbound.SetMeter(m)
 	n.limiter = ratelimit.New(time.Now(), outbound.HostOf(process.GetLocalServer().GetAddress()), nodePeers{n}, limitsOf(store))
 	n.outbound = outbound.New(
 		outbound.Self{Place: placeOf(process), Service: process.GetLocalServer().GetService()},
