Take a server's answer only with proof that it is the attempt's own

Callers saw, on the product's own path: an answer that was not their own, where a server answers a request twice and the second answer comes after it has read the next request on the connection.

Cause: HTTPCaller shared one pool of connections and took whatever arrived next on a connection. Only an echo of another attempt's id was refused; an answer without the id, or with several ids of which the first is right, passed. A refused answer without a body had put its connection back into the pool already, so that each later request there read the answer of the one before.

Change: an answer is taken if all ids in its head are the attempt's, or if it has none and its connection was opened for the attempt. The decision holds for the connection used (httptrace), not for the address. Each connection is a transport of its own that one attempt uses at a time, and it is kept only after its answer was checked, so nothing can use it in between. A foreign or unproven answer leaves the attempt unknown and closes the connection. For a minute (chosen) after any answer that did not echo its attempt's id, no connection to that server is kept and idle ones are closed; a server that never echoes gets a new one for each attempt.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -6,9 +6,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -24,13 +23,13 @@
 var errTruncated = Error.New("the answer broke off")
 
 // errForeignAnswer is the error of an answer that carries the ID of another
-// attempt.
+// attempt, or that is not proved to be the attempt's own.
 var errForeignAnswer = Error.New("the answer belongs to another request")
 
 // Header fields between sidecar and server.
 const (
-	// HeaderAttempt is the ID of the attempt. If a server echoes it in its answer,
-	// answers to other attempts are detected.
+	// HeaderAttempt is the ID of the attempt. A connection is kept only if the
+	// server echoes the ID in its answers.
 	HeaderAttempt = "Slatewind-Attempt-Id"
 	// HeaderRemaining is the time left for the request, in milliseconds.
 	HeaderRemaining = "Slatewind-Remaining-Ms"
@@ -42,35 +41,30 @@
 const (
 	maxIdleConnections = 64
 	idleTimeout        = 90 * time.Second
-	dialTimeout        = time.Second
+	// distrustTime is how long connections to a server are not kept after an answer
+	// that did not echo the ID of its attempt, since others may do the same.
+	distrustTime = time.Minute
+	dialTimeout  = time.Second
 	// maxHeadBytes limits the head of an answer, in bytes.
 	maxHeadBytes = 64 << 10
 )
 
-// HTTPCaller calls servers by HTTP.
+// HTTPCaller calls servers by HTTP. An answer is taken only if it is proved to be
+// the attempt's own: it echoes the attempt's ID, or its connection was opened for
+// the attempt and has carried nothing else. A server may answer a request twice,
+// and the second answer is read in the place of the next one on the connection.
 type HTTPCaller struct {
-	client *http.Client
+	pool *pool
 }
 
 // NewHTTPCaller returns a caller with its own pool of idle connections.
 func NewHTTPCaller() *HTTPCaller {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &HTTPCaller{client: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &HTTPCaller{pool: newPool()}
 }
 
 // CloseIdle closes the idle connections.
 func (c *HTTPCaller) CloseIdle() {
-	c.client.CloseIdleConnections()
+	c.pool.closeIdle()
 }
 
 // ServerAnswer is a server's answer whose body has not been read yet.
@@ -79,6 +73,8 @@
 	Headers  []slatewind.Header
 	Draining bool
 	body     io.ReadCloser
+	// release releases the connection after the body has been closed, or is nil.
+	release func()
 }
 
 // NewServerAnswer returns an answer whose body has not been read yet, for
@@ -87,10 +83,14 @@
 	return &ServerAnswer{Status: status, body: body}
 }
 
-// Close returns the connection to the pool, or closes it if the body was not read
-// to its end.
+// Close ends the use of the answer's connection, which is kept for reuse only if
+// the answer carried the attempt's ID and its body was read to its end.
 func (a *ServerAnswer) Close() {
 	_ = a.body.Close()
+	if release := a.release; release != nil {
+		a.release = nil
+		release()
+	}
 }
 
 // ReadUpTo reads at most limit+1 bytes of the body; whole reports that the body is
@@ -109,20 +109,25 @@
 
 // Call implements ServerCaller.
 func (c *HTTPCaller) Call(ctx context.Context, address string, request *slatewindv1.RunRequest) (*ServerAnswer, bool, error) {
-	var started atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { started.Store(true) },
-	})
 	r, err := newServerRequest(ctx, address, request)
 	if err != nil {
 		return nil, false, err
 	}
-	response, err := c.client.Do(r)
+	conn, kept := c.pool.take(time.Now(), address)
+	r.Close = !kept
+	response, use, err := conn.send(r)
 	if err != nil {
-		return nil, started.Load(), Error.Wrap(err)
+		conn.close()
+		return nil, use.started, err
+	}
+	echoed := echoOf(response.Header, request.GetAttemptId())
+	if echoed == echoNone && use.reused {
+		echoed = echoForeign
 	}
-	if echoed := response.Header.Get(HeaderAttempt); echoed != "" && echoed != request.GetAttemptId() {
+	release := func() { c.pool.put(time.Now(), address, conn, echoed) }
+	if echoed == echoForeign {
 		_ = response.Body.Close()
+		release()
 		return nil, true, errForeignAnswer
 	}
 	return &ServerAnswer{
@@ -130,9 +135,33 @@
 		Headers:  headerList(response.Header),
 		Draining: response.Header.Get(HeaderDraining) != "",
 		body:     response.Body,
+		release:  release,
 	}, true, nil
 }
 
+// echo is what an answer says about the attempt to which it belongs.
+type echo string
+
+const (
+	echoNone    echo = "none"
+	echoOwn     echo = "own"
+	echoForeign echo = "foreign"
+)
+
+// echoOf compares the IDs in the head of an answer with the ID of the attempt. All
+// of them must be that ID, since a server may add its fields to those of another
+// answer.
+func echoOf(h http.Header, attemptID string) echo {
+	ids := slices.Compact(slices.Clone(h.Values(HeaderAttempt)))
+	switch {
+	case len(ids) == 0 || len(ids) == 1 && ids[0] == "":
+		return echoNone
+	case len(ids) == 1 && ids[0] == attemptID:
+		return echoOwn
+	}
+	return echoForeign
+}
+
 func newServerRequest(ctx context.Context, address string, request *slatewindv1.RunRequest) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, request.GetMethod(), "http://"+address+string(request.GetTarget()), nil)
 	if err != nil {
@@ -159,10 +188,13 @@
 	if err != nil {
 		return false, Error.Wrap(err)
 	}
-	response, err := c.client.Do(r)
+	conn, _ := c.pool.take(time.Now(), address)
+	response, _, err := conn.send(r)
 	if err != nil {
-		return false, Error.Wrap(err)
+		conn.close()
+		return false, err
 	}
+	defer func() { c.pool.put(time.Now(), address, conn, echoOwn) }()
 	defer func() { _ = response.Body.Close() }()
 	draining := response.Header.Get(HeaderDraining) != ""
 	if response.StatusCode >= slatewind.MinServerErrorStatus && !draining {
--- /dev/null
+++ b/sidecar/connection.go
@@ -0,0 +1,141 @@
+package sidecar
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// connection is an HTTP client for one address that has one connection at a time. Only one request uses it at a time,
+// so that nothing else is sent on the connection before the request's answer has been checked.
+type connection struct {
+	transport *http.Transport
+}
+
+func newConnection() *connection {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &connection{transport: &http.Transport{
+		DialContext:        dialer.DialContext,
+		IdleConnTimeout:    idleTimeout,
+		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}}
+}
+
+// use is how a request used its connection.
+type use struct {
+	// started reports that the server may have seen the request.
+	started bool
+	// reused reports that the connection has carried other requests.
+	reused bool
+}
+
+// send sends a request and returns the answer, whose body has not been read yet.
+func (c *connection) send(r *http.Request) (*http.Response, use, error) {
+	var started, reused atomic.Bool
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			started.Store(true)
+			reused.Store(info.Reused)
+		},
+	})
+	response, err := c.transport.RoundTrip(r.WithContext(ctx))
+	return response, use{started: started.Load(), reused: reused.Load()}, Error.Wrap(err)
+}
+
+// close closes the connection if it is idle, or when it becomes idle. The connection must not be used again.
+func (c *connection) close() { c.transport.CloseIdleConnections() }
+
+// peer is what is known of the server at one address.
+type peer struct {
+	// idle holds the connections that are not in use, the one used last at the end.
+	idle []*connection
+	// unechoed is when an answer was last read that did not echo the ID of its attempt.
+	unechoed time.Time
+	used     time.Time
+}
+
+// keeps reports whether connections to the server are kept for reuse.
+func (p *peer) keeps(now time.Time) bool {
+	return now.Sub(p.unechoed) > distrustTime
+}
+
+func (p *peer) closeIdle() {
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
+
+// pool keeps connections for reuse, by address.
+type pool struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+func newPool() *pool { return &pool{peers: map[string]*peer{}} }
+
+// take returns a connection to an address. kept reports that it can be kept for reuse.
+func (p *pool) take(now time.Time, address string) (c *connection, kept bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(now)
+	known := p.peers[address]
+	if known == nil {
+		known = &peer{}
+		p.peers[address] = known
+	}
+	known.used = now
+	last := len(known.idle) - 1
+	if last < 0 {
+		return newConnection(), known.keeps(now)
+	}
+	c = known.idle[last]
+	known.idle = known.idle[:last]
+	return c, true
+}
+
+// forget removes the addresses that have not been used for so long that their connections are closed. The caller
+// holds mu.
+func (p *pool) forget(now time.Time) {
+	for address, known := range p.peers {
+		if now.Sub(known.used) > idleTimeout {
+			known.closeIdle()
+			delete(p.peers, address)
+		}
+	}
+}
+
+// put takes back a connection that was used for one attempt and keeps it only if the answer echoed the attempt's ID.
+func (p *pool) put(now time.Time, address string, c *connection, e echo) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.peers[address]
+	if known == nil {
+		c.close()
+		return
+	}
+	known.used = now
+	if e != echoOwn {
+		known.unechoed = now
+		known.closeIdle()
+	}
+	if !known.keeps(now) || len(known.idle) == maxIdleConnections {
+		c.close()
+		return
+	}
+	known.idle = append(known.idle, c)
+}
+
+// closeIdle closes the connections that are not in use.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.peers {
+		known.closeIdle()
+	}
+}
