Give each probe a connection of its own

Operators and callers saw: a server that answers twice was taken for draining, or for not draining, by an answer to a request; and a request lost its answer to a probe's.

Cause: probes shared the connections of attempts, and nothing in a probe's answer says whose it is. The second answer to a request was read as the probe's result, and the second answer to a probe in the place of a request's.

Change: a probe opens a connection and closes it. What it reads there cannot belong to an attempt, and what comes after it is read by nobody. An answer that carries the id of an attempt is no result of a probe; it counts as a failed one.

TestProbeGetsAnswerOfAttempt holds the comparison of the id.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -182,20 +182,24 @@
 	return r, nil
 }
 
-// Probe implements ServerCaller.
+// Probe implements ServerCaller. Each probe has a connection of its own, since a
+// probe's answer carries no ID that proves whose it is.
 func (c *HTTPCaller) Probe(ctx context.Context, address, path string) (bool, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return false, Error.Wrap(err)
 	}
-	conn, _ := c.pool.take(time.Now(), address)
+	r.Close = true
+	conn := newConnection()
+	defer conn.close()
 	response, _, err := conn.send(r)
 	if err != nil {
-		conn.close()
 		return false, err
 	}
-	defer func() { c.pool.put(time.Now(), address, conn, echoOwn) }()
 	defer func() { _ = response.Body.Close() }()
+	if echoOf(response.Header, "") == echoForeign {
+		return false, errForeignAnswer
+	}
 	draining := response.Header.Get(HeaderDraining) != ""
 	if response.StatusCode >= slatewind.MinServerErrorStatus && !draining {
 		return false, Error.New("probe got status %d", response.StatusCode)
--- a/sidecar/foreign_test.go
+++ b/sidecar/foreign_test.go
@@ -188,3 +188,63 @@
 		})
 	}
 }
+
+// TestProbesAndAttemptsAreNotCrossed checks that no copy of an attempt's answer is taken for the result of a probe, nor
+// the other way around.
+func TestProbesAndAttemptsAreNotCrossed(t *testing.T) {
+	const healthPath = "/health"
+	fields := map[string]func(id string) []string{
+		"no echo": func(string) []string { return nil },
+		"echo":    func(id string) []string { return []string{echo(id)} },
+	}
+	draining := sidecar.HeaderDraining + ": true"
+	tests := map[string]struct {
+		drainingPath string
+		probeFirst   bool
+	}{
+		"draining answer, probe":        {drainingPath: "/x"},
+		"answer, draining probe":        {drainingPath: healthPath},
+		"probe, draining answer, probe": {drainingPath: "/x", probeFirst: true},
+		"draining probe, answer, probe": {drainingPath: healthPath, probeFirst: true},
+	}
+	for name, tt := range tests {
+		for server, fieldsOf := range fields {
+			t.Run(name+", "+server, func(t *testing.T) {
+				server, err := standin.NewStutterer("127.0.0.1:0", func(r *http.Request) string {
+					id := r.Header.Get(sidecar.HeaderAttempt)
+					list := fieldsOf(id)
+					if r.URL.Path == tt.drainingPath {
+						list = append(list, draining)
+					}
+					return answerText(id, list...)
+				}, standin.SameAnswer)
+				assert.NilError(t, err)
+				defer server.Close()
+				caller := sidecar.NewHTTPCaller()
+				defer caller.CloseIdle()
+				probe := func() {
+					got, err := caller.Probe(t.Context(), server.Address(), healthPath)
+					assert.NilError(t, err)
+					assert.Equal(t, got, tt.drainingPath == healthPath)
+				}
+				if tt.probeFirst {
+					probe()
+				}
+				assert.Equal(t, receive(t.Context(), caller, server.Address(), "a-1"), receivedOwn)
+				probe()
+			})
+		}
+	}
+}
+
+// TestProbeGetsAnswerOfAttempt checks that an answer with the ID of an attempt is not taken for the result of a probe.
+func TestProbeGetsAnswerOfAttempt(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(sidecar.HeaderAttempt, "a-1")
+		w.Header().Set(sidecar.HeaderDraining, "true")
+	}))
+	defer server.Close()
+	draining, err := sidecar.NewHTTPCaller().Probe(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/health")
+	assert.ErrorContains(t, err, "another request")
+	assert.Assert(t, !draining)
+}
