--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -22,9 +24,31 @@
 // errTruncated is the error of a reply whose answer broke off.
 var errTruncated = Error.New("the answer broke off")
 
-// errForeignAnswer is the error of an answer that carries the ID of another
-// attempt, or that is not proved to be the attempt's own.
-var errForeignAnswer = Error.New("the answer belongs to another request")
+// foreignAnswer is the error of an answer that carries the ID of another attempt,
+// or that is not proved to be the attempt's own.
+type foreignAnswer struct {
+	// attemptID is empty for a probe.
+	attemptID string
+	// echoed holds the IDs in the head of the answer.
+	echoed []string
+	status int
+	// reused reports that the connection has carried other requests.
+	reused bool
+}
+
+// Error implements error. The text may reach the caller, so it names no other
+// attempt.
+func (f *foreignAnswer) Error() string { return "sidecar: the answer belongs to another request" }
+
+func newForeignAnswer(response *http.Response, used use, attemptID string) *foreignAnswer {
+	return &foreignAnswer{
+		attemptID: attemptID, echoed: response.Header.Values(HeaderAttempt), status: response.StatusCode, reused: used.reused,
+	}
+}
+
+func (f *foreignAnswer) evidence() string {
+	return fmt.Sprintf("attempt=%s echoed=%q status=%d reused=%t", f.attemptID, strings.Join(f.echoed, ","), f.status, f.reused)
+}
 
 // Header fields between sidecar and server.
 const (
@@ -115,20 +139,20 @@
 	}
 	conn, kept := c.pool.take(time.Now(), address)
 	r.Close = !kept
-	response, use, err := conn.send(r)
+	response, used, err := conn.send(r)
 	if err != nil {
 		conn.close()
-		return nil, use.started, err
+		return nil, used.started, err
 	}
 	echoed := echoOf(response.Header, request.GetAttemptId())
-	if echoed == echoNone && use.reused {
+	if echoed == echoNone && used.reused {
 		echoed = echoForeign
 	}
 	release := func() { c.pool.put(time.Now(), address, conn, echoed) }
 	if echoed == echoForeign {
 		_ = response.Body.Close()
 		release()
-		return nil, true, errForeignAnswer
+		return nil, true, newForeignAnswer(response, used, request.GetAttemptId())
 	}
 	return &ServerAnswer{
 		Status:   response.StatusCode,
@@ -192,13 +216,13 @@
 	r.Close = true
 	conn := newConnection()
 	defer conn.close()
-	response, _, err := conn.send(r)
+	response, used, err := conn.send(r)
 	if err != nil {
 		return false, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if echoOf(response.Header, "") == echoForeign {
-		return false, errForeignAnswer
+		return false, newForeignAnswer(response, used, "")
 	}
 	draining := response.Header.Get(HeaderDraining) != ""
 	if response.StatusCode >= slatewind.MinServerErrorStatus && !draining {
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -48,6 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	draining, err := s.caller.Probe(ctx, address, path)
+	s.recordDropped(ls, err)
 	ls.mu.Lock()
 	ls.probe.running = false
 	if err != nil && ctx.Err() == nil {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -235,6 +235,7 @@
 // finishWithoutAnswer ends an attempt without a complete answer.
 func (r *run) finishWithoutAnswer(ctx context.Context, started bool, err error) error {
 	r.server.end(time.Now(), r.item, failureResult(ctx))
+	r.sidecar.recordDropped(r.server, err)
 	r.recordCrash(ctx, started, err)
 	if !started {
 		r.revoke()
@@ -244,6 +245,19 @@
 	return r.sendOutcome(slatewind.OutcomeUnknown, "the server gave no complete answer: "+err.Error(), 0)
 }
 
+// recordDropped records in the journal that err dropped an answer that belongs to
+// another attempt.
+func (s *Sidecar) recordDropped(ls *localServer, err error) {
+	var foreign *foreignAnswer
+	if !errors.As(err, &foreign) {
+		return
+	}
+	s.journal.Add(slatewind.Decision{
+		Time: time.Now(), Kind: slatewind.DecisionDropReply, Service: ls.service, Server: ls.name,
+		Reason: foreign.Error(), Evidence: foreign.evidence(),
+	})
+}
+
 // failureResult distinguishes a cancelled request from a failure of the server.
 func failureResult(ctx context.Context) slatewind.Result {
 	if ctx.Err() != nil {
