Keep a server from stating what became of a request

Callers saw, where a server passes on the header of an answer that it got itself from the fleet: Slatewind-Outcome: not-run at an answer whose request has run, so that a caller who goes by it sends a payment again; a second Slatewind-Request, that of the nested request; Slatewind-Replayed at an answer that is new.

Cause: the ingress added the fields of the server's answer to its own, except those that concern one connection.

Change: the four fields with which the ingress tells what became of a request are taken from the ingress only. Retry-After stays the server's.

Evidence: TestServerStatesFieldsOfFleet failed before for Slatewind-Outcome, Slatewind-Request and Slatewind-Replayed (Slatewind-Server was overwritten already) and passes with the race detector.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -57,6 +57,8 @@
 	attempts []string
 	// last is the latest request received.
 	last *slatewindv1.RunRequest
+	// headers are the header fields of each answer.
+	headers []*slatewindv1.Header
 	// rest follows the body of each answer; nil if nothing does.
 	rest func() ([]byte, error)
 }
@@ -76,7 +78,7 @@
 	f.attempts = append(f.attempts, address)
 	f.last = request
 	f.mu.Unlock()
-	head := &slatewindv1.RunHead{AttemptId: request.GetAttemptId(), EarlierExcluded: true}
+	head := &slatewindv1.RunHead{AttemptId: request.GetAttemptId(), EarlierExcluded: true, Headers: f.headers}
 	switch f.all {
 	case answers:
 		time.Sleep(10 * time.Millisecond)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -47,6 +47,10 @@
 	HeaderRetryAfterMs = "Slatewind-Retry-After-Ms"
 )
 
+// answerFields are the header fields with which the ingress tells what became of a
+// request. A server may pass them on from an answer to another request.
+var answerFields = map[string]bool{HeaderOutcome: true, HeaderRequest: true, HeaderServer: true, HeaderReplayed: true}
+
 const (
 	// maxKeyLength bounds idempotency keys and customers' names, in bytes.
 	maxKeyLength = 255
@@ -341,7 +345,7 @@
 	reply := f.reply.Reply
 	defer f.reply.done()
 	for _, h := range reply.Head.GetHeaders() {
-		if !link.HopByHop[h.GetName()] {
+		if !link.HopByHop[h.GetName()] && !answerFields[h.GetName()] {
 			w.Header().Add(h.GetName(), string(h.GetValue()))
 		}
 	}
