Pass on only those fields of a server's answer that are for the caller

Callers saw fields that the server had named in Connection, and with them Slatewind-Attempt-Id and Slatewind-Draining. A server that passes on the header of an answer that it got itself from the fleet was then taken for draining, and its answer for one of another attempt.

Cause: the process beside the server passed on the whole header. The ingress removes the fields that always concern one connection, but does not see which others the server named.

Change: the process beside the server passes on what is passed on of a caller's header (link.ForwardedHeaders), without the two fields that are for it.

Evidence: TestFieldsOfConnectionStay failed before in all five cases and passes with the race detector.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -16,6 +16,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
 )
 
 // Error is the class of errors of this package.
@@ -156,7 +157,7 @@
 	}
 	return &ServerAnswer{
 		Status:   response.StatusCode,
-		Headers:  headerList(response.Header),
+		Headers:  callerHeaders(response.Header),
 		Draining: response.Header.Get(HeaderDraining) != "",
 		body:     response.Body,
 		release:  release,
@@ -241,13 +242,13 @@
 	return conn.Close()
 }
 
-// headerList returns the header fields as a list, in undefined order.
-func headerList(h http.Header) []slatewind.Header {
-	var list []slatewind.Header
-	for name, values := range h {
-		for _, value := range values {
-			list = append(list, slatewind.Header{Name: name, Value: value})
-		}
+// callerHeaders returns the header fields of an answer that are meant for the
+// caller.
+func callerHeaders(h http.Header) []slatewind.Header {
+	fields := link.ForwardedHeaders(h, HeaderAttempt, HeaderDraining)
+	list := make([]slatewind.Header, len(fields))
+	for i, field := range fields {
+		list[i] = slatewind.Header{Name: field.GetName(), Value: string(field.GetValue())}
 	}
 	return list
 }
