Take no answer without a final status from a server

Callers saw, where a server answers with status 101 though nobody asked it to switch protocols: the same status. To a caller that takes it for an interim answer, as it may, the next answer on the connection is the end of this one. Where a server answers with a status below 100: a connection that ends without an answer.

Cause: the client of the standard library gives out 101 and statuses below 100; the ingress passed 101 on as a whole answer, and net/http's server panics at the others.

Ruled out: 204, 304 and answers to HEAD. Statuses from 600 on are passed on as whole answers, as before.

Change: such an answer is none: the attempt is unknown, as after any failure.

Evidence: TestStatusOfAnswer failed before for 000, 099 and 101 and passes with the race detector.

--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -74,6 +74,9 @@
 	maxHeadBytes = 64 << 10
 )
 
+// minFinalStatus is the lowest status of an answer that is not an interim one.
+const minFinalStatus = 200
+
 // HTTPCaller calls servers by HTTP. An answer is taken only if it is proved to be
 // the attempt's own: it echoes the attempt's ID, or its connection was opened for
 // the attempt and has carried nothing else. A server may answer a request twice,
@@ -150,10 +153,10 @@
 		echoed = echoForeign
 	}
 	release := func() { c.pool.put(time.Now(), address, conn, echoed) }
-	if echoed == echoForeign {
+	if err := checkAnswer(response, used, echoed, request.GetAttemptId()); err != nil {
 		_ = response.Body.Close()
 		release()
-		return nil, true, newForeignAnswer(response, used, request.GetAttemptId())
+		return nil, true, err
 	}
 	return &ServerAnswer{
 		Status:   response.StatusCode,
@@ -164,6 +167,17 @@
 	}, true, nil
 }
 
+// checkAnswer returns why an answer is none to the attempt, or nil.
+func checkAnswer(response *http.Response, used use, echoed echo, attemptID string) error {
+	if echoed == echoForeign {
+		return newForeignAnswer(response, used, attemptID)
+	}
+	if response.StatusCode < minFinalStatus {
+		return Error.New("the answer has status %d, which is not a final one", response.StatusCode)
+	}
+	return nil
+}
+
 // echo is what an answer says about the attempt to which it belongs.
 type echo string
 
