Test that answers stay in their places on a caller's connection

What a server states about the length of its answer, its encoding and its connection must not move the next answer on the caller's connection. The ingress holds this: it drops those fields and states its own. No test held it.

Evidence: TestAnswersInTheirPlaces, 24 cases (lengths, transfer encodings and ends that a server states; statuses 200, 204 and 304; GET and HEAD) of three answers each on one connection, passes on the code as it is, with the race detector. So there was no fault here.

--- a/ingress/headers_test.go
+++ b/ingress/headers_test.go
@@ -1,9 +1,15 @@
 package ingress_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -33,3 +39,43 @@
 	assert.Equal(t, len(w.Header().Values(ingress.HeaderRequest)), 1)
 	assert.Equal(t, w.Header().Get("Retry-After"), "1")
 }
+
+// TestAnswersInTheirPlaces checks that what a server states about the length of its answer does not move the next answer on
+// the caller's connection, also where the answer has no body.
+func TestAnswersInTheirPlaces(t *testing.T) {
+	fields := map[string][]*slatewindv1.Header{
+		"no fields":         nil,
+		"length":            {{Name: "Content-Length", Value: []byte("1000")}},
+		"transfer encoding": {{Name: "Transfer-Encoding", Value: []byte("chunked")}, {Name: "Trailer", Value: []byte("A")}},
+		"end":               {{Name: "Connection", Value: []byte("close")}, {Name: "Keep-Alive", Value: []byte("max=0")}},
+	}
+	const answersEach = 3
+	for name, headers := range fields {
+		for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusNotModified} {
+			for _, method := range []string{http.MethodGet, http.MethodHead} {
+				t.Run(fmt.Sprint(name, ", ", method, ", ", status), func(t *testing.T) {
+					in, _ := newIngress(t, &fakeLinks{all: answers, status: int32(status), headers: headers})
+					callers := httptest.NewServer(in)
+					defer callers.Close()
+					conn, err := net.Dial("tcp", strings.TrimPrefix(callers.URL, "http://"))
+					assert.NilError(t, err)
+					defer func() { _ = conn.Close() }()
+					assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+					replies := bufio.NewReader(conn)
+					for range answersEach {
+						r := httptest.NewRequest(method, "http://h/prices/1", http.NoBody)
+						assert.NilError(t, r.Write(conn))
+						response, err := http.ReadResponse(replies, r)
+						assert.NilError(t, err)
+						body, err := io.ReadAll(response.Body)
+						assert.NilError(t, err)
+						assert.NilError(t, response.Body.Close())
+						assert.Equal(t, response.StatusCode, status)
+						assert.Equal(t, string(body) == "body", method == http.MethodGet && status == http.StatusOK, "%q", body)
+						assert.Equal(t, replies.Buffered(), 0)
+					}
+				})
+			}
+		}
+	}
+}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,6 +58,8 @@
 	attempts []string
 	// last is the latest request received.
 	last *slatewindv1.RunRequest
+	// status is the status of each answer, 0 for 200.
+	status int32
 	// headers are the header fields of each answer.
 	headers []*slatewindv1.Header
 	// rest follows the body of each answer; nil if nothing does.
@@ -82,7 +85,7 @@
 	switch f.all {
 	case answers:
 		time.Sleep(10 * time.Millisecond)
-		head.Outcome, head.Status = string(slatewind.OutcomeAnswer), http.StatusOK
+		head.Outcome, head.Status = string(slatewind.OutcomeAnswer), cmp.Or(f.status, http.StatusOK)
 	case fails:
 		head.Outcome, head.Status = string(slatewind.OutcomeAnswer), http.StatusInternalServerError
 	case refuses:
