Give requests without a key one that no caller can send

A caller could see the answer to another request of its customer: a request without Idempotency-Key gets a key made from its id, "minted-" and what Slatewind-Request tells the caller, and the same request with that text as its key is the same request for the fleet. Ids are counted up, so the key of a request that is still to come can be guessed, too; that request then gets the answer of an earlier one and does not run.

Cause: both kinds of keys come from the same set of texts.

Change: a minted key begins with a line feed, which a caller's key cannot contain. While processes of both builds run, nothing is lost: such a key is used by one request only.

--- a/ingress/headers_test.go
+++ b/ingress/headers_test.go
@@ -79,3 +79,25 @@
 		}
 	}
 }
+
+// TestMintedKeyIsNoCallersKey checks that no key of a caller is that of a request without one, whose answer it would get.
+func TestMintedKeyIsNoCallersKey(t *testing.T) {
+	links := &fakeLinks{all: answers}
+	in, _ := newIngress(t, links)
+	post := func(key string) (id, sent string) {
+		r := httptest.NewRequest(http.MethodPost, "http://h/payments", http.NoBody)
+		if key != "" {
+			r.Header.Set(ingress.HeaderKey, key)
+			r.Header.Set(ingress.HeaderAttempt, "1")
+		}
+		w := httptest.NewRecorder()
+		in.ServeHTTP(w, r)
+		assert.Equal(t, w.Code, http.StatusOK)
+		return w.Header().Get(ingress.HeaderRequest), links.last.GetOnce().GetKey()
+	}
+	id, minted := post("")
+	for _, key := range []string{id, "minted-" + id, strings.TrimSpace(minted)} {
+		_, sent := post(key)
+		assert.Check(t, sent != minted, key)
+	}
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -52,6 +52,9 @@
 var answerFields = map[string]bool{HeaderOutcome: true, HeaderRequest: true, HeaderServer: true, HeaderReplayed: true}
 
 const (
+	// mintedPrefix begins the keys of once-requests without one. Callers' keys contain
+	// no line feed.
+	mintedPrefix = "\n"
 	// maxKeyLength bounds idempotency keys and customers' names, in bytes.
 	maxKeyLength = 255
 	// defaultRetryAfter is used where no better value is known.
@@ -240,7 +243,7 @@
 			return &rejection{status: http.StatusBadRequest, reason: "a retry needs the " + HeaderKey + " of its first attempt"}
 		}
 		rq.claim = slatewind.ClaimFirst
-		key = "minted-" + rq.id
+		key = mintedPrefix + rq.id
 	}
 	rq.keyBorn = once.KeyBorn(time.Now(), strings.Trim(key, `"`), rq.service.GetKeyLifetime().AsDuration())
 	rq.key = rq.customer + "\n" + key
