Let no probe end a drain that was reported after it began

Callers could see: requests refused or cut by a server that had said in an answer that it drains. A probe that had begun before, and whose answer came after, set the server back to work until the next probe.

Change: a probe ends a drain only if the server has not reported one since the probe began.

The symptom is taken from reading the code; no run showed it.

--- a/sidecar/local_server.go
+++ b/sidecar/local_server.go
@@ -31,6 +31,8 @@
 	// by attempt ID.
 	cancels map[string]context.CancelFunc
 	leaving string
+	// drained is when the server last reported that it is draining.
+	drained time.Time
 	// crashes detects crashes of the server.
 	crashes *crash.Detector
 	// clock includes the time during which the VM was suspended; lastTick is read
@@ -223,11 +225,19 @@
 	ls.deliver(ls.slots.RefuseAll("the server is leaving: " + reason))
 }
 
-// cancelLeave ends a drain that was begun with the given reason.
-func (ls *localServer) cancelLeave(reason string) {
+// drain records that the server reported that it is draining.
+func (ls *localServer) drain(now time.Time) {
+	ls.mu.Lock()
+	ls.drained = now
+	ls.mu.Unlock()
+	ls.leave(drainReason)
+}
+
+// cancelDrain ends a drain that the server reported, unless it did so after a time.
+func (ls *localServer) cancelDrain(after time.Time) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	if ls.leaving == reason {
+	if ls.leaving == drainReason && !ls.drained.After(after) {
 		ls.leaving = ""
 	}
 }
--- a/sidecar/probe.go
+++ b/sidecar/probe.go
@@ -47,6 +47,7 @@
 func (s *Sidecar) runProbe(ctx context.Context, ls *localServer, address, path string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	draining, err := s.caller.Probe(ctx, address, path)
 	s.recordDropped(ls, err)
 	ls.mu.Lock()
@@ -55,15 +56,16 @@
 		ls.outcomes.Add(0, slatewind.ResultProbeFailed, probeTimeout)
 	}
 	ls.mu.Unlock()
-	s.setDraining(ls, draining, err)
+	s.setDraining(ls, began, draining, err)
 }
 
-// setDraining applies the drain state that a server reported in a probe.
-func (s *Sidecar) setDraining(ls *localServer, draining bool, err error) {
+// setDraining applies the drain state that a server reported in a probe that began
+// at a time.
+func (s *Sidecar) setDraining(ls *localServer, began time.Time, draining bool, err error) {
 	switch {
 	case draining:
-		ls.leave(drainReason)
+		ls.drain(time.Now())
 	case err == nil && !s.Leaving():
-		ls.cancelLeave(drainReason)
+		ls.cancelDrain(began)
 	}
 }
--- a/sidecar/probe_test.go
+++ b/sidecar/probe_test.go
@@ -35,3 +35,34 @@
 	assert.Equal(t, dropped[0].Kind, slatewind.DecisionDropReply)
 	assert.Equal(t, dropped[0].Evidence, `attempt= echoed="a-1" status=200 reused=false`)
 }
+
+// TestLateProbe checks that a probe does not end a drain that the server reported after the probe began.
+func TestLateProbe(t *testing.T) {
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-proceed
+	}))
+	defer server.Close()
+	journal := history.New(0, nil)
+	s := New("vm", 7, Limits{}, config.NewStore(journal), journal, NewHTTPCaller(), quarantine.NewTable(nil, nil))
+	ls := newLocalServer(time.Now(), "svc", &slatewindv1.Server{Name: "s-1", Slots: 1}, 7, 100)
+	probe := func(during func()) {
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			s.runProbe(t.Context(), ls, strings.TrimPrefix(server.URL, "http://"), "/health")
+		}()
+		<-entered
+		during()
+		proceed <- struct{}{}
+		<-ended
+	}
+	probe(func() { ls.drain(time.Now()) })
+	assert.Assert(t, ls.isLeaving())
+	// The answer of another request may repeat what the server reported.
+	probe(func() { ls.drain(time.Now()) })
+	assert.Assert(t, ls.isLeaving())
+	probe(func() {})
+	assert.Assert(t, !ls.isLeaving())
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -218,7 +218,7 @@
 	}
 	defer answer.Close()
 	if answer.Draining {
-		r.server.leave(drainReason)
+		r.server.drain(time.Now())
 	}
 	body, whole, err := answer.ReadUpTo(bufferedBytes)
 	if err != nil {
