--- a/ingress/chaos_test.go
+++ b/ingress/chaos_test.go
@@ -133,6 +133,23 @@
 	}
 }
 
+// runAt runs an attempt at a sidecar and assembles its reply.
+func runAt(ctx context.Context, side *sidecar.Sidecar, request *slatewindv1.RunRequest) (*link.Reply, error) {
+	var parts []*slatewindv1.RunReply
+	sent := side.Run(ctx, request, func(part *slatewindv1.RunReply) error {
+		parts = append(parts, part)
+		return nil
+	})
+	return link.ReadReply(request.GetAttemptId(), func() (*slatewindv1.RunReply, error) {
+		if len(parts) == 0 {
+			return nil, errors.Join(sent, io.ErrUnexpectedEOF)
+		}
+		part := parts[0]
+		parts = parts[1:]
+		return part, nil
+	})
+}
+
 func (c *chaos) Run(ctx context.Context, vm string, request *slatewindv1.RunRequest) (*link.Reply, bool, error) {
 	if c.chance(15) {
 		return nil, false, errors.New("connection refused")
@@ -142,19 +159,7 @@
 		err   error
 	}
 	r, err := carry(ctx, c, vm, func(side *sidecar.Sidecar) result {
-		var parts []*slatewindv1.RunReply
-		sent := side.Run(c.ctx, request, func(part *slatewindv1.RunReply) error {
-			parts = append(parts, part)
-			return nil
-		})
-		reply, err := link.ReadReply(request.GetAttemptId(), func() (*slatewindv1.RunReply, error) {
-			if len(parts) == 0 {
-				return nil, errors.Join(sent, io.ErrUnexpectedEOF)
-			}
-			part := parts[0]
-			parts = parts[1:]
-			return part, nil
-		})
+		reply, err := runAt(c.ctx, side, request)
 		return result{reply, err}
 	})
 	if err != nil {
