--- a/ingress/request.go
+++ b/ingress/request.go
@@ -47,7 +47,14 @@
 	HeaderRetryAfterMs = "Slatewind-Retry-After-Ms"
 )
 
+// answerFields are the header fields with which the ingress tells what became of a
+// request. A server may pass them on from an answer to another request.
+var answerFields = map[string]bool{HeaderOutcome: true, HeaderRequest: true, HeaderServer: true, HeaderReplayed: true}
+
 const (
+	// mintedPrefix begins the keys of once-requests without one. Callers' keys contain
+	// no line feed.
+	mintedPrefix = "\n"
 	// maxKeyLength bounds idempotency keys and customers' names, in bytes.
 	maxKeyLength = 255
 	// defaultRetryAfter is used where no better value is known.
@@ -236,7 +243,7 @@
 			return &rejection{status: http.StatusBadRequest, reason: "a retry needs the " + HeaderKey + " of its first attempt"}
 		}
 		rq.claim = slatewind.ClaimFirst
-		key = "minted-" + rq.id
+		key = mintedPrefix + rq.id
 	}
 	rq.keyBorn = once.KeyBorn(time.Now(), strings.Trim(key, `"`), rq.service.GetKeyLifetime().AsDuration())
 	rq.key = rq.customer + "\n" + key
@@ -341,7 +348,7 @@
 	reply := f.reply.Reply
 	defer f.reply.done()
 	for _, h := range reply.Head.GetHeaders() {
-		if !link.HopByHop[h.GetName()] {
+		if !link.HopByHop[h.GetName()] && !answerFields[h.GetName()] {
 			w.Header().Add(h.GetName(), string(h.GetValue()))
 		}
 	}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -3,18 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"strconv"
-	"sync/atomic"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/link"
 )
 
 // Error is the class of errors of this package.
@@ -23,14 +25,36 @@
 // errTruncated is the error of a reply whose answer broke off.
 var errTruncated = Error.New("the answer broke off")
 
-// errForeignAnswer is the error of an answer that carries the ID of another
+// foreignAnswer is the error of an answer that carries the ID of another attempt,
+// or that is not proved to be the attempt's own.
+type foreignAnswer struct {
+	// attemptID is empty for a probe.
+	attemptID string
+	// echoed holds the IDs in the head of the answer.
+	echoed []string
+	status int
+	// reused reports that the connection has carried other requests.
+	reused bool
+}
+
+// Error implements error. The text may reach the caller, so it names no other
 // attempt.
-var errForeignAnswer = Error.New("the answer belongs to another request")
+func (f *foreignAnswer) Error() string { return "sidecar: the answer belongs to another request" }
+
+func newForeignAnswer(response *http.Response, used use, attemptID string) *foreignAnswer {
+	return &foreignAnswer{
+		attemptID: attemptID, echoed: response.Header.Values(HeaderAttempt), status: response.StatusCode, reused: used.reused,
+	}
+}
+
+func (f *foreignAnswer) evidence() string {
+	return fmt.Sprintf("attempt=%s echoed=%q status=%d reused=%t", f.attemptID, strings.Join(f.echoed, ","), f.status, f.reused)
+}
 
 // Header fields between sidecar and server.
 const (
-	// HeaderAttempt is the ID of the attempt. If a server echoes it in its answer,
-	// answers to other attempts are detected.
+	// HeaderAttempt is the ID of the attempt. A connection is kept only if the
+	// server echoes the ID in its answers.
 	HeaderAttempt = "Slatewind-Attempt-Id"
 	// HeaderRemaining is the time left for the request, in milliseconds.
 	HeaderRemaining = "Slatewind-Remaining-Ms"
@@ -42,35 +66,33 @@
 const (
 	maxIdleConnections = 64
 	idleTimeout        = 90 * time.Second
-	dialTimeout        = time.Second
+	// distrustTime is how long connections to a server are not kept after an answer
+	// that did not echo the ID of its attempt, since others may do the same.
+	distrustTime = time.Minute
+	dialTimeout  = time.Second
 	// maxHeadBytes limits the head of an answer, in bytes.
 	maxHeadBytes = 64 << 10
 )
 
-// HTTPCaller calls servers by HTTP.
+// minFinalStatus is the lowest status of an answer that is not an interim one.
+const minFinalStatus = 200
+
+// HTTPCaller calls servers by HTTP. An answer is taken only if it is proved to be
+// the attempt's own: it echoes the attempt's ID, or its connection was opened for
+// the attempt and has carried nothing else. A server may answer a request twice,
+// and the second answer is read in the place of the next one on the connection.
 type HTTPCaller struct {
-	client *http.Client
+	pool *pool
 }
 
 // NewHTTPCaller returns a caller with its own pool of idle connections.
 func NewHTTPCaller() *HTTPCaller {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &HTTPCaller{client: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &HTTPCaller{pool: newPool()}
 }
 
 // CloseIdle closes the idle connections.
 func (c *HTTPCaller) CloseIdle() {
-	c.client.CloseIdleConnections()
+	c.pool.closeIdle()
 }
 
 // ServerAnswer is a server's answer whose body has not been read yet.
@@ -79,6 +101,8 @@
 	Headers  []slatewind.Header
 	Draining bool
 	body     io.ReadCloser
+	// release releases the connection after the body has been closed, or is nil.
+	release func()
 }
 
 // NewServerAnswer returns an answer whose body has not been read yet, for
@@ -87,10 +111,14 @@
 	return &ServerAnswer{Status: status, body: body}
 }
 
-// Close returns the connection to the pool, or closes it if the body was not read
-// to its end.
+// Close ends the use of the answer's connection, which is kept for reuse only if
+// the answer carried the attempt's ID and its body was read to its end.
 func (a *ServerAnswer) Close() {
 	_ = a.body.Close()
+	if release := a.release; release != nil {
+		a.release = nil
+		release()
+	}
 }
 
 // ReadUpTo reads at most limit+1 bytes of the body; whole reports that the body is
@@ -109,30 +137,70 @@
 
 // Call implements ServerCaller.
 func (c *HTTPCaller) Call(ctx context.Context, address string, request *slatewindv1.RunRequest) (*ServerAnswer, bool, error) {
-	var started atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { started.Store(true) },
-	})
 	r, err := newServerRequest(ctx, address, request)
 	if err != nil {
 		return nil, false, err
 	}
-	response, err := c.client.Do(r)
+	conn, kept := c.pool.take(time.Now(), address)
+	r.Close = !kept
+	response, used, err := conn.send(r)
 	if err != nil {
-		return nil, started.Load(), Error.Wrap(err)
+		conn.close()
+		return nil, used.started, err
+	}
+	echoed := echoOf(response.Header, request.GetAttemptId())
+	if echoed == echoNone && used.reused {
+		echoed = echoForeign
 	}
-	if echoed := response.Header.Get(HeaderAttempt); echoed != "" && echoed != request.GetAttemptId() {
+	release := func() { c.pool.put(time.Now(), address, conn, echoed) }
+	if err := checkAnswer(response, used, echoed, request.GetAttemptId()); err != nil {
 		_ = response.Body.Close()
-		return nil, true, errForeignAnswer
+		release()
+		return nil, true, err
 	}
 	return &ServerAnswer{
 		Status:   response.StatusCode,
-		Headers:  headerList(response.Header),
+		Headers:  callerHeaders(response.Header),
 		Draining: response.Header.Get(HeaderDraining) != "",
 		body:     response.Body,
+		release:  release,
 	}, true, nil
 }
 
+// checkAnswer returns why an answer is none to the attempt, or nil.
+func checkAnswer(response *http.Response, used use, echoed echo, attemptID string) error {
+	if echoed == echoForeign {
+		return newForeignAnswer(response, used, attemptID)
+	}
+	if response.StatusCode < minFinalStatus {
+		return Error.New("the answer has status %d, which is not a final one", response.StatusCode)
+	}
+	return nil
+}
+
+// echo is what an answer says about the attempt to which it belongs.
+type echo string
+
+const (
+	echoNone    echo = "none"
+	echoOwn     echo = "own"
+	echoForeign echo = "foreign"
+)
+
+// echoOf compares the IDs in the head of an answer with the ID of the attempt. All
+// of them must be that ID, since a server may add its fields to those of another
+// answer.
+func echoOf(h http.Header, attemptID string) echo {
+	ids := slices.Compact(slices.Clone(h.Values(HeaderAttempt)))
+	switch {
+	case len(ids) == 0 || len(ids) == 1 && ids[0] == "":
+		return echoNone
+	case len(ids) == 1 && ids[0] == attemptID:
+		return echoOwn
+	}
+	return echoForeign
+}
+
 func newServerRequest(ctx context.Context, address string, request *slatewindv1.RunRequest) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, request.GetMethod(), "http://"+address+string(request.GetTarget()), nil)
 	if err != nil {
@@ -153,17 +221,24 @@
 	return r, nil
 }
 
-// Probe implements ServerCaller.
+// Probe implements ServerCaller. Each probe has a connection of its own, since a
+// probe's answer carries no ID that proves whose it is.
 func (c *HTTPCaller) Probe(ctx context.Context, address, path string) (bool, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return false, Error.Wrap(err)
 	}
-	response, err := c.client.Do(r)
+	r.Close = true
+	conn := newConnection()
+	defer conn.close()
+	response, used, err := conn.send(r)
 	if err != nil {
-		return false, Error.Wrap(err)
+		return false, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if echoOf(response.Header, "") == echoForeign {
+		return false, newForeignAnswer(response, used, "")
+	}
 	draining := response.Header.Get(HeaderDraining) != ""
 	if response.StatusCode >= slatewind.MinServerErrorStatus && !draining {
 		return false, Error.New("probe got status %d", response.StatusCode)
@@ -181,13 +256,13 @@
 	return conn.Close()
 }
 
-// headerList returns the header fields as a list, in undefined order.
-func headerList(h http.Header) []slatewind.Header {
-	var list []slatewind.Header
-	for name, values := range h {
-		for _, value := range values {
-			list = append(list, slatewind.Header{Name: name, Value: value})
-		}
+// callerHeaders returns the header fields of an answer that are meant for the
+// caller.
+func callerHeaders(h http.Header) []slatewind.Header {
+	fields := link.ForwardedHeaders(h, HeaderAttempt, HeaderDraining)
+	list := make([]slatewind.Header, len(fields))
+	for i, field := range fields {
+		list[i] = slatewind.Header{Name: field.GetName(), Value: string(field.GetValue())}
 	}
 	return list
 }
