Accept only answers that carry the request's id

Callers got another request's answer, body and stamp included, where the process beside the server passed on one without proof of whose it is.

Cause: the process that took the request never compared the id in an answer's head with the caller's; it trusted the other process in this.

The head now has to carry the caller's id, in exactly one field, and none for a request that has none. The check is on the one path that answers take, from other processes and from the own server alike. It does not see a rejection that the other process took from another answer: that has no head.

--- a/outbound/run.go
+++ b/outbound/run.go
@@ -124,6 +124,11 @@
 func (o *Outbound) read(rq *request, slot *grantedSlot, head *slatewindv1.AnswerHead) attemptResult {
 	r := unknownResult(slot)
 	r.paidUntil = o.paidUntil(head.GetNextPaidMs())
+	if err := o.checkOwner(rq, slot.server.Name, head); err != nil {
+		slot.cancel()
+		r.reason = err.Error()
+		return r
+	}
 	body := newBodyReader(slot.use, func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
 	buffered := o.memory.Buffers.Empty()
 	a := &answer{head: head, buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
--- a/outbound/truncated_test.go
+++ b/outbound/truncated_test.go
@@ -40,17 +40,11 @@
 // reports that the server states the body's length.
 func serveAnswer(body []byte, stated bool, how answerEnd) func(link.UseStream) error {
 	return func(s link.UseStream) error {
-		if _, err := s.Recv(); err != nil {
+		id, err := serveRequest(s)
+		if err != nil {
 			return err
 		}
-		granted := &slatewindv1.UseReply{Part: &slatewindv1.UseReply_Granted{Granted: &slatewindv1.SlotState{Slots: 2}}}
-		if err := s.Send(granted); err != nil {
-			return err
-		}
-		if _, err := s.Recv(); err != nil {
-			return err
-		}
-		headers := []*slatewindv1.Header{{Name: platform.Servers().Stamp, Value: []byte("stamp")}}
+		headers := []*slatewindv1.Header{{Name: platform.Servers().RequestID, Value: id}, {Name: platform.Servers().Stamp, Value: []byte("stamp")}}
 		if stated {
 			headers = append(headers, &slatewindv1.Header{Name: "Content-Length", Value: []byte(strconv.Itoa(len(body)))})
 		}
@@ -73,6 +67,27 @@
 	}
 }
 
+// serveRequest grants a slot and receives a request for it, whose id it returns.
+func serveRequest(s link.UseStream) (id []byte, err error) {
+	if _, err := s.Recv(); err != nil {
+		return nil, err
+	}
+	granted := &slatewindv1.UseReply{Part: &slatewindv1.UseReply_Granted{Granted: &slatewindv1.SlotState{Slots: 2}}}
+	if err := s.Send(granted); err != nil {
+		return nil, err
+	}
+	message, err := s.Recv()
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range message.GetRequest().GetHeaders() {
+		if h.GetName() == platform.Servers().RequestID {
+			id = h.GetValue()
+		}
+	}
+	return id, nil
+}
+
 // sendEnd sends the end of an answer.
 func sendEnd(s link.UseStream, body []byte, how answerEnd) error {
 	end := &slatewindv1.AnswerEnd{Length: int64(len(body)), Checksum: xxhash.Sum64(body)}
