Answer callers whose bodies stop midway in time

A caller that kept its connection and whose body, of a stated length, stopped midway got no answer: status 408 was sent only once it sent the rest or closed the connection.

Cause: the read deadline was cleared after it had passed, and net/http reads what is left of a body, here without any deadline, before it writes the answer. Bodies in chunks were not affected.

The deadline now stays after it has passed: what is left is not waited for, the answer is sent and the connection closed, so the rest is not taken for a request.

TestLateBodyIsAnswered failed with a length on the code before (no answer in 5 s, deadline 300 ms) and passes now, with -race. The test of bodies that stop midway asks for the connection to be closed, for which net/http does not read on.

--- a/link/body.go
+++ b/link/body.go
@@ -40,11 +40,12 @@
 	connection := http.NewResponseController(w)
 	// Only response writers of tests do not support deadlines, so errors are ignored.
 	_ = connection.SetReadDeadline(limits.Deadline)
-	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	body, err := readBody(http.MaxBytesReader(w, r.Body, limits.Bytes), r.ContentLength, limits.Grow)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = ErrBodyLate
+		// The deadline stays in force: without it, net/http would wait for the rest of the body before it sends the answer.
+		return nil, ErrBodyLate
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	return body, err
 }
 
--- a/outbound/body_test.go
+++ b/outbound/body_test.go
@@ -1,6 +1,7 @@
 package outbound_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -101,6 +102,34 @@
 	}
 }
 
+// TestLateBodyIsAnswered guards against a caller that keeps its connection and whose body stops midway, and that gets no answer
+// until it sends the rest.
+func TestLateBodyIsAnswered(t *testing.T) {
+	tests := map[string]string{
+		"length": "Content-Length: 6\r\n\r\nabc",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+	}
+	for name, body := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newUploadMesh(t, outbound.Memory{}, "a")
+			conn, err := net.Dial("tcp", strings.TrimPrefix(m.callers.URL, "http://"))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			names := platform.Callers()
+			_, err = fmt.Fprintf(conn, "POST /pay/1 HTTP/1.1\r\nHost: h.example\r\n%s: id\r\n%s: 300\r\n%s", names.RequestID, names.Deadline, body)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+			assert.Assert(t, response.Close, "the rest of the body would be taken for the next request")
+			assert.Equal(t, m.runs("id"), 0)
+		})
+	}
+}
+
 // TestUploadsWithinMemory sends many uploads at once through an ingress that may hold only a few of
 // them: all of them are served, whole, and the bodies held never exceed the bound.
 func TestUploadsWithinMemory(t *testing.T) {
