State the server's length in answers to HEAD

Callers of HEAD got Content-Length: 0 for every answer, whatever length the server stated, and also where it stated none.

Cause: the length of a complete answer was that of the body received, which HEAD has none of. Memory of the stated length was taken for it too.

The length of an answer without a body (HEAD, 204, 304) is now the one that the server stated. net/http leaves it away with 204 and 304, as before.

--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -154,19 +154,20 @@
 // caller notices a truncated body.
 func (a *answer) writeHeader(header http.Header) {
 	for _, h := range a.head.GetHeaders() {
-		switch {
-		case !link.HopByHop[h.GetName()]:
+		if !link.HopByHop[h.GetName()] {
 			header.Add(h.GetName(), string(h.GetValue()))
-		case h.GetName() == "Content-Length" && a.rest != nil:
-			header.Set(h.GetName(), string(h.GetValue()))
 		}
 	}
 	if _, ok := header["Content-Type"]; !ok {
 		// Otherwise net/http would detect a content type.
 		header["Content-Type"] = nil
 	}
-	if a.rest == nil {
-		header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	length := len(a.body)
+	if a.bodiless || a.rest != nil {
+		length = statedLength(a.head)
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.Itoa(length))
 	}
 }
 
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -18,6 +19,8 @@
 type answer struct {
 	head *slatewindv1.AnswerHead
 	body []byte
+	// bodiless reports that the response has no body, whatever length it states.
+	bodiless bool
 	// rest reads the chunks after body if the response is too long to hold in memory; nil otherwise.
 	rest *bodyReader
 	// buffered is the memory of body until it is written.
@@ -131,9 +134,9 @@
 	}
 	body := newBodyReader(slot.use, func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
 	buffered := o.memory.Buffers.Empty()
-	a := &answer{head: head, buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
+	a := &answer{head: head, bodiless: rq.bodiless(head.GetStatus()), buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
 	reserved := 0
-	if length := statedLength(head); length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
+	if length := statedLength(head); !a.bodiless && length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
 		reserved = length
 		a.body = make([]byte, 0, length)
 	}
@@ -159,6 +162,12 @@
 	return r
 }
 
+// bodiless reports whether a response with the given status has no body. The length that it states is that of
+// another response.
+func (rq *request) bodiless(status int32) bool {
+	return rq.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 // statedLength returns the length of the body that the head of a response states, or -1.
 func statedLength(head *slatewindv1.AnswerHead) int {
 	for _, h := range head.GetHeaders() {
