Keep fields of the server's connection from callers

Callers got the fields of an answer that its Connection field names, which concern the server's connection only, for example X-Hop of `Connection: keep-alive, X-Hop`.

Cause: only the fields with fixed names were left out of answers; of requests, also those that Connection names.

Both now follow the same rule (link.EndToEnd for answers).

Left: net/http takes the Connection field away where it says `close`, before the process beside the server can see what else it names (package backend).

--- a/link/headers.go
+++ b/link/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 
 	"slatewind.example/slatewind/api/slatewindv1"
@@ -23,13 +24,32 @@
 		dropped[http.CanonicalHeaderKey(name)] = true
 	}
 	for _, value := range h.Values("Connection") {
-		for token := range strings.SplitSeq(value, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
-		}
+		addConnectionFields(dropped, value)
 	}
 	return list(h, func(name string) bool { return !HopByHop[name] && !dropped[name] })
 }
 
+// EndToEnd returns the header fields of an answer that are forwarded to its caller: all but the hop-by-hop
+// fields and those that the Connection field names.
+func EndToEnd(fields []*slatewindv1.Header) []*slatewindv1.Header {
+	dropped := map[string]bool{}
+	for _, field := range fields {
+		if field.GetName() == "Connection" {
+			addConnectionFields(dropped, string(field.GetValue()))
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(fields), func(field *slatewindv1.Header) bool {
+		return HopByHop[field.GetName()] || dropped[field.GetName()]
+	})
+}
+
+// addConnectionFields adds the fields that a value of the Connection field names.
+func addConnectionFields(to map[string]bool, value string) {
+	for token := range strings.SplitSeq(value, ",") {
+		to[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+	}
+}
+
 // AllHeaders returns all header fields, including the hop-by-hop ones.
 func AllHeaders(h http.Header) []*slatewindv1.Header {
 	return list(h, func(string) bool { return true })
--- a/outbound/framing_test.go
+++ b/outbound/framing_test.go
@@ -35,6 +35,8 @@
 		"neither length nor chunks": {rest: "\r\nok", fields: map[string][]string{"Content-Length": {"2"}}, body: "ok"},
 		"trailer":                   {rest: "Trailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-T: t\r\n\r\n", fields: map[string][]string{"Trailer": nil, "X-T": nil}, body: "ok"},
 		"announced in the head":     {rest: "Trailer: X-T\r\nX-T: t\r\nContent-Length: 2\r\n\r\nok", fields: map[string][]string{"Trailer": nil, "X-T": {"t"}}, body: "ok"},
+		"fields of the connection":  {rest: "Connection: keep-alive, X-Hop\r\nX-Hop: h\r\nX-End: e\r\nContent-Length: 2\r\n\r\nok", fields: map[string][]string{"X-Hop": nil, "X-End": {"e"}, "Connection": nil}, body: "ok"},
+		"other fields of one":       {rest: "Connection: x-hop\r\nConnection: X-Jump\r\nX-Hop: h\r\nX-Jump: j\r\nContent-Length: 2\r\n\r\nok", fields: map[string][]string{"X-Hop": nil, "X-Jump": nil}, body: "ok"},
 		"keep-alive and upgrade":    {rest: "Keep-Alive: timeout=9\r\nUpgrade: other\r\nContent-Length: 2\r\n\r\nok", fields: map[string][]string{"Keep-Alive": nil, "Upgrade": nil}, body: "ok"},
 		"date and type":             {rest: "Date: " + date + "\r\nContent-Type: a/b\r\nContent-Length: 2\r\n\r\nok", fields: map[string][]string{"Date": {date}, "Content-Type": {"a/b"}}, body: "ok"},
 		"a field twice":             {rest: "X-A: 1\r\nX-B: b\r\nX-A: 2\r\nContent-Length: 2\r\n\r\nok", fields: map[string][]string{"X-A": {"1", "2"}}, body: "ok"},
