Take an answer with an impossible status or length for none

Callers could get, from a process beside a server that passes it on, an answer with another length than its body (in order, with the length of the body), one with two lengths, a status 1xx (an interim answer, then 200 with the body; 101 as the answer) or one outside 200 to 999 (the handler panicked, the connection closed without an answer).

Cause: of an answer's head nothing was checked, and the length that it states was compared with nothing: the end of an answer has its own length, which is that of the bytes passed on.

The status must be that of a final answer, the length a number that is the same wherever it is stated, and the body as long as that; one to HEAD, 204 and 304 empty. Otherwise the outcome is unknown, and an answer that is passed on while it arrives breaks off.

--- a/outbound/bodyreader.go
+++ b/outbound/bodyreader.go
@@ -18,6 +18,8 @@
 // length for complete.
 type bodyReader struct {
 	use link.Use
+	// stated is the length that the body must have, or -1.
+	stated int
 	// recordState receives the server's state, which may be nil, after the whole response.
 	recordState func(*slatewindv1.SlotState)
 	sum         *xxhash.Digest
@@ -28,8 +30,8 @@
 	verified bool
 }
 
-func newBodyReader(use link.Use, recordState func(*slatewindv1.SlotState)) *bodyReader {
-	return &bodyReader{use: use, recordState: recordState, sum: xxhash.New()}
+func newBodyReader(use link.Use, stated int, recordState func(*slatewindv1.SlotState)) *bodyReader {
+	return &bodyReader{use: use, stated: stated, recordState: recordState, sum: xxhash.New()}
 }
 
 // next returns the next chunk. done reports that there is none and that the response was complete, which
@@ -68,7 +70,7 @@
 
 // verify checks the end of the response.
 func (r *bodyReader) verify(end *slatewindv1.AnswerEnd) error {
-	if end.GetLength() != r.length || end.GetChecksum() != r.sum.Sum64() {
+	if r.stated >= 0 && r.length != int64(r.stated) || end.GetLength() != r.length || end.GetChecksum() != r.sum.Sum64() {
 		return errIncompleteAnswer
 	}
 	r.verified = true
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -162,7 +162,7 @@
 	}
 	length := len(a.body)
 	if a.bodiless || a.rest != nil {
-		length = statedLength(a.head)
+		length = a.stated
 	}
 	if length >= 0 {
 		header.Set("Content-Length", strconv.Itoa(length))
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -19,6 +19,8 @@
 type answer struct {
 	head *slatewindv1.AnswerHead
 	body []byte
+	// stated is the length that the head states, or -1.
+	stated int
 	// bodiless reports that the response has no body, whatever length it states.
 	bodiless bool
 	// rest reads the chunks after body if the response is too long to hold in memory; nil otherwise.
@@ -132,11 +134,17 @@
 		r.reason = err.Error()
 		return r
 	}
-	body := newBodyReader(slot.use, func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
+	stated, err := checkHead(head)
+	if err != nil {
+		slot.cancel()
+		r.reason = err.Error()
+		return r
+	}
 	buffered := o.memory.Buffers.Empty()
-	a := &answer{head: head, bodiless: rq.bodiless(head.GetStatus()), buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
+	a := &answer{head: head, stated: stated, bodiless: rq.bodiless(head.GetStatus()), buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
+	body := newBodyReader(slot.use, a.bodyLength(), func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
 	reserved := 0
-	if length := statedLength(head); !a.bodiless && length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
+	if length := a.bodyLength(); length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
 		reserved = length
 		a.body = make([]byte, 0, length)
 	}
@@ -168,15 +176,35 @@
 	return rq.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
-// statedLength returns the length of the body that the head of a response states, or -1.
-func statedLength(head *slatewindv1.AnswerHead) int {
+// bodyLength returns the length that the body of the response must have, or -1 if that is not known.
+func (a *answer) bodyLength() int {
+	if a.bodiless {
+		return 0
+	}
+	return a.stated
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
+// errNoAnswer means that the head of a response is none that a server can have sent.
+var errNoAnswer = Error.New("the answer has an invalid status or length")
+
+// checkHead returns the length that the head of a response states, or -1 if it states none.
+func checkHead(head *slatewindv1.AnswerHead) (stated int, err error) {
+	if status := head.GetStatus(); status < http.StatusOK || status > maxStatus {
+		return -1, errNoAnswer
+	}
+	stated = -1
 	for _, h := range head.GetHeaders() {
 		if h.GetName() != "Content-Length" {
 			continue
 		}
-		if length, err := strconv.Atoi(string(h.GetValue())); err == nil {
-			return length
+		length, err := strconv.ParseUint(string(h.GetValue()), 10, 63)
+		if err != nil || stated >= 0 && int(length) != stated {
+			return -1, errNoAnswer
 		}
+		stated = int(length)
 	}
-	return -1
+	return stated, nil
 }
