Reset callers with HTTP/1.0 whose answer the process cuts off

A caller with HTTP/1.0 took a truncated answer for complete where the server's connection of callers was closed in the middle (the end of a stop), or the process ended: 4.0 of 16 MB, and 0.2 of 8 MB from a whole Node.

Cause: an answer without a length ends with the connection there. An answer that breaks off resets it (AbortAnswer), but only from its own handler; http.Server.Close, a panic elsewhere and the kernel at the exit of a process close it in order.

The connection of such an answer now ends with a reset, whoever ends it, until the whole answer was written. It needs the connection in the request's context (link.ConnContext).

TestEndedNodeTruncatesVisibly failed without the hook of the Node and passes with it. Processes of package daemon's Process, and package ingress, do not use it yet.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -147,13 +147,14 @@
 // The memory of buffers that the kernel chooses would not be bounded by limits.answer_bytes.
 const callerWriteBuffer = 64 << 10
 
-// limitWriteBuffer is the http.Server.ConnContext hook: it limits the write buffer of a connection.
+// limitWriteBuffer is the http.Server.ConnContext hook: it limits the write buffer of a connection, besides what packages link and
+// connlimit do there.
 func limitWriteBuffer(ctx context.Context, conn net.Conn) context.Context {
 	if buffered, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		// An error leaves the kernel's choice in force.
 		_ = buffered.SetWriteBuffer(callerWriteBuffer)
 	}
-	return connlimit.Context(ctx, conn)
+	return connlimit.Context(link.ConnContext(ctx, conn), conn)
 }
 
 // trackConn is the http.Server.ConnState hook.
--- a/daemon/nodestop_test.go
+++ b/daemon/nodestop_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind/internal/standin"
+	"slatewind.example/slatewind/platform"
 )
 
 // TestNodeStopsInGrace checks that a stopping node exits before the end of the grace period even
@@ -67,3 +70,24 @@
 		})
 	}
 }
+
+// TestEndedNodeTruncatesVisibly guards against an answer without a length that appears complete to a caller with HTTP/1.0 although
+// the end of the process cut it off.
+func TestEndedNodeTruncatesVisibly(t *testing.T) {
+	t.Parallel()
+	const size = 8 << 20
+	f := newNodes(t, 1)
+	conn, err := net.Dial("tcp", f.address(0, 8000))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	names := platform.Callers()
+	_, err = fmt.Fprintf(conn, "POST /pay/1 HTTP/1.0\r\nHost: h.example\r\n%s: id\r\n%s: 8000\r\nContent-Length: %d\r\n\r\n%s",
+		names.RequestID, names.Deadline, size, strings.Repeat("b", size))
+	assert.NilError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, f.nodes[0].callers.Close())
+	n, err := io.Copy(io.Discard, conn)
+	assert.Assert(t, err != nil, "%d bytes of %d appear complete", n, size)
+}
--- a/outbound/outbound_test.go
+++ b/outbound/outbound_test.go
@@ -175,7 +175,9 @@
 	for _, name := range names {
 		m.add(t, name, "svc")
 	}
-	m.callers = httptest.NewServer(m.Outbound)
+	m.callers = httptest.NewUnstartedServer(m.Outbound)
+	m.callers.Config.ConnContext = link.ConnContext
+	m.callers.Start()
 	t.Cleanup(m.callers.Close)
 	m.publish(1)
 	return m
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -108,9 +109,9 @@
 }
 
 // answer writes the result of a request to its caller.
-func (o *Outbound) answer(w http.ResponseWriter, rq *request, f requestResult) {
+func (o *Outbound) answer(ctx context.Context, w http.ResponseWriter, rq *request, f requestResult) {
 	if f.outcome == slatewind.OutcomeAnswer {
-		o.forwardAnswer(w, rq, f)
+		o.forwardAnswer(ctx, w, rq, f)
 		return
 	}
 	kind, status := slatewind.DecisionRefuse, rq.statusOf(f)
@@ -131,9 +132,13 @@
 // forwardAnswer writes the server's response to the caller. If the response breaks off while it is
 // being forwarded, the caller's connection is closed, so that the caller cannot take the response
 // for complete.
-func (o *Outbound) forwardAnswer(w http.ResponseWriter, rq *request, f requestResult) {
+func (o *Outbound) forwardAnswer(ctx context.Context, w http.ResponseWriter, rq *request, f requestResult) {
 	defer f.answer.close()
 	f.answer.writeHeader(w.Header())
+	whole := func() {}
+	if rq.oldCaller && w.Header().Get("Content-Length") == "" {
+		whole = link.GuardAnswer(ctx)
+	}
 	caller := o.newAnswerWriter(w, len(f.answer.body))
 	// From here on the answer counts among those that callers have not read.
 	f.answer.buffered.Release()
@@ -141,6 +146,7 @@
 	w.WriteHeader(int(f.answer.head.GetStatus()))
 	err := f.answer.writeBody(caller)
 	if err == nil || errors.Is(err, http.ErrBodyNotAllowed) {
+		whole()
 		return
 	}
 	o.journal.Add(slatewind.Decision{
--- a/outbound/request.go
+++ b/outbound/request.go
@@ -125,7 +125,7 @@
 	rq.bodyLease.Release()
 	endCall(call, res.served())
 	o.meter.Request(rq.route.GetName(), res.outcome, time.Since(rq.began))
-	o.answer(w, rq, res)
+	o.answer(r.Context(), w, rq, res)
 }
 
 // nestedCall returns the nested call if r is one, or nil.
