--- a/outbound/run.go
+++ b/outbound/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -18,6 +19,10 @@
 type answer struct {
 	head *slatewindv1.AnswerHead
 	body []byte
+	// stated is the length that the head states, or -1.
+	stated int
+	// bodiless reports that the response has no body, whatever length it states.
+	bodiless bool
 	// rest reads the chunks after body if the response is too long to hold in memory; nil otherwise.
 	rest *bodyReader
 	// buffered is the memory of body until it is written.
@@ -124,11 +129,22 @@
 func (o *Outbound) read(rq *request, slot *grantedSlot, head *slatewindv1.AnswerHead) attemptResult {
 	r := unknownResult(slot)
 	r.paidUntil = o.paidUntil(head.GetNextPaidMs())
-	body := newBodyReader(slot.use, func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
+	if err := o.checkOwner(rq, slot.server.Name, head); err != nil {
+		slot.cancel()
+		r.reason = err.Error()
+		return r
+	}
+	stated, err := checkHead(head)
+	if err != nil {
+		slot.cancel()
+		r.reason = err.Error()
+		return r
+	}
 	buffered := o.memory.Buffers.Empty()
-	a := &answer{head: head, buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
+	a := &answer{head: head, stated: stated, bodiless: rq.bodiless(head.GetStatus()), buffered: buffered, close: func() { buffered.Release(); slot.cancel() }}
+	body := newBodyReader(slot.use, a.bodyLength(), func(state *slatewindv1.SlotState) { o.recordState(rq, slot, state) })
 	reserved := 0
-	if length := statedLength(head); length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
+	if length := a.bodyLength(); length > link.ChunkBytes && length <= link.MaxBufferedBytes && buffered.Grow(int64(length)) == nil {
 		reserved = length
 		a.body = make([]byte, 0, length)
 	}
@@ -154,15 +170,41 @@
 	return r
 }
 
-// statedLength returns the length of the body that the head of a response states, or -1.
-func statedLength(head *slatewindv1.AnswerHead) int {
+// bodiless reports whether a response with the given status has no body. The length that it states is that of
+// another response.
+func (rq *request) bodiless(status int32) bool {
+	return rq.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// bodyLength returns the length that the body of the response must have, or -1 if that is not known.
+func (a *answer) bodyLength() int {
+	if a.bodiless {
+		return 0
+	}
+	return a.stated
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
+// errNoAnswer means that the head of a response is none that a server can have sent.
+var errNoAnswer = Error.New("the answer has an invalid status or length")
+
+// checkHead returns the length that the head of a response states, or -1 if it states none.
+func checkHead(head *slatewindv1.AnswerHead) (stated int, err error) {
+	if status := head.GetStatus(); status < http.StatusOK || status > maxStatus {
+		return -1, errNoAnswer
+	}
+	stated = -1
 	for _, h := range head.GetHeaders() {
 		if h.GetName() != "Content-Length" {
 			continue
 		}
-		if length, err := strconv.Atoi(string(h.GetValue())); err == nil {
-			return length
+		length, err := strconv.ParseUint(string(h.GetValue()), 10, 63)
+		if err != nil || stated >= 0 && int(length) != stated {
+			return -1, errNoAnswer
 		}
+		stated = int(length)
 	}
-	return -1
+	return stated, nil
 }
