Let a closed connection deliver its last answer

Callers that send their next request before they have read an answer lost the rest of the answer when the connection was closed behind it, most of all in a planned stop, whose answers all close their connections.

Cause: a close with unread bytes, or bytes that arrive after it, resets the connection, and a reset destroys what the peer has not received. net/http waits before a close only if a body was left unread, not for a request behind the answer. Class: a close taken for an orderly end while the other side still sends.

A connection of a caller now ends its sending side, discards what still comes for at most 500 ms and then ends; one that is to be reset ends at once. Until then it counts. A stop waits for such connections within its time.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -33,8 +33,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// open is the number of connections.
-	open int
+	// open is the number of connections, closing that of those of them that are being closed.
+	open, closing int
 	// idle holds the *Conn without a request, the longest idle first.
 	idle *list.List
 	// heads is the memory of the heads that are being read or whose requests are in progress, in bytes.
@@ -52,6 +52,7 @@
 // View is the use of a Limiter in a state dump.
 type View struct {
 	Open      int    `json:"open"`
+	Closing   int    `json:"closing"`
 	Limit     int    `json:"limit,omitempty"`
 	Idle      int    `json:"idle"`
 	HeadBytes int64  `json:"head_bytes"`
@@ -64,7 +65,7 @@
 func (l *Limiter) View() View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return View{Open: l.open, Limit: l.maxConns, Idle: l.idle.Len(), HeadBytes: l.heads, Evicted: l.evicted, Refused: l.refused, Headless: l.headless}
+	return View{Open: l.open, Closing: l.closing, Limit: l.maxConns, Idle: l.idle.Len(), HeadBytes: l.heads, Evicted: l.evicted, Refused: l.refused, Headless: l.headless}
 }
 
 // Listener returns a listener whose connections count. The inner one must accept TCP connections.
@@ -128,6 +129,9 @@
 	}
 	c.removed = true
 	l.open--
+	if c.closing {
+		l.closing--
+	}
 	l.release(c)
 	l.setIdle(c, false)
 }
@@ -158,7 +162,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case c.removed:
+	case c.removed, c.closing:
 	case state == http.StateClosed:
 		l.remove(c)
 	case state == http.StateIdle:
@@ -176,18 +180,24 @@
 	limiter *Limiter
 	// inHead reports that what is read belongs to a head.
 	inHead atomic.Bool
+	// closed reports that Close was called, reset that the connection must then be reset.
+	closed, reset atomic.Bool
 
 	// The fields below are guarded by limiter.mu. read is the number of bytes read of the present head, held those of
 	// them that count.
 	read, held int64
 	// element is the place in limiter.idle, nil if the connection is not idle.
 	element *list.Element
-	removed bool
+	// closing reports that the connection is being closed, removed that it has ended.
+	closing, removed bool
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 && c.inHead.Load() && !c.limiter.hold(c, int64(n)) {
 		return 0, ErrHeads
 	}
@@ -218,14 +228,6 @@
 	return c.removed
 }
 
-// Close implements net.Conn.
-func (c *Conn) Close() error {
-	c.limiter.mu.Lock()
-	c.limiter.remove(c)
-	c.limiter.mu.Unlock()
-	return c.TCPConn.Close()
-}
-
 // connKey is the context key of the *Conn of a request.
 type connKey struct{}
 
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -21,19 +21,22 @@
 // newServer serves requests whose bodies it reads, and returns its address. A request to /wait is answered once release is
 // closed.
 func newServer(t *testing.T, limiter *connlimit.Limiter, release <-chan struct{}) string {
+	t.Helper()
+	return serve(t, limiter, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+		_, _ = fmt.Fprint(w, n)
+	}))
+}
+
+// serve starts a server whose connections count, and returns its address.
+func serve(t *testing.T, limiter *connlimit.Limiter, handler http.Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := &http.Server{
-		Handler: connlimit.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			n, _ := io.Copy(io.Discard, r.Body)
-			if r.URL.Path == "/wait" {
-				<-release
-			}
-			_, _ = fmt.Fprint(w, n)
-		})),
-		ConnState: limiter.State, ConnContext: connlimit.Context, ReadHeaderTimeout: testTimeout,
-	}
+	server := &http.Server{Handler: connlimit.Handler(handler), ConnState: limiter.State, ConnContext: connlimit.Context, ReadHeaderTimeout: testTimeout}
 	go func() { _ = server.Serve(limiter.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/daemon/nodestop.go
+++ b/daemon/nodestop.go
@@ -77,6 +77,7 @@
 	if err := n.callers.Shutdown(ending); err != nil {
 		n.logger.Warn("callers cut off by the stop", "callers", n.outbound.InFlight(), "cause", err)
 	}
+	n.conns.AwaitClosed(ending)
 }
 
 // waitForPeers waits until the requests of other processes have finished, at most until the
