--- a/backend/backend.go
+++ b/backend/backend.go
@@ -155,7 +155,9 @@
 			return nil, errs.Combine(ErrMalformedAnswer, Error.New("the body is encoded although no Content-Encoding was requested"))
 		}
 		if isUnframed(response) {
-			response.Body = newUnframedBody(response.Body, p.dialect.RequestID, p.dialect.Stamp)
+			response.Body = newUnframedBody(response.Body, func() {
+				p.report(c, request, Surplus{Kind: SurplusInBody, Status: response.StatusCode})
+			}, p.dialect.RequestID, p.dialect.Stamp)
 		}
 		return response, nil
 	}
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -20,6 +20,8 @@
 	SurplusNoID       SurplusKind = "no-id"
 	SurplusEmptyID    SurplusKind = "empty-id"
 	SurplusSeveralIDs SurplusKind = "several-ids"
+	// SurplusInBody is an answer in the body of another one, whose length is not stated.
+	SurplusInBody SurplusKind = "in-body"
 	// SurplusAtClose are bytes behind the end of an answer, SurplusAtReuse bytes that arrived on an idle
 	// connection. The connection is closed.
 	SurplusAtClose SurplusKind = "left-at-close"
@@ -36,7 +38,7 @@
 	Request string
 	// Carried is the ID in the answer, shortened; several are separated by commas.
 	Carried string
-	// Status is the status of the answer, 0 for other bytes.
+	// Status is the status of the answer, or of the one in whose body it was; 0 for other bytes.
 	Status int
 	// Earlier is the number of requests that the connection had carried before.
 	Earlier int
--- a/backend/unframed.go
+++ b/backend/unframed.go
@@ -19,13 +19,15 @@
 type unframedBody struct {
 	io.ReadCloser
 	scanner headScanner
+	// onSecond is called when a second answer is found.
+	onSecond func()
 	// failed reports that a second answer was found.
 	failed bool
 }
 
-// newUnframedBody returns a body in which an answer with any of the fields of markers is an error.
-func newUnframedBody(body io.ReadCloser, markers ...string) *unframedBody {
-	return &unframedBody{ReadCloser: body, scanner: headScanner{markers: markers}}
+// newUnframedBody returns a body in which an answer with any of the fields of markers is an error. onSecond is called for it.
+func newUnframedBody(body io.ReadCloser, onSecond func(), markers ...string) *unframedBody {
+	return &unframedBody{ReadCloser: body, onSecond: onSecond, scanner: headScanner{markers: markers}}
 }
 
 // Read implements io.Reader.
@@ -35,6 +37,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if b.failed = b.scanner.scan(p[:n]); b.failed {
+		b.onSecond()
 		return 0, errSecondAnswer
 	}
 	return n, err
