Send ids in the answers of endless stand-ins

An answer without an id is discarded, so servers that send a body without end and no id no longer tested what becomes of an own answer of this kind: with its id, the case "body" of TestServerBytesWithoutEnd lasts until the deadline of 2 s. Its answers, and those of the soak's stand-in, now have the id. A case without it is added.

--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -182,7 +182,8 @@
 // end.
 func TestServerBytesWithoutEnd(t *testing.T) {
 	const deadline, maxTime = 2 * time.Second, 5 * time.Second
-	head := "HTTP/1.1 200 OK\r\n" + platform.Servers().Stamp + ": s\r\n"
+	foreign := "HTTP/1.1 200 OK\r\n" + platform.Servers().Stamp + ": s\r\n"
+	head := foreign + platform.Servers().RequestID + ": id\r\n"
 	long := strings.Repeat("a", 1<<16)
 	tests := map[string]struct{ first, part string }{
 		"no answer":       {"", long},
@@ -193,6 +194,7 @@
 		"trailers":        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("Aaaaaaa: b\r\n", 4000)},
 		"body":            {head + "\r\n", long},
 		"chunked body":    {head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + long + "\r\n"},
+		"foreign body":    {foreign + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + long + "\r\n"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -204,7 +206,7 @@
 			p.awaitReady()
 			began := time.Now()
 			// The deadline ends an answer whose body has no end.
-			status, _ := p.sendWithin(deadline, http.MethodGet, "/pay/x", nil)
+			status, _ := p.sendWithin(deadline, "id", http.MethodGet, "/pay/x", nil)
 			assert.Assert(t, status == 0 || status >= http.StatusInternalServerError, status)
 			assert.Assert(t, time.Since(began) < maxTime, "took %s", time.Since(began))
 			assert.Assert(t, p.running())
--- a/daemon/nodeprocess_test.go
+++ b/daemon/nodeprocess_test.go
@@ -243,15 +243,15 @@
 // send sends a request and returns the status and the body of the answer, or 0 if there was no whole
 // answer.
 func (p *nodeProcess) send(method, path string, body io.Reader) (status int, answer string) {
-	return p.sendWithin(eventTimeout, method, path, body)
+	return p.sendWithin(eventTimeout, "r-"+strconv.FormatInt(time.Now().UnixNano(), 36), method, path, body)
 }
 
-// sendWithin is send with a deadline that the process is told.
-func (p *nodeProcess) sendWithin(deadline time.Duration, method, path string, body io.Reader) (status int, answer string) {
+// sendWithin is send with a deadline that the process is told, and the ID of the request.
+func (p *nodeProcess) sendWithin(deadline time.Duration, id, method, path string, body io.Reader) (status int, answer string) {
 	r, err := http.NewRequest(method, "http://"+p.address(portCallers)+path, body)
 	assert.NilError(p.t, err)
 	r.Host = "h.example"
-	r.Header.Set(platform.Callers().RequestID, "r-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	r.Header.Set(platform.Callers().RequestID, id)
 	r.Header.Set(platform.Callers().Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: eventTimeout}
 	response, err := client.Do(r)
--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -218,7 +218,7 @@
 		sendEndlessly(w, "HTTP/1.1 200 OK\r\n", "Field: value\r\n")
 		return
 	case StampedEndlessBody:
-		sendEndlessly(w, "HTTP/1.1 200 OK\r\n"+s.headerNames.Stamp+": stamp\r\n\r\n", "body")
+		sendEndlessly(w, "HTTP/1.1 200 OK\r\n"+s.headerNames.RequestID+": "+r.Header.Get(s.headerNames.RequestID)+"\r\n"+s.headerNames.Stamp+": stamp\r\n\r\n", "body")
 		return
 	case StampedEndlessBytes:
 		sendEndlessly(w, "", "bytes")
