soak: Let servers send answers more than once

Cause: servers that stutter send an answer a second time, late, in the place of the next one on the connection. No part of the soak did that, and no caller looked at whose a failure was.

Change: a stand-in in front of a server draws for each answer whether, when, in which form and how often it is sent again. The part "repeated answers" lets two of five servers do so, with failures and rejections among the answers, while processes fail and one stops. In addition to the usual callers, some send requests back to back (HEAD among them), some bodies, some several requests with one id, and some leave early. A part of its own has answers without a length with a copy behind them. In all runs now, an answer with a server's stamp must be that server's whole answer to the request, whatever its status, and none may have another id.

--- a/internal/standin/stamped.go
+++ b/internal/standin/stamped.go
@@ -54,6 +54,8 @@
 	mu    sync.Mutex
 	mode  StampedMode
 	delay time.Duration
+	// draw, if not nil, draws the mode of each request instead.
+	draw func() StampedMode
 	// limit and leaving are what the server states about itself in its answers.
 	limit   string
 	leaving bool
@@ -99,6 +101,13 @@
 	s.mode = mode
 }
 
+// SetModeDraw sets a function that draws the mode of each request; nil ends that. Its calls do not overlap.
+func (s *Stamped) SetModeDraw(draw func() StampedMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draw = draw
+}
+
 // SetDelay sets the service time of requests.
 func (s *Stamped) SetDelay(delay time.Duration) {
 	s.mu.Lock()
@@ -169,7 +178,7 @@
 	s.mu.Lock()
 	s.arrivals++
 	s.headers[id] = r.Header.Clone()
-	mode, delay, release, crashed := s.mode, s.delay, s.release, s.crashed
+	mode, delay, release, crashed := s.nextMode(), s.delay, s.release, s.crashed
 	expected := r.Header.Get(s.headerNames.Expect)
 	misdirected := expected != "" && expected != s.name
 	if !misdirected && mode != StampedReset && mode != StampedShed {
@@ -202,6 +211,14 @@
 	}
 }
 
+// nextMode returns the mode of a request. The caller holds s.mu.
+func (s *Stamped) nextMode() StampedMode {
+	if s.draw != nil {
+		return s.draw()
+	}
+	return s.mode
+}
+
 // remaining returns how long the server may work on a request, as stated by its sender.
 func (s *Stamped) remaining(r *http.Request) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(s.headerNames.Deadline))
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -94,7 +94,7 @@
 // sendWithHeader is send with additional header fields.
 func (f *fleet) sendWithHeader(client *http.Client, to int, path, id string, header http.Header) (status int, own bool) {
 	status, answerHeader, text := f.post(client, to, path, id, id, header)
-	return status, status != 0 && isOwn(answerHeader, text, path, id)
+	return status, status != 0 && isOwn(answerHeader, text, path, id, id)
 }
 
 // post sends a request with a body. The status is 0 if no complete answer was received.
@@ -120,13 +120,14 @@
 		return 0, nil, ""
 	}
 	f.recordStatement(to, response.Header)
+	f.checkAnswer(response, string(text), path, id, body)
 	return response.StatusCode, response.Header, string(text)
 }
 
 // isOwn reports whether an answer was given by a server to this request: it is stamped by the
-// server that it names and repeats the path and the request id.
-func isOwn(header http.Header, text, path, id string) bool {
+// server that it names and repeats the path and the body, and its header the request id.
+func isOwn(header http.Header, text, path, id, body string) bool {
 	server, rest, _ := strings.Cut(text, " ")
 	return header.Get(platform.Servers().Stamp) == server+"-stamp" &&
-		header.Get(platform.Servers().RequestID) == id && rest == path+" "+id
+		header.Get(platform.Servers().RequestID) == id && rest == path+" "+body
 }
--- a/soak/node.go
+++ b/soak/node.go
@@ -22,8 +22,9 @@
 type node struct {
 	number int
 	server *standin.Stamped
-	// crasher stands in for the operating system process of the server.
-	crasher *standin.Crasher
+	// crasher stands in for the operating system process of the server, stutterer for what sends its answers.
+	crasher   *standin.Crasher
+	stutterer *standin.Stutterer
 	// peerProxy is in front of the peer port of the process, storeProxy in front of the store.
 	peerProxy, storeProxy *proxy
 	// starts counts the starts of the process.
@@ -69,7 +70,8 @@
 
 // serve starts the listener of a node's server.
 func (f *fleet) serve(n *node) error {
-	crasher, err := standin.NewCrasher(f.serverAddress(n.number), f.recordArrivals(n), isDeadly, serverDowntime)
+	n.stutterer = standin.NewStutterer(f.recordArrivals(n), platform.Servers().RequestID)
+	crasher, err := standin.NewCrasher(f.serverAddress(n.number), n.stutterer, isDeadly, serverDowntime)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -92,11 +94,14 @@
 
 const serverNameFormat = "server-%d"
 
-// recordArrivals records each request before passing it on to the server.
+// recordArrivals records each request before passing it on to the server. Requests that share their id are left out, since
+// they would count as extra attempts.
 func (f *fleet) recordArrivals(n *node) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.record.addHeaderBreaches(r.Header.Get(platform.Servers().RequestID), r.Header)
-		f.record.addArrival(arrival{ID: r.Header.Get(platform.Servers().RequestID), Server: n.number, At: time.Now()})
+		if r.RequestURI != sameIDPath {
+			f.record.addArrival(arrival{ID: r.Header.Get(platform.Servers().RequestID), Server: n.number, At: time.Now()})
+		}
 		f.serveRequest(n, w, r)
 	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,10 @@
 	// PartLong: callers read long answers slowly, and their time ends meanwhile. Links between processes have no
 	// faults in a run that includes it.
 	PartLong Part = "long answers"
+	// PartStutter: servers send their answers more than once.
+	PartStutter Part = "repeated answers"
+	// PartUnframed: the same with answers without a length, behind which the copy comes before the connection's end.
+	PartUnframed Part = "repeated answers without a length"
 	// PartLimits: processes are brought near their limits on memory and descriptors, and their surroundings misbehave. The
 	// limits of their settings differ in a run that includes it.
 	PartLimits Part = "limits"
@@ -167,6 +171,8 @@
 		{PartUnread, func() error { return f.checkUnread(ctx) }},
 		{PartReuse, func() error { return f.checkReuse(ctx, random) }},
 		{PartLong, func() error { return f.checkLong(ctx, random) }},
+		{PartStutter, func() error { return f.checkStutter(ctx, random, framedCopies...) }},
+		{PartUnframed, func() error { return f.checkStutter(ctx, random, standin.CopyUnframed) }},
 		{PartLimits, func() error { return f.checkLimits(ctx, random) }},
 	}
 	for _, part := range parts {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -125,6 +125,18 @@
 	runSeeds(t, soak.PartLong)
 }
 
+// TestStutter lets servers send their answers more than once while processes fail.
+func TestStutter(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartStutter)
+}
+
+// TestUnframed lets servers send answers without a length, and copies behind them.
+func TestUnframed(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartUnframed)
+}
+
 // TestLimits brings processes near their limits while servers, callers and their surroundings misbehave.
 func TestLimits(t *testing.T) {
 	t.Parallel()
--- a/soak/verify.go
+++ b/soak/verify.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/platform"
 )
 
 // Promise names a property of the system that a run checks.
@@ -18,7 +19,7 @@
 	// PromiseTrueRefusal: a single request that was refused as not run has not run.
 	PromiseTrueRefusal Promise = "true refusal"
 	// PromiseOwnAnswer: a response with status 200 is the complete answer of a server to this
-	// request.
+	// request, and one with another status has neither the stamp of a server nor an id unless it is.
 	PromiseOwnAnswer Promise = "own whole answer"
 	// PromiseNoCut: a planned stop of a process cuts off no request that a server has begun to
 	// run.
@@ -106,6 +107,22 @@
 	return breaches
 }
 
+// checkAnswer records a breach if an answer, of any status, is not a server's whole answer to this request although it claims to be a server's.
+func (f *fleet) checkAnswer(response *http.Response, text, path, id, body string) {
+	if isForeign(response.Header, text, path, id, body) {
+		f.record.addBreach(PromiseOwnAnswer, "request %s got an answer that is not its own or not whole: status %d, id %q, stamp %q, %d bytes", id, response.StatusCode,
+			response.Header.Get(platform.Servers().RequestID), response.Header.Get(platform.Servers().Stamp), len(text))
+	}
+}
+
+// isForeign reports whether an answer has the id of another request, or a server's stamp although it is not the server's
+// answer to this request.
+func isForeign(header http.Header, text, path, id, body string) bool {
+	names := platform.Servers()
+	other := header.Get(names.RequestID) != "" && header.Get(names.RequestID) != id
+	return other || header.Get(names.Stamp) != "" && !isOwn(header, text, path, id, body)
+}
+
 // verifyLeaving checks that leaving servers received no requests once all processes knew that
 // they leave.
 func verifyLeaving(leaving []departure, arrivals []arrival) (breaches []Breach) {
--- a/soak/verify_test.go
+++ b/soak/verify_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/platform"
 )
 
 // TestVerifyRequest checks which promises are broken by what a caller received and how often its
@@ -44,6 +45,39 @@
 	}
 }
 
+// TestIsForeign checks which answers are taken for those of another request, or for not whole.
+func TestIsForeign(t *testing.T) {
+	names := platform.Servers()
+	const path, id, own = "/look/", "7", "server-1 /look/ body"
+	tests := map[string]struct {
+		id, stamp, text string
+		want            bool
+	}{
+		"own":                         {id: id, stamp: "server-1-stamp", text: own},
+		"of no server":                {id: id, text: "no server is free"},
+		"of no server, without an id": {text: "bad request"},
+		"of no server, another id":    {id: "8", text: "no server is free", want: true},
+		"another id":                  {id: "8", stamp: "server-1-stamp", text: own, want: true},
+		"no id":                       {stamp: "server-1-stamp", text: own, want: true},
+		"stamp of another server":     {id: id, stamp: "server-2-stamp", text: own, want: true},
+		"another body":                {id: id, stamp: "server-1-stamp", text: "server-1 /look/ bodies", want: true},
+		"cut":                         {id: id, stamp: "server-1-stamp", text: own[:len(own)-1], want: true},
+		"two answers":                 {id: id, stamp: "server-1-stamp", text: own + own, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			header := http.Header{}
+			if test.id != "" {
+				header.Set(names.RequestID, test.id)
+			}
+			if test.stamp != "" {
+				header.Set(names.Stamp, test.stamp)
+			}
+			assert.Equal(t, isForeign(header, test.text, path, id, "body"), test.want)
+		})
+	}
+}
+
 // TestVerifyLeaving checks that only arrivals at a leaving server after all processes know that
 // it leaves count.
 func TestVerifyLeaving(t *testing.T) {
