soak: Stop one process at a time while servers take long

Cause: operators report requests that came late in the grace of a planned stop in calm and were cut at its end. The part with stops has servers that take 0.3 s, callers with one request at a time, and judges what is given up only from 3 s after the signal on; it would not have found that.

Change: the part "stops with long requests" stops one process after the other without other faults, while servers take 0.9, 1.8 and 3 s. 30 callers keep using it until it has gone: on connections that are idle for up to 6 s before, with bodies of up to 512 KB, half of them slow, up to three requests back to back, and more of them than the servers have slots. Judged is every request that ran: none may be cut off without an answer, unless it was sent within 3 s of the signal and its server is busy in the last sixth of the grace time. Later ones are judged as in the other stops.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 # PARALLEL is the number of concurrent soak runs. They spend most of their time waiting.
 PARALLEL ?= 4
 soak:
-	go test -count=1 -timeout=0 -parallel=$(PARALLEL) -run='TestSoak$$|TestSilent|TestStops$$|TestWorkspaces$$|TestRestores$$|TestDeadly$$|TestEvacuations$$|TestWarmup$$|TestStatements$$|TestUploads$$|TestUnread$$|TestReuse$$|TestLong$$|TestStutter$$|TestUnframed$$|TestLimits$$' ./soak -soak.seeds=$(SEEDS) -soak.seed=$(SEED) -v
+	go test -count=1 -timeout=0 -parallel=$(PARALLEL) -run='TestSoak$$|TestSilent|TestStops$$|TestLongStops$$|TestWorkspaces$$|TestRestores$$|TestDeadly$$|TestEvacuations$$|TestWarmup$$|TestStatements$$|TestUploads$$|TestUnread$$|TestReuse$$|TestLong$$|TestStutter$$|TestUnframed$$|TestLimits$$' ./soak -soak.seeds=$(SEEDS) -soak.seed=$(SEED) -v
 
 # All soak tests: SEEDS runs, and full-length runs of all broken builds.
 soak-all:
--- a/soak/record.go
+++ b/soak/record.go
@@ -56,6 +56,8 @@
 	// stops holds the planned stops, hangs the processes that were suspended meanwhile.
 	stops []plannedStop
 	hangs []hang
+	// longStops holds the stops while servers took long.
+	longStops []longStop
 	// limits are the limits of the flooding workspace, keys the revoked keys.
 	limits []limitSpan
 	keys   []keySpan
@@ -159,6 +161,9 @@
 	for _, s := range r.stops {
 		breaches = append(breaches, verifyStop(s, r.sent, runs, hung)...)
 	}
+	for _, s := range r.longStops {
+		breaches = append(breaches, verifyLongStop(s, r.sent, lastArrivals(r.arrivals))...)
+	}
 	breaches = append(breaches, verifyLeaving(r.leaving, r.arrivals)...)
 	breaches = append(breaches, verifyKeys(r.keys, r.sent, runs)...)
 	breaches = append(breaches, verifyEvacuations(r.evacuated, r.arrivals)...)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,8 @@
 	PartWorkspaces Part = "workspaces"
 	// PartStops: processes stop, with their stops overlapping, while another one is suspended.
 	PartStops Part = "stops"
+	// PartLongStops: processes stop one at a time, without other faults, while servers take long.
+	PartLongStops Part = "stops with long requests"
 	// PartRestores: the store is restored from an older copy.
 	PartRestores Part = "restores"
 	// PartDeadly: a request that crashes servers is sent again and again.
@@ -162,6 +164,7 @@
 		{PartSilentStore, func() error { return f.checkSilence(ctx, PromiseSilentStore, storeProxy) }},
 		{PartWorkspaces, func() error { return f.checkWorkspaces(ctx, random) }},
 		{PartStops, func() error { return f.checkStops(ctx, random) }},
+		{PartLongStops, func() error { return f.checkLongStops(ctx, random) }},
 		{PartRestores, func() error { return f.checkRestores(ctx, random) }},
 		{PartDeadly, func() error { return f.checkDeadly(ctx, random) }},
 		{PartEvacuations, func() error { return f.checkEvacuations(ctx, random) }},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,12 @@
 	runSeeds(t, soak.PartStops)
 }
 
+// TestLongStops stops processes one at a time while servers take long and callers keep using the process.
+func TestLongStops(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartLongStops)
+}
+
 // TestWorkspaces makes a workspace exceed its limit while processes fail, lowers its limit and
 // revokes its key.
 func TestWorkspaces(t *testing.T) {
--- a/soak/verify.go
+++ b/soak/verify.go
@@ -27,7 +27,8 @@
 	// PromiseStopInTime: a process that receives SIGTERM exits by itself within its grace time.
 	PromiseStopInTime Promise = "a stop ends in time"
 	// PromiseNoLateAbandon: a stopping process accepts no late request that it then gives up while a
-	// server runs it.
+	// server runs it. Without other faults it cuts off no request that ran, unless it is an early one with
+	// which the server is busy until shortly before the end of the grace time.
 	PromiseNoLateAbandon Promise = "no late request given up by a stop"
 	// PromiseLeaving: a leaving server receives no new requests once all processes know that it
 	// leaves.
--- a/soak/verifystops.go
+++ b/soak/verifystops.go
@@ -13,6 +13,13 @@
 // not are refused.
 const lateThreshold = 3 * time.Second
 
+const (
+	// lastPart is the last part of the grace time: a process cannot wait for a server that is busy then.
+	lastPart = graceTime / 6
+	// endMargin is the time in which callers notice the end of a process.
+	endMargin = time.Second
+)
+
 // verifyStop checks a planned stop: the process exits by itself within its grace time, no late
 // request is given up while its server runs it, and refused requests have not run.
 func verifyStop(s plannedStop, sent map[string]sentRequest, runs map[string]int, hung map[string]bool) (breaches []Breach) {
@@ -39,6 +46,43 @@
 	return breaches
 }
 
+// longStop is a planned stop without other faults, while servers take a time for each request.
+type longStop struct {
+	plannedStop
+	Work time.Duration
+}
+
+// verifyLongStop checks that the process cut off no request that a server ran, apart from early ones with which the server was
+// still busy in the last part of the grace time. A failure that it states is none of the stop: processes on a busy machine lose
+// their connections to each other. lastArrivals holds when each request last arrived at a server. Late
+// requests are checked by verifyStop.
+func verifyLongStop(s longStop, sent map[string]sentRequest, lastArrivals map[string]time.Time) (breaches []Breach) {
+	for id, r := range sent {
+		arrived, ran := lastArrivals[id]
+		if r.Node != s.Node || !ran || r.At.After(s.Asked.Add(lateThreshold)) || !within(r.Ended, s.Asked, s.Asked.Add(graceTime+endMargin)) {
+			continue
+		}
+		busyUntil := arrived.Add(s.Work).Sub(s.Asked)
+		if r.Status == 0 && busyUntil < graceTime-lastPart {
+			detail := fmt.Sprintf("%s request %s to node %d, sent %s after SIGTERM, cut off %s after it; its server was done %s after it",
+				r.Kind, id, r.Node, r.At.Sub(s.Asked), r.Ended.Sub(s.Asked), busyUntil)
+			breaches = append(breaches, Breach{PromiseNoLateAbandon, detail})
+		}
+	}
+	return breaches
+}
+
+// lastArrivals returns when each request last arrived at a server.
+func lastArrivals(arrivals []arrival) map[string]time.Time {
+	last := map[string]time.Time{}
+	for _, a := range arrivals {
+		if a.At.After(last[a.ID]) {
+			last[a.ID] = a.At
+		}
+	}
+	return last
+}
+
 // isRefusal reports whether a status means that the request was not run.
 func isRefusal(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/soak/verifystops_test.go
+++ b/soak/verifystops_test.go
@@ -60,6 +60,48 @@
 	}
 }
 
+// TestVerifyLongStop checks which requests that a process gave up break a promise when servers take long.
+func TestVerifyLongStop(t *testing.T) {
+	const short, long = 900 * time.Millisecond, 3 * time.Second
+	tests := map[string]struct {
+		// node received a request this long after SIGTERM; its server began it at once, unless it never did, and takes work. It
+		// ended after that time, or after took, with status.
+		node       int
+		after      time.Duration
+		work, took time.Duration
+		status     int
+		notBegun   bool
+		broken     bool
+	}{
+		"served":                      {after: time.Second, work: short, status: http.StatusOK},
+		"failed with an answer":       {after: time.Second, work: short, status: http.StatusBadGateway},
+		"cut off":                     {after: time.Second, work: short, broken: true},
+		"sent before the stop":        {after: -time.Second, work: long, broken: true},
+		"ended before the stop":       {after: -time.Second, work: short},
+		"not begun":                   {after: time.Second, work: short, notBegun: true},
+		"sent to another process":     {node: 1, after: time.Second, work: short},
+		"not busy in the last part":   {after: graceTime - lastPart - long - time.Millisecond, work: long, broken: true},
+		"busy in the last part":       {after: graceTime - lastPart - long, work: long},
+		"late":                        {after: lateThreshold + time.Millisecond, work: short},
+		"timed out":                   {after: time.Second, work: short, status: http.StatusGatewayTimeout},
+		"ended after the process did": {after: time.Second, work: short, took: graceTime + endMargin},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			asked := time.Unix(1000, 0)
+			sentAt := asked.Add(test.after)
+			r := sentRequest{ID: "id", Node: test.node, At: sentAt, Status: test.status, Ended: sentAt.Add(max(test.took, test.work))}
+			arrivals := []arrival{{ID: "other", At: asked}}
+			if !test.notBegun {
+				arrivals = append(arrivals, arrival{ID: "id", At: sentAt}, arrival{ID: "id", At: sentAt.Add(-short)})
+			}
+			s := longStop{plannedStop{Asked: asked}, test.work}
+			breaches := verifyLongStop(s, map[string]sentRequest{"id": r}, lastArrivals(arrivals))
+			assert.Equal(t, len(breaches) > 0, test.broken)
+		})
+	}
+}
+
 // TestHungRequests checks that exactly the requests that were in progress at a suspended process
 // or arrived during the suspension are returned.
 func TestHungRequests(t *testing.T) {
