--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -236,6 +237,21 @@
 			{File: "outbound/reply.go", From: "case h.GetName() == \"Content-Length\" && a.rest != nil:", To: "case false:"},
 		},
 	},
+	"an answer without an id is accepted": {
+		promise: soak.PromiseOwnAnswer,
+		part:    soak.PartStutter,
+		edits:   []overlay.Edit{{File: "backend/surplus.go", From: "		return SurplusNoID", To: "		return \"\""}},
+	},
+	"a connection carries requests with one id": {
+		promise: soak.PromiseOwnAnswer,
+		part:    soak.PartStutter,
+		edits:   []overlay.Edit{{File: "backend/pool.go", From: "c.isHead == isHead && !slices.Contains(c.earlier, id)", To: "c.isHead == isHead"}},
+	},
+	"an answer without a length may contain another one": {
+		promise: soak.PromiseOwnAnswer,
+		part:    soak.PartUnframed,
+		edits:   []overlay.Edit{{File: "backend/backend.go", From: "		if isUnframed(response) {", To: "		if false {"}},
+	},
 	"a head has no limit": {
 		promise: soak.PromiseMemory,
 		part:    soak.PartLimits,
@@ -296,13 +312,15 @@
 	}
 }
 
+// partsWithOwnRuns are the parts that do not run together with others.
+var partsWithOwnRuns = []soak.Part{soak.PartLong, soak.PartLimits, soak.PartStutter, soak.PartUnframed, soak.PartLongStops}
+
 // options returns the options of a run of a broken build. It ends at the first breach, unless
-// the flag soak.whole is set. Long answers have runs of their own, whose processes do not reach each
-// other through proxies.
+// the flag soak.whole is set.
 func (b brokenBuild) options(program string, seed uint64) soak.Options {
 	o := options(program, seed, soak.PartStorm, soak.PartCalm, soak.PartSilentPeers, soak.PartSilentStore, soak.PartWorkspaces, soak.PartStops, soak.PartRestores, soak.PartDeadly,
 		soak.PartEvacuations, soak.PartWarmup, soak.PartStatements, soak.PartUploads, soak.PartUnread, soak.PartReuse)
-	if *whole && b.part != soak.PartLong && b.part != soak.PartLimits {
+	if *whole && !slices.Contains(partsWithOwnRuns, b.part) {
 		return o
 	}
 	o.StopOn, o.Parts = b.promise, []soak.Part{b.part}
