--- a/ingress/stutter_test.go
+++ b/ingress/stutter_test.go
@@ -94,7 +94,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			server, err := standin.NewStutterer("127.0.0.1:0", tt.answer, tt.copied)
+			server, err := standin.NewRepeater("127.0.0.1:0", tt.answer, tt.copied)
 			assert.NilError(t, err)
 			defer server.Close()
 			web := httptest.NewServer(newIngressBefore(t, server.Address()))
--- a/internal/standin/stutterer.go
+++ b/internal/standin/repeater.go
@@ -8,26 +8,26 @@
 	"time"
 )
 
-// stutterPause is the time between a copy and the next answer, in which the client may already use the connection
+// repeatPause is the time between a copy and the next answer, in which the client may already use the connection
 // again.
-const stutterPause = 2 * time.Millisecond
+const repeatPause = 2 * time.Millisecond
 
-// Stutterer is a stand-in for a server that answers twice. It writes a copy of its last answer on a connection only
+// Repeater is a stand-in for a server that answers twice. It writes a copy of its last answer on a connection only
 // after it has read the next request there, and then the answer to that request.
-type Stutterer struct {
+type Repeater struct {
 	listener net.Listener
 	answer   func(*http.Request) string
 	copied   func(last string, next *http.Request) string
 }
 
-// NewStutterer starts a server at an address. answer returns the text of the answer to a request, and copied that of the
+// NewRepeater starts a server at an address. answer returns the text of the answer to a request, and copied that of the
 // copy of the last answer, which is written in the place of the answer to next.
-func NewStutterer(address string, answer func(*http.Request) string, copied func(last string, next *http.Request) string) (*Stutterer, error) {
+func NewRepeater(address string, answer func(*http.Request) string, copied func(last string, next *http.Request) string) (*Repeater, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Stutterer{listener: listener, answer: answer, copied: copied}
+	s := &Repeater{listener: listener, answer: answer, copied: copied}
 	go s.accept()
 	return s, nil
 }
@@ -36,12 +36,12 @@
 func SameAnswer(last string, _ *http.Request) string { return last }
 
 // Address returns the address of the server.
-func (s *Stutterer) Address() string { return s.listener.Addr().String() }
+func (s *Repeater) Address() string { return s.listener.Addr().String() }
 
 // Close ends the server. Connections end with their clients.
-func (s *Stutterer) Close() { _ = s.listener.Close() }
+func (s *Repeater) Close() { _ = s.listener.Close() }
 
-func (s *Stutterer) accept() {
+func (s *Repeater) accept() {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -52,7 +52,7 @@
 }
 
 // serve answers requests until the connection is closed.
-func (s *Stutterer) serve(conn net.Conn) {
+func (s *Repeater) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	requests := bufio.NewReader(conn)
 	last := ""
@@ -68,7 +68,7 @@
 			if _, err := io.WriteString(conn, s.copied(last, r)); err != nil {
 				return
 			}
-			time.Sleep(stutterPause)
+			time.Sleep(repeatPause)
 		}
 		last = s.answer(r)
 		if _, err := io.WriteString(conn, last); err != nil {
--- a/sidecar/foreign_test.go
+++ b/sidecar/foreign_test.go
@@ -116,7 +116,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			server, err := standin.NewStutterer("127.0.0.1:0", tt.answer, tt.copied)
+			server, err := standin.NewRepeater("127.0.0.1:0", tt.answer, tt.copied)
 			assert.NilError(t, err)
 			defer server.Close()
 			caller := sidecar.NewHTTPCaller()
@@ -139,7 +139,7 @@
 	tests := map[string]func(*http.Request) string{"echo": ownEchoedAnswer, "no echo": ownAnswer}
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
-			server, err := standin.NewStutterer("127.0.0.1:0", answer, standin.SameAnswer)
+			server, err := standin.NewRepeater("127.0.0.1:0", answer, standin.SameAnswer)
 			assert.NilError(t, err)
 			defer server.Close()
 			caller := sidecar.NewHTTPCaller()
@@ -212,7 +212,7 @@
 	for name, tt := range tests {
 		for server, fieldsOf := range fields {
 			t.Run(name+", "+server, func(t *testing.T) {
-				server, err := standin.NewStutterer("127.0.0.1:0", func(r *http.Request) string {
+				server, err := standin.NewRepeater("127.0.0.1:0", func(r *http.Request) string {
 					id := r.Header.Get(sidecar.HeaderAttempt)
 					list := fieldsOf(id)
 					if r.URL.Path == tt.drainingPath {
@@ -251,7 +251,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			server, err := standin.NewStutterer("127.0.0.1:0", ownEchoedAnswer, tt.copied)
+			server, err := standin.NewRepeater("127.0.0.1:0", ownEchoedAnswer, tt.copied)
 			assert.NilError(t, err)
 			defer server.Close()
 			f := newFixture(t, 5, nil)
--- a/sidecar/headers_test.go
+++ b/sidecar/headers_test.go
@@ -26,7 +26,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			server, err := standin.NewStutterer("127.0.0.1:0", func(r *http.Request) string {
+			server, err := standin.NewRepeater("127.0.0.1:0", func(r *http.Request) string {
 				id := r.Header.Get(sidecar.HeaderAttempt)
 				return answerText(id, append([]string{echo(id)}, tt.fields...)...)
 			}, standin.SameAnswer)
--- a/sidecar/status_test.go
+++ b/sidecar/status_test.go
@@ -25,7 +25,7 @@
 	}
 	for status, want := range tests {
 		t.Run(status, func(t *testing.T) {
-			server, err := standin.NewStutterer("127.0.0.1:0", func(r *http.Request) string {
+			server, err := standin.NewRepeater("127.0.0.1:0", func(r *http.Request) string {
 				return fmt.Sprintf("HTTP/1.1 %s Text\r\n%s\r\nContent-Length: 0\r\n\r\n", status, echo(r.Header.Get(sidecar.HeaderAttempt)))
 			}, standin.SameAnswer)
 			assert.NilError(t, err)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,8 @@
 	PartWorkspaces Part = "workspaces"
 	// PartStops: processes stop, with their stops overlapping, while another one is suspended.
 	PartStops Part = "stops"
+	// PartLongStops: processes stop one at a time, without other faults, while servers take long.
+	PartLongStops Part = "stops with long requests"
 	// PartRestores: the store is restored from an older copy.
 	PartRestores Part = "restores"
 	// PartDeadly: a request that crashes servers is sent again and again.
@@ -69,6 +71,10 @@
 	// PartLong: callers read long answers slowly, and their time ends meanwhile. Links between processes have no
 	// faults in a run that includes it.
 	PartLong Part = "long answers"
+	// PartStutter: servers send their answers more than once.
+	PartStutter Part = "repeated answers"
+	// PartUnframed: the same with answers without a length, behind which the copy comes before the connection's end.
+	PartUnframed Part = "repeated answers without a length"
 	// PartLimits: processes are brought near their limits on memory and descriptors, and their surroundings misbehave. The
 	// limits of their settings differ in a run that includes it.
 	PartLimits Part = "limits"
@@ -158,6 +164,7 @@
 		{PartSilentStore, func() error { return f.checkSilence(ctx, PromiseSilentStore, storeProxy) }},
 		{PartWorkspaces, func() error { return f.checkWorkspaces(ctx, random) }},
 		{PartStops, func() error { return f.checkStops(ctx, random) }},
+		{PartLongStops, func() error { return f.checkLongStops(ctx, random) }},
 		{PartRestores, func() error { return f.checkRestores(ctx, random) }},
 		{PartDeadly, func() error { return f.checkDeadly(ctx, random) }},
 		{PartEvacuations, func() error { return f.checkEvacuations(ctx, random) }},
@@ -167,6 +174,8 @@
 		{PartUnread, func() error { return f.checkUnread(ctx) }},
 		{PartReuse, func() error { return f.checkReuse(ctx, random) }},
 		{PartLong, func() error { return f.checkLong(ctx, random) }},
+		{PartStutter, func() error { return f.checkStutter(ctx, random, framedCopies...) }},
+		{PartUnframed, func() error { return f.checkStutter(ctx, random, standin.CopyUnframed) }},
 		{PartLimits, func() error { return f.checkLimits(ctx, random) }},
 	}
 	for _, part := range parts {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,12 @@
 	runSeeds(t, soak.PartStops)
 }
 
+// TestLongStops stops processes one at a time while servers take long and callers keep using the process.
+func TestLongStops(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartLongStops)
+}
+
 // TestWorkspaces makes a workspace exceed its limit while processes fail, lowers its limit and
 // revokes its key.
 func TestWorkspaces(t *testing.T) {
@@ -125,6 +131,18 @@
 	runSeeds(t, soak.PartLong)
 }
 
+// TestStutter lets servers send their answers more than once while processes fail.
+func TestStutter(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartStutter)
+}
+
+// TestUnframed lets servers send answers without a length, and copies behind them.
+func TestUnframed(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, soak.PartUnframed)
+}
+
 // TestLimits brings processes near their limits while servers, callers and their surroundings misbehave.
 func TestLimits(t *testing.T) {
 	t.Parallel()
