Keep a connection between processes whose peer responds late once

Cause: a connection on which a heartbeat had no response within 300 ms was closed if the peer then responded on a new one. The peer, or this process, may have been late with the first and no longer late with the second.

The connection is now closed only if its peer does not respond on it once more, after it has responded on the new one. A dead one is found 300 ms later, by the constants after 0.95 s instead of 0.65 s; TestSilentConnection keeps its bound of 1.5 s.

--- a/link/heartbeat.go
+++ b/link/heartbeat.go
@@ -135,11 +135,19 @@
 		time.Sleep(max(idleThreshold-m.idleTime(), m.inTransit(), minCheckInterval))
 		dead := m.connection()
 		if m.idleTime() >= idleThreshold && m.inTransit() <= 0 && !m.responds() && m.respondsOnNewConn() {
-			m.closeConn(dead)
+			m.closeIfDead(dead)
 		}
 	}
 }
 
+// closeIfDead closes a connection on which the peer does not respond after it has responded on a new one. Before that, it may
+// have been slow.
+func (m *monitor) closeIfDead(conn net.Conn) {
+	if !m.responds() {
+		m.closeConn(conn)
+	}
+}
+
 // isDone reports whether no call is in progress and something was received since the newest
 // call started. If nothing was, the call may have timed out because the connection is dead,
 // so watching goes on.
