Keep the stamp and the id of an answer whatever its Connection field names

Cause: the fields that Connection names were dropped after the checks of stamp and id. The process beside the server, which knows these names, now drops them, but never the stamp, the id or the length.

--- a/inbound/answer.go
+++ b/inbound/answer.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return u.fail(ctx, true, err)
 	}
-	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: link.AllHeaders(answer.Header), State: u.statement()}
+	head := &slatewindv1.AnswerHead{Status: int32(answer.StatusCode), Headers: u.headers(answer), State: u.statement()}
 	if complete {
 		answer.Close()
 		u.completed(answer.StatusCode)
@@ -90,6 +90,13 @@
 	return buffer.Bytes(), false, nil
 }
 
+// headers returns the header fields of an answer for its sender. A Connection field that names what proves whose the
+// answer is, or how long it is, is invalid.
+func (u *use) headers(answer *backend.Answer) []*slatewindv1.Header {
+	names := u.in.server.Headers
+	return link.AnswerHeaders(answer.Header, names.RequestID, names.Stamp, "Content-Length")
+}
+
 // rejected reports whether the server states that it did not execute the request.
 func (u *use) rejected(answer *backend.Answer) bool {
 	return answer.Header.Get(u.in.server.Headers.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest
--- a/link/headers.go
+++ b/link/headers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strings"
 
 	"slatewind.example/slatewind/api/slatewindv1"
@@ -19,40 +18,32 @@
 // ForwardedHeaders returns the header fields to forward: all but the hop-by-hop fields,
 // those that the Connection field names, and those in without, which the caller sets itself.
 func ForwardedHeaders(h http.Header, without ...string) []*slatewindv1.Header {
-	dropped := map[string]bool{}
+	dropped := connectionFields(h)
 	for _, name := range without {
 		dropped[http.CanonicalHeaderKey(name)] = true
 	}
-	for _, value := range h.Values("Connection") {
-		addConnectionFields(dropped, value)
-	}
 	return list(h, func(name string) bool { return !HopByHop[name] && !dropped[name] })
 }
 
-// EndToEnd returns the header fields of an answer that are forwarded to its caller: all but the hop-by-hop
-// fields and those that the Connection field names.
-func EndToEnd(fields []*slatewindv1.Header) []*slatewindv1.Header {
-	dropped := map[string]bool{}
-	for _, field := range fields {
-		if field.GetName() == "Connection" {
-			addConnectionFields(dropped, string(field.GetValue()))
-		}
+// AnswerHeaders returns the header fields of a server's answer that another process gets: all, including the
+// hop-by-hop ones, but those that the Connection field names. Fields in kept stay although they are named.
+func AnswerHeaders(h http.Header, kept ...string) []*slatewindv1.Header {
+	dropped := connectionFields(h)
+	for _, name := range kept {
+		delete(dropped, http.CanonicalHeaderKey(name))
 	}
-	return slices.DeleteFunc(slices.Clone(fields), func(field *slatewindv1.Header) bool {
-		return HopByHop[field.GetName()] || dropped[field.GetName()]
-	})
+	return list(h, func(name string) bool { return !dropped[name] })
 }
 
-// addConnectionFields adds the fields that a value of the Connection field names.
-func addConnectionFields(to map[string]bool, value string) {
-	for token := range strings.SplitSeq(value, ",") {
-		to[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+// connectionFields returns the canonical names of the fields that the Connection field names.
+func connectionFields(h http.Header) map[string]bool {
+	names := map[string]bool{}
+	for _, value := range h.Values("Connection") {
+		for token := range strings.SplitSeq(value, ",") {
+			names[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
 	}
-}
-
-// AllHeaders returns all header fields, including the hop-by-hop ones.
-func AllHeaders(h http.Header) []*slatewindv1.Header {
-	return list(h, func(string) bool { return true })
+	return names
 }
 
 // list returns the fields whose names are wanted. Fields of different names come in no
--- a/outbound/framing_test.go
+++ b/outbound/framing_test.go
@@ -88,15 +88,23 @@
 	}
 }
 
-// answerWith returns a server that answers with a status and the rest of an answer, byte for byte, and then closes the connection.
+// answerWith returns a server that answers with a status and the rest of an answer, byte for byte. It closes the connection only
+// behind an answer that has no other end.
 func answerWith(status int, rest string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
+		conn, buffered, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		defer func() { _ = conn.Close() }()
 		names := platform.Servers()
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: stamp\r\n%s", status, names.RequestID, r.Header.Get(names.RequestID), names.Stamp, rest)
+		bodiless := r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+		for err == nil {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: stamp\r\n%s", status, names.RequestID, r.Header.Get(names.RequestID), names.Stamp, rest)
+			if !bodiless && !strings.Contains(rest, "Content-Length") && !strings.Contains(rest, "Transfer-Encoding") {
+				return
+			}
+			r, err = http.ReadRequest(buffered.Reader)
+		}
 	})
 }
--- a/outbound/reply.go
+++ b/outbound/reply.go
@@ -159,8 +159,10 @@
 // writeHeader sets the header fields of the response. Its length is stated if it is known, so that the
 // caller notices a truncated body.
 func (a *answer) writeHeader(header http.Header) {
-	for _, h := range link.EndToEnd(a.head.GetHeaders()) {
-		header.Add(h.GetName(), string(h.GetValue()))
+	for _, h := range a.head.GetHeaders() {
+		if !link.HopByHop[h.GetName()] {
+			header.Add(h.GetName(), string(h.GetValue()))
+		}
 	}
 	if _, ok := header["Content-Type"]; !ok {
 		// Otherwise net/http would detect a content type.
