Close the connection that has been idle longest if too many are

Cause: since connections of HEAD requests, and those that have carried an id, are passed over, the pool can be full of connections that no request may use, also expired ones; a new one was then closed at once. The pool now closes the one that has been idle longest in its place.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -211,7 +211,7 @@
 		_ = a.conn.Close()
 		return
 	}
-	a.pool.carried(a.conn, a.Request)
+	a.pool.recordCarried(a.conn, a.Request)
 	a.pool.putIdle(a.conn, a.Header)
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,8 +30,8 @@
 	spent bool
 	// earlier are hashes of the IDs of the requests that were sent before the present one.
 	earlier []uint64
-	// isHead reports that these were HEAD requests.
-	isHead bool
+	// headOnly reports that these were HEAD requests.
+	headOnly bool
 	// last states the last answer that was read.
 	last string
 }
@@ -129,7 +129,7 @@
 
 // takeIdle removes and returns the most recently used idle connection that may carry a request, or nil.
 func (p *Pool) takeIdle(request *http.Request) *conn {
-	id, isHead := p.idHash(request), request.Method == http.MethodHead
+	id, isHead := p.idHash(request.Header), request.Method == http.MethodHead
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, c := range slices.Backward(p.idle) {
@@ -145,27 +145,28 @@
 // a second request with the same ID. An answer to HEAD has no body behind the length that it states, so a
 // late one could not be read on a connection for other methods, nor theirs on one for HEAD.
 func (c *conn) mayCarry(id uint64, isHead bool) bool {
-	return len(c.earlier) == 0 || c.isHead == isHead && !slices.Contains(c.earlier, id)
+	return len(c.earlier) == 0 || c.headOnly == isHead && !slices.Contains(c.earlier, id)
 }
 
-// carried records that a connection has carried a request.
-func (p *Pool) carried(c *conn, request *http.Request) {
-	c.earlier, c.isHead = append(c.earlier, p.idHash(request)), request.Method == http.MethodHead
+// recordCarried records that a connection has carried a request.
+func (p *Pool) recordCarried(c *conn, request *http.Request) {
+	c.earlier, c.headOnly = append(c.earlier, p.idHash(request.Header)), request.Method == http.MethodHead
 }
 
-// idHash returns a hash of the ID of a request.
-func (p *Pool) idHash(request *http.Request) uint64 {
-	return xxhash.Sum64String(request.Header.Get(p.dialect.RequestID))
+// idHash returns a hash of the ID in a header.
+func (p *Pool) idHash(header http.Header) uint64 {
+	return xxhash.Sum64String(header.Get(p.dialect.RequestID))
 }
 
-// putIdle adds an idle connection to the pool, or closes it if the pool is full.
+// putIdle adds an idle connection to the pool. If the pool is full, it closes the one that has been idle longest: it may be of
+// no use to the requests that come.
 func (p *Pool) putIdle(c *conn, header http.Header) {
 	c.expires = time.Now().Add(idleTimeout(header))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) >= maxIdle {
-		_ = c.Close()
-		return
+		_ = p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
 	}
 	p.idle = append(p.idle, c)
 }
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -42,8 +42,8 @@
 	Status int
 	// Earlier is the number of requests that the connection had carried before.
 	Earlier int
-	// After states the last answer before it on the connection, empty if there was none.
-	After string
+	// Last states the last answer before it on the connection, empty if there was none.
+	Last string
 }
 
 // hasID reports whether the ID fields of a request state one ID, by which its answer can be told from others.
@@ -96,6 +96,6 @@
 	if p.observe == nil {
 		return
 	}
-	s.Request, s.Earlier, s.After = request.Header.Get(p.dialect.RequestID), len(c.earlier), c.last
+	s.Request, s.Earlier, s.Last = request.Header.Get(p.dialect.RequestID), len(c.earlier), c.last
 	p.observe(s)
 }
--- a/backend/surplus_test.go
+++ b/backend/surplus_test.go
@@ -36,14 +36,14 @@
 		script script
 		want   backend.Surplus
 	}{
-		"foreign ID":       {script{good, foreign + good}, backend.Surplus{Kind: backend.SurplusForeignID, Request: "id-2", Carried: "other", Status: 200, Earlier: 1, After: "GET 200"}},
-		"long ID":          {script{good, withID("Request-Id: "+long+"\r\n") + good}, backend.Surplus{Kind: backend.SurplusForeignID, Request: "id-2", Carried: long[:64] + "...", Status: 200, Earlier: 1, After: "GET 200"}},
-		"no ID":            {script{good, withID("") + good}, backend.Surplus{Kind: backend.SurplusNoID, Request: "id-2", Status: 200, Earlier: 1, After: "GET 200"}},
-		"empty ID":         {script{good, withID("Request-Id:\r\n") + good}, backend.Surplus{Kind: backend.SurplusEmptyID, Request: "id-2", Status: 200, Earlier: 1, After: "GET 200"}},
-		"several IDs":      {script{good, withID(idLine+"Request-Id: other\r\n") + good}, backend.Surplus{Kind: backend.SurplusSeveralIDs, Request: "id-2", Carried: "id-2,other", Status: 200, Earlier: 1, After: "GET 200"}},
-		"after an interim": {script{good, "HTTP/1.1 103 Early Hints\r\n\r\n" + foreign + good}, backend.Surplus{Kind: backend.SurplusForeignID, Request: "id-2", Carried: "other", Status: 200, Earlier: 1, After: "interim 103"}},
-		"in a body":        {script{good, strings.Replace(good, "Content-Length: 4\r\n", "", 1) + foreign + "|" + hangUp}, backend.Surplus{Kind: backend.SurplusInBody, Request: "id-2", Status: 200, Earlier: 1, After: "GET 200"}},
-		"behind an answer": {script{good + foreign, good}, backend.Surplus{Kind: backend.SurplusAtClose, Request: "id-1", After: "GET 200"}},
+		"foreign ID":       {script{good, foreign + good}, backend.Surplus{Kind: backend.SurplusForeignID, Request: "id-2", Carried: "other", Status: 200, Earlier: 1, Last: "GET 200"}},
+		"long ID":          {script{good, withID("Request-Id: "+long+"\r\n") + good}, backend.Surplus{Kind: backend.SurplusForeignID, Request: "id-2", Carried: long[:64] + "...", Status: 200, Earlier: 1, Last: "GET 200"}},
+		"no ID":            {script{good, withID("") + good}, backend.Surplus{Kind: backend.SurplusNoID, Request: "id-2", Status: 200, Earlier: 1, Last: "GET 200"}},
+		"empty ID":         {script{good, withID("Request-Id:\r\n") + good}, backend.Surplus{Kind: backend.SurplusEmptyID, Request: "id-2", Status: 200, Earlier: 1, Last: "GET 200"}},
+		"several IDs":      {script{good, withID(idLine+"Request-Id: other\r\n") + good}, backend.Surplus{Kind: backend.SurplusSeveralIDs, Request: "id-2", Carried: "id-2,other", Status: 200, Earlier: 1, Last: "GET 200"}},
+		"after an interim": {script{good, "HTTP/1.1 103 Early Hints\r\n\r\n" + foreign + good}, backend.Surplus{Kind: backend.SurplusForeignID, Request: "id-2", Carried: "other", Status: 200, Earlier: 1, Last: "interim 103"}},
+		"in a body":        {script{good, strings.Replace(good, "Content-Length: 4\r\n", "", 1) + foreign + "|" + hangUp}, backend.Surplus{Kind: backend.SurplusInBody, Request: "id-2", Status: 200, Earlier: 1, Last: "GET 200"}},
+		"behind an answer": {script{good + foreign, good}, backend.Surplus{Kind: backend.SurplusAtClose, Request: "id-1", Last: "GET 200"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -60,7 +60,7 @@
 
 // TestSurplusAtReuseIsReported checks that bytes that arrive on an idle connection are told, and that its orderly end is not.
 func TestSurplusAtReuseIsReported(t *testing.T) {
-	want := backend.Surplus{Kind: backend.SurplusAtReuse, Request: "id-2", Earlier: 1, After: "GET 200"}
+	want := backend.Surplus{Kind: backend.SurplusAtReuse, Request: "id-2", Earlier: 1, Last: "GET 200"}
 	tests := map[string]struct {
 		then func(net.Conn)
 		want []backend.Surplus
--- a/inbound/surplus.go
+++ b/inbound/surplus.go
@@ -44,6 +44,6 @@
 		Time: now, Kind: slatewind.DecisionDropReply, Service: in.server.Service, Server: in.name, Request: s.Request,
 		Reason: "the server sent an answer or bytes that are not known to belong to the request: " + string(s.Kind),
 		Evidence: fmt.Sprintf("surplus=%s carried=%q status=%d earlier=%d last=%q lines_left_out=%d",
-			s.Kind, s.Carried, s.Status, s.Earlier, s.After, leftOut),
+			s.Kind, s.Carried, s.Status, s.Earlier, s.Last, leftOut),
 	})
 }
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -245,7 +245,7 @@
 	"a connection carries requests with one id": {
 		promise: soak.PromiseOwnAnswer,
 		part:    soak.PartStutter,
-		edits:   []overlay.Edit{{File: "backend/pool.go", From: "c.isHead == isHead && !slices.Contains(c.earlier, id)", To: "c.isHead == isHead"}},
+		edits:   []overlay.Edit{{File: "backend/pool.go", From: "c.headOnly == isHead && !slices.Contains(c.earlier, id)", To: "c.headOnly == isHead"}},
 	},
 	"an answer without a length may contain another one": {
 		promise: soak.PromiseOwnAnswer,
