Keep a connection after a late answer to an earlier request on it

Callers saw nothing; a server that answers everything twice got 250 connections for 500 requests (TestLateAnswersWithIDsKeepConnections, found by the review), where opened one. New connections take a server's time.

A late answer with the id of a request that the connection has carried is told apart from all that follow, so the connection is kept; any other surplus answer still ends it after its request. The test failed before and passes now with one connection.

--- a/backend/keep_test.go
+++ b/backend/keep_test.go
@@ -40,3 +40,18 @@
 	}
 	assert.Equal(t, pool.Opened(), uint64(idle+1))
 }
+
+// TestLateAnswersWithIDsKeepConnections checks that late second answers with the IDs of earlier requests on their connection, by
+// which they are told apart, cost no new connections.
+func TestLateAnswersWithIDsKeepConnections(t *testing.T) {
+	const requests = 500
+	same := func(answer, _ string) string { return answer }
+	pool := backend.NewPool(newStutteringServer(t, stampedAnswer, same), dialect)
+	for i := range requests {
+		id := fmt.Sprint("id-", i)
+		body, _, err := do(pool, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, id)
+	}
+	assert.Equal(t, pool.Opened(), uint64(1), "connections for %d requests", requests)
+}
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -84,8 +84,10 @@
 		return true
 	}
 	carried := clip.Text(strings.Join(ids, ","), maxIDBytes)
-	// A server that answers twice is likely to do so again.
-	c.spent = true
+	if kind != SurplusForeignID || !slices.Contains(c.earlier, p.idHash(response.Header)) {
+		// The answers that follow may not be told apart. Late ones to earlier requests on the connection are, by their IDs.
+		c.spent = true
+	}
 	p.report(c, request, Surplus{Kind: kind, Carried: carried, Status: response.StatusCode})
 	c.last = string(kind) + " " + status
 	return false
