Take no answer to HEAD for one without an end

A late answer to HEAD that states no length failed the next request on its connection, and the connection of such an answer was never kept: it has no body, but counted as one that ends with its connection.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -166,7 +166,7 @@
 
 // isUnframed reports whether the body of an answer ends only with its connection.
 func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
 }
 
 // consumed returns the number of bytes of the connection that were taken as answers so far.
--- a/backend/keep_test.go
+++ b/backend/keep_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,6 +11,50 @@
 	"slatewind.example/slatewind/backend"
 )
 
+// TestLateAnswersWithIDsKeepConnections checks that late second answers with the IDs of earlier requests on their connection, by
+// which they are told apart, cost no new connections.
+func TestLateAnswersWithIDsKeepConnections(t *testing.T) {
+	const requests = 500
+	same := func(answer, _ string) string { return answer }
+	pool := backend.NewPool(newStutteringServer(t, stampedAnswer, same), dialect)
+	for i := range requests {
+		id := fmt.Sprint("id-", i)
+		body, _, err := do(pool, id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, id)
+	}
+	assert.Equal(t, pool.Opened(), uint64(1), "connections for %d requests", requests)
+}
+
+// TestForeignAnswerToHeadWithoutLength checks that a late answer to HEAD that states no length, which has no body, is discarded as
+// one with a length is.
+func TestForeignAnswerToHeadWithoutLength(t *testing.T) {
+	framed := "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n"
+	late := "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Stamp: s\r\n\r\n"
+	pool := backend.NewPool(newFakeServer(t, script{framed, late + framed}, script{framed}).address, dialect)
+	for _, id := range []string{"id-1", "id-2"} {
+		r := newRequest(id)
+		r.Method = http.MethodHead
+		_, _, err := send(pool, r)
+		assert.NilError(t, err)
+	}
+}
+
+// TestNoByteOfForeignAnswerIsTaken sends every prefix of a late copy, cut off, in the place of an answer.
+func TestNoByteOfForeignAnswerIsTaken(t *testing.T) {
+	late := strings.ReplaceAll("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\nold!", "{id}", "id-1")
+	lateChunks := strings.ReplaceAll("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nold!\r\n0\r\n\r\n", "{id}", "id-1")
+	for _, copied := range []string{late, lateChunks} {
+		for cut := range len(copied) {
+			pool := backend.NewPool(newFakeServer(t, script{good, copied[:cut] + good + "|" + hangUp}, script{good}).address, dialect)
+			_, _, err := do(pool, "id-1")
+			assert.NilError(t, err)
+			body, _, err := do(pool, "id-2")
+			assert.Assert(t, err != nil || body == "body", "cut at %d: %q", cut, body)
+		}
+	}
+}
+
 // TestIdleHeadConnectionsLeaveRoom checks that connections that only HEAD requests may use do not keep those of other requests from
 // being kept, also once they have expired.
 func TestIdleHeadConnectionsLeaveRoom(t *testing.T) {
@@ -40,18 +85,3 @@
 	}
 	assert.Equal(t, pool.Opened(), uint64(idle+1))
 }
-
-// TestLateAnswersWithIDsKeepConnections checks that late second answers with the IDs of earlier requests on their connection, by
-// which they are told apart, cost no new connections.
-func TestLateAnswersWithIDsKeepConnections(t *testing.T) {
-	const requests = 500
-	same := func(answer, _ string) string { return answer }
-	pool := backend.NewPool(newStutteringServer(t, stampedAnswer, same), dialect)
-	for i := range requests {
-		id := fmt.Sprint("id-", i)
-		body, _, err := do(pool, id)
-		assert.NilError(t, err)
-		assert.Equal(t, body, id)
-	}
-	assert.Equal(t, pool.Opened(), uint64(1), "connections for %d requests", requests)
-}
