Let the stand-in of TestFramingOfAnswers close its connections in order

One case of 23 failed in one whole run of package outbound beside load (304 with a length: status 502, "connection reset by peer"). The stand-in closed its connection while something of the request could still be unread, which resets it.

--- a/outbound/framing_test.go
+++ b/outbound/framing_test.go
@@ -98,5 +98,9 @@
 		defer func() { _ = conn.Close() }()
 		names := platform.Servers()
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: stamp\r\n%s", status, names.RequestID, r.Header.Get(names.RequestID), names.Stamp, rest)
+		// A close before all was read could reset the connection, and the answer with it.
+		if tcp, ok := conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
 	})
 }
