Free the connection of an answer before its slot

A server of the YAML file got more connections than it has slots: the next attempt began while the answer of the last one was still being sent to a slow ingress, and the connection was taken until that ended. Found by the review; TestConnectionIsFreeWithItsSlot failed before (2 connections, one slot) and passes now. The whole answer is held, so its connection is free.

--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -227,6 +227,8 @@
 	if !whole {
 		return r.stream(ctx, answer, body)
 	}
+	// The connection must be free before the slot is: the next attempt would open another one.
+	answer.Close()
 	kept := &slatewind.Answer{Status: answer.Status, Headers: answer.Headers, Body: body}
 	r.finish(kept)
 	return r.sendAnswer(kept, false)
