Reset callers with HTTP/1.0 at the product's own ingress too

Same cause as at processes beside listed servers, in the second place where answers are written to callers; the guard of package link now serves both, and a stop waits there too for connections that are being closed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -207,7 +207,7 @@
 	p.conns = connlimit.New(p.limits.Descriptors / callersShare)
 	p.callers = &http.Server{
 		Handler: connlimit.Handler(p.ingress), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ConnState: p.conns.State, ConnContext: connlimit.Context,
+		ConnState: p.conns.State, ConnContext: connContext,
 	}
 	p.admin = &http.Server{Handler: admin.NewHandler(p.sources()), ReadHeaderTimeout: readHeaderTimeout}
 	p.peers = grpc.NewServer(link.ServerOptions()...)
@@ -230,6 +230,7 @@
 	p.drain("the process received a stop signal")
 	p.waitUntilIdle(ctx)
 	err := p.callers.Shutdown(ctx)
+	p.conns.AwaitClosed(ctx)
 	// Only gossip is left; calls in progress ended above.
 	stopPeers(p.peers, drainNotice)
 	p.cancel()
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -148,13 +148,18 @@
 // The memory of buffers that the kernel chooses would not be bounded by limits.answer_bytes.
 const callerWriteBuffer = 64 << 10
 
-// limitWriteBuffer is the http.Server.ConnContext hook: it limits the write buffer of a connection, besides what packages link and
-// connlimit do there.
+// limitWriteBuffer is the http.Server.ConnContext hook: it limits the write buffer of a connection, besides what connContext
+// does.
 func limitWriteBuffer(ctx context.Context, conn net.Conn) context.Context {
 	if buffered, ok := conn.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		// An error leaves the kernel's choice in force.
 		_ = buffered.SetWriteBuffer(callerWriteBuffer)
 	}
+	return connContext(ctx, conn)
+}
+
+// connContext is the http.Server.ConnContext hook that packages link and connlimit need.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
 	return connlimit.Context(link.ConnContext(ctx, conn), conn)
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -128,7 +128,7 @@
 	}
 	final := in.dispatch(r.Context(), rq)
 	in.meter.Request(rq.route.GetName(), final.outcome, time.Since(rq.began))
-	in.respond(w, rq, final)
+	in.respond(r.Context(), w, rq, final)
 }
 
 func (in *Ingress) newID() string {
@@ -307,9 +307,9 @@
 	return http.StatusGatewayTimeout
 }
 
-func (in *Ingress) respond(w http.ResponseWriter, rq *request, f finalResult) {
+func (in *Ingress) respond(ctx context.Context, w http.ResponseWriter, rq *request, f finalResult) {
 	if f.outcome == slatewind.OutcomeAnswer {
-		in.forwardAnswer(w, rq, f)
+		in.forwardAnswer(ctx, w, rq, f)
 		return
 	}
 	kind := slatewind.DecisionRefuse
@@ -344,7 +344,7 @@
 // forwardAnswer forwards the server's answer to the caller. If the answer breaks
 // off, it aborts the caller's connection, so that a truncated answer cannot pass
 // for a complete one.
-func (in *Ingress) forwardAnswer(w http.ResponseWriter, rq *request, f finalResult) {
+func (in *Ingress) forwardAnswer(ctx context.Context, w http.ResponseWriter, rq *request, f finalResult) {
 	reply := f.reply.Reply
 	defer f.reply.done()
 	for _, h := range reply.Head.GetHeaders() {
@@ -359,9 +359,19 @@
 	if reply.Rest == nil && len(reply.Body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	}
+	whole := func() {}
+	if rq.oldCaller && w.Header().Get("Content-Length") == "" {
+		end := link.GuardAnswer(ctx)
+		whole = func() {
+			// What is still buffered belongs to the answer.
+			_ = http.NewResponseController(w).Flush()
+			end()
+		}
+	}
 	w.WriteHeader(int(reply.Head.GetStatus()))
 	err := writeBody(w, reply)
 	if err == nil || errors.Is(err, http.ErrBodyNotAllowed) {
+		whole()
 		return
 	}
 	in.journal.Add(slatewind.Decision{
--- a/ingress/truncated_test.go
+++ b/ingress/truncated_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"slatewind.example/slatewind/link"
 )
 
 // TestTruncatedReplyLooksTruncated guards against a reply that broke off and that its caller takes for complete, also if it
@@ -51,3 +53,25 @@
 		}
 	}
 }
+
+// TestEndedIngressTruncatesVisibly guards against a reply without a length that appears complete to a caller with HTTP/1.0 although
+// the end of the process cut it off.
+func TestEndedIngressTruncatesVisibly(t *testing.T) {
+	chunk := make([]byte, 100_000)
+	in, _ := newIngress(t, &fakeLinks{all: answers, rest: func() ([]byte, error) { return chunk, nil }})
+	callers := httptest.NewUnstartedServer(in)
+	callers.Config.ConnContext = link.ConnContext
+	callers.Start()
+	t.Cleanup(callers.Close)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(callers.URL, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprint(conn, "GET /prices/1 HTTP/1.0\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, callers.Config.Close())
+	n, err := io.Copy(io.Discard, conn)
+	assert.Assert(t, err != nil, "%d bytes appear complete", n)
+}
