Reject requests that state their id more than once

Such a request ran, and its caller got 502: the process beside the server accepts an answer with any of the ids, the process that took the request only one with the first alone. Found by the review. No answer can be proved to be that of the request, so it is rejected with 400 before anything is sent, with the name of the field.

--- a/outbound/request.go
+++ b/outbound/request.go
@@ -164,6 +164,9 @@
 	if o.memory.Guard.Short(o.InFlight()) {
 		return nil, errShortOfMemory
 	}
+	if ids := r.Header.Values(o.headerNames.RequestID); len(ids) > 1 {
+		return nil, &rejection{status: http.StatusBadRequest, reason: fmt.Sprintf("the header has %d fields %s: no answer could be told to be that of the request", len(ids), o.headerNames.RequestID)}
+	}
 	snapshot := o.store.Current()
 	if snapshot == nil {
 		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "no settings are in force yet", retryAfter: noSettingsRetryAfter}
