Count a request as written that has been, however late that is asked

Connections were closed needlessly on a busy machine: beside load of 45 to 60, TestConnectionsBesideRepeatedIDs failed in 5 of 6 runs and TestKeepsAfterQuickAnswer in 4 of 8, each with a connection more than expected.

Cause: whether the whole request was written was told by a goroutine that may be scheduled 20 ms late, and when both its end and the time-out were there, either could win. A request without a body is now written before its answer is awaited, and an end that has come counts first. Of a request with a body the wait stays.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -94,7 +94,12 @@
 		sending(func() bool { return unread(c.Conn) })
 	}
 	writer := &requestWriter{w: c, done: make(chan struct{})}
-	go writer.write(request)
+	if request.Body == nil {
+		writer.write(request)
+	} else {
+		// The server may answer before it has read the body.
+		go writer.write(request)
+	}
 	response, err := p.readResponse(c, request) //nolint:bodyclose // Answer.Close ends the connection.
 	if err != nil {
 		_ = c.Close()
@@ -124,6 +129,24 @@
 	w.err = request.Write(w)
 }
 
+// endsWithin waits for the end of writing and reports whether it came in time. An end that is already there counts, however
+// late this is called.
+func (w *requestWriter) endsWithin(wait time.Duration) bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case <-w.done:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
 // Write implements io.Writer.
 func (w *requestWriter) Write(b []byte) (int, error) {
 	n, err := w.w.Write(b)
@@ -228,13 +251,6 @@
 		a.pool.report(a.conn, a.Request, Surplus{Kind: SurplusAtClose})
 		return false
 	}
-	sending := time.NewTimer(writeWait)
-	defer sending.Stop()
-	select {
-	case <-a.writer.done:
-		return a.writer.err == nil
-	case <-sending.C:
-		// The server would take the rest of the request's body for the next request.
-		return false
-	}
+	// The server would take the rest of the request's body for the next request.
+	return a.writer.endsWithin(writeWait) && a.writer.err == nil
 }
