Add a case in which servers get a changed path

Cause: the target of a request is sent as the opaque part of a URL, before which net/url puts a colon if it begins with two slashes.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 type play func(f *fleet, trouble bool) (broken string, err error)
 
 var cases = map[string]play{
+	"slashes": slashes,
 	"uploads": uploads,
 }
 
