--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,8 +29,9 @@
 type play func(f *fleet, trouble bool) (broken string, err error)
 
 var cases = map[string]play{
-	"slashes": slashes,
-	"uploads": uploads,
+	"slashes":      slashes,
+	"uploads":      uploads,
+	"stop-readers": stopReaders,
 }
 
 func main() {
