--- a/review/standin-2/uploads.go
+++ b/review/standin-2/uploads.go
@@ -126,7 +126,11 @@
 		reader = &slowReader{conn, slowBytes, slowInterval}
 	}
 	text := head("POST", "/scan/1", host, id, uploadBudget, fmt.Sprintf("Content-Length: %d", len(body)))
-	if _, err := conn.Write(append([]byte(text), body...)); err != nil {
+	_, err = io.WriteString(conn, text)
+	if err == nil {
+		_, err = conn.Write(body)
+	}
+	if err != nil {
 		f.record.add("upload %s was not sent whole: %v", id, err)
 		return time.Second
 	}
