--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../target/review-2
-GOWORK=off go build -o ../../target/review-2/standin-2 .
+GOWORK=off go build -buildvcs=false -o ../../target/review-2/standin-2 .
