Fail an answer whose connection is reset beside the upload

Callers of a long upload got part of an answer as a complete one: a server answered at once without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: such a body ends with its connection, and a reset should be an error there. But the system reports a reset only to the first call on the socket that asks. If that is the write of the upload, with ECONNRESET, the reader gets an end of file. unread, which inbound calls while a request runs, peeks into the socket and took the error away in the same way.

Ruled out: EPIPE as a sign. A peer that ends its direction in order and then resets gives EPIPE to writes, and its answer is whole.

Change: package resetconn wraps the connections of backend and of the own path. A read that gets an end of file asks for the state of the socket. If that is not closed, the end was an orderly one, whatever a blocked write does. If it is closed, no write can block, so the read waits for the one that is under way, and fails if any write got ECONNRESET. unread asks for the number of unread bytes, which leaves the error in place.

Why it works: an end of file means either that the peer's end arrived or that another call took the reset, and writes are the only other calls left.

Cannot be told apart: a server that closes without having read the upload and without ending its direction first is a reset to the system. Its answer without a length fails now whoever learns first; before, that was so only if the reader did.

Other places: platform and the CLI write no bodies; between processes, answers state their end; probes have no body and read none.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 
 	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/resetconn"
 )
 
 // conn is one connection to the server.
@@ -116,7 +118,7 @@
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	raw, err := resetconn.Dial(ctx, &dialer, p.address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -186,7 +188,7 @@
 }
 
 // unread reports whether bytes are waiting to be read on a connection. It may be called during a
-// read.
+// read. Unlike a read that only looks, it leaves a reset to be reported to the reader.
 func unread(c net.Conn) bool {
 	control := rawConn(c)
 	if control == nil {
@@ -194,8 +196,7 @@
 	}
 	waiting := 0
 	err := control.Control(func(descriptor uintptr) {
-		var one [1]byte
-		waiting, _, _ = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCINQ)
 	})
 	return err == nil && waiting > 0
 }
--- a/sidecar/connection.go
+++ b/sidecar/connection.go
@@ -1,12 +1,15 @@
 package sidecar
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"slatewind.example/slatewind/resetconn"
 )
 
 // connection is an HTTP client for one address that has one connection at a time. Only one request uses it at a time,
@@ -18,7 +21,9 @@
 func newConnection() *connection {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &connection{transport: &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return resetconn.Dial(ctx, dialer, address)
+		},
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 
