Deliver early answers to uploads on the own path

Callers of a server of the YAML file got 504 in place of a whole answer that the server sent early to a long upload, if the server then ended the connection without reading the rest of it.

Cause: the standard library's transport closes a connection as soon as a write fails on it. What the server had sent and was not read yet was lost.

Evidence: found by the test of a reset beside an upload.

Change: a write that fails returns only once a read has failed, too, or the connection is closed. The transport then closes nothing that can still be read.

Why it works: the transport reads a connection until the answer's end, its own or that of the connection, and closes it on each other way out, so a write that is held returns in each case. The end of a whole answer to such an upload may be passed on 50 ms later: the transport waits so long for the request to be written, as it does for a server that keeps the connection and doesn't read.

--- a/daemon/brokenanswer_test.go
+++ b/daemon/brokenanswer_test.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/internal/standin"
 	"slatewind.example/slatewind/platform"
+	"slatewind.example/slatewind/sidecar"
 )
 
 // serveEarly lets a server answer at the address of the server with a status line and the rest of an answer as soon as it has read
@@ -25,23 +29,25 @@
 	p.t.Cleanup(server.Close)
 }
 
+// earlyAnswers are answers that a server sends to an upload while it is still being written.
+var earlyAnswers = map[string]struct {
+	status string
+	rest   string
+	end    func(*net.TCPConn)
+	whole  bool
+}{
+	"no length, reset":        {"200 OK", "\r\nbody", standin.EndByReset, false},
+	"error, no length, reset": {"500 Error", "\r\nbody", standin.EndByReset, false},
+	"no length, orderly end":  {"200 OK", "\r\nbody", standin.EndInOrder, true},
+	"length, reset":           {"200 OK", "Content-Length: 4\r\n\r\nbody", standin.EndByReset, true},
+	"chunks, reset":           {"200 OK", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", standin.EndByReset, true},
+}
+
 // TestEarlyAnswerToUpload checks that the caller of a long upload gets an answer that the server sends while the upload is still
 // being written, unless the server cuts it off.
 func TestEarlyAnswerToUpload(t *testing.T) {
 	const uploads, uploadBytes = 4, 8 << 20
-	tests := map[string]struct {
-		status string
-		rest   string
-		end    func(*net.TCPConn)
-		want   int
-	}{
-		"no length, reset":        {"200 OK", "\r\nbody", standin.EndByReset, http.StatusBadGateway},
-		"error, no length, reset": {"500 Error", "\r\nbody", standin.EndByReset, http.StatusBadGateway},
-		"no length, orderly end":  {"200 OK", "\r\nbody", standin.EndInOrder, http.StatusOK},
-		"length, reset":           {"200 OK", "Content-Length: 4\r\n\r\nbody", standin.EndByReset, http.StatusOK},
-		"chunks, reset":           {"200 OK", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", standin.EndByReset, http.StatusOK},
-	}
-	for name, test := range tests {
+	for name, test := range earlyAnswers {
 		t.Run(name, func(t *testing.T) {
 			p := newNodeProcess(t)
 			p.serveEarly(test.status, test.rest, test.end)
@@ -49,9 +55,47 @@
 			p.awaitReady()
 			for range uploads {
 				status, body := p.send(http.MethodPost, "/pay/x", bytes.NewReader(make([]byte, uploadBytes)))
-				assert.Equal(t, status, test.want, "%s", body)
-				if test.want == http.StatusOK {
+				if test.whole {
+					assert.Equal(t, status, http.StatusOK, "%s", body)
 					assert.Equal(t, body, "body")
+				} else {
+					assert.Equal(t, status, http.StatusBadGateway, "%s", body)
+				}
+			}
+		})
+	}
+}
+
+// serveText replaces the server of a process by one that is listed in the settings, at the given address. Its route /uploads takes
+// long bodies.
+func (m *mesh) serveText(p *process, address string) {
+	m.t.Helper()
+	p.serverAddress = address
+	route := "  - {name: upload, path_prefix: /uploads, service: kassa, kind: repeatable, timeout: 4s, max_body_bytes: 7340032}\n"
+	revision := m.platform.Publish([]byte(m.settings(0) + route))
+	m.await("the settings with the server", func() bool { return m.state(p).Settings.Revision == revision })
+}
+
+// TestEarlyAnswerOnOwnPath is TestEarlyAnswerToUpload for a server that the settings list.
+func TestEarlyAnswerOnOwnPath(t *testing.T) {
+	const uploads, uploadBytes = 4, 7 << 20
+	for name, test := range earlyAnswers {
+		t.Run(name, func(t *testing.T) {
+			server, err := standin.NewEarly("127.0.0.1:0", func(r *http.Request) string {
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s", test.status, sidecar.HeaderAttempt, r.Header.Get(sidecar.HeaderAttempt), test.rest)
+			}, test.end)
+			assert.NilError(t, err)
+			t.Cleanup(server.Close)
+			m := newMesh(t, 1, time.Millisecond)
+			m.serveText(m.processes[0], server.Address())
+			for i := range uploads {
+				got := sendBody(m.processes[0], http.MethodPost, "/uploads", fmt.Sprint("n", i), 0, strings.Repeat("b", uploadBytes))
+				assert.NilError(t, got.err)
+				if test.whole {
+					assert.Equal(t, got.status, http.StatusOK, "%+v", got)
+					assert.Equal(t, got.body, "body")
+				} else {
+					assert.Equal(t, got.outcome, slatewind.OutcomeUnknown, "%+v", got)
 				}
 			}
 		})
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -204,7 +204,12 @@
 }
 
 func send(p *process, method, path, key string, attempt int) result {
-	r, err := http.NewRequest(method, "http://"+p.ingress+path, strings.NewReader(""))
+	return sendBody(p, method, path, key, attempt, "")
+}
+
+// sendBody is send with a body.
+func sendBody(p *process, method, path, key string, attempt int, body string) result {
+	r, err := http.NewRequest(method, "http://"+p.ingress+path, strings.NewReader(body))
 	if err != nil {
 		return result{err: err}
 	}
@@ -219,8 +224,8 @@
 		return result{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	got := result{outcome: slatewind.Outcome(response.Header.Get(ingress.HeaderOutcome)), header: response.Header, status: response.StatusCode, body: string(body), err: err}
+	answer, err := io.ReadAll(response.Body)
+	got := result{outcome: slatewind.Outcome(response.Header.Get(ingress.HeaderOutcome)), header: response.Header, status: response.StatusCode, body: string(answer), err: err}
 	if got.outcome == "" && err == nil {
 		got.outcome = slatewind.OutcomeAnswer
 	}
--- a/sidecar/connection.go
+++ b/sidecar/connection.go
@@ -22,7 +22,11 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &connection{transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return resetconn.Dial(ctx, dialer, address)
+			conn, err := resetconn.Dial(ctx, dialer, address)
+			if err != nil {
+				return nil, err
+			}
+			return newUploadConn(conn), nil
 		},
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
