Refuse answers without a final status at once

Callers waited until their time was over when a server answered with status 000 or 099, or with 101, and kept the connection open: 504 after 8 s through a whole process. A status of 700 reached them as an answer. On the own path 000, 099 and 101 were refused already, but 700 and 999 passed, and a probe that got 000, 099 or 101 counted as good.

Cause: the standard library's reader takes any three digits. backend took all below 200 for interim answers and went on to wait; outbound and the own path had bounds of their own, or none.

Change: one definition of a final status, 200 to 599 (RFC 9110, section 15). backend, outbound, the own path, probes and the reader of replies between processes use it. In backend only 100 to 199 without 101 are interim; what is neither is malformed, before its ID is looked at.

A check replaced: TestStatusOfAnswer stated 999 as an answer. Nothing above 599 is defined and a client is to treat it as a failure of the server, so the rows 600, 700 and 999 now state that there is no answer.

Why it works: what is no answer is known from its status line, so nothing is waited for. The caller gets 502, or the answer of another server if the request may be repeated; on the own path what it gets for any answer that is none.

Other places: a peer's reply with a status that net/http refuses to write would have made ingress panic; outbound refused most of these. platform takes 200, 404 and 410 only, the CLI 200.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeebo/errs"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/clip"
 )
 
@@ -165,6 +166,9 @@
 			return nil, malformedAnswer(err)
 		}
 		c.head.endHead()
+		if !isInterim(response) && !slatewind.IsFinalStatus(response.StatusCode) {
+			return nil, errs.Combine(ErrMalformedAnswer, Error.New("status %d", response.StatusCode))
+		}
 		if !p.isOwn(c, request, response) {
 			if err := c.discard(response, limit); err != nil {
 				return nil, err
@@ -187,6 +191,13 @@
 	return nil, ErrForeignAnswer
 }
 
+// isInterim reports whether another answer to the same request follows. None follows on the connection
+// after 101, which only a request with an Upgrade field asks for.
+func isInterim(response *http.Response) bool {
+	status := response.StatusCode
+	return http.StatusContinue <= status && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // isUnframed reports whether the body of an answer ends only with its connection.
 func isUnframed(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
--- a/backend/surplus.go
+++ b/backend/surplus.go
@@ -73,7 +73,7 @@
 // reports one that no request asked for.
 func (p *Pool) isOwn(c *conn, request *http.Request, response *http.Response) bool {
 	status := strconv.Itoa(response.StatusCode)
-	if response.StatusCode < http.StatusOK {
+	if isInterim(response) {
 		c.last = "interim " + status
 		return false
 	}
--- a/daemon/brokenanswer_test.go
+++ b/daemon/brokenanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -101,3 +102,64 @@
 		})
 	}
 }
+
+// invalidAnswers are answers of which no caller may get anything. The ID and the stamp are in the place of the %s.
+var invalidAnswers = map[string]string{
+	"status 000": "HTTP/1.1 000 None\r\n%sContent-Length: 4\r\n\r\nbody",
+	"status 099": "HTTP/1.1 099 None\r\n%sContent-Length: 4\r\n\r\nbody",
+	"status 101": "HTTP/1.1 101 Switching Protocols\r\n%sUpgrade: a\r\n\r\n",
+	"status 700": "HTTP/1.1 700 None\r\n%sContent-Length: 4\r\n\r\nbody",
+}
+
+// soonTime is far below the time of a request that waits for an answer.
+const soonTime = 2 * time.Second
+
+// keepOpen waits until the client closes a connection.
+func keepOpen(conn *net.TCPConn) {
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+}
+
+// TestInvalidAnswer checks that the caller of a server that sends an invalid answer and keeps the connection open gets a
+// rejection soon.
+func TestInvalidAnswer(t *testing.T) {
+	for name, text := range invalidAnswers {
+		t.Run(name, func(t *testing.T) {
+			names := platform.Servers()
+			p := newNodeProcess(t)
+			server, err := standin.NewEarly(p.address(portServer), func(r *http.Request) string {
+				return fmt.Sprintf(text, fmt.Sprintf("%s: %s\r\n%s: stamp\r\n", names.RequestID, r.Header.Get(names.RequestID), names.Stamp))
+			}, keepOpen)
+			assert.NilError(t, err)
+			t.Cleanup(server.Close)
+			p.start(nil)
+			p.awaitReady()
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				began := time.Now()
+				status, body := p.send(method, "/pay/x", nil)
+				assert.Equal(t, status, http.StatusBadGateway, "%s", body)
+				assert.Assert(t, time.Since(began) < soonTime, "took %s", time.Since(began))
+			}
+		})
+	}
+}
+
+// TestInvalidAnswerOnOwnPath is TestInvalidAnswer for a server that the settings list.
+func TestInvalidAnswerOnOwnPath(t *testing.T) {
+	for name, text := range invalidAnswers {
+		t.Run(name, func(t *testing.T) {
+			server, err := standin.NewEarly("127.0.0.1:0", func(r *http.Request) string {
+				return fmt.Sprintf(text, fmt.Sprintf("%s: %s\r\n", sidecar.HeaderAttempt, r.Header.Get(sidecar.HeaderAttempt)))
+			}, keepOpen)
+			assert.NilError(t, err)
+			t.Cleanup(server.Close)
+			m := newMesh(t, 1, time.Millisecond)
+			m.serveText(m.processes[0], server.Address())
+			began := time.Now()
+			got := send(m.processes[0], http.MethodGet, "/prices/1", "n", 0)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.outcome, slatewind.OutcomeUnknown, "%+v", got)
+			assert.Assert(t, time.Since(began) < soonTime, "took %s", time.Since(began))
+		})
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -30,6 +30,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 )
 
@@ -242,7 +243,7 @@
 }
 
 // ReadReply assembles the parts of a reply. It returns ErrAttemptMismatch if they belong to another
-// attempt and ErrCorrupt if the reply is incomplete or corrupt.
+// attempt and ErrCorrupt if the reply is incomplete or corrupt, or its answer is none that a server can have sent.
 func ReadReply(attemptID string, receive func() (*slatewindv1.RunReply, error)) (*Reply, error) {
 	part, err := receive()
 	if err != nil {
@@ -255,6 +256,9 @@
 	if head.GetAttemptId() != attemptID {
 		return nil, ErrAttemptMismatch
 	}
+	if slatewind.Outcome(head.GetOutcome()) == slatewind.OutcomeAnswer && !slatewind.IsFinalStatus(int(head.GetStatus())) {
+		return nil, ErrCorrupt
+	}
 	r := &reader{attemptID: attemptID, receive: receive, sum: xxhash.New()}
 	reply := &Reply{Head: head}
 	for len(reply.Body) <= MaxBufferedBytes {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/link"
 )
@@ -20,6 +21,13 @@
 	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Chunk{Chunk: []byte(text)}}
 }
 
+// answerHead returns the head of a server's answer to attempt 1.
+func answerHead(status int32) *slatewindv1.RunReply {
+	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Head{Head: &slatewindv1.RunHead{
+		AttemptId: "1", Outcome: string(slatewind.OutcomeAnswer), Status: status,
+	}}}
+}
+
 func end(id, text string) *slatewindv1.RunReply {
 	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_End{End: &slatewindv1.RunEnd{
 		AttemptId: id, Length: int64(len(text)), Checksum: xxhash.Sum64String(text),
@@ -53,6 +61,10 @@
 		"another text":           {parts: []*slatewindv1.RunReply{head("1"), chunk("abd"), end("1", "abc")}, err: link.ErrCorrupt},
 		"a second head":          {parts: []*slatewindv1.RunReply{head("1"), head("1"), end("1", "")}, err: link.ErrCorrupt},
 		"no head":                {parts: []*slatewindv1.RunReply{chunk("abc"), end("1", "abc")}, err: link.ErrCorrupt},
+		"status 000":             {parts: []*slatewindv1.RunReply{answerHead(0), end("1", "")}, err: link.ErrCorrupt},
+		"status 101":             {parts: []*slatewindv1.RunReply{answerHead(101), end("1", "")}, err: link.ErrCorrupt},
+		"status 599":             {parts: []*slatewindv1.RunReply{answerHead(599), end("1", "")}},
+		"status 700":             {parts: []*slatewindv1.RunReply{answerHead(700), end("1", "")}, err: link.ErrCorrupt},
 		"nothing came back":      {err: lost},
 		"nothing after the head": {parts: []*slatewindv1.RunReply{head("1")}, err: link.ErrCorrupt},
 	}
--- a/outbound/invalid_test.go
+++ b/outbound/invalid_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +59,8 @@
 		"continue":                 {100, nil, short},
 		"switching protocols":      {101, nil, short},
 		"early hints":              {103, nil, short},
+		"above server errors":      {600, nil, short},
+		"status 700":               {700, nil, short},
 		"too high a status":        {1000, nil, short},
 		"longer than stated":       {200, []string{"3"}, short},
 		"shorter than stated":      {200, []string{"5"}, short},
@@ -86,3 +91,43 @@
 		}
 	}
 }
+
+// answerOnce returns a server that sends an answer as it is, but for its ID, and keeps the connection open.
+func answerOnce(answer string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "{id}", r.Header.Get(platform.Servers().RequestID)))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
+// TestInvalidAnswerOfServer checks that a request that gets an invalid answer from one server is sent to another one soon if it may be
+// repeated, and rejected soon otherwise.
+func TestInvalidAnswerOfServer(t *testing.T) {
+	names := platform.Servers()
+	own := names.RequestID + ": {id}\r\n" + names.Stamp + ": stamp\r\n"
+	tests := map[string]string{
+		"status 000": "HTTP/1.1 000 None\r\n" + own + "Content-Length: 4\r\n\r\nbody",
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\n" + own + "\r\n",
+		"status 700": "HTTP/1.1 700 None\r\n" + own + "Content-Length: 4\r\n\r\nbody",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMesh(t)
+			m.addServer(t, "a", "svc", answerOnce(answer))
+			g := m.send(http.MethodPost, "/pay/1", "id-1", "", 2*time.Second)
+			assert.Equal(t, g.status, http.StatusBadGateway, "%s", g.body)
+			m.add(t, "b", "svc")
+			for i := range 6 {
+				g := m.send(http.MethodGet, "/look/1", fmt.Sprint("look-", i), "", 2*time.Second)
+				assert.Equal(t, g.status, http.StatusOK, "%s", g.body)
+				assert.Assert(t, g.took < time.Second, "took %s", g.took)
+			}
+		})
+	}
+}
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -184,15 +184,12 @@
 	return a.stated
 }
 
-// maxStatus is the highest status of a response.
-const maxStatus = 999
-
 // errNoAnswer means that the head of a response is none that a server can have sent.
 var errNoAnswer = Error.New("the answer has an invalid status or length")
 
 // checkHead returns the length that the head of a response states, or -1 if it states none.
 func checkHead(head *slatewindv1.AnswerHead) (stated int, err error) {
-	if status := head.GetStatus(); status < http.StatusOK || status > maxStatus {
+	if !slatewind.IsFinalStatus(int(head.GetStatus())) {
 		return -1, errNoAnswer
 	}
 	stated = -1
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -74,9 +74,6 @@
 	maxHeadBytes = 64 << 10
 )
 
-// minFinalStatus is the lowest status of an answer that is not an interim one.
-const minFinalStatus = 200
-
 // HTTPCaller calls servers by HTTP. An answer is taken only if it is proved to be
 // the attempt's own: it echoes the attempt's ID, or its connection was opened for
 // the attempt and has carried nothing else. A server may answer a request twice,
@@ -172,7 +169,12 @@
 	if echoed == echoForeign {
 		return newForeignAnswer(response, used, attemptID)
 	}
-	if response.StatusCode < minFinalStatus {
+	return checkStatus(response)
+}
+
+// checkStatus returns an error for an answer whose status is not a final one, or nil.
+func checkStatus(response *http.Response) error {
+	if !slatewind.IsFinalStatus(response.StatusCode) {
 		return Error.New("the answer has status %d, which is not a final one", response.StatusCode)
 	}
 	return nil
@@ -239,6 +241,9 @@
 	if echoOf(response.Header, "") == echoForeign {
 		return false, newForeignAnswer(response, used, "")
 	}
+	if err := checkStatus(response); err != nil {
+		return false, err
+	}
 	draining := response.Header.Get(HeaderDraining) != ""
 	if response.StatusCode >= slatewind.MinServerErrorStatus && !draining {
 		return false, Error.New("probe got status %d", response.StatusCode)
--- a/sidecar/status_test.go
+++ b/sidecar/status_test.go
@@ -12,7 +12,7 @@
 	"slatewind.example/slatewind/sidecar"
 )
 
-// TestStatusOfAnswer checks that an answer without a final status (RFC 9110, section 15.2) is none.
+// TestStatusOfAnswer checks that an answer without a final status (RFC 9110, section 15) is none.
 func TestStatusOfAnswer(t *testing.T) {
 	tests := map[string]slatewind.Outcome{
 		"000": slatewind.OutcomeUnknown,
@@ -21,7 +21,9 @@
 		"200": slatewind.OutcomeAnswer,
 		"418": slatewind.OutcomeAnswer,
 		"599": slatewind.OutcomeAnswer,
-		"999": slatewind.OutcomeAnswer,
+		"600": slatewind.OutcomeUnknown,
+		"700": slatewind.OutcomeUnknown,
+		"999": slatewind.OutcomeUnknown,
 	}
 	for status, want := range tests {
 		t.Run(status, func(t *testing.T) {
@@ -36,3 +38,21 @@
 		})
 	}
 }
+
+// TestStatusOfProbe checks which answers to a probe show that the server is well.
+func TestStatusOfProbe(t *testing.T) {
+	tests := map[string]bool{
+		"000": false, "099": false, "101": false, "200": true, "404": true, "499": true, "500": false, "599": false, "600": false, "700": false,
+	}
+	for status, well := range tests {
+		t.Run(status, func(t *testing.T) {
+			server, err := standin.NewEarly("127.0.0.1:0", func(*http.Request) string {
+				return "HTTP/1.1 " + status + " Text\r\nContent-Length: 0\r\n\r\n"
+			}, standin.EndInOrder)
+			assert.NilError(t, err)
+			defer server.Close()
+			_, err = sidecar.NewHTTPCaller().Probe(t.Context(), server.Address(), "/health")
+			assert.Equal(t, err == nil, well, "%v", err)
+		})
+	}
+}
--- a/slatewind.go
+++ b/slatewind.go
@@ -283,6 +283,15 @@
 // MinServerErrorStatus is the lowest HTTP status that counts as a server error.
 const MinServerErrorStatus = 500
 
+// Statuses of final answers (RFC 9110, section 15).
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// IsFinalStatus reports whether an HTTP status is that of a final answer.
+func IsFinalStatus(status int) bool { return minFinalStatus <= status && status <= maxFinalStatus }
+
 // Header is one header field of a request or an answer.
 type Header struct {
 	Name  string
