Find a second answer whose names have blanks behind them

The body of an answer without a length could contain another answer, unnoticed, if the names in its head had blanks behind them: "Request-Id : a".

Cause: the scan for such a head took a blank in a name for the head's end.

Evidence: the two new rows of TestSecondAnswerInBody fail on wherever the body is divided; found by looking for where else names are read.

Change: a blank is part of the line, and those behind a name don't count. A line without a colon still ends the head.

Why it works: the scan then finds the marker whether or not the reader of heads would take its name.

Figures: all rows pass, bodies that contain no head among them.

--- a/backend/unframed.go
+++ b/backend/unframed.go
@@ -124,11 +124,13 @@
 	switch {
 	case c == ':':
 		s.state = scanLine
-		return slices.ContainsFunc(s.markers, func(marker string) bool { return strings.EqualFold(marker, string(s.name)) })
+		// Blanks behind a name are invalid, but do not make it another answer's text.
+		name := strings.TrimRight(string(s.name), " \t")
+		return slices.ContainsFunc(s.markers, func(marker string) bool { return strings.EqualFold(marker, name) })
 	case len(s.name) == 0 && (c == ' ' || c == '\t'):
 		// The line continues the one before it.
 		s.state = scanLine
-	case c == '\n' || c == ' ' || c == '\t':
+	case c == '\n':
 		// The head has ended, or the line is no field.
 		s.state = scanBody
 	case c != '\r' && len(s.name) < maxNameBytes:
--- a/backend/unframed_test.go
+++ b/backend/unframed_test.go
@@ -32,6 +32,8 @@
 		"behind what looks like one":   {"HTTP/1.1 200 no fields\nHHTTP/1.1 2 HTTP/1.1 200 OK\r\n" + idLine + "\r\n", true},
 		"an interim answer before":     {"HTTP/1.1 103 Early Hints\r\n\r\n" + own, true},
 		"cut off behind the ID's name": {"body" + "HTTP/1.1 200 OK\r\nRequest-Id:", true},
+		"blanks behind the names":      {"body" + strings.ReplaceAll(own, ":", " :"), true},
+		"a blank within a name before": {"bodyHTTP/1.1 200 OK\r\nA b: c\r\n" + idLine + "\r\n", true},
 		"no other":                     {"long enough!", false},
 		"empty":                        {"", false},
 		"a status line":                {"see HTTP/1.1 200 OK", false},
