Refuse answers with blanks in the names of fields

Callers got answers in whose head the name of a field held a blank. With "Content-Length : 4" or "Transfer-Encoding : chunked" the body was not the server's, or they waited for its end until their time was over: 504 after 8.1 s through a whole process. Names with a control byte, a tab or DEL were refused already; their rows pass on and stay.

Cause: the standard library's reader refuses other bytes that no name may have, but takes a blank and leaves the name as it is. The line is then another field.

Change: package headcheck refuses names that are no tokens (RFC 9110, section 5.1), for all names alike, and makes one in a trailer the error of the body's end. On the own path, status and names are checked in one place for requests and probes.

The transport of the own path limits interim answers together only if nobody looks at them, so the check keeps that limit.

Why it works: what the sender meant by such a line is not known, so nothing behind it is used. The caller gets what it gets for any malformed answer.

Other places: the standard library's server refuses such names from callers. A line with an empty name is dropped by its reader and leaves no trace; nothing of it is passed on. The CLI reads only the process's own answers.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -20,6 +20,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/clip"
+	"slatewind.example/slatewind/headcheck"
 )
 
 // Error is the class of errors of this package.
@@ -166,8 +167,8 @@
 			return nil, malformedAnswer(err)
 		}
 		c.head.endHead()
-		if !isInterim(response) && !slatewind.IsFinalStatus(response.StatusCode) {
-			return nil, errs.Combine(ErrMalformedAnswer, Error.New("status %d", response.StatusCode))
+		if err := checkHead(response); err != nil {
+			return nil, malformedAnswer(err)
 		}
 		if !p.isOwn(c, request, response) {
 			if err := c.discard(response, limit); err != nil {
@@ -191,6 +192,15 @@
 	return nil, ErrForeignAnswer
 }
 
+// checkHead returns an error for the head of an answer that the standard library takes although it is invalid. Nothing that the
+// head states may be relied on before.
+func checkHead(response *http.Response) error {
+	if !isInterim(response) && !slatewind.IsFinalStatus(response.StatusCode) {
+		return Error.New("status %d", response.StatusCode)
+	}
+	return headcheck.Response(response)
+}
+
 // isInterim reports whether another answer to the same request follows. None follows on the connection
 // after 101, which only a request with an Upgrade field asks for.
 func isInterim(response *http.Response) bool {
--- a/daemon/brokenanswer_test.go
+++ b/daemon/brokenanswer_test.go
@@ -109,6 +109,15 @@
 	"status 099": "HTTP/1.1 099 None\r\n%sContent-Length: 4\r\n\r\nbody",
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\n%sUpgrade: a\r\n\r\n",
 	"status 700": "HTTP/1.1 700 None\r\n%sContent-Length: 4\r\n\r\nbody",
+
+	"blank behind Content-Length":    "HTTP/1.1 200 OK\r\n%sContent-Length : 4\r\n\r\nbody",
+	"blank behind Transfer-Encoding": "HTTP/1.1 200 OK\r\n%sTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"blank in a name":                "HTTP/1.1 200 OK\r\n%sX A: b\r\nContent-Length: 4\r\n\r\nbody",
+	"blank in a name of an error":    "HTTP/1.1 500 Error\r\n%sX A: b\r\nContent-Length: 4\r\n\r\nbody",
+	"blank in a trailer":             "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX A: b\r\n\r\n",
+	"blank in an interim name":       "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nbody",
+	"control byte in a name":         "HTTP/1.1 200 OK\r\n%sX\x01: b\r\nContent-Length: 4\r\n\r\nbody",
+	"tab behind a name":              "HTTP/1.1 200 OK\r\n%sContent-Length\t: 4\r\n\r\nbody",
 }
 
 // soonTime is far below the time of a request that waits for an answer.
--- a/link/link.go
+++ b/link/link.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 
 	"slatewind.example/slatewind"
 	"slatewind.example/slatewind/api/slatewindv1"
+	"slatewind.example/slatewind/headcheck"
 )
 
 // Error is the class of errors of this package.
@@ -256,7 +258,7 @@
 	if head.GetAttemptId() != attemptID {
 		return nil, ErrAttemptMismatch
 	}
-	if slatewind.Outcome(head.GetOutcome()) == slatewind.OutcomeAnswer && !slatewind.IsFinalStatus(int(head.GetStatus())) {
+	if !isValid(head) {
 		return nil, ErrCorrupt
 	}
 	r := &reader{attemptID: attemptID, receive: receive, sum: xxhash.New()}
@@ -276,6 +278,15 @@
 	return reply, nil
 }
 
+// isValid reports whether the head of a reply has no answer, or one that a server can have sent.
+func isValid(head *slatewindv1.RunHead) bool {
+	if slatewind.Outcome(head.GetOutcome()) != slatewind.OutcomeAnswer {
+		return true
+	}
+	isInvalid := func(h *slatewindv1.Header) bool { return headcheck.Name(h.GetName()) != nil }
+	return slatewind.IsFinalStatus(int(head.GetStatus())) && !slices.ContainsFunc(head.GetHeaders(), isInvalid)
+}
+
 // reader reads and verifies the chunks of one reply.
 type reader struct {
 	attemptID string
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -21,11 +21,13 @@
 	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Chunk{Chunk: []byte(text)}}
 }
 
-// answerHead returns the head of a server's answer to attempt 1.
-func answerHead(status int32) *slatewindv1.RunReply {
-	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Head{Head: &slatewindv1.RunHead{
-		AttemptId: "1", Outcome: string(slatewind.OutcomeAnswer), Status: status,
-	}}}
+// answerHead returns the head of a server's answer to attempt 1, with fields of the given names.
+func answerHead(status int32, names ...string) *slatewindv1.RunReply {
+	head := &slatewindv1.RunHead{AttemptId: "1", Outcome: string(slatewind.OutcomeAnswer), Status: status}
+	for _, name := range names {
+		head.Headers = append(head.Headers, &slatewindv1.Header{Name: name})
+	}
+	return &slatewindv1.RunReply{Part: &slatewindv1.RunReply_Head{Head: head}}
 }
 
 func end(id, text string) *slatewindv1.RunReply {
@@ -65,6 +67,10 @@
 		"status 101":             {parts: []*slatewindv1.RunReply{answerHead(101), end("1", "")}, err: link.ErrCorrupt},
 		"status 599":             {parts: []*slatewindv1.RunReply{answerHead(599), end("1", "")}},
 		"status 700":             {parts: []*slatewindv1.RunReply{answerHead(700), end("1", "")}, err: link.ErrCorrupt},
+		"a field":                {parts: []*slatewindv1.RunReply{answerHead(200, "X-A"), end("1", "")}},
+		"a blank behind a name":  {parts: []*slatewindv1.RunReply{answerHead(200, "X-A", "X-B "), end("1", "")}, err: link.ErrCorrupt},
+		"a line end in a name":   {parts: []*slatewindv1.RunReply{answerHead(200, "X\nA"), end("1", "")}, err: link.ErrCorrupt},
+		"an empty name":          {parts: []*slatewindv1.RunReply{answerHead(200, ""), end("1", "")}, err: link.ErrCorrupt},
 		"nothing came back":      {err: lost},
 		"nothing after the head": {parts: []*slatewindv1.RunReply{head("1")}, err: link.ErrCorrupt},
 	}
--- a/outbound/invalid_test.go
+++ b/outbound/invalid_test.go
@@ -17,8 +17,9 @@
 	"slatewind.example/slatewind/platform"
 )
 
-// serveInvalid acts as the process beside a server that passes on an answer with the given status and lengths.
-func serveInvalid(status int32, lengths []string, body []byte) func(link.UseStream) error {
+// serveInvalid acts as the process beside a server that passes on an answer with the given status and lengths, and an empty field
+// of each further name.
+func serveInvalid(status int32, lengths []string, body []byte, further ...string) func(link.UseStream) error {
 	return func(s link.UseStream) error {
 		id, err := serveRequest(s)
 		if err != nil {
@@ -30,6 +31,9 @@
 		for _, length := range lengths {
 			head.Headers = append(head.Headers, &slatewindv1.Header{Name: "Content-Length", Value: []byte(length)})
 		}
+		for _, name := range further {
+			head.Headers = append(head.Headers, &slatewindv1.Header{Name: name})
+		}
 		replies := []*slatewindv1.UseReply{{Part: &slatewindv1.UseReply_Head{Head: head}}}
 		for rest := body; len(rest) > 0; {
 			n := min(len(rest), link.ChunkBytes)
@@ -92,6 +96,33 @@
 	}
 }
 
+// TestInvalidName checks that an answer with an invalid name of a field that another process passes on reaches no caller.
+func TestInvalidName(t *testing.T) {
+	tests := map[string]struct {
+		name string
+		want int
+	}{
+		"valid":                       {"X-A", http.StatusOK},
+		"blank behind":                {"X-A ", http.StatusBadGateway},
+		"blank within":                {"X A", http.StatusBadGateway},
+		"blank behind Content-Length": {"Content-Length ", http.StatusBadGateway},
+		"control byte":                {"X\x01", http.StatusBadGateway},
+		"line end":                    {"X\r\nY", http.StatusBadGateway},
+		"colon":                       {"X:", http.StatusBadGateway},
+		"empty":                       {"", http.StatusBadGateway},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newMesh(t, "a")
+			m.serve = serveInvalid(http.StatusOK, nil, []byte("body"), test.name)
+			status, got, whole := m.fetch(t, "HTTP/1.1", 2*time.Second)
+			assert.Equal(t, status, test.want, "%s", got)
+			assert.Assert(t, whole)
+		})
+	}
+}
+
 // answerOnce returns a server that sends an answer as it is, but for its ID, and keeps the connection open.
 func answerOnce(answer string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -114,6 +145,9 @@
 		"status 000": "HTTP/1.1 000 None\r\n" + own + "Content-Length: 4\r\n\r\nbody",
 		"status 101": "HTTP/1.1 101 Switching Protocols\r\n" + own + "\r\n",
 		"status 700": "HTTP/1.1 700 None\r\n" + own + "Content-Length: 4\r\n\r\nbody",
+
+		"blank behind Content-Length": "HTTP/1.1 200 OK\r\n" + own + "Content-Length : 4\r\n\r\nbody",
+		"blank in a trailer":          "HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX A: b\r\n\r\n",
 	}
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/outbound/run.go
+++ b/outbound/run.go
@@ -11,6 +11,7 @@
 	"slatewind.example/slatewind/api/slatewindv1"
 	"slatewind.example/slatewind/bodylimit"
 	"slatewind.example/slatewind/choice"
+	"slatewind.example/slatewind/headcheck"
 	"slatewind.example/slatewind/link"
 	"slatewind.example/slatewind/timer"
 )
@@ -185,7 +186,7 @@
 }
 
 // errNoAnswer means that the head of a response is none that a server can have sent.
-var errNoAnswer = Error.New("the answer has an invalid status or length")
+var errNoAnswer = Error.New("the answer has an invalid status, field or length")
 
 // checkHead returns the length that the head of a response states, or -1 if it states none.
 func checkHead(head *slatewindv1.AnswerHead) (stated int, err error) {
@@ -194,6 +195,9 @@
 	}
 	stated = -1
 	for _, h := range head.GetHeaders() {
+		if headcheck.Name(h.GetName()) != nil {
+			return -1, errNoAnswer
+		}
 		if h.GetName() != "Content-Length" {
 			continue
 		}
--- a/sidecar/caller.go
+++ b/sidecar/caller.go
@@ -70,8 +70,10 @@
 	// that did not echo the ID of its attempt, since others may do the same.
 	distrustTime = time.Minute
 	dialTimeout  = time.Second
-	// maxHeadBytes limits the head of an answer, in bytes.
+	// maxHeadBytes limits the head of an answer, and the interim ones to a request together, in bytes.
 	maxHeadBytes = 64 << 10
+	// emptyHeadBytes is the length of the shortest head of an interim answer, in bytes.
+	emptyHeadBytes = len("HTTP/1.1 103 \r\n\r\n")
 )
 
 // HTTPCaller calls servers by HTTP. An answer is taken only if it is proved to be
@@ -150,10 +152,10 @@
 		echoed = echoForeign
 	}
 	release := func() { c.pool.put(time.Now(), address, conn, echoed) }
-	if err := checkAnswer(response, used, echoed, request.GetAttemptId()); err != nil {
+	if echoed == echoForeign {
 		_ = response.Body.Close()
 		release()
-		return nil, true, err
+		return nil, true, newForeignAnswer(response, used, request.GetAttemptId())
 	}
 	return &ServerAnswer{
 		Status:   response.StatusCode,
@@ -164,22 +166,6 @@
 	}, true, nil
 }
 
-// checkAnswer returns why an answer is none to the attempt, or nil.
-func checkAnswer(response *http.Response, used use, echoed echo, attemptID string) error {
-	if echoed == echoForeign {
-		return newForeignAnswer(response, used, attemptID)
-	}
-	return checkStatus(response)
-}
-
-// checkStatus returns an error for an answer whose status is not a final one, or nil.
-func checkStatus(response *http.Response) error {
-	if !slatewind.IsFinalStatus(response.StatusCode) {
-		return Error.New("the answer has status %d, which is not a final one", response.StatusCode)
-	}
-	return nil
-}
-
 // echo is what an answer says about the attempt to which it belongs.
 type echo string
 
@@ -241,9 +227,6 @@
 	if echoOf(response.Header, "") == echoForeign {
 		return false, newForeignAnswer(response, used, "")
 	}
-	if err := checkStatus(response); err != nil {
-		return false, err
-	}
 	draining := response.Header.Get(HeaderDraining) != ""
 	if response.StatusCode >= slatewind.MinServerErrorStatus && !draining {
 		return false, Error.New("probe got status %d", response.StatusCode)
--- a/sidecar/connection.go
+++ b/sidecar/connection.go
@@ -5,10 +5,15 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
+	"slatewind.example/slatewind"
+	"slatewind.example/slatewind/headcheck"
 	"slatewind.example/slatewind/resetconn"
 )
 
@@ -43,17 +48,54 @@
 	reused bool
 }
 
-// send sends a request and returns the answer, whose body has not been read yet.
+// send sends a request and returns the answer, whose body has not been read yet. An answer with an invalid head is an error.
 func (c *connection) send(r *http.Request) (*http.Response, use, error) {
 	var started, reused atomic.Bool
+	interim := interimHeads{}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			started.Store(true)
 			reused.Store(info.Reused)
 		},
+		Got1xxResponse: interim.check,
 	})
 	response, err := c.transport.RoundTrip(r.WithContext(ctx))
-	return response, use{started: started.Load(), reused: reused.Load()}, Error.Wrap(err)
+	used := use{started: started.Load(), reused: reused.Load()}
+	if err != nil {
+		return nil, used, Error.Wrap(err)
+	}
+	if err := checkHead(response); err != nil {
+		return nil, used, errs.Combine(Error.Wrap(err), response.Body.Close())
+	}
+	return response, used, nil
+}
+
+// checkHead returns an error for the head of a final answer that the standard library takes although it is invalid.
+func checkHead(response *http.Response) error {
+	if !slatewind.IsFinalStatus(response.StatusCode) {
+		return Error.New("the answer has status %d, which is not a final one", response.StatusCode)
+	}
+	return headcheck.Response(response)
+}
+
+// interimHeads checks the heads of the interim answers to a request. The transport leaves it to the caller to limit them together.
+type interimHeads struct {
+	// bytes is the length of the heads so far, without their reason phrases.
+	bytes int
+}
+
+// check returns an error for a head that is invalid or exceeds the limit.
+func (i *interimHeads) check(_ int, header textproto.MIMEHeader) error {
+	i.bytes += emptyHeadBytes
+	for name, values := range header {
+		for _, value := range values {
+			i.bytes += len(name) + len(value)
+		}
+	}
+	if i.bytes > maxHeadBytes {
+		return Error.New("the heads of interim answers exceed %d bytes", maxHeadBytes)
+	}
+	return headcheck.Fields(header)
 }
 
 // close closes the connection if it is idle, or when it becomes idle. The connection must not be used again.
