--- a/backend/unframed.go
+++ b/backend/unframed.go
@@ -124,7 +124,7 @@
 	switch {
 	case c == ':':
 		s.state = scanLine
-		// Blanks behind a name are invalid, but do not make it another answer's text.
+		// Blanks behind a name are invalid, but the line is still meant as that field.
 		name := strings.TrimRight(string(s.name), " \t")
 		return slices.ContainsFunc(s.markers, func(marker string) bool { return strings.EqualFold(marker, name) })
 	case len(s.name) == 0 && (c == ' ' || c == '\t'):
--- a/resetconn/resetconn.go
+++ b/resetconn/resetconn.go
@@ -35,7 +35,7 @@
 	reset bool
 }
 
-// Dial opens a connection to an IP:port address. It implements syscall.Conn.
+// Dial opens a connection to an IP:port address. The connection implements syscall.Conn.
 func Dial(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
