Tell both failures from a truncated answer in the test of slow readers

Cause: the test's. The 151 bytes are the text of a 502 of the process's own, whole and with its status: the request's time ended before the first MiB of the answer had come, and the process noticed that the answer broke off before it noticed the time. The test knew only the 504 of the other order.

Ruled out: a part of the answer with status 200, the case that the test guards against; its bytes would not fit the length.

Change: the test counts 502 as 504. A status 200 must still come, and must be whole or seen to be cut; any other status still fails.

--- a/outbound/truncated_test.go
+++ b/outbound/truncated_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -173,14 +174,16 @@
 	}))
 	for i := range 8 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
-			// On a busy machine the time may end before the answer begins, which is then a failure of the process's own.
+			// On a busy machine the time may end before the answer begins, which is then a failure of the process's own. Its
+			// status depends on whether the process first notices that the time is over or that the answer broke off.
+			ownFailures := []int{http.StatusGatewayTimeout, http.StatusBadGateway}
 			status := http.StatusGatewayTimeout
-			for within := 300 * time.Millisecond; status == http.StatusGatewayTimeout; within *= 2 {
+			for within := 300 * time.Millisecond; slices.Contains(ownFailures, status); within *= 2 {
 				assert.Assert(t, within < 10*time.Second, "no answer began in time")
 				var n int64
 				var err error
 				status, n, err = readLate(t, m, fmt.Sprintf("id-%d-%s", i, within), within)
-				assert.Assert(t, status == http.StatusGatewayTimeout || err != nil || n == int64(len(body)), "%d bytes of %d, and the end of a complete answer", n, len(body))
+				assert.Assert(t, slices.Contains(ownFailures, status) || err != nil || n == int64(len(body)), "%d bytes of %d, and the end of a complete answer", n, len(body))
 			}
 			assert.Equal(t, status, http.StatusOK)
 		})
